Choose workers by longest wait and fading failures; tell late requests of a stopping node to come back

Ruled out: prefix homes (a twelfth of the prompts), slots of batch items. Change: no request is taken once resting connections are closed; expected wait is at least what this node's oldest request there has waited; what others hold fades to the service's mean; a failure rate halves each second.

--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -6,6 +6,7 @@
 use futures_util::StreamExt;
 use http_body_util::BodyExt;
 use hyper::{Method, Uri};
+use rand::RngCore;
 use swiftshunt_jobs::{ItemOutcome, ItemSpec, JobSpec, Settled};
 use swiftshunt_routing::Route;
 use swiftshunt_scheduler::selection::{Chosen, Class, Demand, Ending};
@@ -191,6 +192,7 @@
                 prompt: facts.prompt,
                 prompt_tokens: facts.prompt_tokens,
                 total_tokens: item.tokens,
+                salt: rand::rng().next_u64(),
             },
         })
     }
--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -9,6 +9,7 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::request;
 use hyper::{Request, Response, StatusCode};
+use rand::RngCore;
 use swiftshunt_routing::{Configuration, Repeat, Route, RouteKind};
 use swiftshunt_scheduler::selection::{Chosen, Class, Demand};
 
@@ -110,6 +111,7 @@
             prompt: facts.prompt.clone(),
             prompt_tokens: facts.prompt_tokens,
             total_tokens: facts.prompt_tokens + facts.output_tokens,
+            salt: rand::rng().next_u64(),
         };
         let outgoing = Outgoing {
             id: facts.id.clone(),
--- a/crates/swiftshunt-gateway/src/server.rs
+++ b/crates/swiftshunt-gateway/src/server.rs
@@ -17,7 +17,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::answers::{CallerAnswer, plain, whole};
+use crate::answers::{CallerAnswer, not_run, plain, whole};
 use crate::beliefs::Beliefs;
 use crate::metrics::Metrics;
 use crate::online::Online;
@@ -108,11 +108,18 @@
         .map(|configuration| configuration.limits)
         .unwrap_or_default();
     let draining = stop.draining.clone();
+    let closing = stop.closing.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let online = Arc::clone(&online);
         let draining = draining.clone();
+        // What is asked this late might not end within the grace period.
+        let too_late = closing.is_cancelled();
         async move {
-            let mut answer = online.answer(request).await;
+            let mut answer = if too_late {
+                not_run("this gateway stops")
+            } else {
+                online.answer(request).await
+            };
             if draining.is_cancelled() {
                 let close = HeaderValue::from_static("close");
                 answer.headers_mut().insert(CONNECTION, close);
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -40,6 +40,8 @@
     pub prompt_tokens: u64,
     /// Tokens that it holds at most.
     pub total_tokens: u64,
+    /// A random number: spreads requests of many nodes over workers that are equally good.
+    pub salt: u64,
 }
 
 /// A chosen worker.
@@ -51,6 +53,9 @@
     pub address: SocketAddr,
     /// Prompt tokens that it is expected to read.
     pub missing_tokens: u64,
+    /// Whether there is a prompt: the time of a stream is that of its length and tells nothing of
+    /// the worker's speed.
+    pub has_prompt: bool,
 }
 
 /// How a request left a worker.
@@ -72,8 +77,8 @@
 
 /// Weight of a new observation in a moving average.
 const SMOOTHING: f64 = 0.2;
-/// Age at which a told load says half of what it said.
-const LOAD_HALF_LIFE: Duration = Duration::from_millis(700);
+/// Age at which what a worker told of others' requests counts half, and the service's mean half.
+const LOAD_HALF_LIFE: Duration = Duration::from_millis(1_500);
 /// First pause for a worker that does not answer; doubled with each failure in a row.
 const FIRST_EJECTION: Duration = Duration::from_millis(400);
 /// Longest pause.
@@ -84,10 +89,17 @@
 const OTHER_ZONE_COST: f64 = 2.0;
 /// Cost of a worker that has just started, in milliseconds.
 const COLD_COST: f64 = 50.0;
-/// Cost of full slots against empty ones, in milliseconds, where nothing is known of times.
-const OCCUPANCY_COST: f64 = 4.0;
+/// Cost of full slots against empty ones, in milliseconds.
+const OCCUPANCY_COST: f64 = 8.0;
+/// Differences of cost that do not matter, in milliseconds.
+const SPREAD: f64 = 2.0;
 /// Cost of a certain failure, in milliseconds.
-const FAILURE_COST: f64 = 2_000.0;
+const FAILURE_COST: f64 = 1_000.0;
+/// Weight of one failure in the failure rate.
+const FAILURE_SMOOTHING: f64 = 0.1;
+/// Time in which a failure rate halves by itself: a worker that gets no requests must not be
+/// passed over for ever.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(1);
 /// Cost of a directory entry that has not been renewed in time, in milliseconds.
 const STALE_ENTRY_COST: f64 = 1_500.0;
 /// Tokens a millisecond that engines read, until it has been observed.
@@ -105,9 +117,12 @@
     own_online: u32,
     own_batch: u32,
     pending_tokens: u64,
+    /// When requests of this node that have no first event yet were sent, oldest first.
+    pending_since: Vec<Duration>,
     told: Option<(ToldLoad, u32, Duration)>,
     residency: Residency,
     failure_rate: f64,
+    failure_rate_at: Duration,
     failures_in_row: u32,
     ejected_until: Duration,
     heard_at: Duration,
@@ -122,9 +137,11 @@
             own_online: 0,
             own_batch: 0,
             pending_tokens: 0,
+            pending_since: Vec::new(),
             told: None,
             residency: Residency::new(memory_tokens),
             failure_rate: 0.0,
+            failure_rate_at: now,
             failures_in_row: 0,
             ejected_until: Duration::ZERO,
             heard_at: now,
@@ -143,15 +160,35 @@
             .max(1)
     }
 
-    /// Requests that it holds, as far as known.
-    fn load(&self, now: Duration) -> f64 {
-        let own = f64::from(self.own());
-        let Some((told, own_then, at)) = self.told else {
-            return own;
-        };
+    /// Requests of others that it was told to hold, and how much that still counts.
+    fn told_others(&self, now: Duration) -> Option<(f64, f64)> {
+        let (told, own_then, at) = self.told?;
         let others = f64::from((told.running + told.waiting).saturating_sub(own_then));
         let age = now.saturating_sub(at).as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
-        own + others * 0.5_f64.powf(age)
+        Some((others, 0.5_f64.powf(age)))
+    }
+
+    /// Requests that it holds, as far as known; `usual_others` is what its like hold of others.
+    fn load(&self, usual_others: f64, now: Duration) -> f64 {
+        let own = f64::from(self.own());
+        match self.told_others(now) {
+            Some((others, weight)) => own + others * weight + usual_others * (1.0 - weight),
+            None => own + usual_others,
+        }
+    }
+
+    /// How long this node's request that waits longest has waited for its first event.
+    fn longest_wait(&self, now: Duration) -> Duration {
+        let oldest = self.pending_since.first();
+        oldest.map_or(Duration::ZERO, |sent| now.saturating_sub(*sent))
+    }
+
+    fn no_longer_pending(&mut self, sent_at: Duration, tokens: u64) {
+        self.pending_tokens = self.pending_tokens.saturating_sub(tokens);
+        let position = self.pending_since.iter().position(|sent| *sent == sent_at);
+        if let Some(position) = position {
+            self.pending_since.remove(position);
+        }
     }
 
     fn silence(&self, now: Duration) -> Duration {
@@ -165,9 +202,16 @@
         self.heard_at = now;
     }
 
-    fn observe_failure(&mut self, failed: bool) {
+    fn failure_rate(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.failure_rate_at).as_secs_f64();
+        self.failure_rate * 0.5_f64.powf(age / FAILURE_HALF_LIFE.as_secs_f64())
+    }
+
+    fn observe_failure(&mut self, failed: bool, now: Duration) {
         let value = if failed { 1.0 } else { 0.0 };
-        self.failure_rate += SMOOTHING * (value - self.failure_rate);
+        let rate = self.failure_rate(now);
+        self.failure_rate = rate + FAILURE_SMOOTHING * (value - rate);
+        self.failure_rate_at = now;
     }
 
     fn eject(&mut self, now: Duration) {
@@ -293,6 +337,7 @@
             .ready(service)
             .filter(|candidate| !tried.contains(&candidate.entry.incarnation));
         let times = self.services.get(service);
+        let usual_others = self.usual_others(service, now);
         let newest = self
             .ready(service)
             .map(|candidate| candidate.renewed_at)
@@ -300,7 +345,8 @@
         let scored = open.map(|candidate| {
             let at_home = home == Some(candidate.entry.incarnation.as_str());
             let missing = missing_tokens(candidate, demand, at_home);
-            let mut cost = self.cost(candidate, times, missing, now);
+            let mut cost = self.cost(candidate, times, missing, usual_others, now);
+            cost += spread(demand.salt, &candidate.entry.incarnation);
             let late = newest.saturating_sub(candidate.renewed_at).as_secs_f64();
             if late > self.renewal_interval.as_secs_f64() * MISSED_RENEWALS {
                 cost += STALE_ENTRY_COST;
@@ -314,6 +360,7 @@
             incarnation: candidate.entry.incarnation.clone(),
             address: candidate.entry.address,
             missing_tokens: missing,
+            has_prompt: demand.prompt_tokens > 0,
         })
     }
 
@@ -331,10 +378,11 @@
                 && candidate.ejected_until <= now
                 && candidate.silence(now) <= USUAL_SILENCE * 2
         });
+        let usual_others = self.usual_others(service, now);
         let with_room = open.filter_map(|candidate| {
             let slots = f64::from(candidate.slots());
-            let room = slots * (1.0 - reserved) - candidate.load(now);
-            let penalty = candidate.failure_rate * slots;
+            let room = slots * (1.0 - reserved) - candidate.load(usual_others, now);
+            let penalty = candidate.failure_rate(now) * slots;
             (room >= 1.0).then_some((room - penalty, candidate))
         });
         let best = with_room.max_by(|left, right| left.0.total_cmp(&right.0));
@@ -342,6 +390,7 @@
             incarnation: candidate.entry.incarnation.clone(),
             address: candidate.entry.address,
             missing_tokens: 0,
+            has_prompt: true,
         })
     }
 
@@ -354,9 +403,24 @@
 
     /// Whether an online request would have to wait at a worker as far as known.
     pub fn is_full(&self, incarnation: &str, now: Duration) -> bool {
-        self.candidates
-            .get(incarnation)
-            .is_some_and(|candidate| candidate.load(now) >= f64::from(candidate.slots()))
+        let Some(candidate) = self.candidates.get(incarnation) else {
+            return false;
+        };
+        let usual_others = self.usual_others(&candidate.entry.service, now);
+        candidate.load(usual_others, now) >= f64::from(candidate.slots())
+    }
+
+    /// Requests of other nodes that a ready worker of the service holds in the mean, by what was
+    /// told last.
+    fn usual_others(&self, service: &str, now: Duration) -> f64 {
+        let told = self
+            .ready(service)
+            .filter_map(|candidate| candidate.told_others(now));
+        let (sum, weights) = told.fold((0.0, 0.0), |(sum, weights), (others, weight)| {
+            (sum + others * weight, weights + weight)
+        });
+        // Where nobody tells anything any more, the memory of it fades.
+        sum / weights.max(1.0)
     }
 
     fn cost(
@@ -364,18 +428,22 @@
         candidate: &Candidate,
         times: Option<&ServiceTimes>,
         missing: u64,
+        usual_others: f64,
         now: Duration,
     ) -> f64 {
         let rate = times.map_or(ASSUMED_PREFILL_RATE, |times| times.prefill_rate);
         let service_ms = times.map_or(ASSUMED_DURATION, |times| times.duration_ms);
-        let own_ms = candidate.duration_ms.unwrap_or(service_ms);
         let slots = f64::from(candidate.slots());
-        let load = candidate.load(now);
+        let load = candidate.load(usual_others, now);
         let ahead = (load - slots + 1.0).max(0.0);
-        let queue = ahead * own_ms / slots;
-        let reading = (candidate.pending_tokens + missing) as f64 / rate;
-        let occupancy = load / slots * OCCUPANCY_COST.max((own_ms - service_ms).abs() / 4.0);
-        let slower = (own_ms - service_ms).max(0.0) / 2.0;
+        let queue = ahead * service_ms / slots;
+        let pending = candidate.pending_tokens as f64 / rate;
+        let waited = candidate.longest_wait(now).as_secs_f64() * 1e3;
+        let wait = queue.max(waited - pending).max(0.0);
+        let reading = pending + missing as f64 / rate;
+        let occupancy = load / slots * OCCUPANCY_COST;
+        let own_ms = candidate.duration_ms.unwrap_or(service_ms);
+        let slower = (own_ms - service_ms).max(0.0);
         let silence = candidate.silence(now);
         let silence = if silence > USUAL_SILENCE {
             silence.as_secs_f64() * 2_000.0
@@ -392,8 +460,8 @@
         } else {
             COLD_COST
         };
-        let failures = candidate.failure_rate * FAILURE_COST;
-        queue + reading + occupancy + slower + silence + zone + cold + failures
+        let failures = candidate.failure_rate(now) * FAILURE_COST;
+        wait + reading + occupancy + slower + silence + zone + cold + failures
     }
 
     /// The worker at which every node first looks for a shared beginning of a prompt, so that it is
@@ -428,6 +496,7 @@
             Class::Batch => candidate.own_batch += 1,
         }
         candidate.pending_tokens += chosen.missing_tokens;
+        candidate.pending_since.push(now);
         candidate.residency.touch(&demand.prompt);
     }
 
@@ -452,9 +521,8 @@
             return;
         };
         candidate.heard(now);
-        candidate.pending_tokens = candidate
-            .pending_tokens
-            .saturating_sub(chosen.missing_tokens);
+        let sent_at = now.saturating_sub(waited);
+        candidate.no_longer_pending(sent_at, chosen.missing_tokens);
         if chosen.missing_tokens < RATE_SAMPLE_TOKENS {
             return;
         }
@@ -482,32 +550,42 @@
             Class::Batch => candidate.own_batch = candidate.own_batch.saturating_sub(1),
         }
         if !had_first_event {
-            let pending = candidate.pending_tokens;
-            candidate.pending_tokens = pending.saturating_sub(chosen.missing_tokens);
+            let sent_at = now.saturating_sub(held);
+            candidate.no_longer_pending(sent_at, chosen.missing_tokens);
         }
         match ending {
             Ending::Answered => {
-                candidate.observe_failure(false);
+                candidate.observe_failure(false, now);
                 candidate.failures_in_row = 0;
                 candidate.ejected_until = Duration::ZERO;
                 candidate.heard(now);
                 if class == Class::Online {
                     let service = candidate.entry.service.clone();
                     let held_ms = held.as_secs_f64() * 1e3;
-                    let own = candidate.duration_ms.get_or_insert(held_ms);
-                    *own += SMOOTHING * (held_ms - *own);
+                    if !chosen.has_prompt {
+                        let own = candidate.duration_ms.get_or_insert(held_ms);
+                        *own += SMOOTHING * (held_ms - *own);
+                    }
                     let times = self.services.entry(service).or_default();
                     times.duration_ms += SMOOTHING / 4.0 * (held_ms - times.duration_ms);
                 }
             }
             Ending::TurnedAway => candidate.heard(now),
-            Ending::Failed => candidate.observe_failure(true),
+            Ending::Failed => candidate.observe_failure(true, now),
             Ending::Unreachable | Ending::Silent => candidate.eject(now),
             Ending::Withdrawn => {}
         }
     }
 }
 
+/// A small cost that differs between requests.
+fn spread(salt: u64, incarnation: &str) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    salt.hash(&mut hasher);
+    incarnation.hash(&mut hasher);
+    (hasher.finish() % 1_024) as f64 / 1_024.0 * SPREAD
+}
+
 fn missing_tokens(candidate: &Candidate, demand: &Demand, at_home: bool) -> u64 {
     let mut resident = candidate.residency.resident_tokens(&demand.prompt);
     if at_home {
