--- a/crates/swiftshunt-gateway/src/batch/reads.rs
+++ b/crates/swiftshunt-gateway/src/batch/reads.rs
@@ -11,6 +11,16 @@
 
 /// Bytes of results in one answer at most.
 const PAGE_BYTES: usize = 1_000_000;
+/// What a look at a job's results gave.
+enum Listing {
+    /// The job is not known.
+    Gone,
+    /// There is something to answer at once.
+    Page(CallerAnswer),
+    /// Nothing stands at the position yet.
+    Empty(CallerAnswer),
+}
+
 /// Longest time that an answer is held for a result.
 const LONGEST_WAIT: Duration = Duration::from_secs(30);
 
@@ -21,41 +31,61 @@
         if let Err(answer) = self.find(partition, id).await {
             return answer;
         }
-        let behind = {
-            let state = self.replay.state(partition);
-            state
-                .fold
-                .job(id)
-                .is_none_or(|job| from > job.results.len())
-        };
-        if behind && self.replay.confirm(partition).await.is_err() {
-            return journal_away();
-        }
         let deadline = Instant::now() + wait.min(LONGEST_WAIT);
         let mut changes = self.replay.changes(partition);
         loop {
             changes.mark_unchanged();
-            {
-                let state = self.replay.state(partition);
-                let Some(job) = state.fold.job(id) else {
-                    return plain(StatusCode::NOT_FOUND, "no such job");
-                };
-                let page = job.page(from, PAGE_BYTES);
-                let whole_listing = job.results.len() == job.spec.items.len();
-                let nothing_to_wait_for = !page.results.is_empty() || job.ended || whole_listing;
-                if nothing_to_wait_for || Instant::now() >= deadline {
-                    let encoded = self.dispatcher.protocol.job_page(&job.spec, &page, from);
-                    let mut answer = Response::new(whole(encoded.body));
-                    let content_type = HeaderValue::from_static(encoded.content_type);
-                    answer.headers_mut().insert(CONTENT_TYPE, content_type);
-                    return answer;
+            match self.page(partition, id, from) {
+                Listing::Gone => return plain(StatusCode::NOT_FOUND, "no such job"),
+                Listing::Page(answer) => return answer,
+                Listing::Empty(answer) if Instant::now() >= deadline => {
+                    return self.confirmed_empty(partition, id, from, answer).await;
                 }
+                Listing::Empty(_) => {}
             }
             // A time-out shows at the next look at the clock.
             drop(tokio::time::timeout_at(deadline, changes.changed()).await);
         }
     }
 
+    /// Answers that there is nothing at a position, but only once everything that stands in the
+    /// log is known here: another node may have listed more.
+    async fn confirmed_empty(
+        &self,
+        partition: u32,
+        id: &str,
+        from: usize,
+        empty: CallerAnswer,
+    ) -> CallerAnswer {
+        if self.replay.confirm(partition).await.is_err() {
+            return journal_away();
+        }
+        match self.page(partition, id, from) {
+            Listing::Page(answer) => answer,
+            Listing::Empty(_) | Listing::Gone => empty,
+        }
+    }
+
+    /// The page from a position on, as far as known here.
+    fn page(&self, partition: u32, id: &str, from: usize) -> Listing {
+        let state = self.replay.state(partition);
+        let Some(job) = state.fold.job(id) else {
+            return Listing::Gone;
+        };
+        let page = job.page(from, PAGE_BYTES);
+        let is_empty = page.results.is_empty();
+        let is_whole = from == job.results.len() && job.results.len() == job.spec.items.len();
+        let encoded = self.dispatcher.protocol.job_page(&job.spec, &page, from);
+        let mut answer = Response::new(whole(encoded.body));
+        let content_type = HeaderValue::from_static(encoded.content_type);
+        answer.headers_mut().insert(CONTENT_TYPE, content_type);
+        if is_empty && !is_whole {
+            Listing::Empty(answer)
+        } else {
+            Listing::Page(answer)
+        }
+    }
+
     /// The body of an item.
     pub(crate) async fn item_body(&self, id: &str, item: &str) -> CallerAnswer {
         let partition = self.replay.partition_of(id);
