--- a/crates/swiftshunt-gateway/src/answers.rs
+++ b/crates/swiftshunt-gateway/src/answers.rs
@@ -32,6 +32,10 @@
 /// Seconds after which a caller comes back when the journal is away.
 const COME_BACK_FOR_JOURNAL_SECONDS: &str = "0.5";
 
+/// Seconds after which a caller comes back to a gateway that knows no configuration yet: a process
+/// that has just started while the log is away, or a few moments before it was read.
+const COME_BACK_FOR_CONFIGURATION_SECONDS: &str = "1.5";
+
 /// A whole body.
 pub(crate) fn whole(bytes: Bytes) -> AnswerBody {
     Full::new(bytes)
@@ -53,6 +57,14 @@
     come_back(text, COME_BACK_SECONDS)
 }
 
+/// Nothing is known yet; the request did not run.
+pub(crate) fn not_configured() -> CallerAnswer {
+    come_back(
+        "no configuration is known yet",
+        COME_BACK_FOR_CONFIGURATION_SECONDS,
+    )
+}
+
 /// Nothing was recorded, since the journal is away.
 pub(crate) fn journal_away() -> CallerAnswer {
     come_back("the journal is away", COME_BACK_FOR_JOURNAL_SECONDS)
--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::{Method, Uri};
 use rand::RngCore;
-use swiftshunt_jobs::{ItemOutcome, ItemSpec, JobSpec, Settled};
+use swiftshunt_jobs::{ItemOutcome, ItemSpec, JobSpec, Progress, Settled};
 use swiftshunt_routing::Route;
 use swiftshunt_scheduler::selection::{Chosen, Class, Demand, Ending};
 
@@ -26,7 +26,7 @@
 
 /// The output of an item so far.
 #[derive(Default)]
-struct Output {
+pub(crate) struct Output {
     text: String,
     last_event: Option<u64>,
     failures: u32,
@@ -51,11 +51,16 @@
 
 impl Batch {
     /// Runs an item until it is settled.
-    pub(crate) async fn run_item(&self, id: &ItemId, spec: &JobSpec, first_seen: Duration) {
+    pub(crate) async fn run_item(
+        &self,
+        id: &ItemId,
+        spec: &JobSpec,
+        first_seen: Duration,
+        output: &mut Output,
+    ) {
         let Some(item) = spec.items.get(id.index as usize) else {
             return;
         };
-        let mut output = Output::default();
         loop {
             let route = self
                 .dispatcher
@@ -74,7 +79,7 @@
                 tokio::time::sleep(RETRY_PAUSE).await;
                 continue;
             };
-            let attempt = self.attempt(id, spec, item, &chosen, &mut output).await;
+            let attempt = self.attempt(id, spec, item, &chosen, output).await;
             match attempt {
                 Attempt::Whole => {
                     let text = std::mem::take(&mut output.text);
@@ -100,6 +105,43 @@
         }
     }
 
+    /// How far an earlier runner came.
+    pub(crate) fn output_so_far(&self, id: &ItemId) -> Output {
+        let state = self.replay.state(id.partition);
+        let progress = state
+            .fold
+            .job(&id.job)
+            .and_then(|job| job.progress(id.index));
+        progress.map_or_else(Output::default, |progress| Output {
+            text: progress.text.clone(),
+            last_event: Some(progress.last_event),
+            failures: progress.failures,
+        })
+    }
+
+    /// Leaves word for the next runner, unless the item needs none.
+    pub(crate) fn leave_word(&self, id: &ItemId, output: Output) {
+        let Some(last_event) = output.last_event else {
+            return;
+        };
+        let is_open = self
+            .replay
+            .state(id.partition)
+            .fold
+            .job(&id.job)
+            .is_some_and(|job| !job.ended && !job.is_settled(id.index as usize));
+        if !is_open {
+            return;
+        }
+        let progress = Progress {
+            item: id.index,
+            last_event,
+            text: output.text,
+            failures: output.failures,
+        };
+        self.results.hand_over(id.partition, &id.job, progress);
+    }
+
     fn place(&self, route: &Route, now: Duration) -> Option<Chosen> {
         let service = self.dispatcher.beliefs.next_service(route);
         let headroom = self.settings.batch.headroom;
--- a/crates/swiftshunt-gateway/src/batch/leases.rs
+++ b/crates/swiftshunt-gateway/src/batch/leases.rs
@@ -1,7 +1,10 @@
-//! Which partitions' items run here: a lease of the log's group, given up by this process's own
-//! clock before the log gives it to another.
+//! Which partitions' items run here: a lease of the log's group.
+//!
+//! The lease is soft: two runners of an item for a moment cost a repeated run and never a wrong
+//! result. So it is given up when the log says so, or when this process did not ask in time; while
+//! the log does not answer it is kept for a while, since nobody else can get it either.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -17,12 +20,29 @@
 
 /// Renewals within one lease.
 const RENEWALS: u32 = 3;
+/// Leases for which partitions are kept while the log does not answer.
+const LEASES_WHILE_AWAY: u32 = 6;
+/// Time after which items of a new partition start: its last runner leaves word how far it came.
+const HAND_OVER_TIME: Duration = Duration::from_millis(400);
 
 #[derive(Default)]
 struct Held {
     generation: u64,
-    partitions: BTreeSet<u32>,
+    /// Partitions, and since when.
+    partitions: BTreeMap<u32, Duration>,
     until: Duration,
+    log_is_away: bool,
+}
+
+impl Held {
+    fn is_valid(&self, now: Duration, lease: Duration) -> bool {
+        let until = if self.log_is_away {
+            self.until + lease * LEASES_WHILE_AWAY
+        } else {
+            self.until
+        };
+        now < until
+    }
 }
 
 /// The leases of this process.
@@ -52,16 +72,23 @@
     /// The partitions held now.
     pub(crate) fn partitions(&self) -> BTreeSet<u32> {
         let held = lock(&self.held);
-        if held.until <= self.clock.now() {
+        if !held.is_valid(self.clock.now(), self.time) {
             return BTreeSet::new();
         }
-        held.partitions.clone()
+        held.partitions.keys().copied().collect()
     }
 
     /// Whether a partition is held now.
     pub(crate) fn holds(&self, partition: u32) -> bool {
         let held = lock(&self.held);
-        held.until > self.clock.now() && held.partitions.contains(&partition)
+        held.is_valid(self.clock.now(), self.time) && held.partitions.contains_key(&partition)
+    }
+
+    /// Whether items of a partition may be started.
+    pub(crate) fn may_start(&self, partition: u32) -> bool {
+        let held = lock(&self.held);
+        let since = held.partitions.get(&partition);
+        since.is_some_and(|since| self.clock.now() >= *since + HAND_OVER_TIME)
     }
 
     /// Renews for as long as the process takes work.
@@ -69,6 +96,7 @@
         let mut away = Away::new("leases", 0);
         while !self.left.is_cancelled() {
             let renewed = self.renew().await;
+            lock(&self.held).log_is_away = renewed.is_err();
             metrics
                 .leased_partitions
                 .set(self.partitions().len() as i64);
@@ -89,18 +117,25 @@
             generation,
             partitions,
         } = renewal.await?;
-        let partitions: BTreeSet<u32> = partitions.into_iter().collect();
         let mut held = lock(&self.held);
         if self.left.is_cancelled() {
             return Ok(());
         }
-        if held.partitions != partitions {
-            log::info!(generation, partitions:? = partitions; "leases changed");
+        let now = self.clock.now();
+        let since = |partition| held.partitions.get(&partition).copied().unwrap_or(now);
+        let partitions: BTreeMap<u32, Duration> = partitions
+            .into_iter()
+            .map(|partition| (partition, since(partition)))
+            .collect();
+        if !held.partitions.keys().eq(partitions.keys()) {
+            let named: Vec<&u32> = partitions.keys().collect();
+            log::info!(generation, partitions:? = named; "leases changed");
         }
         *held = Held {
             generation,
             partitions,
             until: asked + self.time,
+            log_is_away: false,
         };
         Ok(())
     }
--- a/crates/swiftshunt-gateway/src/batch/mod.rs
+++ b/crates/swiftshunt-gateway/src/batch/mod.rs
@@ -10,6 +10,7 @@
 mod runner;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::StatusCode;
 use swiftshunt_journal::Log;
@@ -23,6 +24,11 @@
 use replay::Replay;
 use results::Results;
 use runner::Running;
+use tokio_util::sync::CancellationToken;
+
+/// How long a stop waits for word to the next runners, and the pause between looks.
+const HAND_OVER_LIMIT: Duration = Duration::from_millis(800);
+const HAND_OVER_POLL: Duration = Duration::from_millis(20);
 
 /// The batch side of a gateway.
 pub(crate) struct Batch {
@@ -33,6 +39,7 @@
     leases: Leases,
     results: Results,
     running: Running,
+    stops: CancellationToken,
 }
 
 impl Batch {
@@ -48,6 +55,7 @@
             leases: Leases::new(log, &settings, dispatcher.clock),
             results: Results::default(),
             running: Running::default(),
+            stops: CancellationToken::new(),
             dispatcher,
             settings,
         }
@@ -66,10 +74,23 @@
         tokio::spawn(Arc::clone(self).forget_old_jobs());
     }
 
-    /// Stops running items here and hands the partitions over.
+    /// Stops running items here and hands the partitions over: first word of how far the items
+    /// came, then the leases.
     pub(crate) async fn stop(&self) {
-        self.leases.leave().await;
+        self.stops.cancel();
         self.running.stop_all();
+        let written = async {
+            while !self.running.is_empty() || !self.results.is_handed_over() {
+                tokio::time::sleep(HAND_OVER_POLL).await;
+            }
+        };
+        if tokio::time::timeout(HAND_OVER_LIMIT, written)
+            .await
+            .is_err()
+        {
+            log::info!("items are left without word of how far they came");
+        }
+        self.leases.leave().await;
     }
 
     /// Whether every result is written.
--- a/crates/swiftshunt-gateway/src/batch/results.rs
+++ b/crates/swiftshunt-gateway/src/batch/results.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use swiftshunt_jobs::{JobRecord, Settled};
+use swiftshunt_jobs::{JobRecord, Progress, Settled};
 use tokio::sync::Notify;
 
 use super::Batch;
@@ -33,6 +33,7 @@
 #[derive(Default)]
 pub(crate) struct Results {
     entries: Mutex<BTreeMap<ItemKey, Entry>>,
+    handed_over: Mutex<BTreeMap<(u32, String), Vec<Progress>>>,
     added: Notify,
 }
 
@@ -47,6 +48,19 @@
         self.added.notify_one();
     }
 
+    /// Leaves word for the next runner of an item.
+    pub(crate) fn hand_over(&self, partition: u32, job: &str, progress: Progress) {
+        let mut handed_over = lock(&self.handed_over);
+        let of_job = handed_over.entry((partition, job.to_owned())).or_default();
+        of_job.push(progress);
+        self.added.notify_one();
+    }
+
+    /// Whether word for the next runners was written.
+    pub(crate) fn is_handed_over(&self) -> bool {
+        lock(&self.handed_over).is_empty()
+    }
+
     /// Whether the item has a result that was not read back yet.
     pub(crate) fn contains(&self, partition: u32, job: &str, item: u32) -> bool {
         lock(&self.entries).contains_key(&(partition, job.to_owned(), item))
@@ -54,13 +68,14 @@
 
     /// Whether every result was written.
     pub(crate) fn is_written(&self) -> bool {
-        lock(&self.entries)
+        let written = lock(&self.entries)
             .values()
-            .all(|entry| entry.written_at.is_some())
+            .all(|entry| entry.written_at.is_some());
+        written && self.is_handed_over()
     }
 
     fn is_empty(&self) -> bool {
-        lock(&self.entries).is_empty()
+        lock(&self.entries).is_empty() && self.is_handed_over()
     }
 
     /// What is to be written now, by partition and job.
@@ -100,6 +115,7 @@
             if self.results.is_empty() {
                 self.results.added.notified().await;
             }
+            self.write_progress().await;
             tokio::time::sleep(GATHER).await;
             self.results.keep(|partition, job, item| {
                 let state = self.replay.state(partition);
@@ -118,6 +134,20 @@
         }
     }
 
+    /// Writes word for next runners, once: without it they begin anew.
+    async fn write_progress(&self) {
+        let handed_over = lock(&self.results.handed_over).clone();
+        for ((partition, job), progress) in handed_over {
+            let record = JobRecord::HandedOver {
+                job: job.clone(),
+                progress,
+            };
+            let outcome = self.appender.append(partition, &record).await;
+            log::info!(job = job.as_str(), partition, outcome:? = outcome; "items are handed over");
+            lock(&self.results.handed_over).remove(&(partition, job));
+        }
+    }
+
     async fn write_job(&self, partition: u32, job: String, results: Vec<Settled>) -> bool {
         let record = JobRecord::Settled {
             job: job.clone(),
--- a/crates/swiftshunt-gateway/src/batch/runner.rs
+++ b/crates/swiftshunt-gateway/src/batch/runner.rs
@@ -57,6 +57,10 @@
         lock(&self.items).remove(id);
     }
 
+    pub(crate) fn is_empty(&self) -> bool {
+        lock(&self.items).is_empty()
+    }
+
     fn contains(&self, id: &ItemId) -> bool {
         lock(&self.items).contains_key(id)
     }
@@ -100,6 +104,7 @@
         }
     }
 
+    /// Stops every item.
     pub(crate) fn stop_all(&self) {
         for item in lock(&self.items).values() {
             item.stop.cancel();
@@ -162,7 +167,7 @@
             let job = state.fold.job(&id.job);
             job.is_some_and(|job| !job.ended && !job.is_settled(id.index as usize))
         });
-        if held.is_empty() {
+        if held.is_empty() || self.stops.is_cancelled() {
             return false;
         }
         let (mut waiting, shares) = self.survey(&held);
@@ -170,7 +175,9 @@
         let mut started = 0;
         let mut left = false;
         for item in waiting {
-            if started >= STARTED_AT_ONCE || !self.may_start(&item.service, &shares) {
+            let may_start =
+                self.leases.may_start(item.id.partition) && self.may_start(&item.service, &shares);
+            if started >= STARTED_AT_ONCE || !may_start {
                 left = true;
                 continue;
             }
@@ -240,9 +247,10 @@
         let batch = Arc::clone(self);
         tokio::spawn(async move {
             let id = item.id;
+            let mut output = batch.output_so_far(&id);
             tokio::select! {
-                () = stop.cancelled() => {}
-                () = batch.run_item(&id, &item.spec, item.first_seen) => {}
+                () = stop.cancelled() => batch.leave_word(&id, output),
+                () = batch.run_item(&id, &item.spec, item.first_seen, &mut output) => {}
             }
             batch.running.remove(&id);
         });
--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -53,7 +53,7 @@
     pub(crate) async fn answer(&self, request: Request<Incoming>) -> CallerAnswer {
         let arrived = self.dispatcher.clock.now();
         let Some(configuration) = self.dispatcher.beliefs.configuration() else {
-            return not_run("no configuration is known yet");
+            return answers::not_configured();
         };
         let (head, body) = request.into_parts();
         let host = host_of(&head);
--- a/crates/swiftshunt-jobs/src/fold.rs
+++ b/crates/swiftshunt-jobs/src/fold.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::{ItemOutcome, JobRecord, JobSpec, Settled};
+use crate::{JobRecord, JobSpec, Progress, Settled};
 
 /// A batch job.
 #[derive(Debug)]
@@ -14,6 +14,7 @@
     /// Results in the order of their positions.
     pub results: Vec<Settled>,
     settled: Vec<bool>,
+    progress: BTreeMap<u32, Progress>,
     /// Whether the caller ended it.
     pub ended: bool,
     /// When this process first saw it, on its own steady clock: never earlier than the caller sent
@@ -38,6 +39,7 @@
             settled: vec![false; spec.items.len()],
             spec: Arc::new(spec),
             results: Vec::new(),
+            progress: BTreeMap::new(),
             ended: false,
             first_seen: now,
             keys: Vec::new(),
@@ -54,6 +56,22 @@
         self.settled.get(item).copied().unwrap_or(true)
     }
 
+    /// How far an earlier runner came with an item.
+    pub fn progress(&self, item: u32) -> Option<&Progress> {
+        self.progress.get(&item)
+    }
+
+    /// Takes progress that goes further than what is known.
+    fn hand_over(&mut self, progress: Progress) {
+        if self.is_settled(progress.item as usize) {
+            return;
+        }
+        let known = self.progress.get(&progress.item);
+        if known.is_none_or(|known| known.last_event < progress.last_event) {
+            self.progress.insert(progress.item, progress);
+        }
+    }
+
     /// Results from `from` on, as many as stay within `limit` bytes, at least one if there is one.
     pub fn page(&self, from: usize, limit: usize) -> Page<'_> {
         let rest = self.results.get(from..).unwrap_or_default();
@@ -77,6 +95,7 @@
             return false;
         }
         *settled = true;
+        self.progress.remove(&result.item);
         self.results.push(result);
         true
     }
@@ -111,6 +130,7 @@
         let effect = match record {
             JobRecord::Accepted(spec) => self.accept(spec, now),
             JobRecord::Settled { job, results } => self.settle(job, results),
+            JobRecord::HandedOver { job, progress } => self.hand_over(&job, progress),
             JobRecord::Ended { job } => self.end(job),
         };
         if let Some(job) = self.jobs.get_mut(&id) {
@@ -143,6 +163,15 @@
         }
     }
 
+    fn hand_over(&mut self, id: &str, progress: Vec<Progress>) -> Effect {
+        if let Some(job) = self.jobs.get_mut(id) {
+            for item in progress {
+                job.hand_over(item);
+            }
+        }
+        Effect::Nothing
+    }
+
     fn end(&mut self, id: String) -> Effect {
         match self.jobs.get_mut(&id) {
             Some(job) if !job.ended => {
@@ -186,13 +215,4 @@
         let job = self.jobs.remove(id);
         job.map(|job| job.keys).unwrap_or_default()
     }
-
-    /// Whether a result that is completed stands for the item.
-    pub fn is_completed(&self, id: &str, item: usize) -> bool {
-        self.job(id).is_some_and(|job| {
-            job.results.iter().any(|result| {
-                result.item as usize == item && result.outcome == ItemOutcome::Completed
-            })
-        })
-    }
 }
--- a/crates/swiftshunt-jobs/src/record.rs
+++ b/crates/swiftshunt-jobs/src/record.rs
@@ -51,6 +51,19 @@
     pub text: String,
 }
 
+/// The output of an item so far, left by a runner for the next one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// Index of the item in the job.
+    pub item: u32,
+    /// The last event that is in the text.
+    pub last_event: u64,
+    /// Data of all events so far.
+    pub text: String,
+    /// Runs that failed.
+    pub failures: u32,
+}
+
 /// A record.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobRecord {
@@ -63,6 +76,13 @@
         /// The results.
         results: Vec<Settled>,
     },
+    /// Items of a job that go on with another runner.
+    HandedOver {
+        /// The job.
+        job: String,
+        /// How far they are.
+        progress: Vec<Progress>,
+    },
     /// The caller ended the job.
     Ended {
         /// The job.
@@ -75,7 +95,7 @@
     pub fn job(&self) -> &str {
         match self {
             Self::Accepted(spec) => &spec.id,
-            Self::Settled { job, .. } | Self::Ended { job } => job,
+            Self::Settled { job, .. } | Self::HandedOver { job, .. } | Self::Ended { job } => job,
         }
     }
 }
