Do not take an unchanged directory entry for a stale one

Ruled out: told load and failure rates, changed before without mending it. Change: no staleness by age; the directory is read by waiting reads.

--- a/crates/swiftshunt-gateway/src/followers.rs
+++ b/crates/swiftshunt-gateway/src/followers.rs
@@ -15,8 +15,11 @@
 
 /// How long a read waits for a new configuration.
 const CONFIGURATION_WAIT: Duration = Duration::from_secs(2);
-/// Part of the time within which a change must be in force after which the directory is read again.
-const READS_WITHIN_OBEDIENCE: u32 = 4;
+/// Part of the time within which a change must be in force for which a read of the directory waits
+/// at most: a wait that was lost on the way must not take all of it.
+const WAITS_WITHIN_OBEDIENCE: u32 = 2;
+/// Pause after a change of the directory, so that changes that come together are read together.
+const GATHER: Duration = Duration::from_millis(100);
 /// First and longest pause after a call that gave nothing.
 const FIRST_PAUSE: Duration = Duration::from_millis(80);
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
@@ -166,19 +169,18 @@
         log::info!(version, routes, outcome:? = installed; "a configuration was read");
     }
 
-    /// Follows the directory for as long as the process lives. Entries are renewed all the time, so
-    /// it is read at intervals instead of at each renewal.
+    /// Follows the directory for as long as the process lives.
     pub(crate) async fn follow_directory(self: Arc<Self>, settings: DirectorySettings) {
         let mut followed = Followed::new(Topic::Workers);
         let mut away = Away::new("directory", 0);
-        let interval = settings.obey_within / READS_WITHIN_OBEDIENCE;
+        let wait = settings.obey_within / WAITS_WITHIN_OBEDIENCE;
         loop {
-            let changes = followed.changes(self.log.as_ref(), Duration::ZERO).await;
+            let changes = followed.changes(self.log.as_ref(), wait).await;
             self.count(&changes);
             away.pause(&changes).await;
             if let Ok(changes) = changes {
                 self.take_workers(changes);
-                tokio::time::sleep(interval).await;
+                tokio::time::sleep(GATHER).await;
             }
         }
     }
--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -74,7 +74,7 @@
         let metrics_listener = metrics_listener.transpose()?;
         let clock = Clock::start();
         let metrics = Arc::new(Metrics::new());
-        let selector = Selector::new(&settings.zone, settings.directory.renewal_interval);
+        let selector = Selector::new(&settings.zone);
         let beliefs = Arc::new(Beliefs::new(selector));
         let dispatcher = Arc::new(Dispatcher {
             protocol: Arc::clone(&protocol),
--- a/crates/swiftshunt-gateway/src/settings.rs
+++ b/crates/swiftshunt-gateway/src/settings.rs
@@ -65,9 +65,6 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DirectorySettings {
-    /// How often workers renew their entries.
-    #[serde(with = "duration_text")]
-    pub renewal_interval: Duration,
     /// How soon a change must be in force here.
     #[serde(with = "duration_text")]
     pub obey_within: Duration,
@@ -193,9 +190,6 @@
         if self.log.append_bytes < self.log.record_bytes {
             return invalid("log.append_bytes", "must be at least log.record_bytes");
         }
-        if self.directory.renewal_interval.is_zero() {
-            return invalid("directory.renewal_interval", "must be above zero");
-        }
         if self.directory.obey_within.is_zero() {
             return invalid("directory.obey_within", "must be above zero");
         }
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -100,8 +100,6 @@
 /// Time in which a failure rate halves by itself: a worker that gets no requests must not be
 /// passed over for ever.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(1);
-/// Cost of a directory entry that has not been renewed in time, in milliseconds.
-const STALE_ENTRY_COST: f64 = 1_500.0;
 /// Tokens a millisecond that engines read, until it has been observed.
 const ASSUMED_PREFILL_RATE: f64 = 40.0;
 /// Prompts whose missing part is at least this long show the rate.
@@ -113,7 +111,6 @@
 #[derive(Debug)]
 struct Candidate {
     entry: WorkerEntry,
-    renewed_at: Duration,
     own_online: u32,
     own_batch: u32,
     pending_tokens: u64,
@@ -133,7 +130,6 @@
     fn new(entry: WorkerEntry, memory_tokens: u64, now: Duration) -> Self {
         Self {
             entry,
-            renewed_at: now,
             own_online: 0,
             own_batch: 0,
             pending_tokens: 0,
@@ -244,20 +240,15 @@
 #[derive(Debug)]
 pub struct Selector {
     zone: String,
-    renewal_interval: Duration,
     candidates: BTreeMap<String, Candidate>,
     services: BTreeMap<String, ServiceTimes>,
 }
 
-/// Renewals that an entry may miss before it counts as stale.
-const MISSED_RENEWALS: f64 = 1.7;
-
 impl Selector {
-    /// A selector of a node in `zone`, where entries are renewed each `renewal_interval`.
-    pub fn new(zone: &str, renewal_interval: Duration) -> Self {
+    /// A selector of a node in `zone`.
+    pub fn new(zone: &str) -> Self {
         Self {
             zone: zone.to_owned(),
-            renewal_interval,
             candidates: BTreeMap::new(),
             services: BTreeMap::new(),
         }
@@ -279,7 +270,6 @@
             let changed = known.entry.availability != entry.availability
                 || known.entry.address != entry.address;
             known.entry = entry;
-            known.renewed_at = now;
             return changed;
         }
         let key = entry.incarnation.clone();
@@ -338,19 +328,11 @@
             .filter(|candidate| !tried.contains(&candidate.entry.incarnation));
         let times = self.services.get(service);
         let usual_others = self.usual_others(service, now);
-        let newest = self
-            .ready(service)
-            .map(|candidate| candidate.renewed_at)
-            .max()?;
         let scored = open.map(|candidate| {
             let at_home = home == Some(candidate.entry.incarnation.as_str());
             let missing = missing_tokens(candidate, demand, at_home);
-            let mut cost = self.cost(candidate, times, missing, usual_others, now);
-            cost += spread(demand.salt, &candidate.entry.incarnation);
-            let late = newest.saturating_sub(candidate.renewed_at).as_secs_f64();
-            if late > self.renewal_interval.as_secs_f64() * MISSED_RENEWALS {
-                cost += STALE_ENTRY_COST;
-            }
+            let cost = self.cost(candidate, times, missing, usual_others, now);
+            let cost = cost + spread(demand.salt, &candidate.entry.incarnation);
             let ejected = candidate.ejected_until > now;
             (ejected, cost, missing, candidate)
         });
