--- a/crates/swiftshunt-lab/src/platform/worker.rs
+++ b/crates/swiftshunt-lab/src/platform/worker.rs
@@ -254,6 +254,8 @@
             if let Manner::BreakAfter(most) = manner
                 && event >= first + most
             {
+                // What was sent before gets out first.
+                tokio::time::sleep(shared.settings.pause).await;
                 return Err(BrokenOff);
             }
             if event == events {
