--- a/crates/swiftshunt-gateway/src/batch/appender.rs
+++ b/crates/swiftshunt-gateway/src/batch/appender.rs
@@ -51,15 +51,24 @@
 
     /// Appends once.
     pub(crate) async fn append(&self, partition: u32, record: &JobRecord) -> Appended {
-        let nonce = rand::rng().next_u64();
-        let framed = frames(record.job(), nonce, record, self.record_bytes);
-        let framed = match framed {
-            Ok(framed) => framed,
-            Err(error) => {
-                log::error!(job = record.job(); "a record cannot be written: {error}");
-                return Appended::Refused;
+        self.append_all(partition, std::slice::from_ref(record))
+            .await
+    }
+
+    /// Appends records of one partition once, in one call if they fit. If it does not succeed, some
+    /// of them may stand.
+    pub(crate) async fn append_all(&self, partition: u32, records: &[JobRecord]) -> Appended {
+        let mut framed = Vec::new();
+        for record in records {
+            let nonce = rand::rng().next_u64();
+            match frames(record.job(), nonce, record, self.record_bytes) {
+                Ok(frames) => framed.extend(frames),
+                Err(error) => {
+                    log::error!(job = record.job(); "a record cannot be written: {error}");
+                    return Appended::Refused;
+                }
             }
-        };
+        }
         let mut outcome = Appended::Done;
         for call in calls(framed, self.append_bytes) {
             outcome = match self.log.append(Topic::Jobs, partition, call).await {
@@ -72,7 +81,8 @@
         }
         self.metrics.append_ended(outcome);
         if outcome != Appended::Done {
-            log::info!(job = record.job(), partition, outcome:? = outcome; "an append did not succeed");
+            log::info!(partition, records = records.len(), outcome:? = outcome;
+                "an append did not succeed");
         }
         outcome
     }
--- a/crates/swiftshunt-gateway/src/batch/results.rs
+++ b/crates/swiftshunt-gateway/src/batch/results.rs
@@ -13,6 +13,8 @@
 
 /// Pause between writes, so that results that come together are written together.
 const GATHER: Duration = Duration::from_millis(100);
+/// Longest rest after a write that took long.
+const LONGEST_REST: Duration = Duration::from_secs(1);
 /// Pause after a write that did not succeed.
 const RETRY: Duration = Duration::from_millis(200);
 /// How long a closed job is looked at for expiry again.
@@ -79,14 +81,15 @@
     }
 
     /// What is to be written now, by partition and job.
-    fn due(&self, now: Duration) -> BTreeMap<(u32, String), Vec<Settled>> {
-        let mut due: BTreeMap<(u32, String), Vec<Settled>> = BTreeMap::new();
+    fn due(&self, now: Duration) -> BTreeMap<u32, BTreeMap<String, Vec<Settled>>> {
+        let mut due: BTreeMap<u32, BTreeMap<String, Vec<Settled>>> = BTreeMap::new();
         for ((partition, job, _), entry) in lock(&self.entries).iter() {
             let waits = entry
                 .written_at
                 .is_some_and(|at| now < at + READ_BACK_TIMEOUT);
             if !waits {
-                let results = due.entry((*partition, job.clone())).or_default();
+                let of_partition = due.entry(*partition).or_default();
+                let results = of_partition.entry(job.clone()).or_default();
                 results.push(entry.result.clone());
             }
         }
@@ -122,15 +125,20 @@
                 let known = state.fold.job(job);
                 known.is_some_and(|known| !known.ended && !known.is_settled(item as usize))
             });
-            let due = self.results.due(self.dispatcher.clock.now());
-            let writes = due.into_iter().map(|((partition, job), results)| {
+            let began = self.dispatcher.clock.now();
+            let due = self.results.due(began);
+            let writes = due.into_iter().map(|(partition, jobs)| {
                 let batch = Arc::clone(&self);
-                async move { batch.write_job(partition, job, results).await }
+                async move { batch.write_partition(partition, jobs).await }
             });
             let written = futures_util::future::join_all(writes).await;
             if written.contains(&false) {
                 tokio::time::sleep(RETRY).await;
             }
+            // A log that is slow takes a partition's appends in turn: jobs that are handed in must
+            // not wait behind results.
+            let took = self.dispatcher.clock.now().saturating_sub(began);
+            tokio::time::sleep(took.min(LONGEST_REST)).await;
         }
     }
 
@@ -148,17 +156,21 @@
         }
     }
 
-    async fn write_job(&self, partition: u32, job: String, results: Vec<Settled>) -> bool {
-        let record = JobRecord::Settled {
+    async fn write_partition(&self, partition: u32, jobs: BTreeMap<String, Vec<Settled>>) -> bool {
+        let records = jobs.iter().map(|(job, results)| JobRecord::Settled {
             job: job.clone(),
             results: results.clone(),
-        };
-        let outcome = self.appender.append(partition, &record).await;
-        if outcome == Appended::Done {
-            let now = self.dispatcher.clock.now();
+        });
+        let records: Vec<JobRecord> = records.collect();
+        let outcome = self.appender.append_all(partition, &records).await;
+        if outcome != Appended::Done {
+            return false;
+        }
+        let now = self.dispatcher.clock.now();
+        for (job, results) in jobs {
             self.results.mark_written(partition, &job, &results, now);
         }
-        outcome == Appended::Done
+        true
     }
 
     /// Drops jobs that nobody may ask for any more.
