--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -9,6 +9,7 @@
 use rand::RngCore;
 use swiftshunt_jobs::{ItemOutcome, ItemSpec, JobSpec, Progress, Settled};
 use swiftshunt_routing::Route;
+use swiftshunt_scheduler::batch::{by_urgency, urgency};
 use swiftshunt_scheduler::selection::{Chosen, Class, Demand, Ending};
 
 use super::Batch;
@@ -75,7 +76,8 @@
             if limit.is_some_and(|limit| now >= first_seen + limit) {
                 return self.settle(id, item, ItemOutcome::GivenUp, String::new(), "too late");
             }
-            let Some(chosen) = self.place(&route, now) else {
+            let age = now.saturating_sub(first_seen);
+            let Some(chosen) = self.place(&route, age, now) else {
                 tokio::time::sleep(RETRY_PAUSE).await;
                 continue;
             };
@@ -142,9 +144,11 @@
         self.results.hand_over(id.partition, &id.job, progress);
     }
 
-    fn place(&self, route: &Route, now: Duration) -> Option<Chosen> {
+    fn place(&self, route: &Route, age: Duration, now: Duration) -> Option<Chosen> {
         let service = self.dispatcher.beliefs.next_service(route);
-        let headroom = self.settings.batch.headroom;
+        let settings = &self.settings.batch;
+        let urgency = urgency(age, route.completion_target);
+        let headroom = by_urgency(settings.headroom, settings.urgent_headroom, urgency);
         let selector = self.dispatcher.beliefs.selector();
         selector.choose_for_batch(&service, &[], headroom, now)
     }
--- a/crates/swiftshunt-gateway/src/batch/runner.rs
+++ b/crates/swiftshunt-gateway/src/batch/runner.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use swiftshunt_jobs::JobSpec;
+use swiftshunt_scheduler::batch::{by_urgency, urgency};
 use tokio_util::sync::CancellationToken;
 
 use super::Batch;
@@ -127,6 +128,8 @@
     spec: Arc<JobSpec>,
     service: String,
     first_seen: Duration,
+    /// When it is due, on the gateway's clock.
+    due: Duration,
 }
 
 /// Items of a service, here and everywhere.
@@ -134,15 +137,21 @@
 struct Share {
     here: usize,
     everywhere: usize,
+    /// Urgency of the most urgent one.
+    urgency: f64,
 }
 
+/// When an item of a route without a target is due.
+const NEVER_DUE: Duration = Duration::from_secs(1 << 32);
+
 impl Batch {
     /// Starts items for as long as the process takes work.
     pub(crate) async fn run_items(self: Arc<Self>) {
         let mut changes = self.replay.any_change();
         loop {
             changes.mark_unchanged();
-            let left_waiting = self.look();
+            self.yield_to_online();
+            let left_waiting = self.look() || !self.running.is_empty();
             let pause = if left_waiting {
                 LOOK_INTERVAL
             } else {
@@ -156,6 +165,18 @@
         }
     }
 
+    /// Takes an item back from each worker at which online requests wait.
+    fn yield_to_online(&self) {
+        if self.running.is_empty() {
+            return;
+        }
+        let now = self.dispatcher.clock.now();
+        let crowded = self.dispatcher.beliefs.selector().crowded_by_batch(now);
+        for worker in crowded {
+            self.make_room(&worker);
+        }
+    }
+
     /// Stops what is not to run here any more and starts what may; tells whether items wait.
     fn look(self: &Arc<Self>) -> bool {
         let held = self.leases.partitions();
@@ -171,7 +192,7 @@
             return false;
         }
         let (mut waiting, shares) = self.survey(&held);
-        waiting.sort_by_key(|item| item.first_seen);
+        waiting.sort_by_key(|item| item.due);
         let mut started = 0;
         let mut left = false;
         for item in waiting {
@@ -192,6 +213,7 @@
         &self,
         held: &std::collections::BTreeSet<u32>,
     ) -> (Vec<Waiting>, BTreeMap<String, Share>) {
+        let now = self.dispatcher.clock.now();
         let mut waiting = Vec::new();
         let mut shares: BTreeMap<String, Share> = BTreeMap::new();
         let Some(configuration) = self.dispatcher.beliefs.configuration() else {
@@ -203,8 +225,11 @@
                 let route = configuration.route(&spec.host, &spec.path);
                 let service = route.map(|route| route.shares[0].service.clone());
                 let service = service.unwrap_or_default();
+                let target = route.and_then(|route| route.completion_target);
                 let share = shares.entry(service.clone()).or_default();
                 share.everywhere += 1;
+                let age = now.saturating_sub(first_seen);
+                share.urgency = share.urgency.max(urgency(age, target));
                 if !held.contains(&partition) {
                     continue;
                 }
@@ -222,6 +247,7 @@
                         spec,
                         service,
                         first_seen,
+                        due: target.map_or(NEVER_DUE, |target| first_seen + target),
                     });
                 }
             }
@@ -236,7 +262,13 @@
             return false;
         };
         let slots = f64::from(self.dispatcher.beliefs.selector().slots(service));
-        let of_batch = slots * self.settings.batch.slot_share;
+        let settings = &self.settings.batch;
+        let allowed = by_urgency(
+            settings.slot_share,
+            settings.urgent_slot_share,
+            share.urgency,
+        );
+        let of_batch = slots * allowed;
         let part = share.here as f64 / share.everywhere.max(1) as f64;
         let here = (of_batch * part).ceil().max(1.0) as usize;
         self.running.count(service) < here
--- a/crates/swiftshunt-gateway/src/settings.rs
+++ b/crates/swiftshunt-gateway/src/settings.rs
@@ -76,8 +76,12 @@
 pub struct BatchSettings {
     /// Share of a service's slots that batch items may hold together.
     pub slot_share: f64,
+    /// The same, once items are about to be late.
+    pub urgent_slot_share: f64,
     /// Share of each worker's slots that batch items leave free.
     pub headroom: f64,
+    /// The same, once items are about to be late.
+    pub urgent_headroom: f64,
     /// How long results stay readable after a job was accepted.
     #[serde(with = "duration_text")]
     pub keep_results: Duration,
@@ -89,8 +93,10 @@
 impl Default for BatchSettings {
     fn default() -> Self {
         Self {
-            slot_share: 0.5,
-            headroom: 0.25,
+            slot_share: 0.35,
+            urgent_slot_share: 0.6,
+            headroom: 0.35,
+            urgent_headroom: 0.2,
             keep_results: Duration::from_secs(120),
             lease: Duration::from_secs(3),
         }
@@ -193,12 +199,21 @@
         if self.directory.obey_within.is_zero() {
             return invalid("directory.obey_within", "must be above zero");
         }
-        if !(0.0..=1.0).contains(&self.batch.slot_share) {
+        let batch = &self.batch;
+        if !(0.0..=1.0).contains(&batch.slot_share) {
             return invalid("batch.slot_share", "must lie between 0 and 1");
         }
-        if !(0.0..1.0).contains(&self.batch.headroom) {
+        if !(batch.slot_share..=1.0).contains(&batch.urgent_slot_share) {
+            let reason = "must lie between batch.slot_share and 1";
+            return invalid("batch.urgent_slot_share", reason);
+        }
+        if !(0.0..1.0).contains(&batch.headroom) {
             return invalid("batch.headroom", "must lie between 0 and 1");
         }
+        if !(0.0..=batch.headroom).contains(&batch.urgent_headroom) {
+            let reason = "must lie between 0 and batch.headroom";
+            return invalid("batch.urgent_headroom", reason);
+        }
         if self.batch.lease < self.log.shortest_lease {
             return invalid("batch.lease", "must be at least log.shortest_lease");
         }
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -392,6 +392,21 @@
         candidate.load(usual_others, now) >= f64::from(candidate.slots())
     }
 
+    /// Workers with batch items of this node at which online requests wait or are about to.
+    pub fn crowded_by_batch(&self, now: Duration) -> Vec<String> {
+        let with_batch = self
+            .candidates
+            .values()
+            .filter(|candidate| candidate.own_batch > 0);
+        let crowded = with_batch.filter(|candidate| {
+            let usual_others = self.usual_others(&candidate.entry.service, now);
+            candidate.load(usual_others, now) >= f64::from(candidate.slots())
+        });
+        crowded
+            .map(|candidate| candidate.entry.incarnation.clone())
+            .collect()
+    }
+
     /// Requests of other nodes that a ready worker of the service holds in the mean, by what was
     /// told last.
     fn usual_others(&self, service: &str, now: Duration) -> f64 {
