--- a/crates/swiftshunt-gateway/src/settings.rs
+++ b/crates/swiftshunt-gateway/src/settings.rs
@@ -93,10 +93,10 @@
 impl Default for BatchSettings {
     fn default() -> Self {
         Self {
-            slot_share: 0.35,
-            urgent_slot_share: 0.6,
-            headroom: 0.35,
-            urgent_headroom: 0.2,
+            slot_share: 0.5,
+            urgent_slot_share: 0.7,
+            headroom: 0.25,
+            urgent_headroom: 0.15,
             keep_results: Duration::from_secs(120),
             lease: Duration::from_secs(3),
         }
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -400,7 +400,7 @@
             .filter(|candidate| candidate.own_batch > 0);
         let crowded = with_batch.filter(|candidate| {
             let usual_others = self.usual_others(&candidate.entry.service, now);
-            candidate.load(usual_others, now) >= f64::from(candidate.slots())
+            candidate.load(usual_others, now) > f64::from(candidate.slots())
         });
         crowded
             .map(|candidate| candidate.entry.incarnation.clone())
