--- a/crates/swiftshunt-gateway/src/batch/appender.rs
+++ b/crates/swiftshunt-gateway/src/batch/appender.rs
@@ -24,8 +24,9 @@
     Unknown,
 }
 
-/// Pause before a refused or unanswered append is tried again.
-const RETRY_PAUSE: Duration = Duration::from_millis(60);
+/// First and longest pause before a refused or unanswered append is tried again.
+const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(60);
+const LONGEST_RETRY_PAUSE: Duration = Duration::from_millis(500);
 
 /// Appends.
 pub(crate) struct Appender {
@@ -97,13 +98,15 @@
     ) -> Appended {
         let mut worst = Appended::Refused;
         let tries = async {
+            let mut pause = FIRST_RETRY_PAUSE;
             loop {
                 match self.append(partition, record).await {
                     Appended::Done => return,
                     Appended::Unknown => worst = Appended::Unknown,
                     Appended::Refused => {}
                 }
-                tokio::time::sleep(RETRY_PAUSE).await;
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_RETRY_PAUSE);
             }
         };
         match tokio::time::timeout(time, tries).await {
--- a/crates/swiftshunt-gateway/src/batch/results.rs
+++ b/crates/swiftshunt-gateway/src/batch/results.rs
@@ -16,7 +16,7 @@
 /// Longest rest after a write that took long.
 const LONGEST_REST: Duration = Duration::from_secs(1);
 /// Pause after a write that did not succeed.
-const RETRY: Duration = Duration::from_millis(200);
+const RETRY: Duration = Duration::from_millis(400);
 /// How long a closed job is looked at for expiry again.
 const EXPIRY_CHECK: Duration = Duration::from_secs(10);
 
--- /dev/null
+++ b/crates/swiftshunt-routing/tests/routing.rs
@@ -0,0 +1,111 @@
+//! Match of routes, versions that only rise, shares of splits.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use swiftshunt_routing::{
+    Configuration, ConfigurationError, Installed, Limits, Repeat, Route, RouteKind, Share,
+    SplitState, Versioned,
+};
+
+fn route(name: &str, host: &str, prefix: &str, shares: &[(&str, u32)]) -> Arc<Route> {
+    let shares = shares.iter().map(|(service, weight)| Share {
+        service: (*service).to_owned(),
+        weight: *weight,
+    });
+    Arc::new(Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RouteKind::Unary,
+        repeat: Repeat::Allowed,
+        resumable: false,
+        shares: shares.collect(),
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        max_attempts: 2,
+        priority: 0,
+        pause_target: None,
+        completion_target: None,
+        give_up_after: None,
+    })
+}
+
+fn configuration(version: u64, routes: Vec<Arc<Route>>) -> Configuration {
+    Configuration {
+        version,
+        routes,
+        services: BTreeMap::new(),
+        limits: Limits::default(),
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![
+        route("short", "a.example", "/x/", &[("s", 1)]),
+        route("long", "a.example", "/x/y/", &[("s", 1)]),
+        route("other", "b.example", "/x/y/z/", &[("s", 1)]),
+    ];
+    let configuration = configuration(1, routes);
+    let name = |host, path| configuration.route(host, path).map(|route| &*route.name);
+    assert_eq!(name("a.example", "/x/1"), Some("short"));
+    assert_eq!(name("A.Example", "/x/y/z/1"), Some("long"));
+    assert_eq!(name("a.example", "/x"), None);
+    assert_eq!(name("a.example", "/z/"), None);
+    assert_eq!(name("c.example", "/x/"), None);
+}
+
+#[test]
+fn versions_only_rise() {
+    let mut versioned = Versioned::default();
+    assert!(versioned.current().is_none());
+    for (offered, outcome) in [
+        (7, Installed::Taken),
+        (5, Installed::NotNewer),
+        (7, Installed::NotNewer),
+        (9, Installed::Taken),
+    ] {
+        assert_eq!(
+            versioned.install(configuration(offered, Vec::new())),
+            outcome
+        );
+    }
+    assert_eq!(versioned.current().map(|current| current.version), Some(9));
+}
+
+#[test]
+fn what_cannot_be_served_is_refused_and_named() {
+    let bad = configuration(1, vec![route("r", "h", "/x", &[("s", 1)])]);
+    assert!(matches!(
+        bad.validate(),
+        Err(ConfigurationError::Prefix { .. })
+    ));
+    let bad = configuration(1, vec![route("r", "h", "/x/", &[("s", 0)])]);
+    let error = bad.validate().expect_err("no share");
+    assert!(error.to_string().contains("routes.r"));
+}
+
+#[test]
+fn every_short_run_of_a_split_has_the_shares_of_its_weights() {
+    let route = route("r", "h", "/", &[("a", 90), ("b", 10)]);
+    let mut split = SplitState::default();
+    for run in 0..20 {
+        let to_b = (0..10)
+            .filter(|_| split.next(&route, |_| true) == "b")
+            .count();
+        assert_eq!(to_b, 1, "run {run}");
+    }
+}
+
+#[test]
+fn a_part_without_workers_leaves_its_share_to_the_others() {
+    let route = route("r", "h", "/", &[("a", 1), ("b", 1)]);
+    let mut split = SplitState::default();
+    for _ in 0..10 {
+        assert_eq!(split.next(&route, |service| service == "b"), "b");
+    }
+    let all_gone = split.next(&route, |_| false);
+    assert!(["a", "b"].contains(&all_gone));
+}
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -165,8 +165,11 @@
     }
 
     /// Requests that it holds, as far as known; `usual_others` is what its like hold of others.
+    /// What its like hold is no reason to believe that it is crowded: it counts up to half of the
+    /// slots.
     fn load(&self, usual_others: f64, now: Duration) -> f64 {
         let own = f64::from(self.own());
+        let usual_others = usual_others.min(f64::from(self.slots()) / 2.0);
         match self.told_others(now) {
             Some((others, weight)) => own + others * weight + usual_others * (1.0 - weight),
             None => own + usual_others,
--- a/crates/swiftshunt/src/gateway.rs
+++ b/crates/swiftshunt/src/gateway.rs
@@ -86,6 +86,7 @@
         }
     }
     gateway.stop().await;
+    logging::finish();
     ExitCode::SUCCESS
 }
 
--- a/crates/swiftshunt/src/logging.rs
+++ b/crates/swiftshunt/src/logging.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::sync::{Arc, OnceLock};
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use log::kv::{Error, Key, Value, VisitSource};
 use serde_json::{Map, json};
@@ -45,6 +45,22 @@
 /// Pause between writes, so that many lines take one system call.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How long the end of a process waits for its last lines.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(250);
+/// Pause between looks at whether they are written.
+const FLUSH_POLL: Duration = Duration::from_millis(10);
+
+/// Lines that were taken and not written yet.
+static UNWRITTEN: AtomicU64 = AtomicU64::new(0);
+
+/// Waits, not for long, until what was logged is written.
+pub(crate) fn finish() {
+    let deadline = Instant::now() + FLUSH_TIMEOUT;
+    while UNWRITTEN.load(Ordering::Acquire) > 0 && Instant::now() < deadline {
+        std::thread::sleep(FLUSH_POLL);
+    }
+}
+
 /// Lines on their way to standard output. A full buffer drops lines and counts them.
 struct BufferedLines {
     sender: SyncSender<String>,
@@ -61,7 +77,9 @@
     }
 
     fn push(&self, line: &std::fmt::Arguments<'_>) {
+        UNWRITTEN.fetch_add(1, Ordering::AcqRel);
         if self.sender.try_send(line.to_string()).is_err() {
+            UNWRITTEN.fetch_sub(1, Ordering::AcqRel);
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
@@ -72,7 +90,9 @@
     while let Ok(first) = receiver.recv() {
         let mut text = first;
         text.push('\n');
+        let mut lines = 1;
         for line in receiver.try_iter() {
+            lines += 1;
             text.push_str(&line);
             text.push('\n');
         }
@@ -88,6 +108,7 @@
                 .write_all(text.as_bytes())
                 .and_then(|()| output.flush()),
         );
+        UNWRITTEN.fetch_sub(lines, Ordering::AcqRel);
         std::thread::sleep(WRITE_INTERVAL);
     }
 }
