--- a/crates/swiftshunt-lab/src/main.rs
+++ b/crates/swiftshunt-lab/src/main.rs
@@ -13,7 +13,9 @@
 use swiftshunt_lab::scale::ScalePlan;
 use swiftshunt_lab::stand_in::RunningStandIn;
 use swiftshunt_lab::submission_worker::{self, Behaviour};
-use swiftshunt_lab::{experiment, log_service, machine_list, quickstart, scale, weight_store};
+use swiftshunt_lab::{
+    experiment, log_service, machine_list, platform, quickstart, scale, weight_store,
+};
 
 /// Stand-ins, load and experiments for swiftshunt.
 #[derive(FromArgs)]
@@ -119,7 +121,11 @@
 /// run the whole system in one process on loopback and print how to use it
 #[derive(FromArgs)]
 #[argh(subcommand, name = "quickstart")]
-struct QuickstartArguments {}
+struct QuickstartArguments {
+    /// real gateways before stand-ins of the users' platform instead
+    #[argh(switch)]
+    platform: bool,
+}
 
 /// run a declared workload several ways and write results as JSON and a plot
 #[derive(FromArgs)]
@@ -220,6 +226,9 @@
             )
             .await?;
         }
+        Command::Quickstart(arguments) if arguments.platform => {
+            platform::quickstart::run(&Binaries::own()?).await?;
+        }
         Command::Quickstart(_) => quickstart::run().await?,
         Command::Scale(arguments) => {
             let plan = ScalePlan {
--- a/crates/swiftshunt/src/check.rs
+++ b/crates/swiftshunt/src/check.rs
@@ -4,16 +4,19 @@
 
 use argh::FromArgs;
 use swiftshunt_config::{load_settings, parse_fleet_configuration};
+use swiftshunt_gateway::GatewaySettings;
 
 use crate::{EXIT_USAGE, fail};
 
-/// check a settings file, or with --fleet a fleet configuration, and name what is wrong
+/// check a settings file of a node, with --gateway of a gateway, or with --fleet a fleet
+/// configuration, and name what is wrong
 #[derive(FromArgs)]
 #[argh(
     subcommand,
     name = "check-config",
     example = "{command_name} examples/stolnica-node.toml",
-    example = "{command_name} --fleet examples/stolnica-fleet.toml"
+    example = "{command_name} --fleet examples/stolnica-fleet.toml",
+    example = "{command_name} --gateway examples/gateway.toml"
 )]
 pub(crate) struct CheckArguments {
     /// the file to check
@@ -22,10 +25,19 @@
     /// the file is a fleet configuration, not a settings file
     #[argh(switch)]
     fleet: bool,
+    /// the file is a gateway's settings file
+    #[argh(switch)]
+    gateway: bool,
 }
 
 pub(crate) fn run(arguments: &CheckArguments) -> ExitCode {
     let file = arguments.file.as_str();
+    if arguments.gateway {
+        return match GatewaySettings::load(file) {
+            Ok(_) => passed(file),
+            Err(error) => fail(EXIT_USAGE, error),
+        };
+    }
     let checked = if arguments.fleet {
         match std::fs::read_to_string(file) {
             Ok(text) => parse_fleet_configuration(file, &text).map(|_| ()),
@@ -35,10 +47,12 @@
         load_settings(file).map(|_| ())
     };
     match checked {
-        Ok(()) => {
-            println!("{file}: ok");
-            ExitCode::SUCCESS
-        }
+        Ok(()) => passed(file),
         Err(error) => fail(EXIT_USAGE, error),
     }
 }
+
+fn passed(file: &str) -> ExitCode {
+    println!("{file}: ok");
+    ExitCode::SUCCESS
+}
