--- a/crates/swiftshunt-lab/src/platform/caller.rs
+++ b/crates/swiftshunt-lab/src/platform/caller.rs
@@ -1,5 +1,6 @@
 //! A caller in the platform's protocol.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -7,9 +8,9 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
-use serde_json::{Value, json};
 use swiftshunt_http::{HttpAnswer, HttpClient, HttpError, HttpRequest};
-use swiftshunt_platform::words::{headers, paths};
+use swiftshunt_platform::documents::{ItemDocument, JobDocument, PageDocument};
+use swiftshunt_platform::words::{headers, paths, queries};
 
 /// The host that callers name.
 pub const HOST: &str = "caller.example";
@@ -66,18 +67,17 @@
         job: &str,
         items: usize,
     ) -> Result<StatusCode, HttpError> {
-        let items: Vec<Value> = (0..items)
-            .map(|item| {
-                json!({
-                    "id": item_id(job, item),
-                    "path": format!("{path}{item}"),
-                    "headers": {},
-                    "body": STANDARD.encode(item_body(job, item)),
-                    "tokens": 100,
-                })
-            })
-            .collect();
-        let body = json!({ "requests": items }).to_string();
+        let items = (0..items).map(|item| ItemDocument {
+            id: item_id(job, item),
+            path: format!("{path}{item}"),
+            headers: BTreeMap::new(),
+            body: STANDARD.encode(item_body(job, item)),
+            tokens: 100.0,
+        });
+        let document = JobDocument {
+            requests: items.collect(),
+        };
+        let body = serde_json::to_vec(&document).unwrap_or_default();
         let request = HttpRequest::post(gateway, path, "application/json", body)
             .with_header("host", HOST)
             .with_header(headers::REQUEST_ID, job);
@@ -92,13 +92,19 @@
         job: &str,
         from: usize,
         wait: Duration,
-    ) -> Result<(StatusCode, Value), HttpError> {
-        let path = format!("{}{job}?afterRev={from}", paths::JOBS);
+    ) -> Result<(StatusCode, PageDocument), HttpError> {
+        let path = format!("{}{job}?{}={from}", paths::JOBS, queries::AFTER);
         let request = HttpRequest::get(gateway, path)
             .with_header("host", HOST)
             .with_header(headers::WAIT, wait.as_millis().to_string());
         let answer = self.client.exchange(request, CALL_TIMEOUT).await?;
-        let document = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+        let document = serde_json::from_slice(&answer.body);
+        // An answer without a page says so by its status.
+        let document = document.unwrap_or(PageDocument {
+            total: 0,
+            next_token: 0,
+            results: Vec::new(),
+        });
         Ok((answer.status, document))
     }
 
@@ -109,7 +115,7 @@
         job: &str,
         item: &str,
     ) -> Result<(StatusCode, Bytes), HttpError> {
-        let path = format!("{}{job}?id={item}", paths::ITEMS);
+        let path = format!("{}{job}?{}={item}", paths::ITEMS, queries::ITEM);
         let request = HttpRequest::get(gateway, path).with_header("host", HOST);
         let answer = self.client.exchange(request, CALL_TIMEOUT).await?;
         Ok((answer.status, answer.body))
--- a/crates/swiftshunt-lab/src/platform/fleet.rs
+++ b/crates/swiftshunt-lab/src/platform/fleet.rs
@@ -8,7 +8,7 @@
     BackendDocument, ConfigurationDocument, LimitsDocument, RouteDocument, ServiceDocument,
     WorkerDocument,
 };
-use swiftshunt_platform::words::topics;
+use swiftshunt_platform::words::{topics, values};
 
 use super::caller::{HOST, PlatformCaller};
 use super::store::{Door, Store};
@@ -112,10 +112,10 @@
 
 /// The configuration that a fleet begins with.
 pub fn first_configuration() -> ConfigurationDocument {
-    let mut streams = route(STREAM, "streaming", "engine");
+    let mut streams = route(STREAM, values::STREAMING, "engine");
     streams.can_resume = true;
     streams.gap_target_ms = Some(500.0);
-    let mut batch = route(BATCH, "batch", "engine");
+    let mut batch = route(BATCH, values::BATCH, "engine");
     batch.completion_target_ms = Some(20_000.0);
     batch.max_wait_s = Some(60.0);
     let service = |name: &str| ServiceDocument {
@@ -126,10 +126,10 @@
     ConfigurationDocument {
         version: 1,
         routes: vec![
-            route(ASK, "idempotent", "whole"),
-            route(ONCE, "non_idempotent", "whole"),
+            route(ASK, values::IDEMPOTENT, "whole"),
+            route(ONCE, values::NON_IDEMPOTENT, "whole"),
             streams,
-            route(STREAM_ONCE, "streaming", "engine"),
+            route(STREAM_ONCE, values::STREAMING, "engine"),
             batch,
         ],
         services: vec![service("whole"), service("engine")],
@@ -186,7 +186,7 @@
             version: 0,
         };
         fleet.configure(first_configuration());
-        fleet.list_all("ready");
+        fleet.list_all(values::READY);
         for _ in 0..options.gateways {
             fleet.add_gateway(&options.settings).await?;
         }
--- a/crates/swiftshunt-lab/src/platform/quickstart.rs
+++ b/crates/swiftshunt-lab/src/platform/quickstart.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use swiftshunt_platform::words::{headers, paths};
+use swiftshunt_platform::words::{headers, paths, queries};
 
 use super::caller::HOST;
 use super::fleet::{ASK, BATCH, PlatformFleet, PlatformOptions, STREAM};
@@ -34,11 +34,13 @@
          a request:\n  curl -i -H 'Host: {HOST}' -H '{request_id}: r1' -d hello http://{caller}{ASK}\n\
          a stream:\n  curl -iN -H 'Host: {HOST}' -H '{request_id}: s1' -d hello http://{caller}{STREAM}\n\
          a batch job:\n  curl -i -H 'Host: {HOST}' -H '{request_id}: {job}' -d '{items}' http://{caller}{BATCH}\n\
-         its results, from the other gateway:\n  curl -i -H 'Host: {HOST}' 'http://{other}{jobs}{job}?afterRev=0'\n\
-         the body of an item:\n  curl -i -H 'Host: {HOST}' 'http://{other}{items_path}{job}?id=i1'\n\
+         its results, from the other gateway:\n  curl -i -H 'Host: {HOST}' 'http://{other}{jobs}{job}?{after}=0'\n\
+         the body of an item:\n  curl -i -H 'Host: {HOST}' 'http://{other}{items_path}{job}?{item}=i1'\n\
          its end:\n  curl -i -X DELETE -H 'Host: {HOST}' http://{other}{jobs}{job}\n\
          readiness:\n  curl -i http://{ready}/v1/ready\n",
         logs = fleet.logs().display(),
+        after = queries::AFTER,
+        item = queries::ITEM,
         jobs = paths::JOBS,
         items_path = paths::ITEMS,
         ready = one.ready,
--- a/crates/swiftshunt-lab/src/platform/store.rs
+++ b/crates/swiftshunt-lab/src/platform/store.rs
@@ -20,7 +20,7 @@
 use swiftshunt_platform::documents::{
     AppendedDocument, JoinDocument, JoinedDocument, LeaveDocument, NewestDocument, RecordDocument,
 };
-use swiftshunt_platform::words::{paths, topics};
+use swiftshunt_platform::words::{paths, queries, topics};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -316,8 +316,8 @@
     query: &Query,
     body: Bytes,
 ) -> Result<Response<Body>, BrokenOff> {
-    let topic = query.text("topic").to_owned();
-    let partition = query.number("part") as u32;
+    let topic = query.text(queries::TOPIC).to_owned();
+    let partition = query.number(queries::PARTITION) as u32;
     let Some(records) = decode(body) else {
         return Ok(status(StatusCode::BAD_REQUEST));
     };
@@ -359,7 +359,7 @@
     faults: &Mutex<StoreFaults>,
     query: &Query,
 ) -> Result<Response<Body>, BrokenOff> {
-    let wait = Duration::from_millis(query.number("waitMs"));
+    let wait = Duration::from_millis(query.number(queries::WAIT));
     let deadline = tokio::time::Instant::now() + wait;
     let mut changed = shared.changed.subscribe();
     loop {
@@ -381,7 +381,7 @@
 
 /// An answer if there is one now: records, or that they are gone.
 fn read_now(shared: &Shared, query: &Query) -> Option<Response<Body>> {
-    let from = query.number("from");
+    let from = query.number(queries::FROM);
     let records = {
         let state = lock(&shared.state);
         let partition = state.partitions.get(&place(query))?;
@@ -392,14 +392,17 @@
         let wanted = records.filter(|record| record.offset >= from);
         wanted.cloned().collect::<Vec<_>>()
     };
-    if records.is_empty() && query.number("waitMs") > 0 {
+    if records.is_empty() && query.number(queries::WAIT) > 0 {
         return None;
     }
     Some(raw(shared, query, &records))
 }
 
 fn place(query: &Query) -> (String, u32) {
-    (query.text("topic").to_owned(), query.number("part") as u32)
+    (
+        query.text(queries::TOPIC).to_owned(),
+        query.number(queries::PARTITION) as u32,
+    )
 }
 
 fn raw(shared: &Shared, query: &Query, records: &[Stored]) -> Response<Body> {
@@ -424,7 +427,7 @@
 const PAGE: usize = 500;
 
 fn newest(shared: &Shared, query: &Query) -> Response<Body> {
-    let after = query.text("afterRev").as_bytes().to_vec();
+    let after = query.text(queries::AFTER).as_bytes().to_vec();
     let state = lock(&shared.state);
     let Some(partition) = state.partitions.get(&place(query)) else {
         return json(&NewestDocument {
--- /dev/null
+++ b/crates/swiftshunt-scheduler/src/candidate.rs
@@ -0,0 +1,133 @@
+//! What a node knows of one worker, and how it ages.
+
+use std::time::Duration;
+
+use crate::directory::WorkerEntry;
+use crate::residency::Residency;
+use crate::selection::ToldLoad;
+
+/// Age at which what a worker told of others' requests counts half, and the service's mean half.
+const LOAD_HALF_LIFE: Duration = Duration::from_millis(1_500);
+/// First pause for a worker that does not answer; doubled with each failure in a row.
+const FIRST_EJECTION: Duration = Duration::from_millis(400);
+/// Longest pause.
+const LONGEST_EJECTION: Duration = Duration::from_secs(5);
+/// Weight of one failure in the failure rate.
+const FAILURE_SMOOTHING: f64 = 0.1;
+/// Time in which a failure rate halves by itself: a worker that gets no requests must not be
+/// passed over for ever.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(1);
+
+/// What a node knows of one worker.
+#[derive(Debug)]
+pub(crate) struct Candidate {
+    pub(crate) entry: WorkerEntry,
+    pub(crate) own_online: u32,
+    pub(crate) own_batch: u32,
+    pub(crate) pending_tokens: u64,
+    /// When requests of this node that have no first event yet were sent, oldest first.
+    pub(crate) pending_since: Vec<Duration>,
+    pub(crate) told: Option<(ToldLoad, u32, Duration)>,
+    pub(crate) residency: Residency,
+    pub(crate) failure_rate: f64,
+    pub(crate) failure_rate_at: Duration,
+    pub(crate) failures_in_row: u32,
+    pub(crate) ejected_until: Duration,
+    pub(crate) heard_at: Duration,
+    pub(crate) duration_ms: Option<f64>,
+}
+
+impl Candidate {
+    pub(crate) fn new(entry: WorkerEntry, memory_tokens: u64, now: Duration) -> Self {
+        Self {
+            entry,
+            own_online: 0,
+            own_batch: 0,
+            pending_tokens: 0,
+            pending_since: Vec::new(),
+            told: None,
+            residency: Residency::new(memory_tokens),
+            failure_rate: 0.0,
+            failure_rate_at: now,
+            failures_in_row: 0,
+            ejected_until: Duration::ZERO,
+            heard_at: now,
+            duration_ms: None,
+        }
+    }
+
+    pub(crate) fn own(&self) -> u32 {
+        self.own_online + self.own_batch
+    }
+
+    pub(crate) fn slots(&self) -> u32 {
+        let told = self.told.map(|(load, _, _)| load.slots);
+        told.filter(|slots| *slots > 0)
+            .unwrap_or(self.entry.slots)
+            .max(1)
+    }
+
+    /// Requests of others that it was told to hold, and how much that still counts.
+    pub(crate) fn told_others(&self, now: Duration) -> Option<(f64, f64)> {
+        let (told, own_then, at) = self.told?;
+        let others = f64::from((told.running + told.waiting).saturating_sub(own_then));
+        let age = now.saturating_sub(at).as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
+        Some((others, 0.5_f64.powf(age)))
+    }
+
+    /// Requests that it holds, as far as known; `usual_others` is what its like hold of others.
+    /// What its like hold is no reason to believe that it is crowded: it counts up to half of the
+    /// slots.
+    pub(crate) fn load(&self, usual_others: f64, now: Duration) -> f64 {
+        let own = f64::from(self.own());
+        let usual_others = usual_others.min(f64::from(self.slots()) / 2.0);
+        match self.told_others(now) {
+            Some((others, weight)) => own + others * weight + usual_others * (1.0 - weight),
+            None => own + usual_others,
+        }
+    }
+
+    /// How long this node's request that waits longest has waited for its first event.
+    pub(crate) fn longest_wait(&self, now: Duration) -> Duration {
+        let oldest = self.pending_since.first();
+        oldest.map_or(Duration::ZERO, |sent| now.saturating_sub(*sent))
+    }
+
+    pub(crate) fn no_longer_pending(&mut self, sent_at: Duration, tokens: u64) {
+        self.pending_tokens = self.pending_tokens.saturating_sub(tokens);
+        let position = self.pending_since.iter().position(|sent| *sent == sent_at);
+        if let Some(position) = position {
+            self.pending_since.remove(position);
+        }
+    }
+
+    pub(crate) fn silence(&self, now: Duration) -> Duration {
+        if self.own() == 0 {
+            return Duration::ZERO;
+        }
+        now.saturating_sub(self.heard_at)
+    }
+
+    pub(crate) fn heard(&mut self, now: Duration) {
+        self.heard_at = now;
+    }
+
+    pub(crate) fn failure_rate(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.failure_rate_at).as_secs_f64();
+        self.failure_rate * 0.5_f64.powf(age / FAILURE_HALF_LIFE.as_secs_f64())
+    }
+
+    pub(crate) fn observe_failure(&mut self, failed: bool, now: Duration) {
+        let value = if failed { 1.0 } else { 0.0 };
+        let rate = self.failure_rate(now);
+        self.failure_rate = rate + FAILURE_SMOOTHING * (value - rate);
+        self.failure_rate_at = now;
+    }
+
+    pub(crate) fn eject(&mut self, now: Duration) {
+        let doublings = self.failures_in_row.min(8);
+        let pause = (FIRST_EJECTION * 2_u32.pow(doublings)).min(LONGEST_EJECTION);
+        self.failures_in_row += 1;
+        self.ejected_until = now + pause;
+    }
+}
--- a/crates/swiftshunt-scheduler/src/lib.rs
+++ b/crates/swiftshunt-scheduler/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod affinity;
 pub mod batch;
+mod candidate;
 mod config;
 pub mod directory;
 pub mod grants;
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -6,8 +6,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::candidate::Candidate;
 use crate::directory::{Availability, WorkerEntry};
-use crate::residency::{PromptPart, Residency};
+use crate::residency::PromptPart;
 
 /// Load that a worker told with an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,12 +78,6 @@
 
 /// Weight of a new observation in a moving average.
 const SMOOTHING: f64 = 0.2;
-/// Age at which what a worker told of others' requests counts half, and the service's mean half.
-const LOAD_HALF_LIFE: Duration = Duration::from_millis(1_500);
-/// First pause for a worker that does not answer; doubled with each failure in a row.
-const FIRST_EJECTION: Duration = Duration::from_millis(400);
-/// Longest pause.
-const LONGEST_EJECTION: Duration = Duration::from_secs(5);
 /// Silence, with requests in progress, that is nothing unusual.
 const USUAL_SILENCE: Duration = Duration::from_millis(120);
 /// Cost of a worker in another zone, in milliseconds.
@@ -95,11 +90,6 @@
 const SPREAD: f64 = 2.0;
 /// Cost of a certain failure, in milliseconds.
 const FAILURE_COST: f64 = 1_000.0;
-/// Weight of one failure in the failure rate.
-const FAILURE_SMOOTHING: f64 = 0.1;
-/// Time in which a failure rate halves by itself: a worker that gets no requests must not be
-/// passed over for ever.
-const FAILURE_HALF_LIFE: Duration = Duration::from_secs(1);
 /// Tokens a millisecond that engines read, until it has been observed.
 const ASSUMED_PREFILL_RATE: f64 = 40.0;
 /// Prompts whose missing part is at least this long show the rate.
@@ -107,120 +97,6 @@
 /// Time that a slot is taken, in milliseconds, until it has been observed.
 const ASSUMED_DURATION: f64 = 500.0;
 
-/// What a node knows of one worker.
-#[derive(Debug)]
-struct Candidate {
-    entry: WorkerEntry,
-    own_online: u32,
-    own_batch: u32,
-    pending_tokens: u64,
-    /// When requests of this node that have no first event yet were sent, oldest first.
-    pending_since: Vec<Duration>,
-    told: Option<(ToldLoad, u32, Duration)>,
-    residency: Residency,
-    failure_rate: f64,
-    failure_rate_at: Duration,
-    failures_in_row: u32,
-    ejected_until: Duration,
-    heard_at: Duration,
-    duration_ms: Option<f64>,
-}
-
-impl Candidate {
-    fn new(entry: WorkerEntry, memory_tokens: u64, now: Duration) -> Self {
-        Self {
-            entry,
-            own_online: 0,
-            own_batch: 0,
-            pending_tokens: 0,
-            pending_since: Vec::new(),
-            told: None,
-            residency: Residency::new(memory_tokens),
-            failure_rate: 0.0,
-            failure_rate_at: now,
-            failures_in_row: 0,
-            ejected_until: Duration::ZERO,
-            heard_at: now,
-            duration_ms: None,
-        }
-    }
-
-    fn own(&self) -> u32 {
-        self.own_online + self.own_batch
-    }
-
-    fn slots(&self) -> u32 {
-        let told = self.told.map(|(load, _, _)| load.slots);
-        told.filter(|slots| *slots > 0)
-            .unwrap_or(self.entry.slots)
-            .max(1)
-    }
-
-    /// Requests of others that it was told to hold, and how much that still counts.
-    fn told_others(&self, now: Duration) -> Option<(f64, f64)> {
-        let (told, own_then, at) = self.told?;
-        let others = f64::from((told.running + told.waiting).saturating_sub(own_then));
-        let age = now.saturating_sub(at).as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
-        Some((others, 0.5_f64.powf(age)))
-    }
-
-    /// Requests that it holds, as far as known; `usual_others` is what its like hold of others.
-    /// What its like hold is no reason to believe that it is crowded: it counts up to half of the
-    /// slots.
-    fn load(&self, usual_others: f64, now: Duration) -> f64 {
-        let own = f64::from(self.own());
-        let usual_others = usual_others.min(f64::from(self.slots()) / 2.0);
-        match self.told_others(now) {
-            Some((others, weight)) => own + others * weight + usual_others * (1.0 - weight),
-            None => own + usual_others,
-        }
-    }
-
-    /// How long this node's request that waits longest has waited for its first event.
-    fn longest_wait(&self, now: Duration) -> Duration {
-        let oldest = self.pending_since.first();
-        oldest.map_or(Duration::ZERO, |sent| now.saturating_sub(*sent))
-    }
-
-    fn no_longer_pending(&mut self, sent_at: Duration, tokens: u64) {
-        self.pending_tokens = self.pending_tokens.saturating_sub(tokens);
-        let position = self.pending_since.iter().position(|sent| *sent == sent_at);
-        if let Some(position) = position {
-            self.pending_since.remove(position);
-        }
-    }
-
-    fn silence(&self, now: Duration) -> Duration {
-        if self.own() == 0 {
-            return Duration::ZERO;
-        }
-        now.saturating_sub(self.heard_at)
-    }
-
-    fn heard(&mut self, now: Duration) {
-        self.heard_at = now;
-    }
-
-    fn failure_rate(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.failure_rate_at).as_secs_f64();
-        self.failure_rate * 0.5_f64.powf(age / FAILURE_HALF_LIFE.as_secs_f64())
-    }
-
-    fn observe_failure(&mut self, failed: bool, now: Duration) {
-        let value = if failed { 1.0 } else { 0.0 };
-        let rate = self.failure_rate(now);
-        self.failure_rate = rate + FAILURE_SMOOTHING * (value - rate);
-        self.failure_rate_at = now;
-    }
-
-    fn eject(&mut self, now: Duration) {
-        let doublings = self.failures_in_row.min(8);
-        let pause = (FIRST_EJECTION * 2_u32.pow(doublings)).min(LONGEST_EJECTION);
-        self.failures_in_row += 1;
-        self.ejected_until = now + pause;
-    }
-}
-
 /// What is known of a service's workers as a whole.
 #[derive(Debug)]
 struct ServiceTimes {
--- a/crates/swiftshunt/tests/gateway_batch.rs
+++ b/crates/swiftshunt/tests/gateway_batch.rs
@@ -8,23 +8,24 @@
 
 use gateway::{ExclusiveFleet, start, whole_text};
 use hyper::StatusCode;
-use serde_json::Value;
 use swiftshunt_lab::platform::caller::{item_body, item_id};
 use swiftshunt_lab::platform::fleet::{BATCH, PlatformOptions, eventually};
 use swiftshunt_lab::platform::store::{Down, StoreFaults};
 use swiftshunt_lab::platform::worker::{Manner, Run};
+use swiftshunt_platform::documents::ResultDocument;
+use swiftshunt_platform::words::values;
 use test_case::test_case;
 
 const EVENTS: u64 = 8;
 const NO_WAIT: Duration = Duration::ZERO;
 
 /// Results of a job as one gateway lists them.
-async fn listed(fleet: &ExclusiveFleet, gateway: SocketAddr, job: &str) -> Vec<Value> {
+async fn listed(fleet: &ExclusiveFleet, gateway: SocketAddr, job: &str) -> Vec<ResultDocument> {
     let answer = fleet.caller.results(gateway, job, 0, NO_WAIT).await;
     let Ok((StatusCode::OK, document)) = answer else {
         return Vec::new();
     };
-    document["results"].as_array().cloned().unwrap_or_default()
+    document.results
 }
 
 async fn whole_job(fleet: &ExclusiveFleet, gateway: SocketAddr, job: &str, items: usize) {
@@ -35,17 +36,17 @@
 }
 
 /// Asserts that every item is listed once, with its whole output.
-fn assert_completed(results: &[Value], job: &str, items: usize) {
-    let by_item: BTreeMap<&str, &Value> = results
+fn assert_completed(results: &[ResultDocument], job: &str, items: usize) {
+    let by_item: BTreeMap<&str, &ResultDocument> = results
         .iter()
-        .map(|result| (result["id"].as_str().unwrap_or(""), result))
+        .map(|result| (result.id.as_str(), result))
         .collect();
     assert_eq!(by_item.len(), items, "an item is listed twice");
     for item in 0..items {
         let id = item_id(job, item);
         let result = by_item[id.as_str()];
-        assert_eq!(result["state"], "completed");
-        assert_eq!(result["text"], whole_text(&id, EVENTS));
+        assert_eq!(result.state, values::COMPLETED);
+        assert_eq!(result.text, whole_text(&id, EVENTS));
     }
 }
 
@@ -85,9 +86,9 @@
         let answer = fleet.caller.results(gateway, "job-1", from, NO_WAIT).await;
         let (status, page) = answer.expect("an answer");
         assert_eq!(status, StatusCode::OK);
-        assert_eq!(page["total"], 5);
-        assert_eq!(page["nextToken"], 5);
-        assert_eq!(page["results"].as_array().expect("results"), &whole[from..]);
+        assert_eq!(page.total, 5);
+        assert_eq!(page.next_token, 5);
+        assert_eq!(page.results, whole[from..]);
     }
 }
 
@@ -125,10 +126,10 @@
     whole_job(&fleet, one, "job-1", 3).await;
     let answer = fleet.caller.results(two, "job-1", 0, NO_WAIT).await;
     let (status, page) = answer.expect("an answer");
-    let is_empty = page["results"].as_array().is_some_and(Vec::is_empty);
+    let is_empty = page.results.is_empty();
     assert!(
         status == StatusCode::SERVICE_UNAVAILABLE || !is_empty,
-        "{status} {page}"
+        "{status} {page:?}"
     );
 }
 
@@ -340,7 +341,7 @@
     submit(&fleet, gateway, "job-1", 2).await;
     whole_job(&fleet, gateway, "job-1", 2).await;
     for result in listed(&fleet, gateway, "job-1").await {
-        assert_eq!(result["state"], "dead_letter");
+        assert_eq!(result.state, values::GIVEN_UP);
     }
     for item in 0..2 {
         assert_eq!(fleet.runs_of(&item_id("job-1", item)).len(), runs);
--- a/crates/swiftshunt/tests/gateway_changes.rs
+++ b/crates/swiftshunt/tests/gateway_changes.rs
@@ -10,6 +10,7 @@
     ASK, PlatformOptions, STREAM_ONCE, eventually, first_configuration,
 };
 use swiftshunt_lab::platform::store::StoreFaults;
+use swiftshunt_platform::words::values;
 
 const DEADLINE: Duration = Duration::from_secs(6);
 /// Time within which a change must be obeyed.
@@ -84,7 +85,7 @@
 async fn a_leaving_worker_gets_nothing_after_two_seconds(leaving: Leaving) {
     let fleet = start(PlatformOptions::default()).await;
     match leaving {
-        Leaving::Draining => fleet.list(&fleet.whole[0], "whole", "draining"),
+        Leaving::Draining => fleet.list(&fleet.whole[0], "whole", values::DRAINING),
         Leaving::Unlisted => fleet.unlist(&fleet.whole[0]),
     }
     tokio::time::sleep(OBEY_WITHIN).await;
@@ -108,7 +109,7 @@
     .await;
     fleet.unlist(&fleet.whole[2]);
     tokio::time::sleep(OBEY_WITHIN * 2).await;
-    fleet.list(&fleet.whole[2], "whole", "ready");
+    fleet.list(&fleet.whole[2], "whole", values::READY);
     tokio::time::sleep(OBEY_WITHIN).await;
     let before = fleet.whole[2].runs().len();
     let gateway = fleet.gateways[0].callers;
