--- a/crates/swiftshunt-gateway/src/answers.rs
+++ b/crates/swiftshunt-gateway/src/answers.rs
@@ -30,7 +30,9 @@
 /// Seconds after which a caller whose request did not run comes back.
 const COME_BACK_SECONDS: &str = "0.2";
 /// Seconds after which a caller comes back when the journal is away.
-const COME_BACK_FOR_JOURNAL_SECONDS: &str = "0.5";
+const COME_BACK_FOR_JOURNAL_SECONDS: &str = "1";
+/// Seconds after which a caller of a gateway that stops comes back: by then it is sent elsewhere.
+const COME_BACK_FROM_STOP_SECONDS: &str = "1";
 
 /// Seconds after which a caller comes back to a gateway that knows no configuration yet: a process
 /// that has just started while the log is away, or a few moments before it was read.
@@ -65,6 +67,11 @@
     )
 }
 
+/// This gateway stops; the request did not run.
+pub(crate) fn stopping() -> CallerAnswer {
+    come_back("this gateway stops", COME_BACK_FROM_STOP_SECONDS)
+}
+
 /// Nothing was recorded, since the journal is away.
 pub(crate) fn journal_away() -> CallerAnswer {
     come_back("the journal is away", COME_BACK_FOR_JOURNAL_SECONDS)
--- a/crates/swiftshunt-gateway/src/server.rs
+++ b/crates/swiftshunt-gateway/src/server.rs
@@ -17,7 +17,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::answers::{CallerAnswer, not_run, plain, whole};
+use crate::answers::{CallerAnswer, plain, stopping, whole};
 use crate::beliefs::Beliefs;
 use crate::metrics::Metrics;
 use crate::online::Online;
@@ -116,7 +116,7 @@
         let too_late = closing.is_cancelled();
         async move {
             let mut answer = if too_late {
-                not_run("this gateway stops")
+                stopping()
             } else {
                 online.answer(request).await
             };
--- a/crates/swiftshunt-gateway/src/settings.rs
+++ b/crates/swiftshunt-gateway/src/settings.rs
@@ -119,7 +119,7 @@
     fn default() -> Self {
         Self {
             grace: Duration::from_secs(8),
-            unlisted_after: Duration::from_millis(2_500),
+            unlisted_after: Duration::from_secs(3),
         }
     }
 }
