--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::http::response;
-use hyper::{HeaderMap, Method, Request, Uri};
+use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use swiftshunt_scheduler::selection::{Chosen, Class, Demand, Ending};
 
 use crate::beliefs::Beliefs;
@@ -164,12 +164,13 @@
     /// The answer was read to its end.
     pub(crate) fn finish(self, dispatcher: &Dispatcher) {
         let Self {
+            head,
             facts,
             mut in_flight,
             sender,
             ..
         } = self;
-        in_flight.ends(Ending::Answered);
+        in_flight.ends(ending_by_status(head.status));
         let now = dispatcher.clock.now();
         let incarnation = &in_flight.chosen.incarnation;
         dispatcher
@@ -195,6 +196,9 @@
     }
 }
 
+/// Limits of silence after which a request that was overtaken counts as left hanging: long prompts
+/// are overtaken without being left.
+const HANGING: u32 = 4;
 /// Pause between looks at a worker that is silent.
 const SILENCE_CHECK: Duration = Duration::from_millis(50);
 
@@ -352,19 +356,37 @@
                 return SendFailure::OutOfTime;
             }
             let quiet = self.silence(&chosen.incarnation, now);
-            if quiet.unwrap_or(now.saturating_sub(started)) >= silence {
+            let waited = now.saturating_sub(started);
+            let hangs = waited >= silence * HANGING && self.has_overtaken(chosen, started);
+            if hangs || quiet.unwrap_or(waited) >= silence {
                 return SendFailure::Silent;
             }
             tokio::time::sleep(SILENCE_CHECK).await;
         }
     }
 
+    /// Whether the worker has begun requests that were sent after `sent_at`.
+    fn has_overtaken(&self, chosen: &Chosen, sent_at: Duration) -> bool {
+        let selector = self.beliefs.selector();
+        selector.has_overtaken(&chosen.incarnation, sent_at)
+    }
+
     /// How long a worker has given no sign of life on any request of this gateway.
     pub(crate) fn silence(&self, incarnation: &str, now: Duration) -> Option<Duration> {
         self.beliefs.selector().silence(incarnation, now)
     }
 }
 
+/// What a whole answer says of its worker: errors of its own count against it, also where the
+/// answer is passed on; a worker that errs at once would else look idle and draw requests.
+fn ending_by_status(status: StatusCode) -> Ending {
+    if status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT {
+        Ending::Failed
+    } else {
+        Ending::Answered
+    }
+}
+
 fn broken(error: &hyper::Error) -> SendFailure {
     SendFailure::Broken {
         reason: error.to_string(),
--- a/crates/swiftshunt-lab/src/platform/worker.rs
+++ b/crates/swiftshunt-lab/src/platform/worker.rs
@@ -25,6 +25,8 @@
     Sound,
     /// Runs them and does not answer.
     Dark,
+    /// Runs them, and does not answer every second one.
+    HangSometimes,
     /// Runs them and closes the connection.
     LoseAnswer,
     /// Breaks streams off after this many events.
@@ -194,6 +196,10 @@
     };
     match manner {
         Manner::Dark => return std::future::pending().await,
+        Manner::HangSometimes if index % 2 == 0 => {
+            drop(slot);
+            return std::future::pending().await;
+        }
         Manner::LoseAnswer => return Err(BrokenOff),
         Manner::Fail => return Ok(signed(&shared, StatusCode::INTERNAL_SERVER_ERROR, &id)),
         Manner::Never => return Ok(signed(&shared, StatusCode::UNPROCESSABLE_ENTITY, &id)),
--- a/crates/swiftshunt-scheduler/src/candidate.rs
+++ b/crates/swiftshunt-scheduler/src/candidate.rs
@@ -27,6 +27,8 @@
     pub(crate) pending_tokens: u64,
     /// When requests of this node that have no first event yet were sent, oldest first.
     pub(crate) pending_since: Vec<Duration>,
+    /// When the latest request that has its first event was sent.
+    pub(crate) latest_begun: Duration,
     pub(crate) told: Option<(ToldLoad, u32, Duration)>,
     pub(crate) residency: Residency,
     pub(crate) failure_rate: f64,
@@ -45,6 +47,7 @@
             own_batch: 0,
             pending_tokens: 0,
             pending_since: Vec::new(),
+            latest_begun: Duration::ZERO,
             told: None,
             residency: Residency::new(memory_tokens),
             failure_rate: 0.0,
@@ -101,6 +104,12 @@
         }
     }
 
+    /// Whether a request sent later has its first event: workers begin requests in their order, so
+    /// one that waits on was left hanging.
+    pub(crate) fn has_overtaken(&self, sent_at: Duration) -> bool {
+        self.latest_begun > sent_at
+    }
+
     pub(crate) fn silence(&self, now: Duration) -> Duration {
         if self.own() == 0 {
             return Duration::ZERO;
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -80,6 +80,8 @@
 const SMOOTHING: f64 = 0.2;
 /// Silence, with requests in progress, that is nothing unusual.
 const USUAL_SILENCE: Duration = Duration::from_millis(120);
+/// Time without a first event after which a request that was overtaken counts as left hanging.
+const HANGING: Duration = Duration::from_secs(2);
 /// Cost of a worker in another zone, in milliseconds.
 const OTHER_ZONE_COST: f64 = 2.0;
 /// Cost of a worker that has just started, in milliseconds.
@@ -262,6 +264,13 @@
         candidate.map(|candidate| candidate.silence(now))
     }
 
+    /// Whether a worker has begun requests that were sent after `sent_at`.
+    pub fn has_overtaken(&self, incarnation: &str, sent_at: Duration) -> bool {
+        self.candidates
+            .get(incarnation)
+            .is_some_and(|candidate| candidate.has_overtaken(sent_at))
+    }
+
     /// Whether an online request would have to wait at a worker as far as known.
     pub fn is_full(&self, incarnation: &str, now: Duration) -> bool {
         let Some(candidate) = self.candidates.get(incarnation) else {
@@ -398,6 +407,7 @@
         };
         candidate.heard(now);
         let sent_at = now.saturating_sub(waited);
+        candidate.latest_begun = candidate.latest_begun.max(sent_at);
         candidate.no_longer_pending(sent_at, chosen.missing_tokens);
         if chosen.missing_tokens < RATE_SAMPLE_TOKENS {
             return;
@@ -425,10 +435,11 @@
             Class::Online => candidate.own_online = candidate.own_online.saturating_sub(1),
             Class::Batch => candidate.own_batch = candidate.own_batch.saturating_sub(1),
         }
+        let sent_at = now.saturating_sub(held);
         if !had_first_event {
-            let sent_at = now.saturating_sub(held);
             candidate.no_longer_pending(sent_at, chosen.missing_tokens);
         }
+        let was_hanging = !had_first_event && held >= HANGING && candidate.has_overtaken(sent_at);
         match ending {
             Ending::Answered => {
                 candidate.observe_failure(false, now);
@@ -448,7 +459,12 @@
             }
             Ending::TurnedAway => candidate.heard(now),
             Ending::Failed => candidate.observe_failure(true, now),
-            Ending::Unreachable | Ending::Silent => candidate.eject(now),
+            Ending::Unreachable => candidate.eject(now),
+            Ending::Silent => {
+                candidate.observe_failure(true, now);
+                candidate.eject(now);
+            }
+            Ending::Withdrawn if was_hanging => candidate.observe_failure(true, now),
             Ending::Withdrawn => {}
         }
     }
--- a/crates/swiftshunt-scheduler/tests/selection.rs
+++ b/crates/swiftshunt-scheduler/tests/selection.rs
@@ -159,6 +159,38 @@
     );
 }
 
+#[test]
+fn a_request_that_was_left_hanging_counts_against_its_worker() {
+    let mut selector = selector(2);
+    let hanging = chosen("w0");
+    selector.sent(&hanging, &demand(0), START);
+    let next = START + Duration::from_millis(10);
+    selector.sent(&hanging, &demand(1), next);
+    let begun = START + Duration::from_millis(50);
+    selector.first_event(&hanging, begun - next, begun);
+    selector.left(
+        &hanging,
+        Class::Online,
+        Ending::Answered,
+        true,
+        begun - next,
+        begun,
+    );
+    assert!(selector.has_overtaken("w0", START));
+    assert!(!selector.has_overtaken("w0", next));
+    let given_up = START + Duration::from_secs(2);
+    let held = given_up - START;
+    selector.left(
+        &hanging,
+        Class::Online,
+        Ending::Withdrawn,
+        false,
+        held,
+        given_up,
+    );
+    assert_eq!(spread(&mut selector, 4, given_up).get("w0"), None);
+}
+
 #[test]
 fn told_load_counts_and_fades() {
     let mut selector = selector(2);
--- a/crates/swiftshunt/tests/gateway_requests.rs
+++ b/crates/swiftshunt/tests/gateway_requests.rs
@@ -167,6 +167,43 @@
     }
 }
 
+/// A worker that answers others may leave one request hanging.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_was_overtaken_is_taken_away() {
+    let fleet = start(PlatformOptions::default()).await;
+    fleet.whole[0].set(Manner::HangSometimes);
+    let gateway = fleet.gateways[0].callers;
+    let asked = (0..60_u64).map(|number| {
+        let caller = fleet.caller.clone();
+        async move {
+            tokio::time::sleep(Duration::from_millis(50 * number)).await;
+            let id = format!("r{number}");
+            caller.ask(gateway, ASK, &id, DEADLINE).await
+        }
+    });
+    for answer in futures_util::future::join_all(asked).await {
+        assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    }
+}
+
+/// Found on days of our own: a worker that failed at once looked idle and drew requests that may
+/// not be repeated.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_worker_that_fails_at_once_does_not_draw_requests() {
+    let fleet = start(PlatformOptions::default()).await;
+    fleet.whole[0].set(Manner::Fail);
+    let gateway = fleet.gateways[0].callers;
+    let mut failed = 0;
+    for number in 0..60 {
+        let id = format!("r{number}");
+        let answer = fleet.caller.ask(gateway, ONCE, &id, DEADLINE).await;
+        let status = answer.expect("an answer").status;
+        failed += usize::from(status != StatusCode::OK);
+        assert_eq!(fleet.runs_of(&id).len(), 1);
+    }
+    assert!(failed <= 6, "{failed} of 60 failed");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn the_time_of_a_route_is_kept() {
     let mut fleet = start(PlatformOptions::default()).await;
