Let a job be read whatever became of its route's host

Cause: read as a newcomer: job calls were refused with 404 when no route of the host was left, though a job must stay readable (LOST). Measured: a_job_stays_readable_when_its_host_has_no_route_any_more failed before and passes.

--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -10,7 +10,7 @@
 use hyper::http::request;
 use hyper::{Request, Response, StatusCode};
 use rand::RngCore;
-use swiftshunt_routing::{Configuration, Repeat, Route, RouteKind};
+use swiftshunt_routing::{Repeat, Route, RouteKind};
 use swiftshunt_scheduler::selection::{Chosen, Class, Demand};
 
 use crate::answers::{self, CallerAnswer, end_to_end, not_run, plain, whole};
@@ -61,8 +61,8 @@
         match protocol.call(&head.method, &head.uri, &head.headers) {
             Call::Routed => {}
             Call::Malformed => return plain(StatusCode::BAD_REQUEST, "malformed call"),
-            call if configuration.has_host(&host) => return self.batch.answer(call).await,
-            _ => return plain(StatusCode::NOT_FOUND, "no such host"),
+            // A job outlives its route: the journal alone says whether it is there.
+            call => return self.batch.answer(call).await,
         }
         let Some(route) = configuration.route(&host, head.uri.path()).cloned() else {
             log::info!(host = host.as_str(), path = head.uri.path(),
@@ -84,7 +84,7 @@
                 .submit(&id, &host, head.uri.path(), &body, until)
                 .await;
         }
-        let journey = self.journey(&configuration, route, head, body, arrived);
+        let journey = self.journey(route, head, body, arrived);
         self.dispatcher.metrics.in_flight.inc();
         let guard = Abandoned::new(&self.dispatcher, &journey);
         let answer = self.travel(journey).await;
@@ -94,7 +94,6 @@
 
     fn journey(
         &self,
-        _configuration: &Configuration,
         route: Arc<Route>,
         head: request::Parts,
         body: Bytes,
--- a/crates/swiftshunt-routing/src/configuration.rs
+++ b/crates/swiftshunt-routing/src/configuration.rs
@@ -173,13 +173,6 @@
             .filter(|route| path.starts_with(&route.path_prefix))
             .max_by_key(|route| route.path_prefix.len())
     }
-
-    /// Whether any route is there for `host`.
-    pub fn has_host(&self, host: &str) -> bool {
-        self.routes
-            .iter()
-            .any(|route| route.host.eq_ignore_ascii_case(host))
-    }
 }
 
 /// Outcome of offering a configuration.
--- a/crates/swiftshunt/tests/gateway_batch.rs
+++ b/crates/swiftshunt/tests/gateway_batch.rs
@@ -9,7 +9,7 @@
 use gateway::{ExclusiveFleet, start, whole_text};
 use hyper::StatusCode;
 use swiftshunt_lab::platform::caller::{item_body, item_id};
-use swiftshunt_lab::platform::fleet::{BATCH, PlatformOptions, eventually};
+use swiftshunt_lab::platform::fleet::{BATCH, PlatformOptions, eventually, first_configuration};
 use swiftshunt_lab::platform::store::{Down, StoreFaults};
 use swiftshunt_lab::platform::worker::{Manner, Run};
 use swiftshunt_platform::documents::ResultDocument;
@@ -75,6 +75,27 @@
     assert_eq!(body, item_body("job-1", 3));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_stays_readable_when_its_host_has_no_route_any_more() {
+    let mut fleet = start(PlatformOptions::default()).await;
+    let gateway = fleet.gateways[0].callers;
+    submit(&fleet, gateway, "job-1", 2).await;
+    whole_job(&fleet, gateway, "job-1", 2).await;
+    let mut empty = first_configuration();
+    empty.routes.clear();
+    fleet.configure(empty);
+    let shared = &fleet;
+    eventually("the routes are gone", || async move {
+        let asked = shared
+            .caller
+            .ask(gateway, BATCH, "r1", Duration::from_secs(2));
+        let answer = asked.await;
+        answer.is_ok_and(|answer| answer.status == StatusCode::NOT_FOUND)
+    })
+    .await;
+    assert_eq!(listed(&fleet, gateway, "job-1").await.len(), 2);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn pages_begin_where_they_are_asked_to() {
     let fleet = start(PlatformOptions::default()).await;
