Copy a request, and tell its time, in one place each

A resumed stream copied the request field by field, and the time told to workers was worked out twice in the same lines. Change: Outgoing is cloned; Journey::told_until serves both. Behaviour is unchanged.

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -27,6 +27,7 @@
 }
 
 /// A request as it goes to any worker.
+#[derive(Clone)]
 pub(crate) struct Outgoing {
     pub(crate) id: Option<String>,
     pub(crate) method: Method,
--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -39,6 +39,14 @@
     pub(crate) runs: u32,
 }
 
+impl Journey {
+    /// When the caller gives up, if it said so: what workers are told.
+    pub(crate) fn told_until(&self) -> Option<Duration> {
+        let deadline = self.facts.deadline;
+        deadline.map(|deadline| self.arrived + deadline)
+    }
+}
+
 /// Largest answer that is read whole before it is passed on.
 const WHOLE_ANSWER_LIMIT: usize = 16 << 20;
 /// Part of the objective for which a request may look for a worker that takes it.
@@ -191,10 +199,7 @@
         let silence = may_run_again(journey).then(|| silence_limit(&journey.route));
         Patience {
             until: journey.until,
-            told_until: journey
-                .facts
-                .deadline
-                .map(|deadline| journey.arrived + deadline),
+            told_until: journey.told_until(),
             silence,
         }
     }
--- a/crates/swiftshunt-gateway/src/relay.rs
+++ b/crates/swiftshunt-gateway/src/relay.rs
@@ -121,23 +121,12 @@
     first: Bytes,
 ) -> AnswerBody {
     let id = journey.outgoing.id.clone().unwrap_or_default();
-    let told_until = journey
-        .facts
-        .deadline
-        .map(|deadline| journey.arrived + deadline);
     let resume = journey.route.resumable.then(|| Resume {
-        outgoing: Outgoing {
-            id: journey.outgoing.id.clone(),
-            method: journey.outgoing.method.clone(),
-            target: journey.outgoing.target.clone(),
-            headers: journey.outgoing.headers.clone(),
-            body: journey.outgoing.body.clone(),
-            demand: journey.outgoing.demand.clone(),
-        },
+        outgoing: journey.outgoing.clone(),
         service: journey.service.clone(),
         tried: journey.tried.clone(),
         runs_left: (journey.route.max_attempts).saturating_sub(journey.runs + 1),
-        told_until,
+        told_until: journey.told_until(),
         silence: silence_limit(&journey.route),
         borders: EventBorders::default(),
         last_event: journey.facts.last_event,
