Close the listener before connections, so that a planned stop cuts nothing

At the stop the HTTP library closes each connection that has not read its first request; a connection accepted a moment before loses the request that is on its way.

Ruled out: requests in progress (the stop waits until none is), the hand-over (the cut came from the caller's own connection).

Change: the acceptor can be closed by itself: it takes what still waits in the backlog and then closes the listener. While a node drains each answer closes its connection, so that kept connections are left in time.

--- a/crates/swiftshunt-http/src/lib.rs
+++ b/crates/swiftshunt-http/src/lib.rs
@@ -1,6 +1,7 @@
 //! The border to the HTTP libraries: a client that knows whether a request was written, and
 //! endpoints as functions from owned requests to answers as values.
 
+mod acceptor;
 mod cbor;
 mod client;
 mod endpoint;
--- a/crates/swiftshunt-node/src/node.rs
+++ b/crates/swiftshunt-node/src/node.rs
@@ -116,6 +116,7 @@
     pub async fn stop(mut self) {
         let context = &Arc::clone(&self.context);
         context.lifecycle.start_draining();
+        self.api_server.drain();
         lock(&context.membership).leave(context.clock.now());
         log::info!("node drains");
         let limit = context.settings.limits.drain_timeout;
@@ -127,9 +128,9 @@
             log::warn!("{left} requests did not end within the drain timeout");
         }
         drop(tokio::time::timeout(HAND_OVER_TIMEOUT, self.handed_over()).await);
-        self.api_server.stop(CLOSE_TIMEOUT);
+        self.api_server.stop(CLOSE_TIMEOUT).await;
         fleet::announce_left(context).await;
-        self.peer_server.stop(CLOSE_TIMEOUT);
+        self.peer_server.stop(CLOSE_TIMEOUT).await;
         self.api_server.ended().await;
         log::info!("node stops");
         self.abort();
