Let a job outlive a lapsed lease, and give no slots of engines that died

An item that found its leader's lease over took that for the end of the job, and one such item ended the whole run. A lease can lapse and be renewed within one leadership; the job then lay still under a healthy leader. 2. Items that could not be recorded within 5 s were left to "the next leader"; under the same leader the job never ended. 3. A granter went on granting slots of a killed engine by its last report, for as long as the machine list named it. Where a job's last items were fewer than those slots, the runner got all it asked for there, asked no other zone and sent them to the dead engine for ever. Behind a proxy the dead engine showed as a connection that breaks, which did not count as unreachable.

Change: a lapsed lease makes an item wait; recording goes on for as long as the job runs here; slots are granted and taken only of engines that could be reached in the last 500 ms, and a load that breaks off counts as unreachable.

--- a/crates/swiftshunt-node/src/batch/grants.rs
+++ b/crates/swiftshunt-node/src/batch/grants.rs
@@ -52,12 +52,15 @@
 /// Batch requests that each engine of the zone may run now.
 fn allowances(context: &Context, pool: &PoolName) -> Vec<(WorkerId, u32)> {
     let scheduler = &context.settings.scheduler;
+    let now = context.clock.now();
     let workers = lock(&context.workers);
+    // An engine that died goes on in the list for a while, and with the report that it gave last.
     let in_zone = |worker: &&Worker| {
         worker.machine.pool == *pool
             && worker.machine.zone == context.own.zone
             && worker.report.is_some()
             && workers.is_accepting(worker)
+            && worker.is_reachable(now)
     };
     let engines: Vec<&Worker> = workers.iter().filter(in_zone).collect();
     let announced = context.expectations.requests_per_second(context, pool);
--- a/crates/swiftshunt-node/src/batch/item.rs
+++ b/crates/swiftshunt-node/src/batch/item.rs
@@ -24,6 +24,8 @@
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause after an engine failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(50);
+/// Pause until a lease that is over is looked at again.
+const LEASE_PAUSE: Duration = Duration::from_millis(50);
 /// How long an engine may pause a batch stream; online work may hold it up for long.
 const TOKEN_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -165,9 +167,14 @@
         };
         // Looked at last before the send: a job that was cancelled, or a leader that was replaced
         // while this process was stopped, starts nothing more.
-        if self.stopped.is_cancelled() || !self.lease.is_valid(self.context.clock.now()) {
+        if self.stopped.is_cancelled() {
             return Stay::Over;
         }
+        // A lease that is over may still be renewed; if it is not, the leadership ends.
+        if !self.lease.is_valid(self.context.clock.now()) {
+            tokio::time::sleep(LEASE_PAUSE).await;
+            return Stay::Interrupted;
+        }
         let engines = &self.context.engines;
         let opened = engines.generate(slot.address, &request, HEAD_TIMEOUT).await;
         let mut stream = match opened {
--- a/crates/swiftshunt-node/src/batch/job.rs
+++ b/crates/swiftshunt-node/src/batch/job.rs
@@ -101,18 +101,21 @@
     }
 }
 
+/// Records items as done, for as long as the job runs here: items that stay unrecorded under the
+/// same leader would leave the job open for ever.
 async fn record(context: &Context, job: &JobId, items: Vec<u32>) {
     let partition = partition_of(job.as_str(), context.settings.ledger.partitions);
-    let command = Command::CompleteItems {
-        job: job.clone(),
-        items,
-    };
-    let deadline = context.clock.now() + RECORD_TIME;
-    if ledger::propose(context, partition, command, deadline)
-        .await
-        .is_err()
-    {
-        log::warn!(job = job.as_str(); "items not recorded; the next leader finds them in the output");
+    loop {
+        let command = Command::CompleteItems {
+            job: job.clone(),
+            items: items.clone(),
+        };
+        let deadline = context.clock.now() + RECORD_TIME;
+        let Err(error) = ledger::propose(context, partition, command, deadline).await else {
+            return;
+        };
+        log::warn!(job = job.as_str(), items = items.len(); "items are not recorded yet: {error:?}");
+        tokio::time::sleep(LOG_PAUSE).await;
     }
 }
 
--- a/crates/swiftshunt-node/src/batch/slots.rs
+++ b/crates/swiftshunt-node/src/batch/slots.rs
@@ -192,7 +192,7 @@
             .filter_map(|(id, held)| {
                 let worker = workers
                     .get(id)
-                    .filter(|worker| workers.is_accepting(worker))?;
+                    .filter(|worker| workers.is_accepting(worker) && worker.is_reachable(now))?;
                 let used = running.get(id).map_or(0, Vec::len) as u32;
                 let free = held.slots.saturating_sub(used);
                 Some((free, worker))
--- a/crates/swiftshunt-node/src/fleet/loads.rs
+++ b/crates/swiftshunt-node/src/fleet/loads.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use swiftshunt_http::HttpError;
 use swiftshunt_scheduler::workers::LoadReport;
 use swiftshunt_types::{PoolName, WorkerId, ZoneName};
 
@@ -80,7 +81,8 @@
             };
             lock(&context.workers).report(&id, report, load.models, asked_at);
         }
-        Err(error) if error.was_not_sent() => {
+        // Where something stands between, a worker that is gone shows as a connection that breaks.
+        Err(HttpError::NotConnected { .. } | HttpError::BrokenOff { .. }) => {
             lock(&context.workers).connection_failed(&id, asked_at);
         }
         Err(_) => {}
--- a/crates/swiftshunt-scheduler/src/workers.rs
+++ b/crates/swiftshunt-scheduler/src/workers.rs
@@ -58,6 +58,11 @@
         self.report.map_or(1, |(report, _)| report.slots.max(1))
     }
 
+    /// Whether no connection to it failed a short while ago.
+    pub fn is_reachable(&self, now: Monotonic) -> bool {
+        self.failed_at.is_none_or(|at| now >= at + FAILURE_PENALTY)
+    }
+
     /// Whether it serves `model`, as far as known.
     pub fn serves(&self, model: &ModelName) -> bool {
         self.models.is_empty() || self.models.contains(model)
@@ -161,11 +166,7 @@
         let healthy: Vec<&Worker> = accepting
             .iter()
             .copied()
-            .filter(|worker| {
-                worker
-                    .failed_at
-                    .is_none_or(|at| now >= at + FAILURE_PENALTY)
-            })
+            .filter(|worker| worker.is_reachable(now))
             .collect();
         let preferred = if healthy.is_empty() {
             accepting
--- a/crates/swiftshunt/tests/batch_jobs.rs
+++ b/crates/swiftshunt/tests/batch_jobs.rs
@@ -312,6 +312,28 @@
     assert_whole(&output, "sturdy", 400);
 }
 
+/// A leader that is paused about as long as its lease stands finds the lease over and may still get
+/// it renewed: the job goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_goes_on_after_short_pauses_of_its_leader() {
+    let fleet = start_fleet(FleetOptions::new("job_short_pauses")).await;
+    let id = create_job(&fleet, 600, "paused").await;
+    let node = fleet.nodes[0].api;
+    wait_until_running(&fleet, node, &id).await;
+    for pause in (440..600).step_by(20) {
+        let leader = leader_of_job(&fleet, 0, &id).await;
+        fleet.nodes[leader].process.pause();
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        fleet.nodes[leader].process.resume();
+        tokio::time::sleep(Duration::from_millis(150)).await;
+    }
+    eventually("the job completes", || async {
+        let job = job(&fleet, node, &id).await?;
+        (job["status"] == "completed").then_some(())
+    })
+    .await;
+}
+
 /// A client that believes its job lost sends it again: it is the same job.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_job_sent_twice_is_one_job() {
