Start items only by a fold that was read within two seconds

The store had been silent until 8.1 s. The read of the tail that a gateway had sent into the silence was never answered and hung until its own time was over, up to 7 s; its lease was renewed at once on another connection, it was dealt the partition back at 13.7 s, and started items by a fold from before the end.

Ruled out: a late append (the end's answer came in 29 ms), a stale listing (partitions never known are listed whole first).

Change: a partition's items go to workers only if a read of it was answered in the last 2 s, or if the log does not answer renewals either (then nobody can be dealt the partition, and hardly anybody can end a job). Reads of leased partitions wait 1 s at most, others 5 s as before.

--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -77,7 +77,10 @@
                 return self.settle(id, item, ItemOutcome::GivenUp, String::new(), "too late");
             }
             let age = now.saturating_sub(first_seen);
-            let Some(chosen) = self.place(&route, age, now) else {
+            let placed = self
+                .may_send(id.partition)
+                .then(|| self.place(&route, age, now));
+            let Some(chosen) = placed.flatten() else {
                 tokio::time::sleep(RETRY_PAUSE).await;
                 continue;
             };
--- a/crates/swiftshunt-gateway/src/batch/leases.rs
+++ b/crates/swiftshunt-gateway/src/batch/leases.rs
@@ -97,6 +97,12 @@
         since.is_some_and(|since| self.clock.now() >= *since + HAND_OVER_TIME)
     }
 
+    /// Whether the log did not answer the last renewal: nobody else can be dealt partitions then, and
+    /// hardly anybody can end a job.
+    pub(crate) fn log_is_away(&self) -> bool {
+        lock(&self.held).log_is_away
+    }
+
     /// Renews for as long as the process takes work, and has what is held followed.
     pub(crate) async fn keep(&self, replay: &Replay, metrics: &Metrics) {
         let mut away = Away::new("leases", 0);
--- a/crates/swiftshunt-gateway/src/batch/replay.rs
+++ b/crates/swiftshunt-gateway/src/batch/replay.rs
@@ -18,8 +18,12 @@
 use crate::followers::{Away, list_all};
 use crate::settings::GatewaySettings;
 
-/// How long a read of the tail waits for a record.
+/// How long a read of the tail waits for a record, where items run here and elsewhere.
+const HELD_TAIL_WAIT: Duration = Duration::from_secs(1);
 const TAIL_WAIT: Duration = Duration::from_secs(5);
+/// Age of the last answered read up to which items are started by what it gave: an end that was
+/// acknowledged meanwhile must be obeyed within seconds.
+const FRESH: Duration = Duration::from_secs(2);
 /// Pause after a read that gave records, so that records that come together are read together.
 const GATHER: Duration = Duration::from_millis(40);
 /// Time within which the end of a partition is confirmed, or the answer is that it is unknown.
@@ -35,6 +39,8 @@
     assembly: Assembly,
     pub(crate) fold: JobFold,
     pub(crate) is_listed: bool,
+    /// When a read was answered last.
+    read_at: Option<Duration>,
 }
 
 struct Partition {
@@ -136,6 +142,17 @@
         interest.held || self.clock.now() < interest.until
     }
 
+    fn is_held(&self, partition: u32) -> bool {
+        lock(&self.partitions[partition as usize].interest).held
+    }
+
+    /// Whether what is known of a partition is new enough to start items by it.
+    pub(crate) fn is_fresh(&self, partition: u32) -> bool {
+        let state = self.state(partition);
+        let read_at = state.read_at.filter(|_| state.is_listed);
+        read_at.is_some_and(|at| self.clock.now() < at + FRESH)
+    }
+
     /// Whether a partition is followed here and known.
     pub(crate) fn is_followed(&self, partition: u32) -> bool {
         self.is_wanted(partition) && self.state(partition).is_listed
@@ -173,7 +190,12 @@
         if !listed {
             return self.list(partition).await;
         }
-        self.read_tail(partition, TAIL_WAIT).await.map(|_| ())
+        let wait = if self.is_held(partition) {
+            HELD_TAIL_WAIT
+        } else {
+            TAIL_WAIT
+        };
+        self.read_tail(partition, wait).await.map(|_| ())
     }
 
     async fn list(&self, partition: u32) -> Result<(), LogError> {
@@ -185,6 +207,7 @@
             changes.extend(state.view.apply_page(page));
         }
         state.is_listed = true;
+        state.read_at = Some(self.clock.now());
         self.apply(partition, &mut state, changes);
         drop(state);
         self.tell(partition);
@@ -206,6 +229,7 @@
         match self.log.read(Topic::Jobs, partition, from, wait).await? {
             ReadOutcome::Records { records, end } => {
                 let mut state = self.state(partition);
+                state.read_at = Some(self.clock.now());
                 let changes = state.view.apply_tail(records);
                 self.apply(partition, &mut state, changes);
                 Ok(Some(end))
--- a/crates/swiftshunt-gateway/src/batch/runner.rs
+++ b/crates/swiftshunt-gateway/src/batch/runner.rs
@@ -198,6 +198,7 @@
         let mut left = false;
         for item in waiting {
             let may_start = self.leases.may_start(item.id.partition)
+                && self.may_send(item.id.partition)
                 && self.may_start(&item.service, &urgencies, held.len());
             if started >= STARTED_AT_ONCE || !may_start {
                 left = true;
@@ -248,6 +249,11 @@
         (waiting, urgencies)
     }
 
+    /// Whether items of a partition may go to workers by what is known of it.
+    pub(crate) fn may_send(&self, partition: u32) -> bool {
+        self.replay.is_fresh(partition) || self.leases.log_is_away()
+    }
+
     /// Whether one more item of a service may run here.
     fn may_start(&self, service: &str, urgencies: &BTreeMap<String, f64>, held: usize) -> bool {
         let urgency = urgencies.get(service).copied().unwrap_or_default();
--- a/crates/swiftshunt-lab/src/platform/store.rs
+++ b/crates/swiftshunt-lab/src/platform/store.rs
@@ -46,6 +46,8 @@
     pub down: Option<Down>,
     /// Each answer takes this much longer.
     pub delay: Duration,
+    /// Reads that come or wait are never answered; everything else is.
+    pub lost_reads: bool,
     /// Share of appends that are done and not answered.
     pub lost_answers: f64,
     /// Appends whose answers are lost are done this much later.
@@ -207,14 +209,15 @@
         self.shared.changed.send_modify(|version| *version += 1);
     }
 
-    /// Deals all partitions of all groups anew, to other members.
+    /// Deals all partitions of all groups anew, each to the member behind its present one.
     pub fn deal_anew(&self) {
         for group in lock(&self.shared.state).groups.values_mut() {
             let names: Vec<String> = group.members.keys().cloned().collect();
             let count = names.len().max(1);
             group.generation += 1;
-            for (partition, owner) in &mut group.owners {
-                if let Some(name) = names.get((*partition as usize + 1) % count) {
+            for owner in group.owners.values_mut() {
+                let place = names.iter().position(|name| name == owner);
+                if let Some(name) = names.get((place.unwrap_or(0) + 1) % count) {
                     owner.clone_from(name);
                 }
             }
@@ -269,6 +272,7 @@
     let body = body.map_err(|_| BrokenOff)?.to_bytes();
     match path.as_str() {
         paths::APPEND => append(&shared, &now, &query, body).await,
+        paths::READ if now.lost_reads => std::future::pending().await,
         paths::READ => read(&shared, &faults, &query).await,
         paths::NEWEST => Ok(newest(&shared, &query)),
         paths::JOIN => Ok(join(&shared, &body)),
@@ -375,6 +379,9 @@
         if lock(faults).down.is_some() {
             return Err(BrokenOff);
         }
+        if lock(faults).lost_reads {
+            return std::future::pending().await;
+        }
         if is_over {
             return Ok(raw(shared, query, &[]));
         }
--- a/crates/swiftshunt/tests/gateway_batch.rs
+++ b/crates/swiftshunt/tests/gateway_batch.rs
@@ -410,6 +410,45 @@
     assert_eq!(then, count());
 }
 
+/// A gateway that gets a partition back runs nothing by what it knew of it before: a read of the log
+/// may be lost, and its fold be older than an end that was acknowledged since.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_ended_job_stops_also_where_the_new_runner_knew_it_before() {
+    const ITEMS: usize = 150;
+    let fleet = start(PlatformOptions {
+        event_pause: Duration::from_millis(60),
+        ..PlatformOptions::default()
+    })
+    .await;
+    let [one, two] = [fleet.gateways[0].callers, fleet.gateways[1].callers];
+    submit(&fleet, one, "job-1", ITEMS).await;
+    let runs = || -> usize {
+        let items = (0..ITEMS).map(|item| item_id("job-1", item));
+        items.map(|item| fleet.runs_of(&item).len()).sum()
+    };
+    // The partition is at either gateway once, so that both know the job.
+    for moves in 1..3 {
+        let before = runs();
+        eventually("the job runs on", || async { runs() > before + 8 }).await;
+        println!("{} runs before move {moves}", runs());
+        fleet.store.deal_anew();
+        tokio::time::sleep(Duration::from_millis(800)).await;
+    }
+    for gateway in &fleet.gateways {
+        gateway.door.set(StoreFaults {
+            lost_reads: true,
+            ..StoreFaults::default()
+        });
+    }
+    let status = fleet.caller.end(two, "job-1").await;
+    assert_eq!(status.expect("an answer"), StatusCode::OK);
+    fleet.store.deal_anew();
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let then = runs();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(then, runs(), "items of an ended job run");
+}
+
 #[test_case(Manner::Fail, 3; "failures")]
 #[test_case(Manner::Never, 1; "items that can never be done")]
 #[tokio::test(flavor = "multi_thread")]
