Tell other gateways of long prompts at once

Reading it takes up to half a second; engines read in order, and the load that answers carry is too old to show it.

Change: gateways list themselves in a topic of the log. One that sends a prompt which takes 25 ms or more to read tells the others by a datagram: the worker, the tokens to read, the parts. They count the reading until it is done, and believe the parts to be in that worker's memory. At most 400 notices a second a gateway; beyond that some of the others are told.

Tests: short_prompts_keep_clear_of_a_long_one_that_another_gateway_sent failed with the telling switched off and passes; a_long_prompt_that_another_node_sent_ counts_until_it_is_read.

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -14,6 +14,7 @@
 use crate::beliefs::Beliefs;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
+use crate::peers::Peers;
 use crate::protocol::{AnswerFacts, Protocol, SendFacts};
 use crate::upstream::{Sender, Upstream};
 
@@ -23,6 +24,7 @@
     pub(crate) beliefs: Arc<Beliefs>,
     pub(crate) upstream: Upstream,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) peers: Arc<Peers>,
     pub(crate) clock: Clock,
 }
 
@@ -213,6 +215,10 @@
         patience: Patience,
     ) -> Result<Answer, SendFailure> {
         let mut in_flight = InFlight::new(self, chosen, &outgoing.demand);
+        let prompt = &outgoing.demand.prompt;
+        let missing = chosen.missing_tokens;
+        self.peers
+            .tell(&chosen.service, &chosen.incarnation, prompt, missing);
         let sent = self.exchange(chosen, outgoing, last_event, patience);
         let outcome = tokio::select! {
             outcome = sent => outcome,
--- a/crates/swiftshunt-gateway/src/followers.rs
+++ b/crates/swiftshunt-gateway/src/followers.rs
@@ -81,14 +81,14 @@
 }
 
 /// A keyed topic of one partition that is followed.
-struct Followed {
+pub(crate) struct Followed {
     topic: Topic,
     view: KeyedView,
     is_listed: bool,
 }
 
 impl Followed {
-    fn new(topic: Topic) -> Self {
+    pub(crate) fn new(topic: Topic) -> Self {
         Self {
             topic,
             view: KeyedView::default(),
@@ -97,7 +97,11 @@
     }
 
     /// What has changed; waits up to `wait` for something.
-    async fn changes(&mut self, log: &dyn Log, wait: Duration) -> Result<Vec<Change>, LogError> {
+    pub(crate) async fn changes(
+        &mut self,
+        log: &dyn Log,
+        wait: Duration,
+    ) -> Result<Vec<Change>, LogError> {
         if !self.is_listed {
             return self.list(log).await;
         }
--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 use derive_more::{Display, Error};
 use swiftshunt_journal::Log;
 use swiftshunt_scheduler::selection::Selector;
+use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 
 use crate::attempt::Dispatcher;
@@ -16,6 +17,7 @@
 use crate::followers::Followers;
 use crate::metrics::Metrics;
 use crate::online::Online;
+use crate::peers::Peers;
 use crate::protocol::Protocol;
 use crate::server::{Stop, listen, serve_callers, serve_metrics, serve_peers, serve_ready};
 use crate::settings::{GatewaySettings, StopSettings};
@@ -40,6 +42,8 @@
     stop: Stop,
     stop_settings: StopSettings,
     batch: Arc<Batch>,
+    peers: Arc<Peers>,
+    log: Arc<dyn Log>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -78,11 +82,24 @@
         let metrics = Arc::new(Metrics::new());
         let selector = Selector::new(&settings.zone);
         let beliefs = Arc::new(Beliefs::new(selector));
+        let notices = bind_datagrams(peers_address).map_err(|source| StartError {
+            field: "listen.peers",
+            address: peers_address,
+            source,
+        })?;
+        let others = Arc::new(Peers::new(
+            notices,
+            peers_address,
+            Arc::clone(&beliefs),
+            Arc::clone(&metrics),
+            clock,
+        ));
         let dispatcher = Arc::new(Dispatcher {
             protocol: Arc::clone(&protocol),
             beliefs: Arc::clone(&beliefs),
             upstream: Upstream::default(),
             metrics: Arc::clone(&metrics),
+            peers: Arc::clone(&others),
             clock,
         });
         let batch = Arc::new(Batch::new(
@@ -96,7 +113,7 @@
             batch: Arc::clone(&batch),
         });
         let followers = Arc::new(Followers {
-            log,
+            log: Arc::clone(&log),
             protocol: Arc::clone(&protocol),
             beliefs: Arc::clone(&beliefs),
             metrics: Arc::clone(&metrics),
@@ -121,6 +138,9 @@
                 Arc::clone(&protocol),
                 Arc::clone(&batch),
             )),
+            tokio::spawn(Arc::clone(&others).listen()),
+            tokio::spawn(Arc::clone(&others).keep_listed(Arc::clone(&log))),
+            tokio::spawn(Arc::clone(&others).follow(Arc::clone(&log))),
             tokio::spawn(sweep(dispatcher)),
         ];
         if let Some(listener) = metrics_listener {
@@ -135,6 +155,8 @@
             stop,
             stop_settings: settings.stop.clone(),
             batch,
+            peers: others,
+            log,
             tasks,
         })
     }
@@ -168,7 +190,8 @@
         self.stop.draining.cancel();
         let hand_over = self.batch.stop();
         let unlisted = tokio::time::sleep(self.stop_settings.unlisted_after);
-        tokio::join!(hand_over, unlisted);
+        let farewell = self.peers.unlist(self.log.as_ref());
+        tokio::join!(hand_over, farewell, unlisted);
         self.stop.closing.cancel();
         self.stop.connections.close();
         self.stop.connections.wait().await;
@@ -178,6 +201,13 @@
     }
 }
 
+/// A socket for notices at an address.
+fn bind_datagrams(address: SocketAddr) -> std::io::Result<UdpSocket> {
+    let socket = std::net::UdpSocket::bind(address)?;
+    socket.set_nonblocking(true)?;
+    UdpSocket::from_std(socket)
+}
+
 async fn sweep(dispatcher: Arc<Dispatcher>) {
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod gateway;
 mod metrics;
 mod online;
+mod peers;
 pub mod protocol;
 mod relay;
 mod server;
--- a/crates/swiftshunt-gateway/src/metrics.rs
+++ b/crates/swiftshunt-gateway/src/metrics.rs
@@ -46,6 +46,9 @@
     pub(crate) configuration_version: Gauge,
     pub(crate) leased_partitions: Gauge,
     pub(crate) log_failures: Counter,
+    pub(crate) notices_sent: Counter,
+    pub(crate) notices_received: Counter,
+    pub(crate) notices_dropped: Counter,
 }
 
 impl Metrics {
@@ -79,12 +82,15 @@
             "Journal partitions whose items run here",
             leased_partitions.clone(),
         );
-        let log_failures = Counter::default();
-        registry.register(
-            "log_failures",
-            "Calls to the log without a use",
-            log_failures.clone(),
-        );
+        let mut counter = |name, help| {
+            let counter = Counter::default();
+            registry.register(name, help, Counter::clone(&counter));
+            counter
+        };
+        let log_failures = counter("log_failures", "Calls to the log without a use");
+        let notices_sent = counter("notices_sent", "Long prompts that others were told of");
+        let notices_received = counter("notices_received", "Long prompts that others told of");
+        let notices_dropped = counter("notices_dropped", "Notices not sent or not readable");
         Self {
             registry,
             requests,
@@ -96,6 +102,9 @@
             configuration_version,
             leased_partitions,
             log_failures,
+            notices_sent,
+            notices_received,
+            notices_dropped,
         }
     }
 
--- /dev/null
+++ b/crates/swiftshunt-gateway/src/peers.rs
@@ -0,0 +1,225 @@
+//! What gateways tell each other at once: the long prompts that they send.
+//!
+//! An engine reads prompts in the order they come, and the load that answers carry is seconds old.
+//! A gateway that does not know of a prompt of tens of thousands of tokens that another one has
+//! just sent would put short ones behind it. A notice is a datagram: one that is lost costs a worse
+//! choice and nothing else.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::seq::SliceRandom;
+use serde::{Deserialize, Serialize};
+use swiftshunt_journal::{Change, Log, Topic};
+use swiftshunt_scheduler::limits::TokenBucket;
+use swiftshunt_scheduler::residency::PromptPart;
+use tokio::net::UdpSocket;
+
+use crate::beliefs::{Beliefs, lock};
+use crate::clock::Clock;
+use crate::followers::{Away, Followed};
+use crate::metrics::Metrics;
+
+/// Reading time from which others are told of a prompt.
+const WORTH_TELLING: Duration = Duration::from_millis(25);
+/// Notices that a gateway sends a second on average: at more gateways than this, some of them are
+/// told of each prompt and not all.
+const NOTICES_A_SECOND: f64 = 400.0;
+/// Notices that may go at once.
+const MOST_AT_ONCE: f64 = 800.0;
+/// Parts of a prompt in a notice at most; those at the end are its own and of no use to others.
+const MOST_PARTS: usize = 32;
+/// Largest notice.
+const DATAGRAM_BYTES: usize = 1_400;
+/// Pause between two times that a gateway lists itself.
+const LISTED_EVERY: Duration = Duration::from_secs(60);
+/// Time after which a gateway that no longer lists itself is forgotten.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(200);
+/// Pause before the listing is tried again.
+const LIST_AGAIN: Duration = Duration::from_secs(2);
+/// How long a read of the list waits for a change.
+const LIST_WAIT: Duration = Duration::from_secs(20);
+/// Pause after a change, so that gateways that start together are read together.
+const GATHER: Duration = Duration::from_secs(1);
+/// Pause after a socket error.
+const SOCKET_PAUSE: Duration = Duration::from_millis(100);
+
+/// A long prompt is on its way to a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Notice {
+    /// The worker's incarnation.
+    worker: String,
+    /// Tokens that it is expected to read.
+    missing: u64,
+    /// The beginning of the prompt.
+    parts: Vec<PromptPart>,
+}
+
+/// The other gateways.
+pub(crate) struct Peers {
+    socket: UdpSocket,
+    own: SocketAddr,
+    beliefs: Arc<Beliefs>,
+    metrics: Arc<Metrics>,
+    clock: Clock,
+    /// When each was listed last.
+    listed: Mutex<HashMap<SocketAddr, Duration>>,
+    budget: Mutex<TokenBucket>,
+}
+
+impl Peers {
+    pub(crate) fn new(
+        socket: UdpSocket,
+        own: SocketAddr,
+        beliefs: Arc<Beliefs>,
+        metrics: Arc<Metrics>,
+        clock: Clock,
+    ) -> Self {
+        Self {
+            socket,
+            own,
+            beliefs,
+            metrics,
+            clock,
+            listed: Mutex::default(),
+            budget: Mutex::new(TokenBucket::full(MOST_AT_ONCE, clock.now())),
+        }
+    }
+
+    /// Tells the others that a prompt goes to a worker, if it is long. Never waits: what does not
+    /// fit into the socket's buffer is dropped.
+    pub(crate) fn tell(
+        &self,
+        service: &str,
+        worker: &str,
+        prompt: &[PromptPart],
+        missing_tokens: u64,
+    ) {
+        let reading = self
+            .beliefs
+            .selector()
+            .reading_time(service, missing_tokens);
+        if reading < WORTH_TELLING {
+            return;
+        }
+        let notice = Notice {
+            worker: worker.to_owned(),
+            missing: missing_tokens,
+            parts: prompt.iter().take(MOST_PARTS).copied().collect(),
+        };
+        let mut datagram = Vec::new();
+        if ciborium::into_writer(&notice, &mut datagram).is_err() {
+            return;
+        }
+        for peer in self.recipients() {
+            match self.socket.try_send_to(&datagram, peer) {
+                Ok(_) => self.metrics.notices_sent.inc(),
+                Err(_) => self.metrics.notices_dropped.inc(),
+            };
+        }
+    }
+
+    /// As many of the others as the budget allows.
+    fn recipients(&self) -> Vec<SocketAddr> {
+        let mut peers: Vec<SocketAddr> = lock(&self.listed).keys().copied().collect();
+        let now = self.clock.now();
+        let mut budget = lock(&self.budget);
+        let allowed = peers
+            .iter()
+            .take_while(|_| budget.take(NOTICES_A_SECOND, MOST_AT_ONCE, now).is_ok())
+            .count();
+        if allowed < peers.len() {
+            peers.shuffle(&mut rand::rng());
+            peers.truncate(allowed);
+        }
+        peers
+    }
+
+    /// Takes in what others tell, for as long as the process lives.
+    pub(crate) async fn listen(self: Arc<Self>) {
+        let mut datagram = [0; DATAGRAM_BYTES];
+        loop {
+            match self.socket.recv_from(&mut datagram).await {
+                Ok((length, _)) => self.take(&datagram[..length]),
+                Err(error) => {
+                    log::debug!("a notice was not received: {error}");
+                    tokio::time::sleep(SOCKET_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn take(&self, datagram: &[u8]) {
+        let Ok(notice) = ciborium::from_reader::<Notice, _>(datagram) else {
+            self.metrics.notices_dropped.inc();
+            return;
+        };
+        self.metrics.notices_received.inc();
+        let now = self.clock.now();
+        let mut selector = self.beliefs.selector();
+        selector.sent_by_another(&notice.worker, &notice.parts, notice.missing, now);
+    }
+
+    /// Lists this gateway for as long as the process lives.
+    pub(crate) async fn keep_listed(self: Arc<Self>, log: Arc<dyn Log>) {
+        loop {
+            let appended = log.append(Topic::Gateways, 0, vec![self.record("there")]);
+            let pause = match appended.await {
+                swiftshunt_journal::AppendOutcome::Done { .. } => LISTED_EVERY,
+                _ => LIST_AGAIN,
+            };
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Takes this gateway from the list; without success it is forgotten by its silence.
+    pub(crate) async fn unlist(&self, log: &dyn Log) {
+        let appended = log.append(Topic::Gateways, 0, vec![self.record("")]);
+        log::debug!(outcome:? = appended.await; "this gateway is no longer listed");
+    }
+
+    fn record(&self, value: &'static str) -> (Vec<u8>, Bytes) {
+        let key = self.own.to_string().into_bytes();
+        (key, Bytes::from_static(value.as_bytes()))
+    }
+
+    /// Follows the list of gateways for as long as the process lives.
+    pub(crate) async fn follow(self: Arc<Self>, log: Arc<dyn Log>) {
+        let mut followed = Followed::new(Topic::Gateways);
+        let mut away = Away::new("gateways", 0);
+        loop {
+            let changes = followed.changes(log.as_ref(), LIST_WAIT).await;
+            away.pause(&changes).await;
+            if let Ok(changes) = changes {
+                self.apply(changes);
+                tokio::time::sleep(GATHER).await;
+            }
+        }
+    }
+
+    fn apply(&self, changes: Vec<Change>) {
+        let now = self.clock.now();
+        let mut listed = lock(&self.listed);
+        for change in changes {
+            let (key, is_there) = match change {
+                Change::Set(record) => (record.key, true),
+                Change::Dropped(key) => (key, false),
+            };
+            let address = String::from_utf8_lossy(&key).parse::<SocketAddr>();
+            match address {
+                Ok(address) if address == self.own => {}
+                Ok(address) if is_there => {
+                    listed.insert(address, now);
+                }
+                Ok(address) => {
+                    listed.remove(&address);
+                }
+                Err(error) => log::warn!("a listed gateway is passed over: {error}"),
+            }
+        }
+        listed.retain(|_, at| now < *at + FORGOTTEN_AFTER);
+    }
+}
--- a/crates/swiftshunt-journal/src/log.rs
+++ b/crates/swiftshunt-journal/src/log.rs
@@ -16,6 +16,8 @@
     Workers,
     /// Batch jobs.
     Jobs,
+    /// The gateways that are there.
+    Gateways,
 }
 
 /// A record under a key. An empty value drops the key.
--- a/crates/swiftshunt-lab/src/platform/caller.rs
+++ b/crates/swiftshunt-lab/src/platform/caller.rs
@@ -47,6 +47,23 @@
         self.client.exchange(request, CALL_TIMEOUT).await
     }
 
+    /// Sends a request whose prompt has `tokens` tokens.
+    pub async fn ask_with_prompt(
+        &self,
+        gateway: SocketAddr,
+        path: &str,
+        id: &str,
+        tokens: u32,
+    ) -> Result<HttpAnswer, HttpError> {
+        let request = HttpRequest::post(gateway, path, "text/plain", "a question")
+            .with_header("host", HOST)
+            .with_header(headers::REQUEST_ID, id)
+            .with_header(headers::DEADLINE, CALL_TIMEOUT.as_millis().to_string())
+            .with_header(headers::TOKENS, format!("{tokens},10"))
+            .with_header(headers::PROMPT, format!("{:x}:{tokens}", tokens));
+        self.client.exchange(request, CALL_TIMEOUT).await
+    }
+
     /// Asks, and leaves after `patience`.
     pub async fn ask_and_leave(
         &self,
--- a/crates/swiftshunt-scheduler/src/candidate.rs
+++ b/crates/swiftshunt-scheduler/src/candidate.rs
@@ -29,6 +29,8 @@
     pub(crate) pending_since: Vec<Duration>,
     /// When the latest request that has its first event was sent.
     pub(crate) latest_begun: Duration,
+    /// When the worker will have read the long prompts that other nodes sent it.
+    pub(crate) reads_until: Duration,
     pub(crate) told: Option<(ToldLoad, u32, Duration)>,
     pub(crate) residency: Residency,
     pub(crate) failure_rate: f64,
@@ -48,6 +50,7 @@
             pending_tokens: 0,
             pending_since: Vec::new(),
             latest_begun: Duration::ZERO,
+            reads_until: Duration::ZERO,
             told: None,
             residency: Residency::new(memory_tokens),
             failure_rate: 0.0,
@@ -96,6 +99,16 @@
         oldest.map_or(Duration::ZERO, |sent| now.saturating_sub(*sent))
     }
 
+    /// Another node sent a prompt that takes `reading` to read.
+    pub(crate) fn reads_for_another(&mut self, reading: Duration, now: Duration) {
+        self.reads_until = self.reads_until.max(now) + reading;
+    }
+
+    /// How long the worker still reads prompts that other nodes sent.
+    pub(crate) fn reading_for_others(&self, now: Duration) -> Duration {
+        self.reads_until.saturating_sub(now)
+    }
+
     pub(crate) fn no_longer_pending(&mut self, sent_at: Duration, tokens: u64) {
         self.pending_tokens = self.pending_tokens.saturating_sub(tokens);
         let position = self.pending_since.iter().position(|sent| *sent == sent_at);
--- a/crates/swiftshunt-scheduler/src/residency.rs
+++ b/crates/swiftshunt-scheduler/src/residency.rs
@@ -2,9 +2,11 @@
 
 use std::collections::HashMap;
 
+use serde::{Deserialize, Serialize};
+
 /// One part of a prompt: parts are shared between prompts, and count only if every part before them
 /// is there as well.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptPart {
     /// Names the part's content.
     pub id: u64,
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -48,6 +48,8 @@
 /// A chosen worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Chosen {
+    /// Its service.
+    pub service: String,
     /// Its incarnation.
     pub incarnation: String,
     /// Its address.
@@ -220,6 +222,7 @@
         let best =
             scored.min_by(|left, right| left.0.cmp(&right.0).then(left.1.total_cmp(&right.1)));
         best.map(|(_, _, missing, candidate)| Chosen {
+            service: candidate.entry.service.clone(),
             incarnation: candidate.entry.incarnation.clone(),
             address: candidate.entry.address,
             missing_tokens: missing,
@@ -250,6 +253,7 @@
         });
         let best = with_room.max_by(|left, right| left.0.total_cmp(&right.0));
         best.map(|(_, candidate)| Chosen {
+            service: candidate.entry.service.clone(),
             incarnation: candidate.entry.incarnation.clone(),
             address: candidate.entry.address,
             missing_tokens: 0,
@@ -325,7 +329,8 @@
         let pending = candidate.pending_tokens as f64 / rate;
         let waited = candidate.longest_wait(now).as_secs_f64() * 1e3;
         let wait = queue.max(waited - pending).max(0.0);
-        let reading = pending + missing as f64 / rate;
+        let for_others = candidate.reading_for_others(now).as_secs_f64() * 1e3;
+        let reading = pending + for_others + missing as f64 / rate;
         let occupancy = load / slots * OCCUPANCY_COST;
         let own_ms = candidate.duration_ms.unwrap_or(service_ms);
         let slower = (own_ms - service_ms).max(0.0);
@@ -385,6 +390,32 @@
         candidate.residency.touch(&demand.prompt);
     }
 
+    /// How long a service's engines take to read `tokens`.
+    pub fn reading_time(&self, service: &str, tokens: u64) -> Duration {
+        let times = self.services.get(service);
+        let rate = times.map_or(ASSUMED_PREFILL_RATE, |times| times.prefill_rate);
+        Duration::from_secs_f64(tokens as f64 / rate / 1e3)
+    }
+
+    /// Records that another node has sent a worker a prompt of which it is to read
+    /// `missing_tokens`.
+    pub fn sent_by_another(
+        &mut self,
+        incarnation: &str,
+        prompt: &[PromptPart],
+        missing_tokens: u64,
+        now: Duration,
+    ) {
+        let Some(candidate) = self.candidates.get(incarnation) else {
+            return;
+        };
+        let reading = self.reading_time(&candidate.entry.service, missing_tokens);
+        if let Some(candidate) = self.get_mut(incarnation) {
+            candidate.reads_for_another(reading, now);
+            candidate.residency.touch(prompt);
+        }
+    }
+
     /// Records that a worker gave a sign of life.
     pub fn heard(&mut self, incarnation: &str, now: Duration) {
         if let Some(candidate) = self.get_mut(incarnation) {
--- a/crates/swiftshunt-scheduler/tests/selection.rs
+++ b/crates/swiftshunt-scheduler/tests/selection.rs
@@ -72,6 +72,7 @@
 
 fn chosen(name: &str) -> Chosen {
     Chosen {
+        service: "s".to_owned(),
         incarnation: name.to_owned(),
         address: "127.0.0.1:1".parse().expect("an address"),
         missing_tokens: 0,
@@ -283,3 +284,33 @@
     // A part counts only if every part before it is held as well.
     assert_eq!(residency.resident_tokens(&[part(0), part(19)]), 0);
 }
+
+#[test]
+fn a_long_prompt_that_another_node_sent_counts_until_it_is_read() {
+    let mut selector = selector(2);
+    let part = PromptPart {
+        id: 7,
+        tokens: 40_000,
+    };
+    selector.sent_by_another("w0", &[part], 40_000, START);
+    for salt in 0..20 {
+        let chosen = selector.choose("s", &demand(salt), &[], START);
+        assert_eq!(chosen.expect("a worker").incarnation, "w1");
+    }
+    let reading = selector.reading_time("s", 40_000);
+    let later = START + reading;
+    let counts = spread(&mut selector, 20, later);
+    assert!(counts.contains_key("w0"), "{counts:?}");
+    // What another node sent is believed to be there: it need not be read again.
+    let again = Demand {
+        prompt: vec![part],
+        prompt_tokens: 40_000,
+        ..demand(0)
+    };
+    let chosen = selector.choose("s", &again, &[], later);
+    let chosen = chosen.expect("a worker");
+    assert_eq!(
+        (chosen.incarnation.as_str(), chosen.missing_tokens),
+        ("w0", 0)
+    );
+}
--- a/crates/swiftshunt/tests/gateway_requests.rs
+++ b/crates/swiftshunt/tests/gateway_requests.rs
@@ -297,3 +297,43 @@
     }
     assert!(fleet.engines[0].runs().is_empty());
 }
+
+/// A gateway knows at once of a long prompt that another one has sent, and puts no short ones behind
+/// it.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_prompts_keep_clear_of_a_long_one_that_another_gateway_sent() {
+    const SHORT: usize = 16;
+    // What a second's reading is, until engines show how fast they read.
+    const LONG_TOKENS: u32 = 40_000;
+    let fleet = start(PlatformOptions::default()).await;
+    let [one, two] = [fleet.gateways[0].callers, fleet.gateways[1].callers];
+    let tries = std::sync::atomic::AtomicUsize::new(0);
+    let worker_of = |id: &str| {
+        let ran = |worker: &&swiftshunt_lab::platform::worker::Worker| {
+            worker.runs().iter().any(|run| run.id == id)
+        };
+        let worker = fleet.engines.iter().find(ran).expect("it ran");
+        worker.incarnation().to_owned()
+    };
+    eventually("short prompts go where the long one is not", || async {
+        // The last try's long prompt is read by now.
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        let number = tries.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let long = format!("long-{number}");
+        let asked = fleet
+            .caller
+            .ask_with_prompt(one, STREAM, &long, LONG_TOKENS);
+        assert_eq!(asked.await.expect("an answer").status, StatusCode::OK);
+        let ids: Vec<String> = (0..SHORT)
+            .map(|short| format!("short-{number}-{short}"))
+            .collect();
+        let asked = ids
+            .iter()
+            .map(|id| fleet.caller.ask_with_prompt(two, STREAM, id, 10));
+        for answer in futures_util::future::join_all(asked).await {
+            assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+        }
+        ids.iter().all(|id| worker_of(id) != worker_of(&long))
+    })
+    .await;
+}
