--- a/crates/swiftshunt-gateway/src/settings.rs
+++ b/crates/swiftshunt-gateway/src/settings.rs
@@ -220,6 +220,9 @@
             let reason = "must lie between 0 and batch.headroom";
             return invalid("batch.urgent_headroom", reason);
         }
+        if self.batch.follow_after_call.is_zero() {
+            return invalid("batch.follow_after_call", "must be above zero");
+        }
         if self.batch.lease < self.log.shortest_lease {
             return invalid("batch.lease", "must be at least log.shortest_lease");
         }
--- a/crates/swiftshunt/src/main.rs
+++ b/crates/swiftshunt/src/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod control;
+mod explain;
 mod gateway;
 mod logging;
 mod publish;
@@ -26,6 +27,7 @@
     CheckConfig(check::CheckArguments),
     Ctl(control::ControlArguments),
     Publish(publish::PublishArguments),
+    Explain(explain::ExplainArguments),
 }
 
 /// Exit code when settings or arguments are wrong.
@@ -43,6 +45,7 @@
         Command::CheckConfig(arguments) => check::run(&arguments),
         Command::Ctl(arguments) => control::run(&arguments),
         Command::Publish(arguments) => publish::run(&arguments),
+        Command::Explain(arguments) => explain::run(&arguments),
     }
 }
 
--- /dev/null
+++ b/crates/swiftshunt/tests/explain.rs
@@ -0,0 +1,66 @@
+//! `swiftshunt explain` joins the logs of many processes into one timeline with a cause.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+const ONE: &str = r#"{"time":"2026-12-02T10:00:01.200Z","node":"gateway-1","level":"info","message":"given up","request":"r1","reason":"it may have run and may not be repeated","end":"Failed","waited_ms":30}
+{"time":"2026-12-02T10:00:01.190Z","node":"gateway-1","level":"info","message":"a send failed","request":"r1","worker":"w7","failure":"broken: connection error","sends":1}
+{"time":"2026-12-02T10:00:01.100Z","node":"gateway-1","level":"info","message":"answered","request":"r2","worker":"w1","status":200,"waited_ms":410}
+"#;
+
+/// As a collector writes it, with a time and a name before the line, and with lines of its own.
+const TWO: &str = r#"the collector starts
+   9.1 gateway-2 {"time":"2026-12-02T10:00:01.195Z","node":"gateway-2","level":"info","message":"worker gone","worker":"w7"}
+   9.3 gateway-2 {"time":"2026-12-02T10:00:01.150Z","node":"gateway-2","level":"info","message":"worker gone","worker":"w9"}
+"#;
+
+fn write(name: &str, text: &str) -> PathBuf {
+    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&file, text).expect("the file is written");
+    file
+}
+
+fn explain(id: &str) -> Output {
+    let one = write(&format!("explain-{id}-1.log"), ONE);
+    let two = write(&format!("explain-{id}-2.log"), TWO);
+    Command::new(env!("CARGO_BIN_EXE_swiftshunt"))
+        .args(["explain", id, "--logs"])
+        .arg(two)
+        .arg("--logs")
+        .arg(one)
+        .output()
+        .expect("the program runs")
+}
+
+#[test]
+fn lines_stand_in_the_order_of_time_with_what_happened_to_their_worker() {
+    let output = explain("r1");
+    assert!(output.status.success(), "{output:?}");
+    let told = String::from_utf8_lossy(&output.stdout).into_owned();
+    let place = |text: &str| told.find(text).unwrap_or_else(|| panic!("{text}: {told}"));
+    assert!(place("a send failed") < place("given up"));
+    assert!(place("meanwhile:") < place("gateway-2 worker gone worker=w7"));
+    assert!(!told.contains("r2") && !told.contains("w9"), "{told}");
+    let cause = "cause: it was given up, since it may have run and may not be repeated after \
+                 failed sends: broken: connection error at w7";
+    assert!(told.contains(cause), "{told}");
+}
+
+#[test]
+fn what_no_line_names_is_said_so() {
+    let output = explain("r9");
+    assert_eq!(output.status.code(), Some(1), "{output:?}");
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert!(error.contains("no line names `r9`"), "{error}");
+}
+
+#[test]
+fn a_log_that_cannot_be_read_is_named() {
+    let output = Command::new(env!("CARGO_BIN_EXE_swiftshunt"))
+        .args(["explain", "r1", "--logs", "no-such-file.log"])
+        .output()
+        .expect("the program runs");
+    assert_eq!(output.status.code(), Some(2), "{output:?}");
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert!(error.contains("no-such-file.log"), "{error}");
+}
