Share batch slots between gateways as their items are

Cause: since gateways follow only what they lease, each ran a window of items that began at the even share of its partitions.

Change: gateways tell each other every 0.4 s how many items they have to run, by the same datagrams as long prompts, and share what batch items may hold in that proportion, as before they did by their folds. The window goes.

The window's own test goes with it.

--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -9,7 +9,7 @@
 use rand::RngCore;
 use swiftshunt_jobs::{ItemOutcome, ItemSpec, JobSpec, Progress, Settled};
 use swiftshunt_routing::Route;
-use swiftshunt_scheduler::batch::{BatchWindow, by_urgency, urgency};
+use swiftshunt_scheduler::batch::{by_urgency, urgency};
 use swiftshunt_scheduler::selection::{Chosen, Class, Demand, Ending};
 
 use super::Batch;
@@ -87,7 +87,6 @@
             let attempt = self.attempt(id, spec, item, &chosen, output).await;
             match attempt {
                 Attempt::Whole => {
-                    self.running.adjust_window(id, BatchWindow::completed);
                     let text = std::mem::take(&mut output.text);
                     return self.settle(id, item, ItemOutcome::Completed, text, "whole");
                 }
@@ -106,11 +105,7 @@
                 Attempt::BrokenOff | Attempt::NotTaken => {
                     tokio::time::sleep(FAILURE_PAUSE).await;
                 }
-                Attempt::Interrupted => {
-                    let now = self.dispatcher.clock.now();
-                    self.running.adjust_window(id, |window| window.crowded(now));
-                    tokio::time::sleep(RETRY_PAUSE).await;
-                }
+                Attempt::Interrupted => tokio::time::sleep(RETRY_PAUSE).await,
             }
         }
     }
--- a/crates/swiftshunt-gateway/src/batch/runner.rs
+++ b/crates/swiftshunt-gateway/src/batch/runner.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use swiftshunt_jobs::JobSpec;
-use swiftshunt_scheduler::batch::{BatchWindow, by_urgency, urgency};
+use swiftshunt_scheduler::batch::{by_urgency, urgency};
 use tokio_util::sync::CancellationToken;
 
 use super::Batch;
@@ -39,8 +39,6 @@
 #[derive(Default)]
 pub(crate) struct Running {
     items: Mutex<HashMap<ItemId, RunningItem>>,
-    /// How many may run, by service.
-    windows: Mutex<HashMap<String, BatchWindow>>,
 }
 
 impl Running {
@@ -76,14 +74,6 @@
             .count()
     }
 
-    /// Changes how many items of the service of this one may run.
-    pub(crate) fn adjust_window(&self, id: &ItemId, change: impl FnOnce(&mut BatchWindow)) {
-        let service = lock(&self.items).get(id).map(|item| item.service.clone());
-        if let Some(service) = service {
-            change(lock(&self.windows).entry(service).or_default());
-        }
-    }
-
     /// Records where an item runs; gives the token that interrupts it there.
     pub(crate) fn at_worker(&self, id: &ItemId, worker: Option<&str>) -> CancellationToken {
         let interrupt = CancellationToken::new();
@@ -142,6 +132,14 @@
     due: Duration,
 }
 
+/// Items of a service that are not settled, at this gateway.
+#[derive(Default)]
+struct Share {
+    items: u32,
+    /// Urgency of the most urgent one.
+    urgency: f64,
+}
+
 /// When an item of a route without a target is due.
 const NEVER_DUE: Duration = Duration::from_secs(1 << 32);
 
@@ -192,14 +190,17 @@
         if held.is_empty() || self.stops.is_cancelled() {
             return false;
         }
-        let (mut waiting, urgencies) = self.survey(&held);
+        let (mut waiting, shares) = self.survey(&held);
+        let items = shares.iter();
+        let items = items.map(|(service, share)| (service.clone(), share.items));
+        self.dispatcher.peers.tell_unsettled(items.collect());
         waiting.sort_by_key(|item| item.due);
         let mut started = 0;
         let mut left = false;
         for item in waiting {
             let may_start = self.leases.may_start(item.id.partition)
                 && self.may_send(item.id.partition)
-                && self.may_start(&item.service, &urgencies, held.len());
+                && self.may_start(&item.service, &shares);
             if started >= STARTED_AT_ONCE || !may_start {
                 left = true;
                 continue;
@@ -210,13 +211,13 @@
         left
     }
 
-    /// Items that wait here, and the urgency of each service's most urgent one.
-    fn survey(&self, held: &BTreeSet<u32>) -> (Vec<Waiting>, BTreeMap<String, f64>) {
+    /// Items that wait here, and each service's items that are not settled.
+    fn survey(&self, held: &BTreeSet<u32>) -> (Vec<Waiting>, BTreeMap<String, Share>) {
         let now = self.dispatcher.clock.now();
         let mut waiting = Vec::new();
-        let mut urgencies: BTreeMap<String, f64> = BTreeMap::new();
+        let mut shares: BTreeMap<String, Share> = BTreeMap::new();
         let Some(configuration) = self.dispatcher.beliefs.configuration() else {
-            return (waiting, urgencies);
+            return (waiting, shares);
         };
         for partition in held.iter().copied() {
             let unsettled = self.replay.state(partition).fold.unsettled();
@@ -226,8 +227,9 @@
                 let service = service.unwrap_or_default();
                 let target = route.and_then(|route| route.completion_target);
                 let age = now.saturating_sub(first_seen);
-                let most_urgent = urgencies.entry(service.clone()).or_default();
-                *most_urgent = most_urgent.max(urgency(age, target));
+                let share = shares.entry(service.clone()).or_default();
+                share.items += 1;
+                share.urgency = share.urgency.max(urgency(age, target));
                 let id = ItemId {
                     partition,
                     job: spec.id.clone(),
@@ -246,7 +248,7 @@
                 }
             }
         }
-        (waiting, urgencies)
+        (waiting, shares)
     }
 
     /// Whether items of a partition may go to workers by what is known of it.
@@ -254,17 +256,24 @@
         self.replay.is_fresh(partition) || self.leases.log_is_away()
     }
 
-    /// Whether one more item of a service may run here.
-    fn may_start(&self, service: &str, urgencies: &BTreeMap<String, f64>, held: usize) -> bool {
-        let urgency = urgencies.get(service).copied().unwrap_or_default();
+    /// Whether one more item of a service may run here: the slots for batch items are shared
+    /// between gateways as the items that are not settled are.
+    fn may_start(&self, service: &str, shares: &BTreeMap<String, Share>) -> bool {
+        let Some(share) = shares.get(service) else {
+            return false;
+        };
         let slots = f64::from(self.dispatcher.beliefs.selector().slots(service));
         let settings = &self.settings.batch;
-        let allowed = by_urgency(settings.slot_share, settings.urgent_slot_share, urgency);
+        let allowed = by_urgency(
+            settings.slot_share,
+            settings.urgent_slot_share,
+            share.urgency,
+        );
         let of_batch = slots * allowed;
-        let share = of_batch * held as f64 / f64::from(self.replay.count());
-        let mut windows = lock(&self.running.windows);
-        let window = windows.entry(service.to_owned()).or_default();
-        self.running.count(service) < window.allowed(share, of_batch)
+        let elsewhere = self.dispatcher.peers.unsettled_elsewhere(service);
+        let part = f64::from(share.items) / f64::from(share.items + elsewhere).max(1.0);
+        let here = (of_batch * part).ceil().max(1.0) as usize;
+        self.running.count(service) < here
     }
 
     fn start_item(self: &Arc<Self>, item: Waiting) {
--- a/crates/swiftshunt-gateway/src/peers.rs
+++ b/crates/swiftshunt-gateway/src/peers.rs
@@ -1,11 +1,12 @@
-//! What gateways tell each other at once: the long prompts that they send.
+//! What gateways tell each other at once: the long prompts that they send, and how many batch items
+//! they have to run.
 //!
 //! An engine reads prompts in the order they come, and the load that answers carry is seconds old.
 //! A gateway that does not know of a prompt of tens of thousands of tokens that another one has
 //! just sent would put short ones behind it. A notice is a datagram: one that is lost costs a worse
 //! choice and nothing else.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -47,15 +48,36 @@
 /// Pause after a socket error.
 const SOCKET_PAUSE: Duration = Duration::from_millis(100);
 
-/// A long prompt is on its way to a worker.
+/// Pause between two times that a gateway tells of its batch items.
+const UNSETTLED_EVERY: Duration = Duration::from_millis(400);
+/// Age from which what another told of its batch items no longer counts.
+const UNSETTLED_FOR: Duration = Duration::from_millis(1_500);
+
+/// What one gateway tells another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct Notice {
-    /// The worker's incarnation.
-    worker: String,
-    /// Tokens that it is expected to read.
-    missing: u64,
-    /// The beginning of the prompt.
-    parts: Vec<PromptPart>,
+enum Notice {
+    /// A long prompt is on its way to a worker.
+    Reading {
+        /// The worker's incarnation.
+        worker: String,
+        /// Tokens that it is expected to read.
+        missing: u64,
+        /// The beginning of the prompt.
+        parts: Vec<PromptPart>,
+    },
+    /// Batch items that are not settled.
+    Unsettled {
+        /// Where the sender is listed.
+        from: SocketAddr,
+        /// By service.
+        items: BTreeMap<String, u32>,
+    },
+}
+
+/// What another gateway told last of its batch items.
+struct Unsettled {
+    items: BTreeMap<String, u32>,
+    at: Duration,
 }
 
 /// The other gateways.
@@ -68,6 +90,9 @@
     /// When each was listed last.
     listed: Mutex<HashMap<SocketAddr, Duration>>,
     budget: Mutex<TokenBucket>,
+    unsettled: Mutex<HashMap<SocketAddr, Unsettled>>,
+    /// When the others were told last of the batch items here.
+    told_unsettled_at: Mutex<Duration>,
 }
 
 impl Peers {
@@ -86,6 +111,8 @@
             clock,
             listed: Mutex::default(),
             budget: Mutex::new(TokenBucket::full(MOST_AT_ONCE, clock.now())),
+            unsettled: Mutex::default(),
+            told_unsettled_at: Mutex::default(),
         }
     }
 
@@ -105,13 +132,42 @@
         if reading < WORTH_TELLING {
             return;
         }
-        let notice = Notice {
+        self.send(&Notice::Reading {
             worker: worker.to_owned(),
             missing: missing_tokens,
             parts: prompt.iter().take(MOST_PARTS).copied().collect(),
-        };
+        });
+    }
+
+    /// Tells the others from time to time how many batch items are to run here.
+    pub(crate) fn tell_unsettled(&self, items: BTreeMap<String, u32>) {
+        let now = self.clock.now();
+        {
+            let mut told_at = lock(&self.told_unsettled_at);
+            if items.is_empty() || now < *told_at + UNSETTLED_EVERY {
+                return;
+            }
+            *told_at = now;
+        }
+        self.send(&Notice::Unsettled {
+            from: self.own,
+            items,
+        });
+    }
+
+    /// Batch items of a service that other gateways have to run.
+    pub(crate) fn unsettled_elsewhere(&self, service: &str) -> u32 {
+        let now = self.clock.now();
+        let unsettled = lock(&self.unsettled);
+        let fresh = unsettled
+            .values()
+            .filter(|told| now < told.at + UNSETTLED_FOR);
+        fresh.filter_map(|told| told.items.get(service)).sum()
+    }
+
+    fn send(&self, notice: &Notice) {
         let mut datagram = Vec::new();
-        if ciborium::into_writer(&notice, &mut datagram).is_err() {
+        if ciborium::into_writer(notice, &mut datagram).is_err() {
             return;
         }
         for peer in self.recipients() {
@@ -159,8 +215,21 @@
         };
         self.metrics.notices_received.inc();
         let now = self.clock.now();
-        let mut selector = self.beliefs.selector();
-        selector.sent_by_another(&notice.worker, &notice.parts, notice.missing, now);
+        match notice {
+            Notice::Reading {
+                worker,
+                missing,
+                parts,
+            } => {
+                let mut selector = self.beliefs.selector();
+                selector.sent_by_another(&worker, &parts, missing, now);
+            }
+            Notice::Unsettled { from, items } => {
+                let mut unsettled = lock(&self.unsettled);
+                unsettled.retain(|_, told| now < told.at + UNSETTLED_FOR);
+                unsettled.insert(from, Unsettled { items, at: now });
+            }
+        }
     }
 
     /// Lists this gateway for as long as the process lives.
--- a/crates/swiftshunt-scheduler/src/batch.rs
+++ b/crates/swiftshunt-scheduler/src/batch.rs
@@ -70,42 +70,6 @@
     ((part - URGENT_FROM) / (URGENT_AT - URGENT_FROM)).clamp(0.0, 1.0)
 }
 
-/// Pause between two reductions of a window: what one reduction does must show first.
-const SHRINK_PAUSE: Duration = Duration::from_millis(500);
-
-/// How many batch items of a service one node runs at once.
-///
-/// Nodes do not tell each other what waits at them. Each may always run its even share of what
-/// batch items may hold, grows beyond that by one for each item that ends whole, and halves when
-/// items have to make room.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct BatchWindow {
-    size: f64,
-    shrunk_at: Option<Duration>,
-}
-
-impl BatchWindow {
-    /// Items that may run now, between the node's even share and all that batch items may hold.
-    pub fn allowed(&mut self, share: f64, all: f64) -> usize {
-        self.size = self.size.min(all).max(share);
-        self.size.ceil().max(1.0) as usize
-    }
-
-    /// An item ended whole.
-    pub fn completed(&mut self) {
-        self.size += 1.0;
-    }
-
-    /// An item had to make room.
-    pub fn crowded(&mut self, now: Duration) {
-        let recently = self.shrunk_at.is_some_and(|at| now < at + SHRINK_PAUSE);
-        if !recently {
-            self.size /= 2.0;
-            self.shrunk_at = Some(now);
-        }
-    }
-}
-
 /// A value between what holds with time enough and what holds when items are about to be late.
 pub fn by_urgency(calm: f64, urgent: f64, urgency: f64) -> f64 {
     calm + (urgent - calm) * urgency
--- a/crates/swiftshunt-scheduler/tests/decisions.rs
+++ b/crates/swiftshunt-scheduler/tests/decisions.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 use swiftshunt_scheduler::SchedulerConfig;
-use swiftshunt_scheduler::batch::{BatchWindow, JobDemand, batch_slots, least_slack_first};
+use swiftshunt_scheduler::batch::{JobDemand, batch_slots, least_slack_first};
 use swiftshunt_scheduler::grants::{Grant, GrantTable};
 use swiftshunt_scheduler::limits::TokenBucket;
 use swiftshunt_scheduler::placement::{NoWorker, PlacementRequest, choose};
@@ -251,27 +251,3 @@
     // The first try finds the budget full, so a tenth of the other 99 is added to the burst.
     assert_eq!(retries, 11);
 }
-
-#[test]
-fn a_batch_window_grows_with_what_ends_and_halves_when_crowded() {
-    let mut window = BatchWindow::default();
-    let (share, all) = (4.0, 12.0);
-    assert_eq!(window.allowed(share, all), 4);
-    for _ in 0..6 {
-        window.completed();
-    }
-    assert_eq!(window.allowed(share, all), 10);
-    window.crowded(NOW);
-    window.crowded(NOW + Duration::from_millis(100));
-    assert_eq!(
-        window.allowed(share, all),
-        5,
-        "what makes room at once counts once"
-    );
-    window.crowded(NOW + Duration::from_secs(1));
-    assert_eq!(window.allowed(share, all), 4, "never below the even share");
-    for _ in 0..100 {
-        window.completed();
-    }
-    assert_eq!(window.allowed(share, all), 12, "never above all");
-}
