Do not cut a stream at its last worker for silence

The limit of silence was given to every worker that takes a stream up, also to the last one.

Change: the last attempt has no limit of silence, as first sends had none.

--- a/crates/swiftshunt-gateway/src/relay.rs
+++ b/crates/swiftshunt-gateway/src/relay.rs
@@ -237,7 +237,8 @@
             let patience = Patience {
                 until,
                 told_until: self.told_until,
-                silence: Some(self.silence),
+                // Silence is no reason to end an answer that can go nowhere else.
+                silence: (self.runs_left > 1).then_some(self.silence),
             };
             match dispatcher
                 .send(&chosen, &self.outgoing, position, patience)
--- a/crates/swiftshunt-lab/src/platform/worker.rs
+++ b/crates/swiftshunt-lab/src/platform/worker.rs
@@ -27,6 +27,8 @@
     Dark,
     /// Runs them, and does not answer every second one.
     HangSometimes,
+    /// Runs them and is silent for this long first.
+    Late(Duration),
     /// Runs them and closes the connection.
     LoseAnswer,
     /// Breaks streams off after this many events.
@@ -200,6 +202,7 @@
             drop(slot);
             return std::future::pending().await;
         }
+        Manner::Late(pause) => tokio::time::sleep(pause).await,
         Manner::LoseAnswer => return Err(BrokenOff),
         Manner::Fail => return Ok(signed(&shared, StatusCode::INTERNAL_SERVER_ERROR, &id)),
         Manner::Never => return Ok(signed(&shared, StatusCode::UNPROCESSABLE_ENTITY, &id)),
--- a/crates/swiftshunt/tests/gateway_requests.rs
+++ b/crates/swiftshunt/tests/gateway_requests.rs
@@ -142,6 +142,41 @@
     );
 }
 
+/// Silence of a worker is a reason to go on elsewhere, and none to end an answer that can go nowhere
+/// else.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_at_its_last_worker_is_not_cut_for_silence() {
+    let mut fleet = start(PlatformOptions::default()).await;
+    let mut configuration = first_configuration();
+    for route in &mut configuration.routes {
+        route.max_attempts = 2;
+    }
+    fleet.configure(configuration);
+    // A configuration is in force within two seconds.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    fleet.engines[0].set(Manner::BreakAfter(3));
+    // Longer than the silence after which a stream goes on elsewhere.
+    fleet.engines[1].set(Manner::Late(Duration::from_millis(1_300)));
+    let resumed = || {
+        fleet.engines[1]
+            .runs()
+            .iter()
+            .any(|run| run.last_event == Some(2))
+    };
+    let mut number = 0;
+    while !resumed() && number < 12 {
+        let id = format!("s{number}");
+        let gateway = fleet.gateways[number % 2].callers;
+        let answer = fleet.caller.ask(gateway, STREAM, &id, DEADLINE).await;
+        let answer = answer.expect("a whole answer");
+        if fleet.runs_of(&id)[0].last_event.is_none() && resumed() {
+            assert_all_events(&answer.body, &id, 8);
+        }
+        number += 1;
+    }
+    assert!(resumed(), "no stream was resumed at the late worker");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_broken_stream_that_may_not_be_resumed_does_not_look_whole() {
     let fleet = start(PlatformOptions::default()).await;
