Try: pass on between gateways the loads that workers tell

Cause looked for: with 90 gateways each hears of a worker's load every 25 s or so, and chooses by means.

Items make room by what a worker told the gateway itself.

--- a/crates/swiftshunt-scheduler/tests/selection.rs
+++ b/crates/swiftshunt-scheduler/tests/selection.rs
@@ -314,3 +314,48 @@
         ("w0", 0)
     );
 }
+
+#[test]
+fn the_newest_load_counts_whoever_was_told() {
+    let mut selector = selector(2);
+    let load = |running| ToldLoad {
+        running,
+        waiting: 0,
+        slots: 8,
+    };
+    let at = |milliseconds| START + Duration::from_millis(milliseconds);
+    selector.told("w0", load(0), at(100));
+    selector.told_by_another("w0", load(8), at(200));
+    selector.told_by_another("w0", load(0), at(150));
+    let newest = selector.loads_since(START);
+    assert_eq!(newest, [("w0".to_owned(), load(8), at(200))]);
+    assert!(selector.loads_since(at(200)).is_empty());
+    for salt in 0..20 {
+        let chosen = selector.choose("s", &demand(salt), &[], at(210));
+        assert_eq!(chosen.expect("a worker").incarnation, "w1");
+    }
+}
+
+#[test]
+fn items_make_room_only_by_what_a_worker_told_this_node() {
+    let mut selector = selector(1);
+    let batch = Demand {
+        class: Class::Batch,
+        ..demand(0)
+    };
+    let full = ToldLoad {
+        running: 8,
+        waiting: 4,
+        slots: 8,
+    };
+    let item = selector.choose_for_batch("s", &[], 0.25, START);
+    selector.sent(&item.expect("room"), &batch, START);
+    selector.told_by_another("w0", full, START);
+    assert!(selector.crowded_by_batch(START).is_empty());
+    assert!(!selector.is_full("w0", START));
+    let more = selector.choose_for_batch("s", &[], 0.25, START);
+    assert!(more.is_none(), "the next item keeps clear of it");
+    selector.told("w0", full, START);
+    assert_eq!(selector.crowded_by_batch(START), ["w0"]);
+    assert!(selector.is_full("w0", START));
+}
