--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -139,7 +139,6 @@
                 Arc::clone(&batch),
             )),
             tokio::spawn(Arc::clone(&others).listen()),
-            tokio::spawn(Arc::clone(&others).pass_loads_on()),
             tokio::spawn(Arc::clone(&others).keep_listed(Arc::clone(&log))),
             tokio::spawn(Arc::clone(&others).follow(Arc::clone(&log))),
             tokio::spawn(sweep(dispatcher)),
--- a/crates/swiftshunt-gateway/src/peers.rs
+++ b/crates/swiftshunt-gateway/src/peers.rs
@@ -1,5 +1,5 @@
-//! What gateways tell each other: the long prompts that they send, how many batch items they have to
-//! run, and the loads that workers told them.
+//! What gateways tell each other at once: the long prompts that they send, and how many batch items
+//! they have to run.
 //!
 //! An engine reads prompts in the order they come, and the load that answers carry is seconds old.
 //! A gateway that does not know of a prompt of tens of thousands of tokens that another one has
@@ -17,7 +17,6 @@
 use swiftshunt_journal::{Change, Log, Topic};
 use swiftshunt_scheduler::limits::TokenBucket;
 use swiftshunt_scheduler::residency::PromptPart;
-use swiftshunt_scheduler::selection::ToldLoad;
 use tokio::net::UdpSocket;
 
 use crate::beliefs::{Beliefs, lock};
@@ -36,18 +35,6 @@
 const MOST_PARTS: usize = 32;
 /// Largest notice.
 const DATAGRAM_BYTES: usize = 1_400;
-/// Pause between two times that loads are passed on.
-const LOADS_EVERY: Duration = Duration::from_millis(200);
-/// Age up to which a load is worth passing on.
-const LOADS_WORTH: Duration = Duration::from_millis(1_500);
-/// Loads in a notice at most.
-const MOST_LOADS: usize = 24;
-/// Loads that one gateway passes on each time, over all recipients: a few thousand bytes a second,
-/// however large the fleet is. What is passed on is passed on again, so that news reach everybody
-/// in as many steps as the number of gateways has binary digits.
-const LOADS_AT_ONCE: usize = 48;
-/// Recipients of loads at most.
-const MOST_RECIPIENTS: usize = 4;
 /// Pause between two times that a gateway lists itself.
 const LISTED_EVERY: Duration = Duration::from_secs(60);
 /// Time after which a gateway that no longer lists itself is forgotten.
@@ -78,8 +65,6 @@
         /// The beginning of the prompt.
         parts: Vec<PromptPart>,
     },
-    /// Loads that workers told lately, here or at others.
-    Loads(Vec<LoadNews>),
     /// Batch items that are not settled.
     Unsettled {
         /// Where the sender is listed.
@@ -89,10 +74,6 @@
     },
 }
 
-/// The load of a worker, and how old it is.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct LoadNews(String, ToldLoad, u16);
-
 /// What another gateway told last of its batch items.
 struct Unsettled {
     items: BTreeMap<String, u32>,
@@ -184,44 +165,12 @@
         fresh.filter_map(|told| told.items.get(service)).sum()
     }
 
-    /// Passes loads on for as long as the process lives.
-    pub(crate) async fn pass_loads_on(self: Arc<Self>) {
-        loop {
-            tokio::time::sleep(LOADS_EVERY).await;
-            let now = self.clock.now();
-            let since = now.saturating_sub(LOADS_WORTH);
-            let loads = self.beliefs.selector().loads_since(since);
-            if loads.is_empty() {
-                continue;
-            }
-            let news = loads.into_iter().take(MOST_LOADS);
-            let news = news.map(|(worker, load, at)| {
-                let age = now.saturating_sub(at).as_millis();
-                LoadNews(worker, load, age.try_into().unwrap_or(u16::MAX))
-            });
-            let news: Vec<LoadNews> = news.collect();
-            let recipients = (LOADS_AT_ONCE / news.len()).clamp(1, MOST_RECIPIENTS);
-            let mut peers = self.listed();
-            peers.shuffle(&mut rand::rng());
-            peers.truncate(recipients);
-            self.send_to(&Notice::Loads(news), peers);
-        }
-    }
-
-    fn listed(&self) -> Vec<SocketAddr> {
-        lock(&self.listed).keys().copied().collect()
-    }
-
     fn send(&self, notice: &Notice) {
-        self.send_to(notice, self.recipients());
-    }
-
-    fn send_to(&self, notice: &Notice, peers: Vec<SocketAddr>) {
         let mut datagram = Vec::new();
         if ciborium::into_writer(notice, &mut datagram).is_err() {
             return;
         }
-        for peer in peers {
+        for peer in self.recipients() {
             match self.socket.try_send_to(&datagram, peer) {
                 Ok(_) => self.metrics.notices_sent.inc(),
                 Err(_) => self.metrics.notices_dropped.inc(),
@@ -231,7 +180,7 @@
 
     /// As many of the others as the budget allows.
     fn recipients(&self) -> Vec<SocketAddr> {
-        let mut peers = self.listed();
+        let mut peers: Vec<SocketAddr> = lock(&self.listed).keys().copied().collect();
         let now = self.clock.now();
         let mut budget = lock(&self.budget);
         let allowed = peers
@@ -275,13 +224,6 @@
                 let mut selector = self.beliefs.selector();
                 selector.sent_by_another(&worker, &parts, missing, now);
             }
-            Notice::Loads(news) => {
-                let mut selector = self.beliefs.selector();
-                for LoadNews(worker, load, age) in news {
-                    let at = now.saturating_sub(Duration::from_millis(age.into()));
-                    selector.told_by_another(&worker, load, at);
-                }
-            }
             Notice::Unsettled { from, items } => {
                 let mut unsettled = lock(&self.unsettled);
                 unsettled.retain(|_, told| now < told.at + UNSETTLED_FOR);
--- a/crates/swiftshunt-scheduler/src/candidate.rs
+++ b/crates/swiftshunt-scheduler/src/candidate.rs
@@ -31,11 +31,7 @@
     pub(crate) latest_begun: Duration,
     /// When the worker will have read the long prompts that other nodes sent it.
     pub(crate) reads_until: Duration,
-    /// The newest load that it told, here or at another node; this node's requests there at the
-    /// time; when.
     pub(crate) told: Option<(ToldLoad, u32, Duration)>,
-    /// The same, told here.
-    pub(crate) told_here: Option<(ToldLoad, u32, Duration)>,
     pub(crate) residency: Residency,
     pub(crate) failure_rate: f64,
     pub(crate) failure_rate_at: Duration,
@@ -56,7 +52,6 @@
             latest_begun: Duration::ZERO,
             reads_until: Duration::ZERO,
             told: None,
-            told_here: None,
             residency: Residency::new(memory_tokens),
             failure_rate: 0.0,
             failure_rate_at: now,
@@ -80,31 +75,19 @@
 
     /// Requests of others that it was told to hold, and how much that still counts.
     pub(crate) fn told_others(&self, now: Duration) -> Option<(f64, f64)> {
-        self.told.map(|told| others_of(told, now))
-    }
-
-    /// Requests of others that it told this node itself.
-    fn told_others_here(&self, now: Duration) -> Option<(f64, f64)> {
-        self.told_here.map(|told| others_of(told, now))
+        let (told, own_then, at) = self.told?;
+        let others = f64::from((told.running + told.waiting).saturating_sub(own_then));
+        let age = now.saturating_sub(at).as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
+        Some((others, 0.5_f64.powf(age)))
     }
 
     /// Requests that it holds, as far as known; `usual_others` is what its like hold of others.
     /// What its like hold is no reason to believe that it is crowded: it counts up to half of the
     /// slots.
     pub(crate) fn load(&self, usual_others: f64, now: Duration) -> f64 {
-        self.load_by(self.told_others(now), usual_others)
-    }
-
-    /// The same by what it told this node itself. Items make room by this alone: by news that reach
-    /// every node at once, all of them would make room for the same request.
-    pub(crate) fn load_told_here(&self, usual_others: f64, now: Duration) -> f64 {
-        self.load_by(self.told_others_here(now), usual_others)
-    }
-
-    fn load_by(&self, told_others: Option<(f64, f64)>, usual_others: f64) -> f64 {
         let own = f64::from(self.own());
         let usual_others = usual_others.min(f64::from(self.slots()) / 2.0);
-        match told_others {
+        match self.told_others(now) {
             Some((others, weight)) => own + others * weight + usual_others * (1.0 - weight),
             None => own + usual_others,
         }
@@ -170,11 +153,3 @@
         self.ejected_until = now + pause;
     }
 }
-
-/// Requests of others as of a told load, and how much that still counts.
-fn others_of(told: (ToldLoad, u32, Duration), now: Duration) -> (f64, f64) {
-    let (load, own_then, at) = told;
-    let others = f64::from((load.running + load.waiting).saturating_sub(own_then));
-    let age = now.saturating_sub(at).as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
-    (others, 0.5_f64.powf(age))
-}
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -6,14 +6,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
 use crate::candidate::Candidate;
 use crate::directory::{Availability, WorkerEntry};
 use crate::residency::PromptPart;
 
 /// Load that a worker told with an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ToldLoad {
     /// Requests running.
     pub running: u32,
@@ -283,7 +281,7 @@
             return false;
         };
         let usual_others = self.usual_others(&candidate.entry.service, now);
-        candidate.load_told_here(usual_others, now) >= f64::from(candidate.slots())
+        candidate.load(usual_others, now) >= f64::from(candidate.slots())
     }
 
     /// Workers with batch items of this node at which online requests wait or are about to.
@@ -294,7 +292,7 @@
             .filter(|candidate| candidate.own_batch > 0);
         let crowded = with_batch.filter(|candidate| {
             let usual_others = self.usual_others(&candidate.entry.service, now);
-            candidate.load_told_here(usual_others, now) > f64::from(candidate.slots())
+            candidate.load(usual_others, now) > f64::from(candidate.slots())
         });
         crowded
             .map(|candidate| candidate.entry.incarnation.clone())
@@ -430,32 +428,9 @@
         if let Some(candidate) = self.get_mut(incarnation) {
             let own = candidate.own();
             candidate.told = Some((load, own, now));
-            candidate.told_here = candidate.told;
-        }
-    }
-
-    /// Records the load that a worker told another node at `at`, unless something newer is known.
-    pub fn told_by_another(&mut self, incarnation: &str, load: ToldLoad, at: Duration) {
-        if let Some(candidate) = self.get_mut(incarnation) {
-            let is_news = candidate.told.is_none_or(|(_, _, known_at)| at > known_at);
-            if is_news {
-                let own = candidate.own();
-                candidate.told = Some((load, own, at));
-            }
         }
     }
 
-    /// The loads that workers told, here or at another node, after `since`, the newest first.
-    pub fn loads_since(&self, since: Duration) -> Vec<(String, ToldLoad, Duration)> {
-        let told = self.candidates.values().filter_map(|candidate| {
-            let (load, _, at) = candidate.told?;
-            (at > since).then(|| (candidate.entry.incarnation.clone(), load, at))
-        });
-        let mut told: Vec<_> = told.collect();
-        told.sort_by_key(|(_, _, at)| std::cmp::Reverse(*at));
-        told
-    }
-
     /// Records that the first event of a request came after `waited`.
     pub fn first_event(&mut self, chosen: &Chosen, waited: Duration, now: Duration) {
         let Some(candidate) = self.candidates.get_mut(&chosen.incarnation) else {
