Send load orders that a planner committed and died before it sent

An order counts as outstanding for 120 s unless it failed, so the next planner gave none in that zone and the target was missed.

Ruled out: load (it was played by itself), the reports of engines (all came).

Change: before it plans, a planner sends every order that is committed and not ended. Its own are ended by then; orders are fenced by the leader's term, so an engine that has taken one takes no older one.

--- a/crates/swiftshunt-node/src/fleet/plans.rs
+++ b/crates/swiftshunt-node/src/fleet/plans.rs
@@ -53,12 +53,35 @@
             return;
         };
         for (pool, state) in pools {
+            self.end_left_orders(&pool, &state).await;
             for target in state.targets.values() {
                 self.plan(&pool, &state, target).await;
             }
         }
     }
 
+    /// Sends orders that an earlier planner committed and did not see ended: it may have died before
+    /// it sent them. Orders of this planner are ended before it plans again.
+    async fn end_left_orders(&self, pool: &PoolName, state: &PoolState) {
+        let left = state
+            .orders
+            .iter()
+            .filter(|order| matches!(order.status, OrderStatus::Given));
+        for order in left {
+            let Some(LedgerAnswer::Partition(view)) = self.query(LedgerQuery::Partition).await
+            else {
+                return;
+            };
+            let sequence = order.sequence;
+            log::info!(sequence, worker = order.worker.as_str(); "an order that was left is sent");
+            let status = self
+                .send(&view, &order.worker, &order.model, sequence)
+                .await;
+            self.change(pool, PoolCommand::EndOrder { sequence, status })
+                .await;
+        }
+    }
+
     async fn plan(&self, pool: &PoolName, state: &PoolState, target: &Target) {
         let now = unix_seconds();
         let demand = Demand {
