Split what had grown: the cost of a worker, the stand-in's groups, shared tests

Two callers' questions are built in one place; Demand::total_tokens, which nothing read, goes; a cost of silence gets a name.

--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -240,7 +240,6 @@
                 class: Class::Batch,
                 prompt: facts.prompt,
                 prompt_tokens: facts.prompt_tokens,
-                total_tokens: item.tokens,
                 salt: rand::rng().next_u64(),
             },
         })
--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -117,7 +117,6 @@
             class: Class::Online,
             prompt: facts.prompt.clone(),
             prompt_tokens: facts.prompt_tokens,
-            total_tokens: facts.prompt_tokens + facts.output_tokens,
             salt: rand::rng().next_u64(),
         };
         let outgoing = Outgoing {
--- a/crates/swiftshunt-lab/src/platform/caller.rs
+++ b/crates/swiftshunt-lab/src/platform/caller.rs
@@ -31,6 +31,13 @@
     }
 }
 
+fn question(gateway: SocketAddr, path: &str, id: &str, deadline: Duration) -> HttpRequest {
+    HttpRequest::post(gateway, path, "text/plain", "a question")
+        .with_header("host", HOST)
+        .with_header(headers::REQUEST_ID, id)
+        .with_header(headers::DEADLINE, deadline.as_millis().to_string())
+}
+
 impl PlatformCaller {
     /// Sends a request on a route and reads the whole answer.
     pub async fn ask(
@@ -40,10 +47,7 @@
         id: &str,
         deadline: Duration,
     ) -> Result<HttpAnswer, HttpError> {
-        let request = HttpRequest::post(gateway, path, "text/plain", "a question")
-            .with_header("host", HOST)
-            .with_header(headers::REQUEST_ID, id)
-            .with_header(headers::DEADLINE, deadline.as_millis().to_string());
+        let request = question(gateway, path, id, deadline);
         self.client.exchange(request, CALL_TIMEOUT).await
     }
 
@@ -55,10 +59,7 @@
         id: &str,
         tokens: u32,
     ) -> Result<HttpAnswer, HttpError> {
-        let request = HttpRequest::post(gateway, path, "text/plain", "a question")
-            .with_header("host", HOST)
-            .with_header(headers::REQUEST_ID, id)
-            .with_header(headers::DEADLINE, CALL_TIMEOUT.as_millis().to_string())
+        let request = question(gateway, path, id, CALL_TIMEOUT)
             .with_header(headers::TOKENS, format!("{tokens},10"))
             .with_header(headers::PROMPT, format!("{:x}:{tokens}", tokens));
         self.client.exchange(request, CALL_TIMEOUT).await
--- a/crates/swiftshunt-lab/src/platform/mod.rs
+++ b/crates/swiftshunt-lab/src/platform/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod fleet;
+mod groups;
 pub mod quickstart;
 mod server;
 pub mod store;
--- a/crates/swiftshunt-lab/src/platform/store.rs
+++ b/crates/swiftshunt-lab/src/platform/store.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -25,6 +25,7 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use super::groups::Group;
 use super::server::{Body, BrokenOff, serve, whole};
 use crate::stand_in::lock;
 
@@ -91,39 +92,6 @@
     }
 }
 
-struct Member {
-    until: Instant,
-}
-
-#[derive(Default)]
-struct Group {
-    members: BTreeMap<String, Member>,
-    generation: u64,
-    /// Owner of each partition.
-    owners: BTreeMap<u32, String>,
-}
-
-impl Group {
-    /// Removes members that have been silent for too long, and deals partitions evenly if the
-    /// members changed.
-    fn settle(&mut self, partitions: u32, changed: bool) {
-        let now = Instant::now();
-        let before = self.members.len();
-        self.members.retain(|_, member| member.until > now);
-        if !changed && before == self.members.len() {
-            return;
-        }
-        self.generation += 1;
-        let names: Vec<String> = self.members.keys().cloned().collect();
-        self.owners.clear();
-        for partition in 0..partitions {
-            if let Some(owner) = names.get(partition as usize % names.len().max(1)) {
-                self.owners.insert(partition, owner.clone());
-            }
-        }
-    }
-}
-
 #[derive(Default)]
 struct State {
     partitions: HashMap<(String, u32), Partition>,
@@ -212,15 +180,7 @@
     /// Deals all partitions of all groups anew, each to the member behind its present one.
     pub fn deal_anew(&self) {
         for group in lock(&self.shared.state).groups.values_mut() {
-            let names: Vec<String> = group.members.keys().cloned().collect();
-            let count = names.len().max(1);
-            group.generation += 1;
-            for owner in group.owners.values_mut() {
-                let place = names.iter().position(|name| name == owner);
-                if let Some(name) = names.get((place.unwrap_or(0) + 1) % count) {
-                    owner.clone_from(name);
-                }
-            }
+            group.deal_anew();
         }
     }
 
@@ -470,11 +430,8 @@
     };
     let mut state = lock(&shared.state);
     let group = state.groups.entry(document.group).or_default();
-    let until = Instant::now() + Duration::from_millis(document.ttl_ms);
-    let known = group
-        .members
-        .insert(document.member.clone(), Member { until });
-    group.settle(shared.partitions, known.is_none());
+    let time = Duration::from_millis(document.ttl_ms);
+    group.join(&document.member, time, shared.partitions);
     let owned = group
         .owners
         .iter()
@@ -503,8 +460,7 @@
     };
     let mut state = lock(&shared.state);
     if let Some(group) = state.groups.get_mut(&document.group) {
-        let known = group.members.remove(&document.member);
-        group.settle(shared.partitions, known.is_some());
+        group.leave(&document.member, shared.partitions);
     }
     status(StatusCode::OK)
 }
--- /dev/null
+++ b/crates/swiftshunt-scheduler/src/cost.rs
@@ -0,0 +1,78 @@
+//! The expected time to the first event of a request at a worker, in milliseconds, and what it is
+//! reckoned from.
+
+use std::time::Duration;
+
+use crate::candidate::Candidate;
+
+/// Silence, with requests in progress, that is nothing unusual.
+pub(crate) const USUAL_SILENCE: Duration = Duration::from_millis(120);
+/// Cost of a second of silence beyond that, in milliseconds.
+const SILENCE_COST: f64 = 2_000.0;
+/// Cost of a worker that has just started, in milliseconds.
+const COLD_COST: f64 = 50.0;
+/// Cost of full slots against empty ones, in milliseconds.
+const OCCUPANCY_COST: f64 = 8.0;
+/// Cost of a certain failure, in milliseconds.
+const FAILURE_COST: f64 = 1_000.0;
+/// Tokens a millisecond that engines read, until it has been observed.
+pub(crate) const ASSUMED_PREFILL_RATE: f64 = 40.0;
+/// Time that a slot is taken, in milliseconds, until it has been observed.
+const ASSUMED_DURATION: f64 = 500.0;
+
+/// What is known of a service's workers as a whole.
+#[derive(Debug)]
+pub(crate) struct ServiceTimes {
+    /// Tokens a millisecond.
+    pub(crate) prefill_rate: f64,
+    pub(crate) duration_ms: f64,
+    pub(crate) memory_tokens: u64,
+}
+
+impl Default for ServiceTimes {
+    fn default() -> Self {
+        Self {
+            prefill_rate: ASSUMED_PREFILL_RATE,
+            duration_ms: ASSUMED_DURATION,
+            memory_tokens: u64::MAX / 2,
+        }
+    }
+}
+
+/// The time until a worker has read `missing` tokens of a request, behind what waits there, with
+/// what speaks against it: a slower worker, one that has been silent, failed or just started.
+pub(crate) fn expected_wait(
+    candidate: &Candidate,
+    times: Option<&ServiceTimes>,
+    missing: u64,
+    usual_others: f64,
+    now: Duration,
+) -> f64 {
+    let rate = times.map_or(ASSUMED_PREFILL_RATE, |times| times.prefill_rate);
+    let service_ms = times.map_or(ASSUMED_DURATION, |times| times.duration_ms);
+    let slots = f64::from(candidate.slots());
+    let load = candidate.load(usual_others, now);
+    let ahead = (load - slots + 1.0).max(0.0);
+    let queue = ahead * service_ms / slots;
+    let pending = candidate.pending_tokens as f64 / rate;
+    let waited = candidate.longest_wait(now).as_secs_f64() * 1e3;
+    let wait = queue.max(waited - pending).max(0.0);
+    let for_others = candidate.reading_for_others(now).as_secs_f64() * 1e3;
+    let reading = pending + for_others + missing as f64 / rate;
+    let occupancy = load / slots * OCCUPANCY_COST;
+    let own_ms = candidate.duration_ms.unwrap_or(service_ms);
+    let slower = (own_ms - service_ms).max(0.0);
+    let silence = candidate.silence(now);
+    let silence = if silence > USUAL_SILENCE {
+        silence.as_secs_f64() * SILENCE_COST
+    } else {
+        0.0
+    };
+    let cold = if candidate.entry.cold_left.is_zero() {
+        0.0
+    } else {
+        COLD_COST
+    };
+    let failures = candidate.failure_rate(now) * FAILURE_COST;
+    wait + reading + occupancy + slower + silence + cold + failures
+}
--- a/crates/swiftshunt-scheduler/src/lib.rs
+++ b/crates/swiftshunt-scheduler/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod batch;
 mod candidate;
 mod config;
+mod cost;
 pub mod directory;
 pub mod grants;
 pub mod limits;
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::candidate::Candidate;
+use crate::cost::{ASSUMED_PREFILL_RATE, ServiceTimes, USUAL_SILENCE, expected_wait};
 use crate::directory::{Availability, WorkerEntry};
 use crate::residency::PromptPart;
 
@@ -39,8 +40,6 @@
     pub prompt: Vec<PromptPart>,
     /// Tokens of the prompt.
     pub prompt_tokens: u64,
-    /// Tokens that it holds at most.
-    pub total_tokens: u64,
     /// A random number: spreads requests of many nodes over workers that are equally good.
     pub salt: u64,
 }
@@ -80,45 +79,14 @@
 
 /// Weight of a new observation in a moving average.
 const SMOOTHING: f64 = 0.2;
-/// Silence, with requests in progress, that is nothing unusual.
-const USUAL_SILENCE: Duration = Duration::from_millis(120);
 /// Time without a first event after which a request that was overtaken counts as left hanging.
 const HANGING: Duration = Duration::from_secs(2);
 /// Cost of a worker in another zone, in milliseconds.
 const OTHER_ZONE_COST: f64 = 2.0;
-/// Cost of a worker that has just started, in milliseconds.
-const COLD_COST: f64 = 50.0;
-/// Cost of full slots against empty ones, in milliseconds.
-const OCCUPANCY_COST: f64 = 8.0;
 /// Differences of cost that do not matter, in milliseconds.
 const SPREAD: f64 = 2.0;
-/// Cost of a certain failure, in milliseconds.
-const FAILURE_COST: f64 = 1_000.0;
-/// Tokens a millisecond that engines read, until it has been observed.
-const ASSUMED_PREFILL_RATE: f64 = 40.0;
 /// Prompts whose missing part is at least this long show the rate.
 const RATE_SAMPLE_TOKENS: u64 = 2_000;
-/// Time that a slot is taken, in milliseconds, until it has been observed.
-const ASSUMED_DURATION: f64 = 500.0;
-
-/// What is known of a service's workers as a whole.
-#[derive(Debug)]
-struct ServiceTimes {
-    prefill_rate: f64,
-    duration_ms: f64,
-    memory_tokens: u64,
-}
-
-impl Default for ServiceTimes {
-    fn default() -> Self {
-        Self {
-            prefill_rate: ASSUMED_PREFILL_RATE,
-            duration_ms: ASSUMED_DURATION,
-            memory_tokens: u64::MAX / 2,
-        }
-    }
-}
-
 /// The workers that a node knows, and the choice among them.
 #[derive(Debug)]
 pub struct Selector {
@@ -214,7 +182,8 @@
         let scored = open.map(|candidate| {
             let at_home = home == Some(candidate.entry.incarnation.as_str());
             let missing = missing_tokens(candidate, demand, at_home);
-            let cost = self.cost(candidate, times, missing, usual_others, now);
+            let cost = expected_wait(candidate, times, missing, usual_others, now)
+                + self.place_cost(candidate);
             let cost = cost + spread(demand.salt, &candidate.entry.incarnation);
             let ejected = candidate.ejected_until > now;
             (ejected, cost, missing, candidate)
@@ -312,46 +281,12 @@
         sum / weights.max(1.0)
     }
 
-    fn cost(
-        &self,
-        candidate: &Candidate,
-        times: Option<&ServiceTimes>,
-        missing: u64,
-        usual_others: f64,
-        now: Duration,
-    ) -> f64 {
-        let rate = times.map_or(ASSUMED_PREFILL_RATE, |times| times.prefill_rate);
-        let service_ms = times.map_or(ASSUMED_DURATION, |times| times.duration_ms);
-        let slots = f64::from(candidate.slots());
-        let load = candidate.load(usual_others, now);
-        let ahead = (load - slots + 1.0).max(0.0);
-        let queue = ahead * service_ms / slots;
-        let pending = candidate.pending_tokens as f64 / rate;
-        let waited = candidate.longest_wait(now).as_secs_f64() * 1e3;
-        let wait = queue.max(waited - pending).max(0.0);
-        let for_others = candidate.reading_for_others(now).as_secs_f64() * 1e3;
-        let reading = pending + for_others + missing as f64 / rate;
-        let occupancy = load / slots * OCCUPANCY_COST;
-        let own_ms = candidate.duration_ms.unwrap_or(service_ms);
-        let slower = (own_ms - service_ms).max(0.0);
-        let silence = candidate.silence(now);
-        let silence = if silence > USUAL_SILENCE {
-            silence.as_secs_f64() * 2_000.0
-        } else {
-            0.0
-        };
-        let zone = if candidate.entry.zone == self.zone {
+    fn place_cost(&self, candidate: &Candidate) -> f64 {
+        if candidate.entry.zone == self.zone {
             0.0
         } else {
             OTHER_ZONE_COST
-        };
-        let cold = if candidate.entry.cold_left.is_zero() {
-            0.0
-        } else {
-            COLD_COST
-        };
-        let failures = candidate.failure_rate(now) * FAILURE_COST;
-        wait + reading + occupancy + slower + silence + zone + cold + failures
+        }
     }
 
     /// The worker at which every node first looks for a shared beginning of a prompt, so that it is
--- a/crates/swiftshunt-scheduler/tests/selection.rs
+++ b/crates/swiftshunt-scheduler/tests/selection.rs
@@ -36,7 +36,6 @@
         class: Class::Online,
         prompt: Vec::new(),
         prompt_tokens: 0,
-        total_tokens: 0,
         salt,
     }
 }
@@ -46,7 +45,6 @@
     Demand {
         prompt: vec![part(shared, 10_000), part(own, 500)],
         prompt_tokens: 10_500,
-        total_tokens: 10_600,
         ..demand(salt)
     }
 }
--- a/crates/swiftshunt/tests/gateway/mod.rs
+++ b/crates/swiftshunt/tests/gateway/mod.rs
@@ -1,12 +1,19 @@
 //! What the tests of the gateway share.
 #![allow(dead_code)] // Each test program uses a part of it.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::ops::{Deref, DerefMut};
 use std::path::Path;
+use std::time::Duration;
 
-use swiftshunt_lab::platform::fleet::{PlatformFleet, PlatformOptions};
+use hyper::StatusCode;
+use swiftshunt_lab::platform::caller::item_id;
+use swiftshunt_lab::platform::fleet::{BATCH, PlatformFleet, PlatformOptions, eventually};
 use swiftshunt_lab::platform::store::{Down, StoreFaults};
 use swiftshunt_lab::platform::worker::event_data;
+use swiftshunt_platform::documents::ResultDocument;
+use swiftshunt_platform::words::values;
 use tokio::sync::{Mutex, MutexGuard};
 
 /// One fleet at a time: tests count on the machine keeping up with theirs.
@@ -65,3 +72,44 @@
     let pieces: Vec<String> = (0..events).map(|event| event_data(item, event)).collect();
     pieces.join("\n")
 }
+
+/// Events of an item.
+pub const EVENTS: u64 = 8;
+/// Answered at once.
+pub const NO_WAIT: Duration = Duration::ZERO;
+
+/// Results of a job as one gateway lists them.
+pub async fn listed(fleet: &ExclusiveFleet, gateway: SocketAddr, job: &str) -> Vec<ResultDocument> {
+    let answer = fleet.caller.results(gateway, job, 0, NO_WAIT).await;
+    let Ok((StatusCode::OK, document)) = answer else {
+        return Vec::new();
+    };
+    document.results
+}
+
+pub async fn whole_job(fleet: &ExclusiveFleet, gateway: SocketAddr, job: &str, items: usize) {
+    eventually("every item has a result", || async {
+        listed(fleet, gateway, job).await.len() == items
+    })
+    .await;
+}
+
+/// Asserts that every item is listed once, with its whole output.
+pub fn assert_completed(results: &[ResultDocument], job: &str, items: usize) {
+    let by_item: BTreeMap<&str, &ResultDocument> = results
+        .iter()
+        .map(|result| (result.id.as_str(), result))
+        .collect();
+    assert_eq!(by_item.len(), items, "an item is listed twice");
+    for item in 0..items {
+        let id = item_id(job, item);
+        let result = by_item[id.as_str()];
+        assert_eq!(result.state, values::COMPLETED);
+        assert_eq!(result.text, whole_text(&id, EVENTS));
+    }
+}
+
+pub async fn submit(fleet: &ExclusiveFleet, gateway: SocketAddr, job: &str, items: usize) {
+    let status = fleet.caller.submit(gateway, BATCH, job, items).await;
+    assert_eq!(status.expect("an answer"), StatusCode::ACCEPTED);
+}
--- /dev/null
+++ b/crates/swiftshunt/tests/gateway_peers.rs
@@ -0,0 +1,146 @@
+//! What gateways do together for batch jobs: calls passed on, slots shared, partitions moved.
+
+mod gateway;
+
+use std::time::Duration;
+
+use gateway::{NO_WAIT, assert_completed, listed, start, submit, whole_job};
+use hyper::StatusCode;
+use swiftshunt_lab::platform::caller::item_id;
+use swiftshunt_lab::platform::fleet::{PlatformOptions, eventually};
+use swiftshunt_lab::platform::store::StoreFaults;
+
+/// Calls about a job are answered by the gateway that runs it, wherever they come in: also where
+/// they come to a gateway that cannot read the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_that_is_cut_off_from_the_log_still_answers_calls_about_jobs() {
+    let fleet = start(PlatformOptions::default()).await;
+    let [one, two] = [fleet.gateways[0].callers, fleet.gateways[1].callers];
+    // Of eight jobs some run at either gateway.
+    let jobs: Vec<String> = (0..8).map(|number| format!("job-{number}")).collect();
+    for job in &jobs {
+        drop(fleet.caller.results(two, job, 0, NO_WAIT).await);
+    }
+    fleet.gateways[1].door.set(gateway::down());
+    for job in &jobs {
+        submit(&fleet, one, job, 3).await;
+    }
+    let mut read = 0;
+    for job in &jobs {
+        whole_job(&fleet, one, job, 3).await;
+        let answer = fleet.caller.results(two, job, 0, NO_WAIT).await;
+        let (status, page) = answer.expect("an answer");
+        if status == StatusCode::OK {
+            assert_completed(&page.results, job, 3);
+            read += 1;
+        } else {
+            assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{job}");
+        }
+    }
+    assert!(
+        read > 0,
+        "no job was read through the gateway that is cut off"
+    );
+}
+
+/// Where the gateway that runs a job does not answer, the log does.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_about_a_job_are_answered_while_its_runner_is_frozen() {
+    let fleet = start(PlatformOptions {
+        lease: Duration::from_secs(30),
+        ..PlatformOptions::default()
+    })
+    .await;
+    let [one, two] = [fleet.gateways[0].callers, fleet.gateways[1].callers];
+    let jobs: Vec<String> = (0..8).map(|number| format!("job-{number}")).collect();
+    for job in &jobs {
+        submit(&fleet, one, job, 3).await;
+    }
+    for job in &jobs {
+        whole_job(&fleet, two, job, 3).await;
+    }
+    fleet.gateways[0].process.pause();
+    for job in &jobs {
+        eventually("the job is read while its runner is frozen", || async {
+            let results = listed(&fleet, two, job).await;
+            results.len() == 3
+        })
+        .await;
+        assert_completed(&listed(&fleet, two, job).await, job, 3);
+    }
+}
+
+/// Gateways tell each other how many items they have to run: a heap at one of them gets the slots
+/// that no other wants, and two heaps share them.
+#[tokio::test(flavor = "multi_thread")]
+async fn slots_of_batch_items_are_shared_as_the_items_are() {
+    // Two engines of 16 slots, half of which batch items may hold.
+    const OF_BATCH: usize = 16;
+    let fleet = start(PlatformOptions {
+        events: 400,
+        event_pause: Duration::from_millis(50),
+        ..PlatformOptions::default()
+    })
+    .await;
+    let running = || -> usize {
+        let runs = fleet.engines.iter().flat_map(|engine| engine.runs());
+        runs.filter(|run| !run.ended).count()
+    };
+    // Gateways gather for a second what is new in the list of gateways.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    submit(&fleet, fleet.gateways[0].callers, "job-0", 40).await;
+    eventually("the heap gets all slots of batch items", || async {
+        running() == OF_BATCH
+    })
+    .await;
+    // Of eight more jobs some lie in partitions of the other gateway.
+    for job in 1..9 {
+        submit(&fleet, fleet.gateways[1].callers, &format!("job-{job}"), 10).await;
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    // What runs is not taken back; the newcomer starts what falls to it of its own part.
+    let then = running();
+    assert!(
+        then < 2 * OF_BATCH,
+        "{then} items run, {OF_BATCH} slots are for them"
+    );
+}
+
+/// A gateway that gets a partition back runs nothing by what it knew of it before: a read of the log
+/// may be lost, and its fold be older than an end that was acknowledged since.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_ended_job_stops_also_where_the_new_runner_knew_it_before() {
+    const ITEMS: usize = 150;
+    let fleet = start(PlatformOptions {
+        event_pause: Duration::from_millis(60),
+        ..PlatformOptions::default()
+    })
+    .await;
+    let [one, two] = [fleet.gateways[0].callers, fleet.gateways[1].callers];
+    submit(&fleet, one, "job-1", ITEMS).await;
+    let runs = || -> usize {
+        let items = (0..ITEMS).map(|item| item_id("job-1", item));
+        items.map(|item| fleet.runs_of(&item).len()).sum()
+    };
+    // The partition is at either gateway once, so that both know the job.
+    for moves in 1..3 {
+        let before = runs();
+        eventually("the job runs on", || async { runs() > before + 8 }).await;
+        println!("{} runs before move {moves}", runs());
+        fleet.store.deal_anew();
+        tokio::time::sleep(Duration::from_millis(800)).await;
+    }
+    for gateway in &fleet.gateways {
+        gateway.door.set(StoreFaults {
+            lost_reads: true,
+            ..StoreFaults::default()
+        });
+    }
+    let status = fleet.caller.end(two, "job-1").await;
+    assert_eq!(status.expect("an answer"), StatusCode::OK);
+    fleet.store.deal_anew();
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let then = runs();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(then, runs(), "items of an ended job run");
+}
