Try: keep a copy of runs that may not be repeated at a second engine

They may run only once, so a worker that crashes or loses an answer takes them along. The platform copies a run's memory to another worker as it grows, and going on there counts as the same run.

Change: each such stream names a backup of the same zone; when its worker breaks off, the run goes on at the copy behind the last whole event; when it leaves the request waiting, the copy is asked and the first worker is left only for an answer.

Ruled out before: a later end of silence (these streams had none), more attempts (they run once).

--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answers;
 mod attempt;
+mod backup;
 mod batch;
 mod beliefs;
 mod clock;
