--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -1,6 +1,5 @@
 //! One send of a request to one worker.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -52,17 +51,6 @@
     pub(crate) silence: Option<Duration>,
 }
 
-/// What one send adds to a request.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Leg {
-    /// The last event that is already here.
-    pub(crate) last_event: Option<u64>,
-    /// Where a copy of the run's memory is kept.
-    pub(crate) backup: Option<SocketAddr>,
-    /// The worker with a copy of the request's earlier run.
-    pub(crate) copy_at: Option<SocketAddr>,
-}
-
 /// How a send ended before there was a usable head of an answer.
 #[derive(Clone, Debug, Display)]
 pub(crate) enum SendFailure {
@@ -223,7 +211,7 @@
         &self,
         chosen: &Chosen,
         outgoing: &Outgoing,
-        leg: Leg,
+        last_event: Option<u64>,
         patience: Patience,
     ) -> Result<Answer, SendFailure> {
         let mut in_flight = InFlight::new(self, chosen, &outgoing.demand);
@@ -231,7 +219,7 @@
         let missing = chosen.missing_tokens;
         self.peers
             .tell(&chosen.service, &chosen.incarnation, prompt, missing);
-        let sent = self.exchange(chosen, outgoing, leg, patience);
+        let sent = self.exchange(chosen, outgoing, last_event, patience);
         let outcome = tokio::select! {
             outcome = sent => outcome,
             failure = self.lost_patience(chosen, patience) => Err(failure),
@@ -297,14 +285,14 @@
         &self,
         chosen: &Chosen,
         outgoing: &Outgoing,
-        leg: Leg,
+        last_event: Option<u64>,
         patience: Patience,
     ) -> Result<(hyper::Response<Incoming>, Sender), SendFailure> {
         let resting = self
             .upstream
             .take_resting(&chosen.incarnation, self.clock.now());
         if let Some(mut sender) = resting {
-            let request = self.request(chosen, outgoing, leg, patience);
+            let request = self.request(chosen, outgoing, last_event, patience);
             match sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, sender)),
                 // If nothing of it was sent, a new connection serves as well.
@@ -324,7 +312,7 @@
                 reason: "the time was over before it was sent".to_owned(),
             });
         }
-        let request = self.request(chosen, outgoing, leg, patience);
+        let request = self.request(chosen, outgoing, last_event, patience);
         match sender.try_send_request(request).await {
             Ok(response) => Ok((response, sender)),
             Err(mut error) => {
@@ -342,7 +330,7 @@
         &self,
         chosen: &Chosen,
         outgoing: &Outgoing,
-        leg: Leg,
+        last_event: Option<u64>,
         patience: Patience,
     ) -> Request<Full<Bytes>> {
         let mut headers = outgoing.headers.clone();
@@ -350,9 +338,7 @@
         let facts = SendFacts {
             incarnation: &chosen.incarnation,
             deadline: patience.told_until.map(|until| until.saturating_sub(now)),
-            last_event: leg.last_event,
-            backup: leg.backup,
-            copy_at: leg.copy_at,
+            last_event,
         };
         self.protocol.address_worker(&mut headers, &facts);
         let mut request = Request::new(Full::new(outgoing.body.clone()));
@@ -386,22 +372,6 @@
         }
     }
 
-    /// Ends when a worker has left a request, sent now, waiting for as long as `silence`: it gives no
-    /// sign of life at all, or has begun requests that were sent later.
-    pub(crate) async fn left_waiting(&self, chosen: &Chosen, silence: Duration) {
-        let started = self.clock.now();
-        tokio::time::sleep(silence).await;
-        loop {
-            let now = self.clock.now();
-            let quiet = self.silence(&chosen.incarnation, now);
-            let is_silent = quiet.is_none_or(|quiet| quiet >= silence);
-            if is_silent || self.has_overtaken(chosen, started) {
-                return;
-            }
-            tokio::time::sleep(SILENCE_CHECK).await;
-        }
-    }
-
     /// Whether the worker has begun requests that were sent after `sent_at`.
     fn has_overtaken(&self, chosen: &Chosen, sent_at: Duration) -> bool {
         let selector = self.beliefs.selector();
--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -14,7 +14,7 @@
 
 use super::Batch;
 use super::runner::ItemId;
-use crate::attempt::{Answer, Leg, Outgoing, Patience, SendFailure};
+use crate::attempt::{Answer, Outgoing, Patience, SendFailure};
 
 /// Pause before an item looks for a worker again.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
@@ -195,12 +195,11 @@
             told_until: None,
             silence: Some(SILENCE),
         };
-        let leg = Leg {
-            last_event: output.last_event,
-            ..Leg::default()
-        };
         let run = async {
-            let sent = self.dispatcher.send(chosen, &outgoing, leg, patience).await;
+            let sent = self
+                .dispatcher
+                .send(chosen, &outgoing, output.last_event, patience)
+                .await;
             match sent {
                 Ok(answer) => self.read(answer, output).await,
                 Err(failure) => {
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -6,7 +6,6 @@
 
 mod answers;
 mod attempt;
-mod backup;
 mod batch;
 mod beliefs;
 mod clock;
--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -14,8 +14,7 @@
 use swiftshunt_scheduler::selection::{Chosen, Class, Demand};
 
 use crate::answers::{self, CallerAnswer, end_to_end, not_run, plain, whole};
-use crate::attempt::{Answer, Dispatcher, Leg, Outgoing, Patience, SendFailure};
-use crate::backup::{Continued, Guarded};
+use crate::attempt::{Answer, Dispatcher, Outgoing, Patience, SendFailure};
 use crate::batch::Batch;
 use crate::metrics::RequestEnd;
 use crate::protocol::{Call, RequestFacts};
@@ -38,10 +37,6 @@
     pub(crate) tried: Vec<String>,
     /// Sends after which the request may have run.
     pub(crate) runs: u32,
-    /// The worker that keeps a copy of the present run.
-    pub(crate) backup: Option<Chosen>,
-    /// The worker at whose copy the run is to go on next.
-    pub(crate) copy: Option<Chosen>,
 }
 
 impl Journey {
@@ -141,8 +136,6 @@
             until: arrived + time,
             tried: Vec::new(),
             runs: 0,
-            backup: None,
-            copy: None,
         }
     }
 
@@ -153,9 +146,7 @@
             if now >= journey.until {
                 return self.out_of_time(&journey);
             }
-            let copy = journey.copy.take();
-            let is_copy = copy.is_some();
-            let Some(chosen) = copy.or_else(|| self.place(&journey, now)) else {
+            let Some(chosen) = self.place(&journey, now) else {
                 if self.may_search_on(&journey, now) {
                     tokio::time::sleep(ASK_AGAIN_PAUSE).await;
                     journey.tried.clear();
@@ -164,11 +155,12 @@
                 return self.give_up(&journey, "no worker takes it");
             };
             journey.tried.push(chosen.incarnation.clone());
-            let sent = if is_copy {
-                self.go_on(&mut journey, &chosen).await
-            } else {
-                self.begin(&mut journey, &chosen).await
-            };
+            let patience = self.patience(&journey);
+            let last_event = journey.facts.last_event;
+            let sent = self
+                .dispatcher
+                .send(&chosen, &journey.outgoing, last_event, patience)
+                .await;
             match sent {
                 Ok(answer) => match self.pass_on(&mut journey, answer).await {
                     Some(answer) => return answer,
@@ -184,51 +176,6 @@
         }
     }
 
-    /// Begins a run at a worker.
-    async fn begin(&self, journey: &mut Journey, chosen: &Chosen) -> Result<Answer, SendFailure> {
-        let patience = self.patience(journey);
-        let last_event = journey.facts.last_event;
-        let Some(backup) = self.dispatcher.backup_for(&journey.route, chosen) else {
-            let leg = Leg {
-                last_event,
-                ..Leg::default()
-            };
-            let sent = self
-                .dispatcher
-                .send(chosen, &journey.outgoing, leg, patience);
-            return sent.await;
-        };
-        journey.backup = Some(backup.clone());
-        let silence = silence_limit(&journey.route);
-        let run = continued(journey, patience);
-        let sent = self.dispatcher.send_guarded(chosen, backup, run, silence);
-        let sent = sent.await;
-        self.at(journey, sent)
-    }
-
-    /// Goes on with a run whose worker was lost.
-    async fn go_on(&self, journey: &mut Journey, copy: &Chosen) -> Result<Answer, SendFailure> {
-        let patience = self.patience(journey);
-        let run = continued(journey, patience);
-        let sent = self.dispatcher.go_on_at(copy, run).await;
-        self.at(journey, sent)
-    }
-
-    /// Remembers where the run is and where a copy of it is kept.
-    fn at(
-        &self,
-        journey: &mut Journey,
-        sent: Result<Guarded, SendFailure>,
-    ) -> Result<Answer, SendFailure> {
-        let guarded = sent?;
-        journey.backup = guarded.backup;
-        let worker = &guarded.answer.in_flight.chosen.incarnation;
-        if journey.tried.last() != Some(worker) {
-            journey.tried.push(worker.clone());
-        }
-        Ok(guarded.answer)
-    }
-
     fn place(&self, journey: &Journey, now: Duration) -> Option<Chosen> {
         let demand = &journey.outgoing.demand;
         let selector = self.dispatcher.beliefs.selector();
@@ -258,9 +205,7 @@
 
     /// What follows a failed send; none if the request goes on.
     fn after_failure(&self, journey: &mut Journey, failure: &SendFailure) -> Option<CallerAnswer> {
-        let backup = journey.backup.take();
-        let did_not_run = failure.did_not_run();
-        if did_not_run && (journey.runs == 0 || may_repeat(journey)) {
+        if failure.did_not_run() {
             return None;
         }
         journey.runs += 1;
@@ -270,11 +215,6 @@
         if may_repeat(journey) {
             return None;
         }
-        // Where nothing ran nothing was copied.
-        journey.copy = backup.filter(|_| !did_not_run);
-        if journey.copy.is_some() {
-            return None;
-        }
         Some(self.give_up(journey, "it may have run and may not be repeated"))
     }
 
@@ -434,16 +374,6 @@
     }
 }
 
-/// The run of a request, for going on with it.
-fn continued(journey: &Journey, patience: Patience) -> Continued<'_> {
-    Continued {
-        route: &journey.route,
-        outgoing: &journey.outgoing,
-        last_event: journey.facts.last_event,
-        patience,
-    }
-}
-
 /// Whether the route lets a request run again at all.
 fn may_run_again(journey: &Journey) -> bool {
     let again = journey.route.repeat == Repeat::Allowed || journey.route.resumable;
--- a/crates/swiftshunt-gateway/src/protocol.rs
+++ b/crates/swiftshunt-gateway/src/protocol.rs
@@ -1,7 +1,6 @@
 //! What a platform's protocol says, in the product's own terms. Implementations translate; they
 //! decide nothing and keep nothing.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -80,10 +79,6 @@
     pub deadline: Option<Duration>,
     /// The last event that is already here, for a stream that goes on.
     pub last_event: Option<u64>,
-    /// The worker to which the run's memory is to be copied as it grows.
-    pub backup: Option<SocketAddr>,
-    /// The worker that has a copy of the request's earlier run: the run goes on there.
-    pub copy_at: Option<SocketAddr>,
 }
 
 /// What the head of a worker's answer says.
--- a/crates/swiftshunt-gateway/src/relay.rs
+++ b/crates/swiftshunt-gateway/src/relay.rs
@@ -7,12 +7,10 @@
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use swiftshunt_routing::Route;
-use swiftshunt_scheduler::selection::{Chosen, Ending};
+use swiftshunt_scheduler::selection::Ending;
 
 use crate::answers::{AnswerBody, BodyError};
-use crate::attempt::{Answer, Dispatcher, Leg, Outgoing, Patience, SendFailure};
-use crate::backup::Continued;
+use crate::attempt::{Answer, Dispatcher, Outgoing, Patience, SendFailure};
 use crate::events::EventBorders;
 use crate::online::{Journey, silence_limit};
 
@@ -31,8 +29,7 @@
     journey: &Journey,
     answer: &mut Answer,
 ) -> Result<Bytes, SendFailure> {
-    let resumes = journey.route.resumable && journey.runs + 1 < journey.route.max_attempts;
-    let again = resumes || journey.backup.is_some();
+    let again = journey.route.resumable && journey.runs + 1 < journey.route.max_attempts;
     let silence = again.then(|| silence_limit(&journey.route));
     match next(dispatcher, answer, journey.until, silence).await? {
         Next::Bytes(bytes) => Ok(bytes),
@@ -106,14 +103,10 @@
 
 /// What is needed to go on elsewhere.
 struct Resume {
-    route: Arc<Route>,
     outgoing: Outgoing,
     service: String,
     tried: Vec<String>,
-    /// Workers that may still run it again from the last event passed on.
     runs_left: u32,
-    /// The worker that keeps a copy of the present run.
-    backup: Option<Chosen>,
     told_until: Option<Duration>,
     silence: Duration,
     borders: EventBorders,
@@ -128,20 +121,11 @@
     first: Bytes,
 ) -> AnswerBody {
     let id = journey.outgoing.id.clone().unwrap_or_default();
-    let backup = journey.backup.take();
-    let runs_left = if journey.route.resumable {
-        (journey.route.max_attempts).saturating_sub(journey.runs + 1)
-    } else {
-        0
-    };
-    let can_go_on = journey.route.resumable || backup.is_some();
-    let resume = can_go_on.then(|| Resume {
-        route: Arc::clone(&journey.route),
+    let resume = journey.route.resumable.then(|| Resume {
         outgoing: journey.outgoing.clone(),
         service: journey.service.clone(),
         tried: journey.tried.clone(),
-        runs_left,
-        backup,
+        runs_left: (journey.route.max_attempts).saturating_sub(journey.runs + 1),
         told_until: journey.told_until(),
         silence: silence_limit(&journey.route),
         borders: EventBorders::default(),
@@ -173,7 +157,7 @@
             let Some(answer) = &mut self.answer else {
                 return Ok(None);
             };
-            let resumable = self.resume.as_ref().filter(|resume| resume.can_go_on());
+            let resumable = self.resume.as_ref().filter(|resume| resume.runs_left > 0);
             let silence = resumable.map(|resume| resume.silence);
             let came = match self.first.take() {
                 Some(first) => Ok(Next::Bytes(first)),
@@ -205,31 +189,20 @@
         let last = self.resume.as_ref().and_then(Resume::position);
         log::info!(request = self.id.as_str(), failure:% = failure, last_event:? = last;
             "a stream broke off");
-        let broken = || -> BodyError { format!("the stream broke off: {failure:?}").into() };
-        let dispatcher = Arc::clone(&self.dispatcher);
-        let until = self.until;
-        let Some(resume) = &mut self.resume else {
-            return Err(broken());
-        };
-        if resume.runs_left == 0 && matches!(failure, SendFailure::Silent) {
-            // The silent worker is left only for an answer.
-            if let Some(answer) = resume.take_up_copy(&dispatcher, until).await {
-                resume.borders.drop_partial();
-                self.answer = Some(answer);
-            }
-            return Ok(());
-        }
         if let Some(mut answer) = self.answer.take() {
             ends_by(&mut answer, &failure);
         }
+        let broken = || -> BodyError { format!("the stream broke off: {failure:?}").into() };
         if matches!(failure, SendFailure::OutOfTime) {
             return Err(broken());
         }
+        let dispatcher = Arc::clone(&self.dispatcher);
+        let until = self.until;
+        let Some(resume) = &mut self.resume else {
+            return Err(broken());
+        };
         resume.borders.drop_partial();
-        let mut answer = resume.take_up_copy(&dispatcher, until).await;
-        if answer.is_none() {
-            answer = resume.take_up(&dispatcher, until).await;
-        }
+        let answer = resume.take_up(&dispatcher, until).await;
         let Some(answer) = answer else {
             return Err(broken());
         };
@@ -246,32 +219,6 @@
         self.borders.last_id().or(self.last_event)
     }
 
-    /// Whether a worker that is silent may be left.
-    fn can_go_on(&self) -> bool {
-        self.runs_left > 0 || self.backup.is_some()
-    }
-
-    /// Goes on at the worker that keeps a copy of the run, if there is one.
-    async fn take_up_copy(&mut self, dispatcher: &Dispatcher, until: Duration) -> Option<Answer> {
-        let copy = self.backup.take()?;
-        let run = Continued {
-            route: &self.route,
-            outgoing: &self.outgoing,
-            last_event: self.position(),
-            patience: Patience {
-                until,
-                told_until: self.told_until,
-                silence: None,
-            },
-        };
-        let guarded = dispatcher.go_on_at(&copy, run).await.ok()?;
-        if !guarded.answer.is_vouched_success() {
-            return None;
-        }
-        self.backup = guarded.backup;
-        Some(guarded.answer)
-    }
-
     /// Finds a worker that goes on behind the last event passed on.
     async fn take_up(&mut self, dispatcher: &Dispatcher, until: Duration) -> Option<Answer> {
         let position = self.position();
@@ -293,12 +240,8 @@
                 // Silence is no reason to end an answer that can go nowhere else.
                 silence: (self.runs_left > 1).then_some(self.silence),
             };
-            let leg = Leg {
-                last_event: position,
-                ..Leg::default()
-            };
             match dispatcher
-                .send(&chosen, &self.outgoing, leg, patience)
+                .send(&chosen, &self.outgoing, position, patience)
                 .await
             {
                 Ok(answer) if answer.is_vouched_success() => {
--- a/crates/swiftshunt-routing/src/configuration.rs
+++ b/crates/swiftshunt-routing/src/configuration.rs
@@ -75,9 +75,6 @@
     pub slots: u32,
     /// Tokens that the memory holds.
     pub memory_tokens: u64,
-    /// Whether an engine copies the memory of a run to another one as it grows, where the run can
-    /// then go on.
-    pub backs_up: bool,
 }
 
 /// A service.
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -230,34 +230,6 @@
         })
     }
 
-    /// Chooses the worker that keeps a copy of a run at `chosen`: one of the same zone if there is
-    /// one that seems well, any of them with the same chance, so that copies are spread.
-    pub fn choose_backup(&self, chosen: &Chosen, salt: u64, now: Duration) -> Option<Chosen> {
-        let zone = self
-            .candidates
-            .get(&chosen.incarnation)
-            .map(|candidate| candidate.entry.zone.as_str());
-        let others = self.ready(&chosen.service).filter(|candidate| {
-            candidate.entry.incarnation != chosen.incarnation
-                && candidate.ejected_until <= now
-                && candidate.silence(now) <= USUAL_SILENCE * 2
-        });
-        let scored = others.map(|candidate| {
-            let is_elsewhere = zone != Some(candidate.entry.zone.as_str());
-            let order = spread(salt, &candidate.entry.incarnation);
-            (is_elsewhere, order, candidate)
-        });
-        let best =
-            scored.min_by(|left, right| left.0.cmp(&right.0).then(left.1.total_cmp(&right.1)));
-        best.map(|(_, _, candidate)| Chosen {
-            service: candidate.entry.service.clone(),
-            incarnation: candidate.entry.incarnation.clone(),
-            address: candidate.entry.address,
-            missing_tokens: 0,
-            has_prompt: true,
-        })
-    }
-
     /// How long a worker with requests of this node has given no sign of life; none if the worker
     /// is no longer listed.
     pub fn silence(&self, incarnation: &str, now: Duration) -> Option<Duration> {
