Count a shared beginning of a prompt as missing until somebody has read it

Ruled out: notices that were lost (each of the ten was received within a millisecond), a wrong rate (the estimate was above the measured time for all but short ones).

Change: what a worker holds is what this gateway sent there or was told of; the worker chosen by hashing is preferred by a tenth of the reading time only. The time that a worker is expected to read, its queue included, is added to the silence after which it loses a request.

Tests: a_shared_beginning_is_read_once_and_counts_until_then, a_long_prompt_is_not_taken_away_while_it_is_read; both seen failing before.

--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -155,7 +155,7 @@
                 return self.give_up(&journey, "no worker takes it");
             };
             journey.tried.push(chosen.incarnation.clone());
-            let patience = self.patience(&journey);
+            let patience = self.patience(&journey, &chosen);
             let last_event = journey.facts.last_event;
             let sent = self
                 .dispatcher
@@ -194,8 +194,9 @@
         journey.runs == 0 && now < journey.arrived + search
     }
 
-    fn patience(&self, journey: &Journey) -> Patience {
-        let silence = may_run_again(journey).then(|| silence_limit(&journey.route));
+    fn patience(&self, journey: &Journey, chosen: &Chosen) -> Patience {
+        let limit = silence_limit(&journey.route) + chosen.expected_reading;
+        let silence = may_run_again(journey).then_some(limit);
         Patience {
             until: journey.until,
             told_until: journey.told_until(),
--- a/crates/swiftshunt-gateway/src/relay.rs
+++ b/crates/swiftshunt-gateway/src/relay.rs
@@ -30,7 +30,8 @@
     answer: &mut Answer,
 ) -> Result<Bytes, SendFailure> {
     let again = journey.route.resumable && journey.runs + 1 < journey.route.max_attempts;
-    let silence = again.then(|| silence_limit(&journey.route));
+    let reading = answer.in_flight.chosen.expected_reading;
+    let silence = again.then(|| silence_limit(&journey.route) + reading);
     match next(dispatcher, answer, journey.until, silence).await? {
         Next::Bytes(bytes) => Ok(bytes),
         Next::End => Ok(Bytes::new()),
@@ -238,7 +239,7 @@
                 until,
                 told_until: self.told_until,
                 // Silence is no reason to end an answer that can go nowhere else.
-                silence: (self.runs_left > 1).then_some(self.silence),
+                silence: (self.runs_left > 1).then_some(self.silence + chosen.expected_reading),
             };
             match dispatcher
                 .send(&chosen, &self.outgoing, position, patience)
--- a/crates/swiftshunt-scheduler/src/cost.rs
+++ b/crates/swiftshunt-scheduler/src/cost.rs
@@ -16,7 +16,7 @@
 /// Cost of a certain failure, in milliseconds.
 const FAILURE_COST: f64 = 1_000.0;
 /// Tokens a millisecond that engines read, until it has been observed.
-pub(crate) const ASSUMED_PREFILL_RATE: f64 = 40.0;
+const ASSUMED_PREFILL_RATE: f64 = 40.0;
 /// Time that a slot is taken, in milliseconds, until it has been observed.
 const ASSUMED_DURATION: f64 = 500.0;
 
@@ -39,6 +39,23 @@
     }
 }
 
+/// How long engines of a service take to read `tokens`.
+pub(crate) fn reading_ms(times: Option<&ServiceTimes>, tokens: u64) -> f64 {
+    let rate = times.map_or(ASSUMED_PREFILL_RATE, |times| times.prefill_rate);
+    tokens as f64 / rate
+}
+
+/// How long a worker reads until it has read `missing` tokens behind what waits there.
+pub(crate) fn expected_reading(
+    candidate: &Candidate,
+    times: Option<&ServiceTimes>,
+    missing: u64,
+    now: Duration,
+) -> f64 {
+    let for_others = candidate.reading_for_others(now).as_secs_f64() * 1e3;
+    reading_ms(times, candidate.pending_tokens + missing) + for_others
+}
+
 /// The time until a worker has read `missing` tokens of a request, behind what waits there, with
 /// what speaks against it: a slower worker, one that has been silent, failed or just started.
 pub(crate) fn expected_wait(
@@ -48,17 +65,15 @@
     usual_others: f64,
     now: Duration,
 ) -> f64 {
-    let rate = times.map_or(ASSUMED_PREFILL_RATE, |times| times.prefill_rate);
     let service_ms = times.map_or(ASSUMED_DURATION, |times| times.duration_ms);
     let slots = f64::from(candidate.slots());
     let load = candidate.load(usual_others, now);
     let ahead = (load - slots + 1.0).max(0.0);
     let queue = ahead * service_ms / slots;
-    let pending = candidate.pending_tokens as f64 / rate;
+    let pending = reading_ms(times, candidate.pending_tokens);
     let waited = candidate.longest_wait(now).as_secs_f64() * 1e3;
     let wait = queue.max(waited - pending).max(0.0);
-    let for_others = candidate.reading_for_others(now).as_secs_f64() * 1e3;
-    let reading = pending + for_others + missing as f64 / rate;
+    let reading = expected_reading(candidate, times, missing, now);
     let occupancy = load / slots * OCCUPANCY_COST;
     let own_ms = candidate.duration_ms.unwrap_or(service_ms);
     let slower = (own_ms - service_ms).max(0.0);
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use crate::candidate::Candidate;
-use crate::cost::{ASSUMED_PREFILL_RATE, ServiceTimes, USUAL_SILENCE, expected_wait};
+use crate::cost::{ServiceTimes, USUAL_SILENCE, expected_reading, expected_wait, reading_ms};
 use crate::directory::{Availability, WorkerEntry};
 use crate::residency::PromptPart;
 
@@ -55,6 +55,8 @@
     pub address: SocketAddr,
     /// Prompt tokens that it is expected to read.
     pub missing_tokens: u64,
+    /// How long it is expected to read until the first event: what waits there, and these tokens.
+    pub expected_reading: Duration,
     /// Whether there is a prompt: the time of a stream is that of its length and tells nothing of
     /// the worker's speed.
     pub has_prompt: bool,
@@ -85,6 +87,9 @@
 const OTHER_ZONE_COST: f64 = 2.0;
 /// Differences of cost that do not matter, in milliseconds.
 const SPREAD: f64 = 2.0;
+/// Cost of a worker at which a shared beginning is not looked for first, against the time of reading
+/// it: nodes that do not know yet where it was read choose the same worker.
+const AWAY_FROM_HOME: f64 = 0.1;
 /// Prompts whose missing part is at least this long show the rate.
 const RATE_SAMPLE_TOKENS: u64 = 2_000;
 /// The workers that a node knows, and the choice among them.
@@ -180,23 +185,41 @@
         let times = self.services.get(service);
         let usual_others = self.usual_others(service, now);
         let scored = open.map(|candidate| {
-            let at_home = home == Some(candidate.entry.incarnation.as_str());
-            let missing = missing_tokens(candidate, demand, at_home);
-            let cost = expected_wait(candidate, times, missing, usual_others, now)
+            let missing = missing_tokens(candidate, demand);
+            let mut cost = expected_wait(candidate, times, missing, usual_others, now)
                 + self.place_cost(candidate);
-            let cost = cost + spread(demand.salt, &candidate.entry.incarnation);
+            cost += spread(demand.salt, &candidate.entry.incarnation);
+            if home != Some(candidate.entry.incarnation.as_str()) {
+                cost += reading_ms(times, shared_tokens(demand)) * AWAY_FROM_HOME;
+            }
             let ejected = candidate.ejected_until > now;
             (ejected, cost, missing, candidate)
         });
         let best =
             scored.min_by(|left, right| left.0.cmp(&right.0).then(left.1.total_cmp(&right.1)));
-        best.map(|(_, _, missing, candidate)| Chosen {
+        best.map(|(_, _, missing, candidate)| {
+            let has_prompt = demand.prompt_tokens > 0;
+            self.chosen(candidate, missing, has_prompt, now)
+        })
+    }
+
+    fn chosen(
+        &self,
+        candidate: &Candidate,
+        missing_tokens: u64,
+        has_prompt: bool,
+        now: Duration,
+    ) -> Chosen {
+        let times = self.services.get(&candidate.entry.service);
+        let reading = expected_reading(candidate, times, missing_tokens, now);
+        Chosen {
             service: candidate.entry.service.clone(),
             incarnation: candidate.entry.incarnation.clone(),
             address: candidate.entry.address,
-            missing_tokens: missing,
-            has_prompt: demand.prompt_tokens > 0,
-        })
+            missing_tokens,
+            expected_reading: Duration::from_secs_f64(reading / 1e3),
+            has_prompt,
+        }
     }
 
     /// Chooses the worker with the most room for a batch item: slots beyond `reserved` of them
@@ -221,13 +244,7 @@
             (room >= 1.0).then_some((room - penalty, candidate))
         });
         let best = with_room.max_by(|left, right| left.0.total_cmp(&right.0));
-        best.map(|(_, candidate)| Chosen {
-            service: candidate.entry.service.clone(),
-            incarnation: candidate.entry.incarnation.clone(),
-            address: candidate.entry.address,
-            missing_tokens: 0,
-            has_prompt: true,
-        })
+        best.map(|(_, candidate)| self.chosen(candidate, 0, true, now))
     }
 
     /// How long a worker with requests of this node has given no sign of life; none if the worker
@@ -328,8 +345,7 @@
     /// How long a service's engines take to read `tokens`.
     pub fn reading_time(&self, service: &str, tokens: u64) -> Duration {
         let times = self.services.get(service);
-        let rate = times.map_or(ASSUMED_PREFILL_RATE, |times| times.prefill_rate);
-        Duration::from_secs_f64(tokens as f64 / rate / 1e3)
+        Duration::from_secs_f64(reading_ms(times, tokens) / 1e3)
     }
 
     /// Records that another node has sent a worker a prompt of which it is to read
@@ -444,15 +460,14 @@
     (hasher.finish() % 1_024) as f64 / 1_024.0 * SPREAD
 }
 
-fn missing_tokens(candidate: &Candidate, demand: &Demand, at_home: bool) -> u64 {
-    let mut resident = candidate.residency.resident_tokens(&demand.prompt);
-    if at_home {
-        let shared = demand
-            .prompt
-            .split_last()
-            .map_or(&[][..], |(_, shared)| shared);
-        let shared: u64 = shared.iter().map(|part| u64::from(part.tokens)).sum();
-        resident = resident.max(shared);
-    }
+fn missing_tokens(candidate: &Candidate, demand: &Demand) -> u64 {
+    let resident = candidate.residency.resident_tokens(&demand.prompt);
     demand.prompt_tokens.saturating_sub(resident)
 }
+
+/// Tokens of a prompt that other requests may have, too.
+fn shared_tokens(demand: &Demand) -> u64 {
+    let shared = demand.prompt.split_last();
+    let shared = shared.map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|part| u64::from(part.tokens)).sum()
+}
--- a/crates/swiftshunt-scheduler/tests/selection.rs
+++ b/crates/swiftshunt-scheduler/tests/selection.rs
@@ -74,6 +74,7 @@
         incarnation: name.to_owned(),
         address: "127.0.0.1:1".parse().expect("an address"),
         missing_tokens: 0,
+        expected_reading: Duration::ZERO,
         has_prompt: false,
     }
 }
@@ -222,6 +223,33 @@
     assert!(homes.len() >= 4, "homes are not spread: {homes:?}");
 }
 
+/// Others are told how much a worker is to read: a shared beginning that nobody has read yet is
+/// part of it.
+#[test]
+fn a_shared_beginning_is_read_once_and_counts_until_then() {
+    let mut first = selector(6);
+    let mut second = selector(6);
+    let demand = prompt(7, 1, 1);
+    let chosen = first.choose("s", &demand, &[], START).expect("a worker");
+    assert_eq!(chosen.missing_tokens, 10_500);
+    first.sent(&chosen, &demand, START);
+    second.sent_by_another(
+        &chosen.incarnation,
+        &demand.prompt,
+        chosen.missing_tokens,
+        START,
+    );
+    let waited = Duration::from_millis(300);
+    let later = START + waited;
+    first.first_event(&chosen, waited, later);
+    for selector in [first, second] {
+        let next = selector.choose("s", &prompt(7, 2, 2), &[], later);
+        let next = next.expect("a worker");
+        assert_eq!(next.incarnation, chosen.incarnation);
+        assert_eq!(next.missing_tokens, 500);
+    }
+}
+
 #[test]
 fn a_crowded_home_is_left_for_another_worker() {
     let mut selector = selector(4);
--- a/crates/swiftshunt/tests/gateway_requests.rs
+++ b/crates/swiftshunt/tests/gateway_requests.rs
@@ -176,6 +176,30 @@
     assert!(resumed > 0, "no stream was resumed at the late worker");
 }
 
+/// An engine that reads a long prompt gives no sign of life meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_prompt_is_not_taken_away_while_it_is_read() {
+    const TOKENS: u32 = 40_000;
+    let options = PlatformOptions {
+        workers: 3,
+        ..PlatformOptions::default()
+    };
+    let fleet = start(options).await;
+    // Longer than the silence after which a short prompt is taken away.
+    let reading = Duration::from_millis(1_000);
+    for engine in &fleet.engines {
+        engine.set(Manner::Late(reading));
+    }
+    let gateway = fleet.gateways[0].callers;
+    let asked = fleet.caller.ask_with_prompt(gateway, STREAM, "s1", TOKENS);
+    let answer = asked.await.expect("a whole answer");
+    assert_all_events(&answer.body, "s1", 8);
+    assert_eq!(fleet.runs_of("s1").len(), 1);
+    let answer = fleet.caller.ask(gateway, STREAM, "s2", DEADLINE).await;
+    assert_all_events(&answer.expect("a whole answer").body, "s2", 8);
+    assert!(fleet.runs_of("s2").len() > 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_broken_stream_that_may_not_be_resumed_does_not_look_whole() {
     let fleet = start(PlatformOptions::default()).await;
