Let gateways that start while the log turns them away reach it through others

Cause: a gateway that starts knows the others from the log alone.

Ruled out: keeping the list on the machine (nothing lasts there), other sources (the settings name none unless the role serves `control`).

Change: `gateways.seeds` in the settings (the platform's seeds, which a role that serves `control` gets; gateways listen for each other at that address now), and a notice to all listed by a gateway that has started and read the list. The stand-in's gateways keep their peers' address over a restart, as on the platform.

Tests: a_gateway_that_starts_while_it_is_turned_away_serves (2 cases), a_gateway_that_starts_is_heard_of_by_one_that_is_turned_away; all three seen failing before.

--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -40,6 +40,7 @@
 pub struct Gateway {
     callers: SocketAddr,
     ready: SocketAddr,
+    peers_address: SocketAddr,
     stop: Stop,
     stop_settings: StopSettings,
     batch: Arc<Batch>,
@@ -91,6 +92,7 @@
         let others = Arc::new(Peers::new(
             notices,
             peers_address,
+            &settings.gateways.seeds,
             Arc::clone(&beliefs),
             Arc::clone(&metrics),
             clock,
@@ -163,6 +165,7 @@
         Ok(Self {
             callers: callers_address,
             ready: ready_address,
+            peers_address,
             stop,
             stop_settings: settings.stop.clone(),
             batch,
@@ -182,6 +185,11 @@
         self.ready
     }
 
+    /// Where other gateways are served.
+    pub fn peers_address(&self) -> SocketAddr {
+        self.peers_address
+    }
+
     /// The planned stop: hands over what runs here, serves until no one comes any more, closes what
     /// rests, waits for what is in progress.
     pub async fn stop(self) {
--- a/crates/swiftshunt-gateway/src/log_relay/mod.rs
+++ b/crates/swiftshunt-gateway/src/log_relay/mod.rs
@@ -171,7 +171,11 @@
         let mut standing = lock(&self.standing);
         if standing.called(failed) {
             let is_away = standing.is_away();
-            log::warn!(is_away; "the log turns this gateway away, or answers it again");
+            if is_away {
+                log::warn!("the log turns this gateway away");
+            } else {
+                log::info!("the log answers this gateway again");
+            }
             self.metrics.log_away.set(i64::from(is_away));
             self.away.send_replace(is_away);
         }
@@ -181,7 +185,7 @@
     async fn through_another(&self, call: &LogCall) -> Option<LogAnswer> {
         let body = encoded(call)?;
         for _ in 0..HELPERS {
-            let mut others = self.peers.listed();
+            let mut others = self.peers.reachable();
             others.shuffle(&mut rand::rng());
             let now = self.clock.now();
             let other = lock(&self.standing).helper(others, now)?;
--- a/crates/swiftshunt-gateway/src/peers.rs
+++ b/crates/swiftshunt-gateway/src/peers.rs
@@ -1,5 +1,5 @@
-//! What gateways tell each other at once: the long prompts that they send, and how many batch items
-//! they have to run.
+//! What gateways tell each other at once: the long prompts that they send, how many batch items they
+//! have to run, and that they have started.
 //!
 //! An engine reads prompts in the order they come, and the load that answers carry is seconds old.
 //! A gateway that does not know of a prompt of tens of thousands of tokens that another one has
@@ -65,6 +65,11 @@
         /// The beginning of the prompt.
         parts: Vec<PromptPart>,
     },
+    /// The sender has started and reaches the log: others may not have heard of it.
+    Here {
+        /// Where it is listed.
+        from: SocketAddr,
+    },
     /// Batch items that are not settled.
     Unsettled {
         /// Where the sender is listed.
@@ -84,6 +89,8 @@
 pub(crate) struct Peers {
     socket: UdpSocket,
     own: SocketAddr,
+    /// Where others may be reached until the list was read.
+    seeds: Vec<SocketAddr>,
     beliefs: Arc<Beliefs>,
     metrics: Arc<Metrics>,
     clock: Clock,
@@ -99,6 +106,7 @@
     pub(crate) fn new(
         socket: UdpSocket,
         own: SocketAddr,
+        seeds: &[SocketAddr],
         beliefs: Arc<Beliefs>,
         metrics: Arc<Metrics>,
         clock: Clock,
@@ -106,6 +114,7 @@
         Self {
             socket,
             own,
+            seeds: seeds.iter().copied().filter(|seed| *seed != own).collect(),
             beliefs,
             metrics,
             clock,
@@ -179,10 +188,20 @@
     }
 
     /// The others that are there, as far as known.
-    pub(crate) fn listed(&self) -> Vec<SocketAddr> {
+    fn listed(&self) -> Vec<SocketAddr> {
         lock(&self.listed).keys().copied().collect()
     }
 
+    /// Those of the others that may be asked for something.
+    pub(crate) fn reachable(&self) -> Vec<SocketAddr> {
+        let listed = self.listed();
+        if listed.is_empty() {
+            self.seeds.clone()
+        } else {
+            listed
+        }
+    }
+
     /// As many of the others as the budget allows.
     fn recipients(&self) -> Vec<SocketAddr> {
         let mut peers = self.listed();
@@ -229,6 +248,10 @@
                 let mut selector = self.beliefs.selector();
                 selector.sent_by_another(&worker, &parts, missing, now);
             }
+            Notice::Here { from } => {
+                log::info!(other = from.to_string().as_str(); "another gateway has started");
+                lock(&self.listed).insert(from, now);
+            }
             Notice::Unsettled { from, items } => {
                 let mut unsettled = lock(&self.unsettled);
                 unsettled.retain(|_, told| now < told.at + UNSETTLED_FOR);
@@ -264,11 +287,16 @@
     pub(crate) async fn follow(self: Arc<Self>, log: Arc<dyn Log>) {
         let mut followed = Followed::new(Topic::Gateways);
         let mut away = Away::new("gateways", 0);
+        let mut is_known = false;
         loop {
             let changes = followed.changes(log.as_ref(), LIST_WAIT).await;
             away.pause(&changes).await;
             if let Ok(changes) = changes {
                 self.apply(changes);
+                if !is_known {
+                    self.send(&Notice::Here { from: self.own });
+                    is_known = true;
+                }
                 tokio::time::sleep(GATHER).await;
             }
         }
--- a/crates/swiftshunt-gateway/src/settings.rs
+++ b/crates/swiftshunt-gateway/src/settings.rs
@@ -20,6 +20,9 @@
     pub log: LogSettings,
     /// The directory of workers.
     pub directory: DirectorySettings,
+    /// Other gateways.
+    #[serde(default)]
+    pub gateways: GatewaysSettings,
     /// Batch jobs.
     #[serde(default)]
     pub batch: BatchSettings,
@@ -36,13 +39,22 @@
     pub callers: SocketAddr,
     /// Questions whether the gateway is ready.
     pub ready: SocketAddr,
-    /// Other gateways, which pass on calls about jobs that run here.
+    /// Other gateways: calls about jobs that run here, calls to the log, notices.
     pub peers: SocketAddr,
     /// Metrics; none if left out.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
 }
 
+/// Other gateways.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct GatewaysSettings {
+    /// Where some of them may be reached (their `listen.peers`): used by a gateway that starts while
+    /// the log turns it away. They may be stale or down.
+    pub seeds: Vec<SocketAddr>,
+}
+
 /// The platform's log.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/swiftshunt-lab/src/platform/fleet.rs
+++ b/crates/swiftshunt-lab/src/platform/fleet.rs
@@ -41,6 +41,8 @@
     pub callers: SocketAddr,
     /// Where readiness is told.
     pub ready: SocketAddr,
+    /// Where other gateways reach it.
+    pub peers: SocketAddr,
     /// Its door.
     pub door: Door,
     settings: PathBuf,
@@ -208,7 +210,8 @@
         let door = self.store.open_door().await?;
         let index = self.gateways.len();
         let settings = self.scratch.join(format!("gateway-{index}.toml"));
-        let text = settings_text(index, door.address, self.lease, more_settings);
+        let peers = free_address()?;
+        let text = settings_text(index, peers, door.address, self.lease, more_settings);
         std::fs::write(&settings, text)?;
         let gateway = self.run(settings, door)?;
         self.gateways.push(gateway);
@@ -234,6 +237,7 @@
         Ok(RunningGateway {
             callers: address("callers")?,
             ready: address("ready")?,
+            peers: address("peers")?,
             process,
             door,
             settings,
@@ -249,6 +253,14 @@
         Ok(())
     }
 
+    /// Adds lines to a gateway's settings file, for its next start.
+    pub fn add_settings(&self, index: usize, lines: &str) -> Result<(), HarnessError> {
+        let file = &self.gateways[index].settings;
+        let text = std::fs::read_to_string(file)?;
+        std::fs::write(file, format!("{text}\n{lines}\n"))?;
+        Ok(())
+    }
+
     /// Publishes a configuration under the next version.
     pub fn configure(&mut self, mut document: ConfigurationDocument) {
         self.version += 1;
@@ -303,7 +315,33 @@
     }
 }
 
-fn settings_text(index: usize, store: SocketAddr, lease: Duration, more: &str) -> String {
+/// Ports that the system gives to nobody by itself.
+const FIXED_PORTS: std::ops::Range<u16> = 20_000..30_000;
+/// Ports that are tried until one is free.
+const PORT_TRIES: usize = 100;
+
+/// An address that a gateway keeps when it starts again: others know it by this.
+fn free_address() -> std::io::Result<SocketAddr> {
+    let mut last = std::io::Error::from(std::io::ErrorKind::AddrInUse);
+    for _ in 0..PORT_TRIES {
+        let port = rand::random_range(FIXED_PORTS);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let stream = std::net::TcpListener::bind(address);
+        match stream.and_then(|_| std::net::UdpSocket::bind(address)) {
+            Ok(_) => return Ok(address),
+            Err(error) => last = error,
+        }
+    }
+    Err(last)
+}
+
+fn settings_text(
+    index: usize,
+    peers: SocketAddr,
+    store: SocketAddr,
+    lease: Duration,
+    more: &str,
+) -> String {
     let lease = lease.as_millis();
     format!(
         r#"name = "gateway-{index}"
@@ -312,7 +350,7 @@
 [listen]
 callers = "127.0.0.1:0"
 ready = "127.0.0.1:0"
-peers = "127.0.0.1:0"
+peers = "{peers}"
 
 [log]
 address = "{store}"
--- a/crates/swiftshunt/src/gateway.rs
+++ b/crates/swiftshunt/src/gateway.rs
@@ -76,6 +76,7 @@
         "event": "listening",
         "callers": gateway.callers_address(),
         "ready": gateway.ready_address(),
+        "peers": gateway.peers_address(),
     });
     println!("{line}");
     loop {
--- a/crates/swiftshunt/tests/gateway_refused.rs
+++ b/crates/swiftshunt/tests/gateway_refused.rs
@@ -7,7 +7,9 @@
 
 use gateway::{ExclusiveFleet, assert_completed, listed, start, submit, whole_job};
 use hyper::StatusCode;
-use swiftshunt_lab::platform::fleet::{ASK, BATCH, PlatformOptions, first_configuration};
+use swiftshunt_lab::platform::fleet::{
+    ASK, BATCH, PlatformOptions, eventually, first_configuration,
+};
 use swiftshunt_lab::platform::store::{Down, StoreFaults};
 use swiftshunt_platform::words::values;
 use test_case::test_case;
@@ -107,3 +109,34 @@
         whole_job(&fleet, gateway.callers, &job, 2).await;
     }
 }
+
+/// A gateway that starts while it is turned away knows others from its settings alone.
+#[test_case(Down::Silent; "by silence")]
+#[test_case(Down::Busy; "by refusals")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_that_starts_while_it_is_turned_away_serves(how: Down) {
+    let mut fleet = with_one_turned_away(how).await;
+    let seed = fleet.gateways[1].peers;
+    let lines = format!("[gateways]\nseeds = [\"{seed}\"]");
+    fleet.add_settings(0, &lines).expect("a settings file");
+    fleet.restart(0).expect("a gateway");
+    let (gateway, ready) = (fleet.gateways[0].callers, fleet.gateways[0].ready);
+    let caller = fleet.caller.clone();
+    eventually("the gateway is ready", || caller.is_ready(ready)).await;
+    let answer = fleet.caller.ask(gateway, ASK, "r1", DEADLINE).await;
+    assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    submit(&fleet, gateway, "job-1", 2).await;
+    whole_job(&fleet, gateway, "job-1", 2).await;
+}
+
+/// Where every gateway starts anew, one that the log answers makes itself known to those that it
+/// turns away.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_that_starts_is_heard_of_by_one_that_is_turned_away() {
+    let mut fleet = with_one_turned_away(Down::Busy).await;
+    fleet.restart(0).expect("a gateway");
+    fleet.restart(1).expect("a gateway");
+    let ready = fleet.gateways[0].ready;
+    let caller = fleet.caller.clone();
+    eventually("the gateway is ready", || caller.is_ready(ready)).await;
+}
