--- a/crates/swiftshunt-gateway/src/batch/owners.rs
+++ b/crates/swiftshunt-gateway/src/batch/owners.rs
@@ -42,6 +42,8 @@
     by_partition: BTreeMap<u32, SocketAddr>,
     read_at: Option<Duration>,
     asked_at: Option<Duration>,
+    /// Whether the last read gave nothing.
+    is_away: bool,
     doubted_until: HashMap<SocketAddr, Duration>,
 }
 
@@ -139,11 +141,20 @@
         let read = tokio::time::timeout(READ_TIMEOUT, self.log.owners(Topic::Jobs)).await;
         match read {
             Ok(Ok(owners)) => self.take(&owners),
-            Ok(Err(error)) => log::info!("the owners of partitions are not known: {error}"),
-            Err(_) => log::info!("the owners of partitions are not known: no answer in time"),
+            Ok(Err(error)) => self.not_read(&error.to_string()),
+            Err(_) => self.not_read("no answer in time"),
         }
     }
 
+    /// The owners could not be read; logged once until they are.
+    fn not_read(&self, reason: &str) {
+        let mut known = lock(&self.known);
+        if !known.is_away {
+            log::info!(reason; "the owners of partitions are not known");
+        }
+        known.is_away = true;
+    }
+
     fn take(&self, owners: &BTreeMap<u32, String>) {
         let mut by_partition = BTreeMap::new();
         for (partition, name) in owners {
@@ -158,6 +169,7 @@
         let mut known = lock(&self.known);
         known.by_partition = by_partition;
         known.read_at = Some(now);
+        known.is_away = false;
         known.doubted_until.retain(|_, until| now < *until);
     }
 
--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -51,6 +51,8 @@
 
 /// Pause between closings of connections that have rested too long.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Lateness of that pause from which the process says that it stood still: its beliefs are as old.
+const STANDSTILL: Duration = Duration::from_millis(500);
 /// Pause between looks at whether a stop may go on.
 const STOP_POLL: Duration = Duration::from_millis(50);
 /// Time kept back at the end of the grace period.
@@ -229,8 +231,13 @@
 
 async fn sweep(dispatcher: Arc<Dispatcher>) {
     loop {
+        let slept_at = dispatcher.clock.now();
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let now = dispatcher.clock.now();
+        let late = now.saturating_sub(slept_at + SWEEP_INTERVAL);
+        if late >= STANDSTILL {
+            log::warn!(late_ms = late.as_millis() as u64; "this process stood still");
+        }
         let beliefs = &dispatcher.beliefs;
         dispatcher
             .upstream
--- a/crates/swiftshunt/tests/gateway_changes.rs
+++ b/crates/swiftshunt/tests/gateway_changes.rs
@@ -192,3 +192,18 @@
     assert!(fleet.runs_of("s2").is_empty());
     drop(held.await);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_that_stood_still_says_so() {
+    let fleet = start(PlatformOptions::default()).await;
+    fleet.gateways[0].process.pause();
+    // Longer than the pause between two looks at the clock, and what may be late.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    fleet.gateways[0].process.resume();
+    let logs = fleet.logs().to_owned();
+    eventually("the line is written", || async {
+        let log = std::fs::read_to_string(logs.join("gateway-0.log"));
+        log.is_ok_and(|log| log.contains("this process stood still"))
+    })
+    .await;
+}
