--- a/crates/swiftshunt-gateway/src/batch/owners.rs
+++ b/crates/swiftshunt-gateway/src/batch/owners.rs
@@ -8,16 +8,14 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::http::request;
-use hyper::{Request, Response, StatusCode, Uri};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper::{Request, Response, StatusCode};
 use swiftshunt_journal::{Log, Topic};
 
 use super::member::Member;
 use crate::answers::{CallerAnswer, end_to_end, whole};
 use crate::beliefs::lock;
 use crate::clock::Clock;
+use crate::peer_http::{self, PeerClient};
 
 /// Age from which what is known of the owners is read anew.
 const KNOWN_FOR: Duration = Duration::from_secs(5);
@@ -27,12 +25,8 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time within which a gateway that was passed a call answers, beyond what the call waits.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
-/// Time within which a connection to another gateway is made.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a gateway that did not answer is passed over.
 const DOUBT_TIME: Duration = Duration::from_secs(3);
-/// How long a connection to another gateway rests.
-const REST: Duration = Duration::from_secs(4);
 /// Connections that rest for one gateway.
 const MOST_RESTING: usize = 2;
 
@@ -54,26 +48,18 @@
     clock: Clock,
     known: Mutex<Known>,
     reading: tokio::sync::Mutex<()>,
-    client: Client<HttpConnector, Empty<Bytes>>,
+    client: PeerClient<Empty<Bytes>>,
 }
 
 impl Owners {
     pub(crate) fn new(log: Arc<dyn Log>, own: SocketAddr, clock: Clock) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(REST)
-            .pool_max_idle_per_host(MOST_RESTING)
-            .build(connector);
         Self {
             log,
             own,
             clock,
             known: Mutex::default(),
             reading: tokio::sync::Mutex::default(),
-            client,
+            client: peer_http::client(MOST_RESTING),
         }
     }
 
@@ -190,12 +176,7 @@
 /// The same call for another gateway.
 fn request_to(owner: SocketAddr, head: &request::Parts) -> Option<Request<Empty<Bytes>>> {
     let path = head.uri.path_and_query()?;
-    let uri = Uri::builder()
-        .scheme("http")
-        .authority(owner.to_string())
-        .path_and_query(path.clone())
-        .build()
-        .ok()?;
+    let uri = peer_http::uri(owner, path.clone())?;
     let mut request = Request::new(Empty::new());
     *request.method_mut() = head.method.clone();
     *request.uri_mut() = uri;
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod log_relay;
 mod metrics;
 mod online;
+mod peer_http;
 mod peers;
 pub mod protocol;
 mod relay;
--- a/crates/swiftshunt-gateway/src/log_relay/mod.rs
+++ b/crates/swiftshunt-gateway/src/log_relay/mod.rs
@@ -18,10 +18,8 @@
 use futures_util::future::BoxFuture;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::{Request, StatusCode, Uri};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper::http::uri::PathAndQuery;
+use hyper::{Method, Request, StatusCode};
 use rand::seq::SliceRandom;
 use swiftshunt_journal::{AppendOutcome, Lease, Log, LogError, NewestPage, ReadOutcome, Topic};
 use tokio::sync::watch;
@@ -30,16 +28,15 @@
 use crate::beliefs::lock;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
+use crate::peer_http::{self, PeerClient};
 use crate::peers::Peers;
 use message::{LogAnswer, LogCall};
 use standing::Standing;
 
 /// Where gateways take calls to the log from each other.
 pub(crate) const PATH: &str = "/peer/log";
-/// Time within which a connection to another gateway is made.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// How long a connection to another gateway rests.
-const REST: Duration = Duration::from_secs(4);
+/// Connections that rest for one gateway: about as many as reads wait at a time.
+const MOST_RESTING: usize = 8;
 /// Gateways that are asked for one call.
 const HELPERS: usize = 2;
 /// Pause between calls that find out whether the log answers again.
@@ -69,7 +66,7 @@
     standing: Mutex<Standing>,
     /// Whether the log turns this gateway away; reads that wait are given up when it does.
     away: watch::Sender<bool>,
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: PeerClient<Full<Bytes>>,
 }
 
 impl RelayedLog {
@@ -81,13 +78,6 @@
         clock: Clock,
         call_timeout: Duration,
     ) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(REST)
-            .build(connector);
         Self {
             direct,
             peers,
@@ -96,7 +86,7 @@
             call_timeout,
             standing: Mutex::default(),
             away: watch::Sender::new(false),
-            client,
+            client: peer_http::client(MOST_RESTING),
         }
     }
 
@@ -220,17 +210,11 @@
     }
 
     async fn ask(&self, other: SocketAddr, body: Bytes) -> Relayed {
-        let uri = Uri::builder()
-            .scheme("http")
-            .authority(other.to_string())
-            .path_and_query(PATH)
-            .build();
-        let Ok(uri) = uri else {
+        let Some(uri) = peer_http::uri(other, PathAndQuery::from_static(PATH)) else {
             return Relayed::Refused;
         };
-        let mut request = Request::post(uri.clone())
-            .body(Full::new(body))
-            .unwrap_or_default();
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = Method::POST;
         *request.uri_mut() = uri;
         let answer = match self.client.request(request).await {
             Ok(answer) => answer,
--- /dev/null
+++ b/crates/swiftshunt-node/src/ledger/driver/archive.rs
@@ -0,0 +1,208 @@
+//! The archive side of a driver: entries written to it, news of it, recovery of a lost group from it.
+
+use swiftshunt_backends::log_service::LogError;
+use swiftshunt_ledger::archive::{ArchivePosition, ArchiveRecord, Generation, Replay};
+use swiftshunt_ledger::raft::ArchiveMark;
+use swiftshunt_types::Monotonic;
+
+use super::Driver;
+use crate::ledger::input::ArchiveEvent;
+use crate::ledger::recovery::claim_after;
+use crate::ledger::replica::Replica;
+use crate::lock;
+
+/// Entries in one archive record.
+const ENTRIES_PER_RECORD: usize = 256;
+
+impl Driver {
+    pub(super) fn write_archive(&mut self, now: Monotonic) {
+        let Some(replica) = self.replica.as_mut() else {
+            return;
+        };
+        if replica.leadership.is_none() {
+            return;
+        }
+        let committed = replica.raft.commit_index();
+        let archived = replica.raft.archived().index;
+        replica.writer.observe(committed, archived, now);
+        let Some(after) = replica.writer.next_append(committed, archived, now) else {
+            return;
+        };
+        let entries = replica.raft.committed_after(after, ENTRIES_PER_RECORD);
+        let Some(last) = entries.last() else {
+            return;
+        };
+        let up_to = last.position.index;
+        replica.writer.started(now);
+        let record = ArchiveRecord::Entries {
+            generation: replica.generation,
+            entries,
+        };
+        self.archive.append(record, up_to);
+    }
+
+    pub(super) fn acknowledge(&mut self, now: Monotonic) {
+        let wait = self.context.settings.ledger.archive_wait;
+        let Some(replica) = self.replica.as_mut() else {
+            return;
+        };
+        let bound = if replica.writer.is_unavailable(wait, now) {
+            replica.raft.commit_index()
+        } else {
+            replica.raft.archived().index
+        };
+        replica.acknowledgements.flush(bound);
+    }
+
+    pub(super) fn on_archive(&mut self, event: ArchiveEvent, now: Monotonic) {
+        match event {
+            ArchiveEvent::Appended { up_to } => {
+                if let Some(replica) = self.replica.as_mut() {
+                    replica.writer.answered(up_to, now);
+                }
+            }
+            ArchiveEvent::AppendFailed { reason } => {
+                log::warn!(partition = self.partition.0; "archive append failed: {reason}");
+                if let Some(replica) = self.replica.as_mut() {
+                    let archived = replica.raft.archived().index;
+                    replica.writer.failed(archived, now);
+                }
+            }
+            ArchiveEvent::Tail(position) => self.on_tail(&position),
+            ArchiveEvent::Verified {
+                started_at,
+                outcome,
+            } => self.on_verified(started_at, outcome, now),
+            ArchiveEvent::Replayed(outcome) => self.on_replayed(outcome, now),
+            ArchiveEvent::ClaimAppended => self.recovery.hasten(now),
+        }
+    }
+
+    pub(super) fn on_tail(&mut self, position: &ArchivePosition) {
+        let Some(replica) = self.replica.as_mut() else {
+            return;
+        };
+        if position.generation > replica.generation {
+            self.recovery.known_generation = position.generation;
+            self.retire();
+        } else if position.generation == replica.generation {
+            replica.writer.advanced();
+            replica.raft.set_archived(ArchiveMark {
+                index: position.last.index,
+                next_offset: position.next_offset,
+            });
+        }
+    }
+
+    pub(super) fn on_verified(
+        &mut self,
+        started_at: Monotonic,
+        outcome: Result<ArchivePosition, LogError>,
+        now: Monotonic,
+    ) {
+        self.verifying = false;
+        let Some(replica) = self.replica.as_mut() else {
+            return;
+        };
+        let Ok(position) = outcome else {
+            return;
+        };
+        if position.generation == replica.generation {
+            replica.verified_at = started_at;
+            return;
+        }
+        log::warn!(partition = self.partition.0, generation = position.generation; "generation was superseded");
+        self.recovery.known_generation = position.generation;
+        self.retire();
+        self.recovery.hasten(now);
+    }
+
+    // Recovery.
+
+    pub(super) fn recover(&mut self, now: Monotonic) {
+        if self.leader_works(now) {
+            self.recovery.leader_seen(now);
+            return;
+        }
+        let delay = self.context.settings.ledger.rebuild_delay;
+        let has_replica = self.replica.is_some();
+        if self.recovery.begin_replay(has_replica, delay, now) {
+            self.archive.replay();
+        }
+    }
+
+    /// Whether a leader is known to work: followed here, or led by a node that is reachable.
+    pub(super) fn leader_works(&self, now: Monotonic) -> bool {
+        let timeout = self.context.settings.ledger.election_timeout * 2;
+        let follows = self.replica.as_ref().is_some_and(|replica| {
+            let heard = replica.raft.heard_leader_at();
+            let recently = heard.is_some_and(|heard| now < heard + timeout);
+            replica.raft.holds_lease(now) || (replica.raft.leader().is_some() && recently)
+        });
+        if follows {
+            return true;
+        }
+        let Some(leader) = self.known_leader() else {
+            return false;
+        };
+        let membership = lock(&self.context.membership);
+        leader.node != self.context.own.id
+            && membership
+                .record(leader.node)
+                .is_some_and(|record| record.state.is_reachable())
+    }
+
+    pub(super) fn on_replayed(&mut self, outcome: Result<Box<Replay>, LogError>, now: Monotonic) {
+        let replay = match outcome {
+            Ok(replay) => replay,
+            Err(error) => {
+                log::warn!(partition = self.partition.0; "archive cannot be replayed: {error}");
+                self.recovery.ended(now);
+                return;
+            }
+        };
+        let generation = replay.position.generation;
+        let current = self
+            .replica
+            .as_ref()
+            .map_or(0, |replica| replica.generation);
+        self.recovery.known_generation = self.recovery.known_generation.max(generation);
+        let names_me = replay.position.members.iter();
+        let names_me = names_me
+            .clone()
+            .any(|member| member.node == self.context.own.id);
+        if generation > current && names_me && generation > self.retired {
+            self.start_claimed(&replay, now);
+        } else if generation > current {
+            self.retire();
+        }
+        self.recovery.ended(now);
+        self.claim_if_due(generation, now);
+    }
+
+    pub(super) fn start_claimed(&mut self, replay: &Replay, now: Monotonic) {
+        self.retire();
+        let config = self.context.settings.ledger.clone();
+        let replica = Replica::from_claim(self.context.own.id, config, replay, now);
+        log::info!(partition = self.partition.0, generation = replica.generation; "replica started");
+        self.replica = Some(replica);
+        self.recovery.leader_seen(now);
+    }
+
+    pub(super) fn claim_if_due(&mut self, generation: Generation, now: Monotonic) {
+        let delay = self.context.settings.ledger.rebuild_delay;
+        let lost = self.recovery.is_lost(delay, now);
+        if self.leader_works(now) || generation < self.recovery.known_generation {
+            return;
+        }
+        let Some(claim) = claim_after(&self.context, self.partition, generation, lost) else {
+            return;
+        };
+        self.context.decisions.record(
+            format!("partition {}", self.partition),
+            format!("claim generation {}", generation + 1),
+            "no group has led for the rebuild delay, or none existed",
+        );
+        self.archive.claim(claim);
+    }
+}
