--- a/crates/swiftshunt-gateway/src/log_relay/mod.rs
+++ b/crates/swiftshunt-gateway/src/log_relay/mod.rs
@@ -158,8 +158,9 @@
     }
 
     fn called(&self, failed: bool) {
+        let now = self.clock.now();
         let mut standing = lock(&self.standing);
-        if standing.called(failed) {
+        if standing.called(failed, now) {
             let is_away = standing.is_away();
             if is_away {
                 log::warn!("the log turns this gateway away");
