Reckon once what is the same for all workers; parse only what is a call about a job

The cost of leaving a prompt's home was summed anew for each worker of each choice; it is the same for all. Calls to the log from other gateways were read as calls about jobs first. Two counts of tokens, one of them from a caller's header, were added as whole numbers before they were weighed, as they were not before: they are weighed first again, so that they cannot overflow.

No behaviour changes otherwise.

--- a/crates/swiftshunt-gateway/src/server.rs
+++ b/crates/swiftshunt-gateway/src/server.rs
@@ -166,13 +166,14 @@
         let batch = Arc::clone(&batch);
         let log = Arc::clone(&log);
         let service = service_fn(move |request: Request<Incoming>| {
-            let call = protocol.call(request.method(), request.uri(), request.headers());
+            let protocol = Arc::clone(&protocol);
             let batch = Arc::clone(&batch);
             let log = Arc::clone(&log);
             async move {
                 let answer = if request.uri().path() == log_relay::PATH {
                     log.answer_peer(request).await
                 } else {
+                    let call = protocol.call(request.method(), request.uri(), request.headers());
                     batch.answer_peer(call).await
                 };
                 Ok::<CallerAnswer, Infallible>(answer)
--- a/crates/swiftshunt-scheduler/src/cost.rs
+++ b/crates/swiftshunt-scheduler/src/cost.rs
@@ -53,7 +53,7 @@
     now: Duration,
 ) -> f64 {
     let for_others = candidate.reading_for_others(now).as_secs_f64() * 1e3;
-    reading_ms(times, candidate.pending_tokens + missing) + for_others
+    reading_ms(times, candidate.pending_tokens) + reading_ms(times, missing) + for_others
 }
 
 /// The time until a worker has read `missing` tokens of a request, behind what waits there, with
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -184,13 +184,14 @@
             .filter(|candidate| !tried.contains(&candidate.entry.incarnation));
         let times = self.services.get(service);
         let usual_others = self.usual_others(service, now);
+        let away_from_home = reading_ms(times, shared_tokens(demand)) * AWAY_FROM_HOME;
         let scored = open.map(|candidate| {
             let missing = missing_tokens(candidate, demand);
             let mut cost = expected_wait(candidate, times, missing, usual_others, now)
                 + self.place_cost(candidate);
             cost += spread(demand.salt, &candidate.entry.incarnation);
             if home != Some(candidate.entry.incarnation.as_str()) {
-                cost += reading_ms(times, shared_tokens(demand)) * AWAY_FROM_HOME;
+                cost += away_from_home;
             }
             let ejected = candidate.ejected_until > now;
             (ejected, cost, missing, candidate)
