Decide slots that requests and batch items share in one place for each cell of workers

Cause: at the peaks a third of all streams waited behind batch items that other gateways had placed. Change: the workers of a service with batch items form cells of about 16; each cell has one owner among the gateways, by rendezvous hashing over those that are listed and answer. Gateways report to it by datagrams what they hold and how many items wait; a request asks it for a worker with the costs that the gateway itself sees, and gets the one with the lowest cost under the exact load; where that is full exactly one batch item leaves it; free slots are granted to the items that are due first. Without an answer within 14 ms the gateway chooses as before. Reports are whole and replace each other: lost, doubled and late ones heal; owners that do not answer are passed over. Items bounded by shares of slots, guesses of room, and notices of unsettled items go. Tests: gateway_slots (real processes, five cases; with step-aside and doubts off four of them fail), scheduler/tests/slots.rs (book, also under lost, doubled and late messages). Replaced: slots_of_batch_items_are_shared_as_the_items_are asked that a heap gets half of the slots, a bound that is gone, and that two heaps together stay under twice that; items_of_all_gateways_together_keep_to_the_slots asks that they never hold more than all slots less the headroom. batch_leaves_headroom_and_online_takes_it_back and the two tests of urgency tested functions that are gone; exactly_one_item_steps_aside_for_each_request_that_would_wait and grants_go_to_the_most_urgent_and_leave_the_headroom ask the same of the book.

--- a/crates/swiftshunt-gateway/src/slots/mod.rs
+++ b/crates/swiftshunt-gateway/src/slots/mod.rs
@@ -386,10 +386,9 @@
                 self.send(Message::Assigned { ask, worker }, from);
             }
             Message::Assigned { ask, worker } => {
-                if let Some(asked) = lock(&self.asks).remove(&ask) {
-                    if asked.send(worker).is_err() {
-                        log::debug!(ask; "a worker was assigned to a request that is gone");
-                    }
+                let asked = lock(&self.asks).remove(&ask);
+                if asked.is_some_and(|asked| asked.send(worker).is_err()) {
+                    log::debug!(ask; "a worker was assigned to a request that is gone");
                 }
             }
             Message::Grant {
--- a/crates/swiftshunt-scheduler/src/batch.rs
+++ b/crates/swiftshunt-scheduler/src/batch.rs
@@ -1,7 +1,5 @@
 //! Batch admission: how many batch requests may run on a worker now, and which job goes first.
 
-use std::time::Duration;
-
 use swiftshunt_types::JobId;
 
 use crate::SchedulerConfig;
@@ -55,22 +53,3 @@
         by_slack.then_with(|| one.job.cmp(&other.job))
     });
 }
-
-/// Part of the time until an item is due after which it begins to be urgent, and after which it is
-/// wholly urgent.
-const URGENT_FROM: f64 = 0.25;
-const URGENT_AT: f64 = 0.6;
-
-/// How urgent an item is that has waited for `age` and is due at `target`: 0 to 1.
-pub fn urgency(age: Duration, target: Option<Duration>) -> f64 {
-    let Some(target) = target.filter(|target| !target.is_zero()) else {
-        return 0.0;
-    };
-    let part = age.as_secs_f64() / target.as_secs_f64();
-    ((part - URGENT_FROM) / (URGENT_AT - URGENT_FROM)).clamp(0.0, 1.0)
-}
-
-/// A value between what holds with time enough and what holds when items are about to be late.
-pub fn by_urgency(calm: f64, urgent: f64, urgency: f64) -> f64 {
-    calm + (urgent - calm) * urgency
-}
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use crate::candidate::Candidate;
-use crate::cost::{ServiceTimes, USUAL_SILENCE, expected_reading, expected_wait, reading_ms};
+use crate::cost::{ServiceTimes, expected_reading, expected_wait, reading_ms};
 use crate::directory::{Availability, WorkerEntry};
 use crate::residency::PromptPart;
 
@@ -223,31 +223,6 @@
         }
     }
 
-    /// Chooses the worker with the most room for a batch item: slots beyond `reserved` of them
-    /// that are free as far as known.
-    pub fn choose_for_batch(
-        &self,
-        service: &str,
-        tried: &[String],
-        reserved: f64,
-        now: Duration,
-    ) -> Option<Chosen> {
-        let open = self.ready(service).filter(|candidate| {
-            !tried.contains(&candidate.entry.incarnation)
-                && candidate.ejected_until <= now
-                && candidate.silence(now) <= USUAL_SILENCE * 2
-        });
-        let usual_others = self.usual_others(service, now);
-        let with_room = open.filter_map(|candidate| {
-            let slots = f64::from(candidate.slots());
-            let room = slots * (1.0 - reserved) - candidate.load(usual_others, now);
-            let penalty = candidate.failure_rate(now) * slots;
-            (room >= 1.0).then_some((room - penalty, candidate))
-        });
-        let best = with_room.max_by(|left, right| left.0.total_cmp(&right.0));
-        best.map(|(_, candidate)| self.chosen(candidate, 0, true, now))
-    }
-
     /// How long a worker with requests of this node has given no sign of life; none if the worker
     /// is no longer listed.
     pub fn silence(&self, incarnation: &str, now: Duration) -> Option<Duration> {
@@ -271,21 +246,6 @@
         candidate.load(usual_others, now) >= f64::from(candidate.slots())
     }
 
-    /// Workers with batch items of this node at which online requests wait or are about to.
-    pub fn crowded_by_batch(&self, now: Duration) -> Vec<String> {
-        let with_batch = self
-            .candidates
-            .values()
-            .filter(|candidate| candidate.own_batch > 0);
-        let crowded = with_batch.filter(|candidate| {
-            let usual_others = self.usual_others(&candidate.entry.service, now);
-            candidate.load(usual_others, now) > f64::from(candidate.slots())
-        });
-        crowded
-            .map(|candidate| candidate.entry.incarnation.clone())
-            .collect()
-    }
-
     /// Requests of other nodes that a ready worker of the service holds in the mean, by what was
     /// told last.
     fn usual_others(&self, service: &str, now: Duration) -> f64 {
--- /dev/null
+++ b/crates/swiftshunt-scheduler/tests/slots.rs
@@ -0,0 +1,320 @@
+//! The book of a cell: exact loads, one item aside for each request that would wait, grants by
+//! urgency, and what lost, doubled and late messages do to it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use swiftshunt_scheduler::slots::book::{Book, Load};
+use swiftshunt_scheduler::slots::cell::{Cell, cell_count, owner};
+use swiftshunt_scheduler::slots::{Bid, CellWorker, Held, Report, Waiting, WorkerKey};
+use test_case::test_case;
+
+const SLOTS: u32 = 4;
+const SERVICE_MS: f64 = 700.0;
+/// A book that has been open for this long knows everybody.
+const SETTLED: Duration = Duration::from_secs(1);
+
+fn gateway(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 1_000 + number))
+}
+
+fn key(number: u64) -> WorkerKey {
+    WorkerKey(number)
+}
+
+fn workers(count: u64) -> Vec<CellWorker> {
+    let worker = |number| CellWorker {
+        key: key(number),
+        slots: SLOTS,
+        told: None,
+        is_sound: true,
+    };
+    (0..count).map(worker).collect()
+}
+
+fn bids(costs: &[u32]) -> Vec<Bid> {
+    let bid = |(number, cost)| Bid {
+        worker: key(number),
+        cost_ms: cost,
+    };
+    (0..).zip(costs.iter().copied()).map(bid).collect()
+}
+
+fn held(online: u32, batch: u32) -> Held {
+    Held { online, batch }
+}
+
+fn report(number: u64, seen: u64, at_workers: &[(u64, Held)]) -> Report {
+    Report {
+        life: 1,
+        number,
+        seen,
+        held: at_workers
+            .iter()
+            .map(|(at, held)| (key(*at), *held))
+            .collect(),
+        waiting: Waiting::default(),
+    }
+}
+
+fn waiting(items: u32, due_in_ms: i64) -> Report {
+    Report {
+        waiting: Waiting { items, due_in_ms },
+        ..report(1, 0, &[])
+    }
+}
+
+#[test]
+fn a_request_goes_where_a_slot_is_free() {
+    let mut book = Book::default();
+    book.take(gateway(1), report(1, 0, &[(0, held(4, 0))]), SETTLED);
+    book.take(gateway(2), report(1, 0, &[(1, held(2, 1))]), SETTLED);
+    let placed = book.place(gateway(3), &bids(&[0, 0]), &workers(2), SERVICE_MS, SETTLED);
+    let placed = placed.expect("a worker");
+    assert_eq!(placed.worker, key(1));
+    assert!(!placed.waits);
+    assert_eq!(placed.steps_aside, None);
+}
+
+#[test]
+fn what_speaks_against_a_free_worker_is_weighed_against_a_slot() {
+    let mut book = Book::default();
+    book.take(gateway(1), report(1, 0, &[(0, held(3, 1))]), SETTLED);
+    // Reading 400 ms more at the free worker is worse than an item's way out of the full one.
+    let placed = book.place(
+        gateway(2),
+        &bids(&[0, 400]),
+        &workers(2),
+        SERVICE_MS,
+        SETTLED,
+    );
+    assert_eq!(placed.expect("a worker").worker, key(0));
+}
+
+#[test]
+fn exactly_one_item_steps_aside_for_each_request_that_would_wait() {
+    let mut book = Book::default();
+    book.take(gateway(1), report(1, 0, &[(0, held(2, 2))]), SETTLED);
+    let mut place = || {
+        let placed = book.place(gateway(2), &bids(&[0]), &workers(1), SERVICE_MS, SETTLED);
+        placed.expect("a worker")
+    };
+    assert_eq!(place().steps_aside, Some(gateway(1)));
+    assert_eq!(place().steps_aside, Some(gateway(1)));
+    let third = place();
+    assert_eq!(third.steps_aside, None, "no item is left");
+    assert!(third.waits);
+}
+
+#[test]
+fn a_gateway_gives_up_its_own_item_first() {
+    let mut book = Book::default();
+    book.take(gateway(1), report(1, 0, &[(0, held(0, 3))]), SETTLED);
+    book.take(gateway(2), report(1, 0, &[(0, held(0, 1))]), SETTLED);
+    let placed = book.place(gateway(2), &bids(&[0]), &workers(1), SERVICE_MS, SETTLED);
+    assert_eq!(placed.expect("a worker").steps_aside, Some(gateway(2)));
+}
+
+#[test]
+fn an_order_that_was_lost_is_given_again() {
+    let mut book = Book::default();
+    book.take(gateway(1), report(1, 0, &[(0, held(3, 1))]), SETTLED);
+    let mut now = SETTLED;
+    let first = book.place(gateway(2), &bids(&[0]), &workers(1), SERVICE_MS, now);
+    assert_eq!(first.expect("a worker").steps_aside, Some(gateway(1)));
+    now += Duration::from_millis(300);
+    book.take(gateway(2), report(1, 1, &[(0, held(1, 0))]), now);
+    let second = book.place(gateway(2), &bids(&[0]), &workers(1), SERVICE_MS, now);
+    assert_eq!(second.expect("a worker").steps_aside, Some(gateway(1)));
+}
+
+#[test]
+fn an_assignment_counts_at_once_and_only_until_it_is_reported_or_lost() {
+    let mut book = Book::default();
+    book.take(gateway(1), report(1, 0, &[]), SETTLED);
+    let placed = book.place(gateway(1), &bids(&[0]), &workers(1), SERVICE_MS, SETTLED);
+    let number = placed.expect("a worker").number;
+    assert_eq!(book.load(key(0)).taken(), 1);
+    book.take(gateway(1), report(2, number, &[(0, held(1, 0))]), SETTLED);
+    assert_eq!(book.load(key(0)).taken(), 1, "counted twice");
+    book.place(gateway(1), &bids(&[0]), &workers(1), SERVICE_MS, SETTLED);
+    assert_eq!(book.load(key(0)).taken(), 2);
+    book.expire(SETTLED + Duration::from_millis(400));
+    assert_eq!(book.load(key(0)).taken(), 1, "it was lost on the way");
+}
+
+#[test]
+fn a_report_that_comes_late_or_twice_changes_nothing() {
+    let mut book = Book::default();
+    book.take(gateway(1), report(2, 0, &[(0, held(1, 0))]), SETTLED);
+    book.take(gateway(1), report(1, 0, &[(0, held(4, 0))]), SETTLED);
+    book.take(gateway(1), report(2, 0, &[(0, held(1, 0))]), SETTLED);
+    assert_eq!(book.load(key(0)).taken(), 1);
+}
+
+#[test]
+fn a_gateway_that_started_again_is_believed_anew() {
+    let mut book = Book::default();
+    book.take(gateway(1), report(900, 0, &[(0, held(4, 0))]), SETTLED);
+    let after = Report {
+        life: 2,
+        ..report(1, 0, &[])
+    };
+    book.take(gateway(1), after, SETTLED);
+    assert_eq!(book.load(key(0)), Load::default());
+}
+
+#[test]
+fn what_a_silent_gateway_held_counts_no_more() {
+    let mut book = Book::default();
+    book.take(gateway(1), report(1, 0, &[(0, held(4, 0))]), SETTLED);
+    let later = SETTLED + Duration::from_secs(2);
+    assert!(book.is_abandoned(later));
+    book.expire(later);
+    assert_eq!(book.load(key(0)), Load::default());
+}
+
+#[test]
+fn grants_go_to_the_most_urgent_and_leave_the_headroom() {
+    let mut book = Book::default();
+    book.take(gateway(1), waiting(5, 9_000), Duration::ZERO);
+    book.take(gateway(2), waiting(2, 1_000), Duration::ZERO);
+    assert!(
+        book.grant(&workers(2), 0.25, Duration::ZERO).is_empty(),
+        "nobody else has had the time to report"
+    );
+    let grants = book.grant(&workers(2), 0.25, SETTLED);
+    // A quarter of eight slots stays free.
+    assert_eq!(grants.len(), 6);
+    let to: Vec<SocketAddr> = grants.iter().map(|grant| grant.to).collect();
+    assert_eq!(to[..2], [gateway(2), gateway(2)]);
+    assert_eq!(to[2..], [gateway(1); 4]);
+    let at = |number| grants.iter().filter(|it| it.worker == key(number)).count();
+    assert_eq!([at(0), at(1)], [3, 3], "spread over the workers");
+    assert!(book.grant(&workers(2), 0.25, SETTLED).is_empty());
+}
+
+#[test]
+fn no_item_is_granted_where_a_worker_tells_of_more_than_is_known_or_is_silent() {
+    let mut book = Book::default();
+    book.take(gateway(1), waiting(9, 0), Duration::ZERO);
+    let mut cell = workers(2);
+    cell[0].told = Some(SLOTS);
+    cell[1].is_sound = false;
+    assert!(book.grant(&cell, 0.0, SETTLED).is_empty());
+}
+
+#[test_case(1, 1)]
+#[test_case(16, 1)]
+#[test_case(17, 2)]
+#[test_case(89, 8)]
+#[test_case(710, 64)]
+fn cells_are_small(count: usize, cells: u32) {
+    assert_eq!(cell_count(count), cells);
+}
+
+#[test]
+fn only_the_cells_of_a_gateway_that_goes_get_another_owner() {
+    let all: Vec<SocketAddr> = (0..9).map(gateway).collect();
+    let cells = (0..64).map(|index| Cell {
+        service: "engine".to_owned(),
+        count: 64,
+        index,
+    });
+    let mut moved = 0;
+    for cell in cells {
+        let before = owner(&cell, all.iter().copied()).expect("an owner");
+        let left = all.iter().copied().filter(|it| *it != gateway(4));
+        let after = owner(&cell, left).expect("an owner");
+        if before == gateway(4) {
+            moved += 1;
+        } else {
+            assert_eq!(before, after);
+        }
+    }
+    assert!((1..32).contains(&moved), "{moved} of 64 cells moved");
+}
+
+/// A gateway as it really is, behind a network that loses, doubles and delays.
+#[derive(Default)]
+struct Real {
+    number: u64,
+    seen: u64,
+    held: [Held; 2],
+}
+
+impl Real {
+    fn report(&mut self) -> Report {
+        self.number += 1;
+        let at = [(0, self.held[0]), (1, self.held[1])];
+        let some: Vec<(u64, Held)> = at
+            .into_iter()
+            .filter(|(_, it)| *it != Held::default())
+            .collect();
+        report(self.number, self.seen, &some)
+    }
+}
+
+proptest! {
+    /// Whatever was lost, doubled or late: once every gateway has reported again, the book holds
+    /// what is really held, grants nothing that is not free, and no more items step aside than
+    /// there are.
+    #[test]
+    fn the_book_heals(steps in proptest::collection::vec((0_u16..3, 0_u64..2, 0_u8..6, any::<bool>()), 1..120)) {
+        let mut book = Book::default();
+        let mut real: [Real; 3] = Default::default();
+        let mut now = SETTLED;
+        for (who, at, action, arrives) in steps {
+            now += Duration::from_millis(7);
+            let gateway_of = gateway(who);
+            let one = &mut real[usize::from(who)];
+            match action {
+                0 => one.held[at as usize].online += 1,
+                1 => one.held[at as usize].online = one.held[at as usize].online.saturating_sub(1),
+                2 => one.held[at as usize].batch = one.held[at as usize].batch.saturating_sub(1),
+                3 => {
+                    let placed = book.place(gateway_of, &bids(&[0, 0]), &workers(2), SERVICE_MS, now);
+                    let placed = placed.expect("a worker");
+                    if arrives {
+                        one.seen = placed.number;
+                        one.held[placed.worker.0 as usize].online += 1;
+                    }
+                }
+                4 => {
+                    let sent = one.report();
+                    if arrives {
+                        book.take(gateway_of, sent.clone(), now);
+                        book.take(gateway_of, sent, now);
+                    }
+                }
+                _ => {
+                    let mut wants = one.report();
+                    wants.waiting = Waiting { items: 2, due_in_ms: 0 };
+                    book.take(gateway_of, wants, now);
+                    book.expire(now);
+                    let free: u32 = (0..2).map(|it| SLOTS.saturating_sub(book.load(key(it)).taken())).sum();
+                    let grants = book.grant(&workers(2), 0.0, now);
+                    prop_assert!(grants.len() as u32 <= free);
+                    for grant in grants {
+                        let to = &mut real[usize::from(grant.to.port() - 1_000)];
+                        if arrives {
+                            to.seen = grant.number;
+                            to.held[grant.worker.0 as usize].batch += 1;
+                        }
+                    }
+                }
+            }
+        }
+        now += Duration::from_secs(2);
+        for (who, one) in (0..).zip(real.iter_mut()) {
+            book.take(gateway(who), one.report(), now);
+        }
+        book.expire(now);
+        for at in 0..2 {
+            let online: u32 = real.iter().map(|one| one.held[at].online).sum();
+            let batch: u32 = real.iter().map(|one| one.held[at].batch).sum();
+            prop_assert_eq!(book.load(key(at as u64)), Load { online, batch });
+        }
+    }
+}
