--- a/crates/swiftshunt-lab/src/lib.rs
+++ b/crates/swiftshunt-lab/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod platform;
 pub mod proxy;
 pub mod quickstart;
-pub mod scale;
 pub mod stand_in;
 pub mod submission_worker;
 pub mod weight_store;
--- a/crates/swiftshunt-lab/src/main.rs
+++ b/crates/swiftshunt-lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The lab's command line: each stand-in as a process, and `quickstart`.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -10,11 +10,10 @@
 use swiftshunt_http::BindError;
 use swiftshunt_lab::engine::{self, EngineSettings};
 use swiftshunt_lab::harness::Binaries;
-use swiftshunt_lab::scale::ScalePlan;
 use swiftshunt_lab::stand_in::RunningStandIn;
 use swiftshunt_lab::submission_worker::{self, Behaviour};
 use swiftshunt_lab::{
-    experiment, log_service, machine_list, platform, quickstart, scale, weight_store,
+    experiment, log_service, machine_list, platform, quickstart, weight_store,
 };
 
 /// Stand-ins, load and experiments for swiftshunt.
@@ -34,7 +33,6 @@
     WeightStore(WeightStoreArguments),
     Quickstart(QuickstartArguments),
     Experiment(ExperimentArguments),
-    Scale(ScaleArguments),
 }
 
 /// run an engine stand-in
@@ -143,28 +141,6 @@
     output: PathBuf,
 }
 
-/// measure what control costs per node at several fleet sizes, with hollow nodes in this process
-#[derive(FromArgs)]
-#[argh(
-    subcommand,
-    name = "scale",
-    example = "{command_name} --size 6 --size 12 --size 24"
-)]
-struct ScaleArguments {
-    /// a fleet size; may be given several times
-    #[argh(option)]
-    size: Vec<usize>,
-    /// seconds for which each size is measured
-    #[argh(option, default = "15")]
-    seconds: u64,
-    /// engines listed for each node
-    #[argh(option, default = "2")]
-    engines_per_node: usize,
-    /// where results are written
-    #[argh(option, default = "PathBuf::from(\"target/scale\")")]
-    output: PathBuf,
-}
-
 fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
@@ -230,20 +206,6 @@
             platform::quickstart::run(&Binaries::own()?).await?;
         }
         Command::Quickstart(_) => quickstart::run().await?,
-        Command::Scale(arguments) => {
-            let plan = ScalePlan {
-                sizes: arguments.size,
-                measured: Duration::from_secs(arguments.seconds),
-                engines_per_node: arguments.engines_per_node,
-            };
-            if plan.sizes.len() > 1 {
-                return run_sizes(&plan, &arguments.output);
-            }
-            println!("{}", scale::head());
-            let points = scale::run(&plan, &Binaries::own()?, &arguments.output).await?;
-            let json = serde_json::to_string_pretty(&points)?;
-            std::fs::write(arguments.output.join("scale.json"), json)?;
-        }
         Command::Experiment(arguments) => {
             let plan = experiment::load_plan(&arguments.file)?;
             let report = experiment::run(plan, Binaries::own()?, &arguments.output).await?;
@@ -253,24 +215,6 @@
     Ok(())
 }
 
-/// Runs each size in a process of its own, so that none is measured with another's leftovers.
-fn run_sizes(plan: &ScalePlan, output: &Path) -> Result<(), Box<dyn std::error::Error>> {
-    for size in &plan.sizes {
-        let own_output = output.join(size.to_string());
-        let status = std::process::Command::new(std::env::current_exe()?)
-            .args(["scale", "--size", &size.to_string()])
-            .args(["--seconds", &plan.measured.as_secs().to_string()])
-            .args(["--engines-per-node", &plan.engines_per_node.to_string()])
-            .arg("--output")
-            .arg(own_output)
-            .status()?;
-        if !status.success() {
-            return Err(format!("the run of {size} nodes failed").into());
-        }
-    }
-    Ok(())
-}
-
 /// Announces a stand-in and stays until it ends.
 async fn stay<S>(
     started: Result<(RunningStandIn, S), BindError>,
