Choose alone where an owner of slots knows only itself; bound the questions for a slot

An owner that answered that its cell is full to a request that may wait would have been asked for ever. A gateway that counts as gone is marked so in one call.

--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -10,12 +10,12 @@
 use rand::RngCore;
 use swiftshunt_jobs::{ItemOutcome, ItemSpec, JobSpec, Progress, Settled};
 use swiftshunt_scheduler::selection::{Chosen, Class, Demand, Ending};
+use swiftshunt_scheduler::slots::ItemTimes;
 
 use super::Batch;
 use crate::attempt::{Answer, Outgoing, Patience, SendFailure};
 use crate::beliefs::lock;
 use crate::running::ItemId;
-use swiftshunt_scheduler::slots::ItemTimes;
 
 /// Pause before it is looked again whether items of a partition may be sent.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
--- a/crates/swiftshunt-gateway/src/members.rs
+++ b/crates/swiftshunt-gateway/src/members.rs
@@ -31,6 +31,16 @@
     until: Duration,
 }
 
+impl Doubt {
+    fn begin(&mut self, gateway: SocketAddr, now: Duration) {
+        let time = FIRST_DOUBT * 2_u32.pow(self.times.min(MOST_DOUBLINGS));
+        self.until = now + time.min(LONGEST_DOUBT);
+        self.times += 1;
+        log::info!(gateway = gateway.to_string().as_str(),
+            for_ms = time.as_millis() as u64; "a gateway does not answer");
+    }
+}
+
 #[derive(Default)]
 struct Known {
     /// When each was listed last.
@@ -123,11 +133,14 @@
         if doubt.misses < MISSES || now < doubt.until {
             return false;
         }
-        let time = FIRST_DOUBT * 2_u32.pow(doubt.times.min(MOST_DOUBLINGS));
-        doubt.until = now + time.min(LONGEST_DOUBT);
-        doubt.times += 1;
-        log::info!(gateway = gateway.to_string().as_str(),
-            for_ms = time.as_millis() as u64; "a gateway does not answer");
+        doubt.begin(gateway, now);
         true
     }
+
+    /// A gateway counts as gone.
+    pub(crate) fn mark_gone(&self, gateway: SocketAddr) {
+        let now = self.clock.now();
+        let mut known = lock(&self.known);
+        known.doubts.entry(gateway).or_default().begin(gateway, now);
+    }
 }
--- a/crates/swiftshunt-gateway/src/metrics.rs
+++ b/crates/swiftshunt-gateway/src/metrics.rs
@@ -36,6 +36,8 @@
     Assigned,
     /// This gateway, which owns the cell.
     Own,
+    /// This gateway: it owns the cell and knows of nobody else's requests.
+    Alone,
     /// This gateway: the owner did not answer in time.
     Late,
     /// Nobody yet: the cell has no slot.
--- a/crates/swiftshunt-gateway/src/slots/mod.rs
+++ b/crates/swiftshunt-gateway/src/slots/mod.rs
@@ -129,8 +129,9 @@
             self.metrics.slot_asked(answer);
             match verdict {
                 Some(Ok(assigned)) => return Some(self.take_up(&placing, &cell, assigned, chosen)),
+                Some(Err(NotPlaced::Full)) if is_last => return Some(chosen),
                 Some(Err(NotPlaced::Full)) => {
-                    self.is_full(&cell);
+                    self.mark_full(&cell);
                     full.push(cell);
                     others -= 1;
                 }
@@ -200,7 +201,7 @@
         cells.cloned().collect()
     }
 
-    fn is_full(&self, cell: &Cell) {
+    fn mark_full(&self, cell: &Cell) {
         let now = self.clock.now();
         lock(&self.full).insert(cell.clone(), now);
     }
@@ -231,6 +232,9 @@
         let owner = self.members.owner(cell);
         let report = self.report(cell, owner);
         if owner == self.members.own() {
+            if self.knows_only_itself(cell) {
+                return (SlotAnswer::Alone, None);
+            }
             let verdict = self.assign(cell, owner, report, &bids, may_wait);
             return (SlotAnswer::Own, Some(verdict));
         }
--- a/crates/swiftshunt-gateway/src/slots/owner.rs
+++ b/crates/swiftshunt-gateway/src/slots/owner.rs
@@ -60,6 +60,13 @@
         })
     }
 
+    /// Whether no other gateway has reported about a cell though there are others: this one has just
+    /// started or is about to stop, and its book is worse than what answers told.
+    pub(super) fn knows_only_itself(&self, cell: &Cell) -> bool {
+        let known = lock(&self.books).get(cell).map_or(0, Book::gateways);
+        known <= 1 && !self.members.others().is_empty()
+    }
+
     fn book<'b>(&self, books: &'b mut BTreeMap<Cell, Book>, cell: &Cell) -> &'b mut Book {
         books.entry(cell.clone()).or_insert_with(|| {
             log::info!(service = cell.service.as_str(), cell = cell.index, of = cell.count;
--- a/crates/swiftshunt-gateway/src/slots/reporting.rs
+++ b/crates/swiftshunt-gateway/src/slots/reporting.rs
@@ -165,7 +165,7 @@
 
     /// An owner has given no sign of life while items wait for its slots.
     fn give_up_owner(&self, owner: SocketAddr) {
-        while !self.members.missed(owner) {}
+        self.members.mark_gone(owner);
         self.metrics.slot_owners_lost.inc();
         self.beliefs.load_changed.notify_one();
     }
--- a/crates/swiftshunt-scheduler/src/slots/book.rs
+++ b/crates/swiftshunt-scheduler/src/slots/book.rs
@@ -189,6 +189,11 @@
         }
     }
 
+    /// Gateways that have reported of late.
+    pub fn gateways(&self) -> usize {
+        self.accounts.len()
+    }
+
     /// Whether nobody has reported for long.
     pub fn is_abandoned(&self, now: Duration) -> bool {
         now >= self.heard_at + REPORT_AGE
