--- a/crates/swiftshunt-gateway/src/batch/runner.rs
+++ b/crates/swiftshunt-gateway/src/batch/runner.rs
@@ -1,4 +1,4 @@
-//! Which items run here, and how many.
+//! Which items look for a slot here; the owners of cells decide which get one (`slots/`).
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -15,10 +15,11 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(40);
 /// Longest time without a look.
 const IDLE_INTERVAL: Duration = Duration::from_millis(500);
-/// Items that begin to look for a slot in one look at most.
+/// Items that begin to look for a slot in one look at most, so that a look takes no more than a few
+/// milliseconds.
 const STARTED_AT_ONCE: usize = 64;
 
-/// An item that waits.
+/// An item that has not begun to look for a slot.
 struct Waiting {
     id: ItemId,
     spec: Arc<JobSpec>,
--- a/crates/swiftshunt-gateway/src/metrics.rs
+++ b/crates/swiftshunt-gateway/src/metrics.rs
@@ -157,9 +157,9 @@
             "log_calls_relayed",
             "Calls to the log that others made for this gateway",
         );
-        let notices_sent = counter("notices_sent", "Long prompts that others were told of");
-        let notices_received = counter("notices_received", "Long prompts that others told of");
-        let notices_dropped = counter("notices_dropped", "Notices not sent or not readable");
+        let notices_sent = counter("notices_sent", "Datagrams sent to other gateways");
+        let notices_received = counter("notices_received", "Datagrams of other gateways");
+        let notices_dropped = counter("notices_dropped", "Datagrams not sent or not readable");
         let slot_owners_lost = counter(
             "slot_owners_lost",
             "Times that an owner of slots did not answer any more",
--- a/crates/swiftshunt-gateway/src/slots/queue.rs
+++ b/crates/swiftshunt-gateway/src/slots/queue.rs
@@ -11,7 +11,8 @@
 
 use crate::beliefs::lock;
 
-/// Time after which an item that waits for a slot of one cell waits for one of another.
+/// Time after which an item that waits for a slot of one cell waits for one of another: a few times
+/// the way to its owner and back, and short against the time of an item.
 const NEXT_CELL_AFTER: Duration = Duration::from_millis(400);
 
 /// A slot that was granted.
@@ -22,6 +23,7 @@
     pub(crate) number: u64,
 }
 
+/// An item's entry.
 struct Entry {
     /// Differs between items; decides in which cell it waits first.
     draw: u64,
