--- a/crates/swiftshunt/tests/gateway_changes.rs
+++ b/crates/swiftshunt/tests/gateway_changes.rs
@@ -138,6 +138,26 @@
     assert_eq!(fleet.whole[0].runs().len(), before);
 }
 
+/// What was read of a leaving worker holds on while the store is away.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_worker_gets_nothing_while_the_store_is_down() {
+    let fleet = start(PlatformOptions::default()).await;
+    fleet.list(&fleet.whole[0], "whole", values::DRAINING);
+    tokio::time::sleep(OBEY_WITHIN).await;
+    for gateway in &fleet.gateways {
+        gateway.door.set(gateway::down());
+    }
+    let before = fleet.whole[0].runs().len();
+    for number in 0..40 {
+        let gateway = fleet.gateways[number % 2].callers;
+        let id = format!("r{number}");
+        let answer = fleet.caller.ask(gateway, ASK, &id, DEADLINE).await;
+        assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+        tokio::time::sleep(Duration::from_millis(60)).await;
+    }
+    assert_eq!(fleet.whole[0].runs().len(), before);
+}
+
 /// Found on the bench: workers whose entries do not change were passed over for new ones.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_new_worker_does_not_draw_every_request() {
