--- a/crates/swiftshunt-scheduler/src/cells.rs
+++ b/crates/swiftshunt-scheduler/src/cells.rs
@@ -128,9 +128,13 @@
         service_ms(self.services.get(service))
     }
 
+    fn ready_by_key(&self, service: &str, key: WorkerKey) -> Option<&Candidate> {
+        self.ready(service).find(|candidate| candidate.key == key)
+    }
+
     /// The worker that an owner assigned, if it still takes new work.
     pub fn assigned(&self, service: &str, key: WorkerKey, now: Duration) -> Option<Chosen> {
-        let candidate = self.ready(service).find(|candidate| candidate.key == key)?;
+        let candidate = self.ready_by_key(service, key)?;
         Some(self.chosen(candidate, 0, true, now))
     }
 
@@ -142,7 +146,7 @@
         demand: &Demand,
         now: Duration,
     ) -> Option<Chosen> {
-        let candidate = self.ready(service).find(|candidate| candidate.key == key)?;
+        let candidate = self.ready_by_key(service, key)?;
         let missing = missing_tokens(candidate, demand);
         Some(self.chosen(candidate, missing, demand.prompt_tokens > 0, now))
     }
--- a/crates/swiftshunt-scheduler/src/quota.rs
+++ b/crates/swiftshunt-scheduler/src/quota.rs
@@ -23,7 +23,6 @@
     partitions: BTreeMap<u32, Waiting>,
     /// Jobs that were admitted and may not show in a report yet.
     admitted: HashMap<String, Waiting>,
-    opened_at: Option<Duration>,
 }
 
 /// What is decided about a job.
@@ -38,7 +37,6 @@
 impl Quota {
     /// Takes the tokens that wait in each of some partitions.
     pub fn report(&mut self, partitions: impl IntoIterator<Item = (u32, u64)>, now: Duration) {
-        self.opened_at.get_or_insert(now);
         for (partition, tokens) in partitions {
             self.partitions
                 .insert(partition, Waiting { tokens, at: now });
