--- a/crates/swiftshunt-lab/src/harness/process.rs
+++ b/crates/swiftshunt-lab/src/harness/process.rs
@@ -122,6 +122,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// SIGHUP: the settings file has changed.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// The exit status, once the process has ended.
     pub fn exit_status(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().ok().flatten()
--- a/crates/swiftshunt-lab/src/lib.rs
+++ b/crates/swiftshunt-lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod platform;
 pub mod proxy;
 pub mod quickstart;
+pub mod soak;
 pub mod stand_in;
 pub mod submission_worker;
 pub mod weight_store;
--- a/crates/swiftshunt-lab/src/main.rs
+++ b/crates/swiftshunt-lab/src/main.rs
@@ -10,9 +10,12 @@
 use swiftshunt_http::BindError;
 use swiftshunt_lab::engine::{self, EngineSettings};
 use swiftshunt_lab::harness::Binaries;
+use swiftshunt_lab::platform::process;
 use swiftshunt_lab::stand_in::RunningStandIn;
 use swiftshunt_lab::submission_worker::{self, Behaviour};
-use swiftshunt_lab::{experiment, log_service, machine_list, platform, quickstart, weight_store};
+use swiftshunt_lab::{
+    experiment, log_service, machine_list, platform, quickstart, soak, weight_store,
+};
 
 /// Stand-ins, load and experiments for swiftshunt.
 #[derive(FromArgs)]
@@ -31,6 +34,9 @@
     WeightStore(WeightStoreArguments),
     Quickstart(QuickstartArguments),
     Experiment(ExperimentArguments),
+    PlatformStore(process::StoreArguments),
+    PlatformWorker(process::WorkerArguments),
+    Soak(soak::command::SoakArguments),
 }
 
 /// run an engine stand-in
@@ -150,7 +156,7 @@
 async fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     match run(arguments.command).await {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(error) => {
             eprintln!("swiftshunt-lab: {error}");
             ExitCode::from(EXIT_FAILURE)
@@ -158,7 +164,7 @@
     }
 }
 
-async fn run(command: Command) -> Result<(), Box<dyn std::error::Error>> {
+async fn run(command: Command) -> Result<ExitCode, Box<dyn std::error::Error>> {
     match command {
         Command::Engine(arguments) => {
             let started = engine::start(arguments.listen, arguments.settings()).await;
@@ -209,8 +215,11 @@
             let report = experiment::run(plan, Binaries::own()?, &arguments.output).await?;
             print!("{}", report.text());
         }
+        Command::PlatformStore(arguments) => process::run_store(&arguments).await?,
+        Command::PlatformWorker(arguments) => process::run_worker(arguments).await?,
+        Command::Soak(arguments) => return Ok(soak::command::run(arguments).await?),
     }
-    Ok(())
+    Ok(ExitCode::SUCCESS)
 }
 
 /// Announces a stand-in and stays until it ends.
--- a/crates/swiftshunt-lab/src/platform/fleet.rs
+++ b/crates/swiftshunt-lab/src/platform/fleet.rs
@@ -102,7 +102,8 @@
     }
 }
 
-fn route(path: &str, kind: &str, service: &str) -> RouteDocument {
+/// A route of the callers' host.
+pub(crate) fn route(path: &str, kind: &str, service: &str) -> RouteDocument {
     RouteDocument {
         name: path.trim_matches('/').to_owned(),
         host: HOST.to_owned(),
@@ -211,7 +212,14 @@
         let index = self.gateways.len();
         let settings = self.scratch.join(format!("gateway-{index}.toml"));
         let peers = free_address()?;
-        let text = settings_text(index, peers, door.address, self.lease, more_settings);
+        let text = settings_text(
+            index,
+            peers,
+            door.address,
+            PARTITIONS,
+            self.lease,
+            more_settings,
+        );
         std::fs::write(&settings, text)?;
         let gateway = self.run(settings, door)?;
         self.gateways.push(gateway);
@@ -321,7 +329,7 @@
 const PORT_TRIES: usize = 100;
 
 /// An address that a gateway keeps when it starts again: others know it by this.
-fn free_address() -> std::io::Result<SocketAddr> {
+pub(crate) fn free_address() -> std::io::Result<SocketAddr> {
     let mut last = std::io::Error::from(std::io::ErrorKind::AddrInUse);
     for _ in 0..PORT_TRIES {
         let port = rand::random_range(FIXED_PORTS);
@@ -335,10 +343,12 @@
     Err(last)
 }
 
-fn settings_text(
+/// The settings file of a gateway.
+pub(crate) fn settings_text(
     index: usize,
     peers: SocketAddr,
     store: SocketAddr,
+    partitions: u32,
     lease: Duration,
     more: &str,
 ) -> String {
@@ -354,7 +364,7 @@
 
 [log]
 address = "{store}"
-partitions = {PARTITIONS}
+partitions = {partitions}
 record_bytes = 262144
 append_bytes = 2097152
 shortest_lease = "{lease}ms"
--- a/crates/swiftshunt-lab/src/platform/server.rs
+++ b/crates/swiftshunt-lab/src/platform/server.rs
@@ -1,7 +1,7 @@
 //! A small HTTP server whose handler may also break connections off.
 
 use std::future::Future;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -23,6 +23,11 @@
 /// A body that may break off.
 pub(crate) type Body = UnsyncBoxBody<Bytes, BrokenOff>;
 
+/// A port of the loopback address that the system chooses.
+pub(crate) fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
 /// A whole body.
 pub(crate) fn whole(bytes: impl Into<Bytes>) -> Body {
     http_body_util::Full::new(bytes.into())
@@ -30,8 +35,9 @@
         .boxed_unsync()
 }
 
-/// Serves on a loopback port that the system chooses, until `stop`.
+/// Serves at `listen`, until `stop`; port 0 lets the system choose.
 pub(crate) async fn serve<Handler, Answer>(
+    listen: SocketAddr,
     stop: CancellationToken,
     handler: Handler,
 ) -> std::io::Result<SocketAddr>
@@ -39,7 +45,7 @@
     Handler: Fn(Request<Incoming>) -> Answer + Clone + Send + 'static,
     Answer: Future<Output = Result<Response<Body>, BrokenOff>> + Send + 'static,
 {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    let listener = TcpListener::bind(listen).await?;
     let address = listener.local_addr()?;
     tokio::spawn(async move {
         loop {
--- a/crates/swiftshunt-lab/src/platform/store.rs
+++ b/crates/swiftshunt-lab/src/platform/store.rs
@@ -16,7 +16,7 @@
 use hyper::{Request, Response, StatusCode};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use swiftshunt_platform::documents::{
     AppendedDocument, JoinDocument, JoinedDocument, LeaveDocument, NewestDocument, OwnersDocument,
     RecordDocument,
@@ -26,11 +26,12 @@
 use tokio_util::sync::CancellationToken;
 
 use super::groups::Group;
-use super::server::{Body, BrokenOff, serve, whole};
+use super::server::{Body, BrokenOff, any_port, serve, whole};
 use crate::stand_in::lock;
 
 /// How a store that is down behaves.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Down {
     /// It does not answer.
     Silent,
@@ -41,7 +42,8 @@
 }
 
 /// Faults of one door.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct StoreFaults {
     /// The store is down.
     pub down: Option<Down>,
@@ -106,6 +108,13 @@
     random: Mutex<StdRng>,
 }
 
+/// Where a test sets the faults of the door that it calls (a body of [`StoreFaults`]).
+pub const CONTROL_FAULTS: &str = "/stand-in/faults";
+/// Where a test has the store drop its history.
+pub const CONTROL_DROP_HISTORY: &str = "/stand-in/drop-history";
+/// Where a test has the store deal all partitions anew.
+pub const CONTROL_DEAL_ANEW: &str = "/stand-in/deal-anew";
+
 /// A door of a store.
 #[derive(Clone)]
 pub struct Door {
@@ -153,7 +162,7 @@
         let faults = Arc::new(Mutex::new(StoreFaults::default()));
         let of_door = Arc::clone(&faults);
         let shared = Arc::clone(&self.shared);
-        let address = serve(self.stop.clone(), move |request| {
+        let address = serve(any_port(), self.stop.clone(), move |request| {
             let shared = Arc::clone(&shared);
             let faults = Arc::clone(&of_door);
             async move { answer(shared, faults, request).await }
@@ -170,18 +179,12 @@
 
     /// Drops the history of every partition: only the newest record of each key is left.
     pub fn drop_history(&self) {
-        for partition in lock(&self.shared.state).partitions.values_mut() {
-            partition.records.clear();
-            partition.first_kept = partition.end;
-        }
-        self.shared.changed.send_modify(|version| *version += 1);
+        self.shared.drop_history();
     }
 
     /// Deals all partitions of all groups anew, each to the member behind its present one.
     pub fn deal_anew(&self) {
-        for group in lock(&self.shared.state).groups.values_mut() {
-            group.deal_anew();
-        }
+        self.shared.deal_anew();
     }
 
     /// Calls that came so far.
@@ -199,6 +202,20 @@
 }
 
 impl Shared {
+    fn drop_history(&self) {
+        for partition in lock(&self.state).partitions.values_mut() {
+            partition.records.clear();
+            partition.first_kept = partition.end;
+        }
+        self.changed.send_modify(|version| *version += 1);
+    }
+
+    fn deal_anew(&self) {
+        for group in lock(&self.state).groups.values_mut() {
+            group.deal_anew();
+        }
+    }
+
     fn append(&self, topic: &str, partition: u32, records: Vec<(Vec<u8>, Bytes)>) -> (u64, u64) {
         let appended = {
             let mut state = lock(&self.state);
@@ -217,6 +234,9 @@
     faults: Arc<Mutex<StoreFaults>>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, BrokenOff> {
+    if request.uri().path().starts_with(CONTROL) {
+        return control(&shared, &faults, request).await;
+    }
     lock(&shared.state).calls += 1;
     let now = lock(&faults).clone();
     tokio::time::sleep(now.delay).await;
@@ -242,6 +262,30 @@
     }
 }
 
+/// Beginning of the paths that tests call.
+const CONTROL: &str = "/stand-in/";
+
+/// Obeys a test.
+async fn control(
+    shared: &Shared,
+    faults: &Mutex<StoreFaults>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, BrokenOff> {
+    let path = request.uri().path().to_owned();
+    let body = request.into_body().collect().await;
+    let body = body.map_err(|_| BrokenOff)?.to_bytes();
+    match path.as_str() {
+        CONTROL_FAULTS => match serde_json::from_slice(&body) {
+            Ok(wanted) => *lock(faults) = wanted,
+            Err(_) => return Ok(status(StatusCode::BAD_REQUEST)),
+        },
+        CONTROL_DROP_HISTORY => shared.drop_history(),
+        CONTROL_DEAL_ANEW => shared.deal_anew(),
+        _ => return Ok(status(StatusCode::NOT_FOUND)),
+    }
+    Ok(status(StatusCode::OK))
+}
+
 /// Names and values of a query.
 struct Query(HashMap<String, String>);
 
--- a/crates/swiftshunt-lab/src/platform/worker.rs
+++ b/crates/swiftshunt-lab/src/platform/worker.rs
@@ -10,15 +10,17 @@
 use hyper::body::{Frame, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
 use swiftshunt_platform::words::headers;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
 
-use super::server::{Body, BrokenOff, serve, whole};
+use super::server::{Body, BrokenOff, any_port, serve, whole};
 use crate::stand_in::lock;
 
 /// What a worker does with the next requests.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Manner {
     /// Serves them.
     #[default]
@@ -60,6 +62,24 @@
     pub pause: Duration,
 }
 
+/// Where a test sets a worker's manner (a body of [`Manner`]).
+pub const CONTROL_MANNER: &str = "/stand-in/manner";
+
+/// What is told about a run as it happens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RunEvent {
+    /// The request came; it may wait for a slot.
+    Arrived,
+    /// It got a slot.
+    Began,
+    /// It left its slot.
+    Ended,
+}
+
+/// Takes what happens to runs, at once and in order.
+pub type RunWatcher = Arc<dyn Fn(RunEvent, &Run) + Send + Sync>;
+
 /// One run of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Run {
@@ -77,6 +97,7 @@
 
 struct Shared {
     settings: WorkerSettings,
+    watcher: RunWatcher,
     manner: Mutex<Manner>,
     runs: Mutex<Vec<Run>>,
     slots: Arc<Semaphore>,
@@ -88,6 +109,19 @@
     }
 }
 
+/// A slot, held until this is dropped.
+struct HeldSlot {
+    _permit: OwnedSemaphorePermit,
+    shared: Arc<Shared>,
+    run: Run,
+}
+
+impl Drop for HeldSlot {
+    fn drop(&mut self) {
+        (self.shared.watcher)(RunEvent::Ended, &self.run);
+    }
+}
+
 /// The stand-in.
 pub struct Worker {
     /// Where it listens.
@@ -105,15 +139,25 @@
 impl Worker {
     /// Starts a worker.
     pub async fn start(settings: WorkerSettings) -> std::io::Result<Self> {
+        Self::start_watched(any_port(), settings, Arc::new(|_, _| {})).await
+    }
+
+    /// Starts a worker at an address, and tells `watcher` what happens to its runs.
+    pub async fn start_watched(
+        listen: SocketAddr,
+        settings: WorkerSettings,
+        watcher: RunWatcher,
+    ) -> std::io::Result<Self> {
         let stop = CancellationToken::new();
         let shared = Arc::new(Shared {
             slots: Arc::new(Semaphore::new(settings.slots)),
             settings,
+            watcher,
             manner: Mutex::default(),
             runs: Mutex::default(),
         });
         let of_server = Arc::clone(&shared);
-        let address = serve(stop.clone(), move |request| {
+        let address = serve(listen, stop.clone(), move |request| {
             answer(Arc::clone(&of_server), request)
         })
         .await?;
@@ -172,10 +216,27 @@
     answer_with(status, &set, whole(Bytes::new()))
 }
 
+/// Obeys a test.
+async fn control(shared: &Shared, request: Request<Incoming>) -> Result<Response<Body>, BrokenOff> {
+    let body = request.into_body().collect().await;
+    let wanted = serde_json::from_slice(&body.map_err(|_| BrokenOff)?.to_bytes());
+    let status = match wanted {
+        Ok(manner) => {
+            *lock(&shared.manner) = manner;
+            StatusCode::OK
+        }
+        Err(_) => StatusCode::BAD_REQUEST,
+    };
+    Ok(answer_with(status, &[], whole(Bytes::new())))
+}
+
 async fn answer(
     shared: Arc<Shared>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, BrokenOff> {
+    if request.uri().path() == CONTROL_MANNER {
+        return control(&shared, request).await;
+    }
     let id = text(request.headers(), headers::REQUEST_ID).unwrap_or("");
     let id = id.to_owned();
     let manner = *lock(&shared.manner);
@@ -201,8 +262,15 @@
         ended: false,
     };
     // A slot is held for as long as the answer is made; the semaphore is never closed.
+    (shared.watcher)(RunEvent::Arrived, &run);
     let slots = Arc::clone(&shared.slots);
-    let slot = slots.acquire_owned().await.map_err(|_| BrokenOff)?;
+    let permit = slots.acquire_owned().await.map_err(|_| BrokenOff)?;
+    (shared.watcher)(RunEvent::Began, &run);
+    let slot = HeldSlot {
+        _permit: permit,
+        shared: Arc::clone(&shared),
+        run: run.clone(),
+    };
     let index = {
         let mut runs = lock(&shared.runs);
         runs.push(run);
@@ -258,7 +326,7 @@
 
 fn stream(
     shared: &Arc<Shared>,
-    slot: OwnedSemaphorePermit,
+    slot: HeldSlot,
     index: usize,
     id: &str,
     events: u64,
--- a/crates/swiftshunt-lab/src/proxy.rs
+++ b/crates/swiftshunt-lab/src/proxy.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -19,7 +20,8 @@
 const BUFFER: usize = 64 * 1024;
 
 /// What a link does to its connections.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Fault {
     /// Passes everything on.
     #[default]
@@ -32,6 +34,10 @@
     Freeze,
     /// Passes requests on and discards answers.
     DropAnswers,
+    /// Passes answers on and discards requests.
+    DropRequests,
+    /// Passes half of the next answer's bytes on and resets the connection.
+    Truncate,
 }
 
 /// Rules of one link.
@@ -194,6 +200,12 @@
         }
         match view.current() {
             Fault::DropAnswers if answers => continue,
+            Fault::DropRequests if !answers => continue,
+            Fault::Truncate if answers => {
+                drop(to.write_all(&buffer[..length / 2]).await);
+                drop(to.as_ref().set_zero_linger());
+                return;
+            }
             Fault::Delay(delay) => tokio::time::sleep(delay).await,
             Fault::Freeze => view.thawed().await,
             Fault::Cut => return,
--- /dev/null
+++ b/crates/swiftshunt-lab/src/soak/command.rs
@@ -0,0 +1,186 @@
+//! `swiftshunt-lab soak`.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+use super::history::History;
+use super::plan::Plan;
+use super::promises::{ALL, Promise, Verdict, judge};
+use super::{SoakError, play, report};
+use crate::harness::Binaries;
+
+/// Length of a round, in minutes.
+const ROUND_MINUTES: f64 = 0.75;
+
+/// run real gateways under a random plan of faults and check what must hold
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "soak",
+    example = "{command_name} --minutes 10\n{command_name} --seed 42 --only not-run\n{command_name} --replay target/soak/42/shrunk.json"
+)]
+pub struct SoakArguments {
+    /// seed of the first round; each round after it has the next one. Drawn if left out
+    #[argh(option)]
+    seed: Option<u64>,
+    /// how long to go on, in minutes; a round is begun as long as time is left
+    #[argh(option, default = "1.0")]
+    minutes: f64,
+    /// a promise to check; may be given more than once, all are if it is left out
+    #[argh(option)]
+    only: Vec<Promise>,
+    /// play a written plan instead
+    #[argh(option)]
+    replay: Option<PathBuf>,
+    /// where plans, histories, logs and plots are written
+    #[argh(option, default = "PathBuf::from(\"target/soak\")")]
+    output: PathBuf,
+    /// plays at most to make the plan of a broken round smaller; 0 for none
+    #[argh(option, default = "8")]
+    shrink: usize,
+}
+
+/// Runs the soak; fails if a promise was broken.
+pub async fn run(arguments: SoakArguments) -> Result<ExitCode, SoakError> {
+    let soak = Soak {
+        binaries: Binaries::own()?,
+        promises: if arguments.only.is_empty() {
+            ALL.to_vec()
+        } else {
+            arguments.only
+        },
+        output: arguments.output,
+        shrink: arguments.shrink,
+    };
+    if let Some(file) = arguments.replay {
+        let text = std::fs::read_to_string(file)?;
+        let plan = serde_json::from_str(&text).map_err(std::io::Error::other)?;
+        let is_kept = soak.round(plan).await?;
+        return Ok(verdict(usize::from(!is_kept), 1));
+    }
+    let until =
+        std::time::Instant::now() + std::time::Duration::from_secs_f64(arguments.minutes * 60.0);
+    let first = arguments
+        .seed
+        .unwrap_or_else(|| u64::from(rand::random::<u32>()));
+    let (mut broken, mut played) = (0, 0);
+    while played == 0 || std::time::Instant::now() < until {
+        let plan = Plan::draw(first + played as u64, ROUND_MINUTES);
+        broken += usize::from(!soak.round(plan).await?);
+        played += 1;
+    }
+    Ok(verdict(broken, played))
+}
+
+fn verdict(broken: usize, played: usize) -> ExitCode {
+    println!("{played} rounds, {broken} with a broken promise");
+    if broken == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+struct Soak {
+    binaries: Binaries,
+    promises: Vec<Promise>,
+    output: PathBuf,
+    shrink: usize,
+}
+
+impl Soak {
+    /// Plays a plan and tells what came of it; whether everything held.
+    async fn round(&self, plan: Plan) -> Result<bool, SoakError> {
+        let folder = self.output.join(plan.seed.to_string());
+        let verdicts = self.play_in(&plan, &folder).await?;
+        let broken: Vec<Promise> = verdicts
+            .iter()
+            .filter(|verdict| !verdict.breaks.is_empty())
+            .map(|verdict| verdict.promise)
+            .collect();
+        if broken.is_empty() {
+            return Ok(true);
+        }
+        self.explain(&verdicts, &folder);
+        let shrunk = self.shrink(plan, &broken, &folder).await?;
+        write_json(&folder.join("shrunk.json"), &shrunk)?;
+        println!(
+            "  {} faults are enough: {}",
+            shrunk.faults.len(),
+            folder.join("shrunk.json").display()
+        );
+        Ok(false)
+    }
+
+    async fn play_in(&self, plan: &Plan, folder: &Path) -> Result<Vec<Verdict>, SoakError> {
+        if folder.exists() {
+            std::fs::remove_dir_all(folder)?;
+        }
+        std::fs::create_dir_all(folder)?;
+        write_json(&folder.join("plan.json"), plan)?;
+        let history = play(plan.clone(), self.binaries.clone(), folder.join("logs")).await?;
+        write_json(&folder.join("history.json"), &history)?;
+        let verdicts = self.judge(&history);
+        let report = report::Report::new(plan, &history, &verdicts);
+        print!("{}", report.text());
+        write_json(&folder.join("report.json"), &report)?;
+        if let Err(error) = report::plot(&history, &folder.join("outcomes.svg")) {
+            eprintln!("the plot is not drawn: {error}");
+        }
+        Ok(verdicts)
+    }
+
+    fn judge(&self, history: &History) -> Vec<Verdict> {
+        let promises = self.promises.iter();
+        promises.map(|promise| judge(*promise, history)).collect()
+    }
+
+    /// Writes the timeline of the first thing that broke of each promise.
+    fn explain(&self, verdicts: &[Verdict], folder: &Path) {
+        let files = std::fs::read_dir(folder.join("logs")).into_iter().flatten();
+        let paths = files.filter_map(|file| Some(file.ok()?.path()));
+        let is_log = |path: &PathBuf| {
+            path.to_string_lossy().contains("gateway-")
+                && path.extension().is_some_and(|it| it == "log")
+        };
+        let logs: Vec<PathBuf> = paths.filter(is_log).collect();
+        for one in verdicts.iter().filter_map(|verdict| verdict.breaks.first()) {
+            let subject = one.subject.split(' ').next().unwrap_or_default();
+            let timeline = report::explain(&self.binaries.node, subject, &logs);
+            println!("  {} {}:\n{timeline}", one.promise, one.subject);
+        }
+    }
+
+    /// Leaves faults out one by one for as long as one of the promises still breaks.
+    async fn shrink(
+        &self,
+        mut plan: Plan,
+        broken: &[Promise],
+        folder: &Path,
+    ) -> Result<Plan, SoakError> {
+        let mut plays = 0;
+        let mut index = 0;
+        while index < plan.faults.len() && plays < self.shrink {
+            let mut smaller = plan.clone();
+            smaller.faults.remove(index);
+            let verdicts = self.play_in(&smaller, &folder.join("shrink")).await?;
+            plays += 1;
+            let still = verdicts
+                .iter()
+                .any(|it| broken.contains(&it.promise) && !it.breaks.is_empty());
+            if still {
+                plan = smaller;
+            } else {
+                index += 1;
+            }
+        }
+        Ok(plan)
+    }
+}
+
+fn write_json(file: &Path, value: &impl serde::Serialize) -> Result<(), SoakError> {
+    let text = serde_json::to_vec_pretty(value).map_err(std::io::Error::other)?;
+    Ok(std::fs::write(file, text)?)
+}
--- /dev/null
+++ b/crates/swiftshunt-lab/src/soak/journal.rs
@@ -0,0 +1,22 @@
+//! What worker processes wrote about their runs.
+
+use std::path::Path;
+
+use super::history::RunRecord;
+use crate::platform::process::RunLine;
+
+/// Reads the runs in a worker's output; lines that are something else are passed over.
+pub(super) fn read(file: &Path, round_began: u64) -> std::io::Result<Vec<RunRecord>> {
+    let text = std::fs::read_to_string(file)?;
+    let lines = text.lines().filter_map(|line| {
+        let line: RunLine = serde_json::from_str(line).ok()?;
+        Some(RunRecord {
+            event: line.run,
+            incarnation: line.incarnation,
+            id: line.id,
+            path: line.path,
+            at: line.at.saturating_sub(round_began),
+        })
+    });
+    Ok(lines.collect())
+}
--- /dev/null
+++ b/crates/swiftshunt-lab/src/soak/load.rs
@@ -0,0 +1,124 @@
+//! Callers and job senders whose arrivals do not wait for answers.
+
+mod jobs;
+mod online;
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use rand::Rng;
+use swiftshunt_http::HttpError;
+use tokio_util::task::TaskTracker;
+
+use super::history::{Ending, JobHistory, OnlineCall};
+use super::stage::Stage;
+use crate::platform::caller::PlatformCaller;
+use crate::stand_in::lock;
+
+/// Pause between requests on routes that configurations brought.
+const MARKER_PAUSE: Duration = Duration::from_millis(60);
+/// Longest wait for jobs to be over once nothing is disturbed any more.
+const FINISH: Duration = Duration::from_secs(25);
+
+/// What callers saw.
+#[derive(Default)]
+struct Seen {
+    online: Vec<OnlineCall>,
+    jobs: Vec<JobHistory>,
+}
+
+/// The callers of a round.
+pub(super) struct Load {
+    stage: Arc<Stage>,
+    caller: PlatformCaller,
+    seen: Mutex<Seen>,
+    tasks: TaskTracker,
+    finish_by: Mutex<Option<tokio::time::Instant>>,
+}
+
+impl Load {
+    pub(super) fn new(stage: Arc<Stage>) -> Arc<Self> {
+        Arc::new(Self {
+            stage,
+            caller: PlatformCaller::default(),
+            seen: Mutex::default(),
+            tasks: TaskTracker::new(),
+            finish_by: Mutex::default(),
+        })
+    }
+
+    /// Sends load for as long as the plan says.
+    pub(super) async fn send(self: &Arc<Self>) {
+        let time = Duration::from_millis(self.stage.plan.load_ms);
+        let sending = async {
+            tokio::join!(self.send_requests(), self.send_markers(), self.send_heaps());
+        };
+        // Sending does not end by itself.
+        drop(tokio::time::timeout(time, sending).await);
+    }
+
+    async fn send_requests(self: &Arc<Self>) {
+        let began = tokio::time::Instant::now();
+        loop {
+            let rate = self.rate(began.elapsed());
+            let uniform: f64 = rand::rng().random_range(f64::EPSILON..1.0);
+            tokio::time::sleep(Duration::from_secs_f64(-uniform.ln() / rate)).await;
+            let load = Arc::clone(self);
+            self.tasks.spawn(async move { load.ask_something().await });
+        }
+    }
+
+    /// Requests a second, in waves.
+    fn rate(&self, at: Duration) -> f64 {
+        let plan = &self.stage.plan;
+        let turns = at.as_millis() as f64 / plan.wave_ms as f64;
+        let height = (turns * std::f64::consts::TAU).sin().max(0.0);
+        plan.requests_per_s * (1.0 + plan.wave_height * height)
+    }
+
+    async fn send_markers(self: &Arc<Self>) {
+        loop {
+            tokio::time::sleep(MARKER_PAUSE).await;
+            let load = Arc::clone(self);
+            self.tasks.spawn(async move { load.ask_marker().await });
+        }
+    }
+
+    async fn send_heaps(self: &Arc<Self>) {
+        let plan = &self.stage.plan;
+        for heap in 0.. {
+            for job in 0..plan.heap_jobs {
+                let load = Arc::clone(self);
+                let id = format!("job-{heap}-{job}");
+                self.tasks.spawn(async move { load.run_job(id).await });
+            }
+            tokio::time::sleep(Duration::from_millis(plan.heap_ms)).await;
+        }
+    }
+
+    /// Waits until every call and every job is over; jobs that are not after a while stay open.
+    pub(super) async fn finish(&self) {
+        *lock(&self.finish_by) = Some(tokio::time::Instant::now() + FINISH);
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+
+    fn is_finished(&self) -> bool {
+        let by = *lock(&self.finish_by);
+        by.is_some_and(|by| tokio::time::Instant::now() >= by)
+    }
+
+    /// What callers saw.
+    pub(super) fn seen(&self) -> (Vec<OnlineCall>, Vec<JobHistory>) {
+        let seen = std::mem::take(&mut *lock(&self.seen));
+        (seen.online, seen.jobs)
+    }
+}
+
+/// How a failed call ended.
+fn failure(error: &HttpError) -> Ending {
+    match error {
+        HttpError::TimedOut { .. } => Ending::Unanswered,
+        _ => Ending::Broken,
+    }
+}
--- /dev/null
+++ b/crates/swiftshunt-lab/src/soak/load/online.rs
@@ -0,0 +1,93 @@
+//! Online requests.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use swiftshunt_http::HttpAnswer;
+
+use super::{Load, failure};
+use crate::platform::fleet::{ASK, ONCE, STREAM, STREAM_ONCE};
+use crate::platform::worker::event_data;
+use crate::soak::history::{Ending, OnlineCall, OnlineKind};
+use crate::soak::stage::{EVENTS, marker};
+use crate::stand_in::lock;
+
+/// Times that callers allow, in milliseconds.
+const DEADLINES: std::ops::Range<u64> = 1_500..7_000;
+/// How much longer a caller listens: an answer that comes late is still seen.
+const LISTENS_ON: Duration = Duration::from_secs(3);
+
+impl Load {
+    /// One request of a kind that is drawn.
+    pub(super) async fn ask_something(self: &Arc<Self>) {
+        let (kind, path) = match rand::rng().random_range(0..10) {
+            0..=2 => (OnlineKind::Ask, ASK),
+            3..=4 => (OnlineKind::Once, ONCE),
+            5..=7 => (OnlineKind::Stream, STREAM),
+            _ => (OnlineKind::StreamOnce, STREAM_ONCE),
+        };
+        self.ask(kind, path.to_owned()).await;
+    }
+
+    /// One request on the route that the newest configuration brought.
+    pub(super) async fn ask_marker(self: &Arc<Self>) {
+        let Some(configured) = self.stage.configured() else {
+            return;
+        };
+        let version = configured.version;
+        self.ask(OnlineKind::Marker { version }, marker(version))
+            .await;
+    }
+
+    async fn ask(&self, kind: OnlineKind, path: String) {
+        let gateway = self.stage.some_gateway();
+        let id = format!("r-{:016x}", rand::random::<u64>());
+        let deadline = rand::rng().random_range(DEADLINES);
+        let allowed = Duration::from_millis(deadline);
+        let (life, sent) = (self.stage.life(gateway), self.stage.now());
+        let asked = self
+            .caller
+            .ask(self.stage.callers(gateway), &path, &id, allowed);
+        let answer = tokio::time::timeout(allowed + LISTENS_ON, asked).await;
+        let ending = match answer {
+            Err(_) => Ending::Unanswered,
+            Ok(Err(error)) => failure(&error),
+            Ok(Ok(answer)) => Ending::Answered {
+                status: answer.status.as_u16(),
+                whole: answer.body == expected(kind, &id) && is_signed(&answer),
+            },
+        };
+        let call = OnlineCall {
+            id,
+            path,
+            kind,
+            gateway,
+            life,
+            sent,
+            ended: self.stage.now(),
+            deadline,
+            ending,
+        };
+        lock(&self.seen).online.push(call);
+    }
+}
+
+fn is_signed(answer: &HttpAnswer) -> bool {
+    let signature = swiftshunt_platform::words::headers::SIGNATURE;
+    answer.headers.contains_key(signature)
+}
+
+/// The worker's whole answer.
+fn expected(kind: OnlineKind, id: &str) -> String {
+    match kind {
+        OnlineKind::Ask | OnlineKind::Once | OnlineKind::Marker { .. } => {
+            format!("answer to {id}")
+        }
+        OnlineKind::Stream | OnlineKind::StreamOnce => {
+            let events = 0..EVENTS;
+            let event = |event| format!("id: {event}\ndata: {}\n\n", event_data(id, event));
+            events.map(event).collect()
+        }
+    }
+}
--- /dev/null
+++ b/crates/swiftshunt-lab/src/soak/plan.rs
@@ -0,0 +1,346 @@
+//! What a round of the soak plays: drawn from a seed, written out before it starts.
+
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
+
+use crate::platform::store::{Down, StoreFaults};
+use crate::platform::worker::Manner;
+use crate::proxy::Fault;
+
+/// Time without faults at the beginning: gateways hear of each other.
+const WARM_UP: Duration = Duration::from_secs(4);
+/// Time without faults before the load ends.
+const CALM_END: Duration = Duration::from_secs(7);
+/// Faults of a round, a minute.
+const FAULTS_A_MINUTE: std::ops::Range<u32> = 10..18;
+/// Shortest and longest fault, in milliseconds: from less than a time-out to more than a lease.
+const FAULT_MS: std::ops::Range<u64> = 150..6_000;
+/// Delay after an acknowledgement of faults that come at the worst moment, in milliseconds.
+const WORST_MOMENT_MS: std::ops::Range<u64> = 0..12;
+
+/// A round.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Plan {
+    /// The seed that it was drawn from.
+    pub seed: u64,
+    /// Gateways.
+    pub gateways: usize,
+    /// Workers of each service.
+    pub workers: usize,
+    /// Slots of each worker.
+    pub slots: usize,
+    /// How long load is sent.
+    pub load_ms: u64,
+    /// Online requests a second at the foot of a wave.
+    pub requests_per_s: f64,
+    /// A wave's height: so many times the foot.
+    pub wave_height: f64,
+    /// From one wave to the next.
+    pub wave_ms: u64,
+    /// From one heap of jobs to the next.
+    pub heap_ms: u64,
+    /// Jobs of a heap.
+    pub heap_jobs: usize,
+    /// Items of a job.
+    pub job_items: usize,
+    /// What goes wrong.
+    pub faults: Vec<Step>,
+}
+
+/// A fault and its time.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Step {
+    /// When, from the start of the load.
+    pub at_ms: u64,
+    /// Waits, from then on, for the next of these, and comes this much later.
+    #[serde(default)]
+    pub after: Option<(Moment, u64)>,
+    /// How long it lasts.
+    pub for_ms: u64,
+    /// What.
+    pub disruption: Disruption,
+}
+
+/// What a fault may follow at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Moment {
+    /// A job was accepted.
+    JobAccepted,
+    /// The end of a job was acknowledged.
+    JobEnded,
+    /// A configuration was acknowledged.
+    Configured,
+    /// Partitions were dealt anew.
+    DealtAnew,
+    /// A gateway was told to stop.
+    PlannedStop,
+}
+
+/// The end of a link behind the proxy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LinkEnd {
+    /// From a gateway to the store.
+    Store(usize),
+    /// From callers to a gateway.
+    Callers(usize),
+    /// From all gateways to a worker of the service of whole answers.
+    Whole(usize),
+    /// From all gateways to an engine.
+    Engine(usize),
+}
+
+/// A service of the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Service {
+    /// Whole answers.
+    Whole,
+    /// Streams and batch items.
+    Engine,
+}
+
+/// What goes wrong, or is done on purpose.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Disruption {
+    /// SIGKILL; started again when the fault ends.
+    KillGateway(usize),
+    /// SIGKILL of all, started again when the fault ends.
+    KillAllGateways,
+    /// SIGSTOP, and SIGCONT when the fault ends.
+    PauseGateway(usize),
+    /// SIGTERM; started again once it has ended.
+    StopGateway(usize),
+    /// SIGHUP with a settings file that can be read, or cannot.
+    HangUp {
+        /// The gateway.
+        gateway: usize,
+        /// Whether the file can be read.
+        readable: bool,
+    },
+    /// SIGKILL of a worker; its entry goes, and another comes when the fault ends.
+    CrashWorker {
+        /// Its service.
+        service: Service,
+        /// Which.
+        index: usize,
+        /// Whether the new one has the old one's address.
+        same_address: bool,
+    },
+    /// SIGSTOP of a worker, and SIGCONT when the fault ends.
+    PauseWorker {
+        /// Its service.
+        service: Service,
+        /// Which.
+        index: usize,
+    },
+    /// A worker leaves as planned, and another comes.
+    DrainWorker {
+        /// Its service.
+        service: Service,
+        /// Which.
+        index: usize,
+    },
+    /// A worker serves badly.
+    WorkerManner {
+        /// Its service.
+        service: Service,
+        /// Which.
+        index: usize,
+        /// How.
+        manner: Manner,
+    },
+    /// The store misbehaves for some gateways, or for all if none is named.
+    Store {
+        /// For whom.
+        gateways: Vec<usize>,
+        /// How.
+        faults: StoreFaults,
+    },
+    /// The store drops its history.
+    DropHistory,
+    /// The store deals the partitions anew.
+    DealAnew,
+    /// A link misbehaves.
+    Link {
+        /// Which.
+        link: LinkEnd,
+        /// How.
+        fault: Fault,
+    },
+    /// The operator publishes a configuration.
+    Configure,
+}
+
+impl Plan {
+    /// Draws a round of `minutes` from a seed.
+    pub fn draw(seed: u64, minutes: f64) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let load_ms = (minutes * 60_000.0) as u64;
+        let gateways = random.random_range(3..=6);
+        let workers = random.random_range(2..=4);
+        let mut plan = Self {
+            seed,
+            gateways,
+            workers,
+            slots: random.random_range(6..=12),
+            load_ms,
+            requests_per_s: random.random_range(15.0..40.0),
+            wave_height: random.random_range(1.0..4.0),
+            wave_ms: random.random_range(3_000..10_000),
+            heap_ms: random.random_range(1_500..5_000),
+            heap_jobs: random.random_range(1..=4),
+            job_items: random.random_range(4..=16),
+            faults: Vec::new(),
+        };
+        let count = f64::from(random.random_range(FAULTS_A_MINUTE)) * minutes;
+        plan.faults = (0..count.ceil() as u32)
+            .map(|_| plan.draw_step(&mut random))
+            .collect();
+        plan.faults.sort_by_key(|step| step.at_ms);
+        plan
+    }
+
+    fn draw_step(&self, random: &mut StdRng) -> Step {
+        let first = WARM_UP.as_millis() as u64;
+        let last = self
+            .load_ms
+            .saturating_sub(CALM_END.as_millis() as u64)
+            .max(first + 1);
+        let at_ms = random.random_range(first..last);
+        let longest = FAULT_MS.end.min(last - at_ms).max(FAULT_MS.start + 1);
+        let moments = [
+            Moment::JobAccepted,
+            Moment::JobEnded,
+            Moment::Configured,
+            Moment::DealtAnew,
+            Moment::PlannedStop,
+        ];
+        let after = random.random_bool(0.3).then(|| {
+            let moment = *moments.choose(random).unwrap_or(&Moment::JobAccepted);
+            (moment, random.random_range(WORST_MOMENT_MS))
+        });
+        Step {
+            at_ms,
+            after,
+            for_ms: random.random_range(FAULT_MS.start..longest),
+            disruption: self.draw_disruption(random),
+        }
+    }
+
+    fn draw_disruption(&self, random: &mut StdRng) -> Disruption {
+        let gateway = random.random_range(0..self.gateways);
+        let index = random.random_range(0..self.workers);
+        let service = if random.random_bool(0.6) {
+            Service::Engine
+        } else {
+            Service::Whole
+        };
+        match random.random_range(0..24) {
+            0..=2 => Disruption::KillGateway(gateway),
+            3 => Disruption::KillAllGateways,
+            4..=5 => Disruption::PauseGateway(gateway),
+            6..=7 => Disruption::StopGateway(gateway),
+            8 => Disruption::HangUp {
+                gateway,
+                readable: random.random_bool(0.5),
+            },
+            9..=10 => Disruption::CrashWorker {
+                service,
+                index,
+                same_address: random.random_bool(0.4),
+            },
+            11 => Disruption::PauseWorker { service, index },
+            12 => Disruption::DrainWorker { service, index },
+            13..=14 => Disruption::WorkerManner {
+                service,
+                index,
+                manner: draw_manner(service, random),
+            },
+            15..=17 => Disruption::Store {
+                gateways: self.draw_gateways(random),
+                faults: draw_store_faults(random),
+            },
+            18 => Disruption::DropHistory,
+            19 => Disruption::DealAnew,
+            20..=21 => Disruption::Link {
+                link: draw_link(gateway, index, random),
+                fault: draw_link_fault(random),
+            },
+            _ => Disruption::Configure,
+        }
+    }
+
+    /// Some of the gateways, or none for all of them.
+    fn draw_gateways(&self, random: &mut StdRng) -> Vec<usize> {
+        if random.random_bool(0.5) {
+            return Vec::new();
+        }
+        (0..self.gateways)
+            .filter(|_| random.random_bool(0.4))
+            .collect()
+    }
+}
+
+fn draw_manner(service: Service, random: &mut StdRng) -> Manner {
+    let late = Manner::Late(Duration::from_millis(random.random_range(50..2_500)));
+    let broken = Manner::BreakAfter(random.random_range(0..6));
+    let common = [
+        Manner::Dark,
+        Manner::HangSometimes,
+        late,
+        Manner::LoseAnswer,
+        Manner::Decline,
+        Manner::AnswerAnother,
+        Manner::Unsigned,
+        Manner::FalseRefusal,
+    ];
+    match service {
+        // Engines do not fail items: then giving one up is a fault of the gateways.
+        Service::Engine if random.random_bool(0.3) => broken,
+        Service::Whole if random.random_bool(0.2) => Manner::Fail,
+        _ => *common.choose(random).unwrap_or(&Manner::Dark),
+    }
+}
+
+fn draw_store_faults(random: &mut StdRng) -> StoreFaults {
+    let mut faults = StoreFaults::default();
+    match random.random_range(0..6) {
+        0 => faults.down = Some(Down::Silent),
+        1 => faults.down = Some(Down::Busy),
+        2 => faults.down = Some(Down::Reset),
+        3 => faults.delay = Duration::from_millis(random.random_range(20..600)),
+        4 => faults.lost_reads = true,
+        _ => {
+            faults.lost_answers = random.random_range(0.1..0.7);
+            faults.done_late = Duration::from_millis(random.random_range(0..3_000));
+        }
+    }
+    faults
+}
+
+fn draw_link(gateway: usize, index: usize, random: &mut StdRng) -> LinkEnd {
+    match random.random_range(0..4) {
+        0 => LinkEnd::Store(gateway),
+        1 => LinkEnd::Callers(gateway),
+        2 => LinkEnd::Whole(index),
+        _ => LinkEnd::Engine(index),
+    }
+}
+
+fn draw_link_fault(random: &mut StdRng) -> Fault {
+    match random.random_range(0..6) {
+        0 => Fault::Delay(Duration::from_millis(random.random_range(5..400))),
+        1 => Fault::Cut,
+        2 => Fault::Freeze,
+        3 => Fault::DropAnswers,
+        4 => Fault::DropRequests,
+        _ => Fault::Truncate,
+    }
+}
--- /dev/null
+++ b/crates/swiftshunt-lab/src/soak/promises/runs.rs
@@ -0,0 +1,142 @@
+//! What workers ran.
+
+use std::collections::{HashMap, HashSet};
+
+use super::Verdict;
+use crate::platform::fleet::{BATCH, STREAM, STREAM_ONCE};
+use crate::platform::worker::RunEvent;
+use crate::soak::calm::Calm;
+use crate::soak::history::{History, OnlineKind, RunRecord};
+
+/// Statuses that say that a request has not run.
+const REFUSALS: [u16; 4] = [408, 421, 429, 503];
+/// Time within which every gateway obeys a worker's leaving, in milliseconds.
+const LEAVES_WITHIN_MS: u64 = 2_000;
+/// A little more, for what is on its way.
+const ON_ITS_WAY_MS: u64 = 400;
+/// Wait for a slot from which a stream counts as one that waits behind others, in milliseconds.
+const WAITS_MS: u64 = 1_500;
+
+fn arrivals(history: &History) -> impl Iterator<Item = &RunRecord> {
+    let runs = history.runs.iter();
+    runs.filter(|run| run.event == RunEvent::Arrived)
+}
+
+/// How often each request came to a worker.
+fn counts(history: &History) -> HashMap<&str, usize> {
+    let mut counts = HashMap::new();
+    for run in arrivals(history) {
+        *counts.entry(run.id.as_str()).or_default() += 1;
+    }
+    counts
+}
+
+/// What was refused with a word that says so has not run.
+pub(super) fn not_run(history: &History, verdict: &mut Verdict) {
+    let counts = counts(history);
+    let ran = |id: &str| counts.get(id).copied().unwrap_or(0);
+    for call in &history.online {
+        if let Some(status) = call.ending.status().filter(|it| REFUSALS.contains(it)) {
+            let times = ran(&call.id);
+            let seen = (times > 0).then(|| format!("status {status}, and {times} runs"));
+            verdict.check(call.ended, &call.id, seen);
+        }
+    }
+    for job in &history.jobs {
+        let is_refusal = |status: Option<u16>| status.is_some_and(|it| REFUSALS.contains(&it));
+        let tries = &job.submissions;
+        if tries.is_empty() || !tries.iter().all(|it| is_refusal(it.status)) {
+            continue;
+        }
+        let times: usize = job.items.iter().map(|item| ran(item)).sum();
+        let seen = (times > 0).then(|| format!("refused each time, and {times} runs of items"));
+        let at = tries.iter().map(|it| it.ended).max().unwrap_or(0);
+        verdict.check(at, &job.id, seen);
+    }
+}
+
+/// What may not be repeated ran once at most.
+pub(super) fn at_most_once(history: &History, verdict: &mut Verdict) {
+    let counts = counts(history);
+    let once = |kind: OnlineKind| matches!(kind, OnlineKind::Once | OnlineKind::StreamOnce);
+    for call in history.online.iter().filter(|call| once(call.kind)) {
+        let times = counts.get(call.id.as_str()).copied().unwrap_or(0);
+        let seen = (times > 1).then(|| format!("{times} runs on {}", call.path));
+        verdict.check(call.ended, &call.id, seen);
+    }
+}
+
+/// Every run is one that a caller asked for, on the path that it named.
+pub(super) fn asked_for(history: &History, verdict: &mut Verdict) {
+    let online = history.online.iter();
+    let mut asked: HashSet<(&str, String)> = online
+        .map(|call| (call.id.as_str(), call.path.clone()))
+        .collect();
+    for job in &history.jobs {
+        let paths = job.items.iter().enumerate();
+        asked.extend(paths.map(|(index, id)| (id.as_str(), format!("{BATCH}{index}"))));
+    }
+    for run in arrivals(history) {
+        let is_asked = asked.contains(&(run.id.as_str(), run.path.clone()));
+        let seen = (!is_asked).then(|| format!("{} ran {}", run.incarnation, run.path));
+        verdict.check(run.at, &run.id, seen);
+    }
+}
+
+/// A worker whose leaving was acknowledged gets nothing new from gateways that are left alone.
+pub(super) fn leaving(history: &History, verdict: &mut Verdict) {
+    let calm = Calm(&history.disturbances);
+    for left in &history.leaving {
+        let from = left.at + LEAVES_WITHIN_MS + ON_ITS_WAY_MS;
+        let late: Vec<&RunRecord> = arrivals(history)
+            .filter(|run| run.incarnation == left.incarnation && run.at >= from)
+            .filter(|run| calm.all_gateways(left.at, run.at))
+            .collect();
+        let seen = late.first().map(|run| {
+            let after = run.at - left.at;
+            format!("{} came {after} ms after; {} in all", run.id, late.len())
+        });
+        verdict.check(from, &left.incarnation, seen);
+    }
+}
+
+/// Slots of one worker over time.
+struct Slots<'h> {
+    /// Runs that hold a slot: request, path, since when.
+    held: HashMap<&'h str, (&'h str, u64)>,
+    /// Requests that wait for one, and since when.
+    waiting: HashMap<&'h str, u64>,
+}
+
+/// While nothing is disturbed, no stream waits for long at an engine where a batch item holds a slot
+/// all the while.
+pub(super) fn online_first(history: &History, verdict: &mut Verdict) {
+    let calm = Calm(&history.disturbances);
+    let mut workers: HashMap<&str, Slots> = HashMap::new();
+    for run in &history.runs {
+        let slots = workers.entry(&run.incarnation).or_insert_with(|| Slots {
+            held: HashMap::new(),
+            waiting: HashMap::new(),
+        });
+        match run.event {
+            RunEvent::Arrived => drop(slots.waiting.insert(&run.id, run.at)),
+            RunEvent::Ended => drop(slots.held.remove(run.id.as_str())),
+            RunEvent::Began => {
+                let arrived = slots.waiting.remove(run.id.as_str()).unwrap_or(run.at);
+                let is_stream = run.path == STREAM || run.path == STREAM_ONCE;
+                if is_stream && calm.everything(arrived, run.at) {
+                    let item = slots
+                        .held
+                        .values()
+                        .find(|(path, since)| path.starts_with(BATCH) && *since <= arrived);
+                    let waited = run.at - arrived;
+                    let seen = item.filter(|_| waited > WAITS_MS).map(|(path, _)| {
+                        format!("waited {waited} ms at {} behind {path}", run.incarnation)
+                    });
+                    verdict.check(run.at, &run.id, seen);
+                }
+                slots.held.insert(&run.id, (&run.path, run.at));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/swiftshunt-lab/src/soak/report.rs
@@ -0,0 +1,159 @@
+//! What a round came to: counts, breaks with the timeline of what broke, and a plot.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::process::Command;
+
+use plotters::prelude::*;
+use serde::Serialize;
+
+use super::calm::Scope;
+use super::history::{Ending, History};
+use super::plan::Plan;
+use super::promises::Verdict;
+
+/// Breaks of one promise that are told with their timeline.
+const TOLD_BREAKS: usize = 3;
+/// Lines of a timeline.
+const TOLD_LINES: usize = 30;
+
+/// A round's report.
+#[derive(Debug, Serialize)]
+pub(super) struct Report<'r> {
+    /// What was played.
+    pub(super) plan: &'r Plan,
+    /// What it came to.
+    pub(super) verdicts: &'r [Verdict],
+    /// Outcomes of online requests.
+    pub(super) outcomes: BTreeMap<String, usize>,
+    /// Jobs that were accepted, and others.
+    pub(super) jobs: (usize, usize),
+    /// Runs at workers.
+    pub(super) runs: usize,
+}
+
+impl<'r> Report<'r> {
+    pub(super) fn new(plan: &'r Plan, history: &History, verdicts: &'r [Verdict]) -> Self {
+        let mut outcomes = BTreeMap::new();
+        for call in &history.online {
+            *outcomes.entry(outcome(call.ending)).or_default() += 1;
+        }
+        let accepted = history.jobs.iter().filter(|job| job.accepted().is_some());
+        let accepted = accepted.count();
+        Self {
+            plan,
+            verdicts,
+            outcomes,
+            jobs: (accepted, history.jobs.len() - accepted),
+            runs: history.runs.len(),
+        }
+    }
+
+    /// A few lines for a terminal.
+    pub(super) fn text(&self) -> String {
+        let mut text = format!(
+            "seed {}: {} gateways, {} workers a service, {} faults; jobs accepted {}, not {}\n  online: {:?}\n",
+            self.plan.seed,
+            self.plan.gateways,
+            self.plan.workers,
+            self.plan.faults.len(),
+            self.jobs.0,
+            self.jobs.1,
+            self.outcomes,
+        );
+        for verdict in self.verdicts {
+            let broken = verdict.breaks.len();
+            text += &format!(
+                "  {}: {} checked, {broken} broken\n",
+                verdict.promise, verdict.checked
+            );
+            for one in verdict.breaks.iter().take(TOLD_BREAKS) {
+                text += &format!("    at {} ms, {}: {}\n", one.at, one.subject, one.seen);
+            }
+        }
+        text
+    }
+}
+
+fn outcome(ending: Ending) -> String {
+    match ending {
+        Ending::Answered { status, .. } => status.to_string(),
+        Ending::Broken => "broken".to_owned(),
+        Ending::Unanswered => "unanswered".to_owned(),
+    }
+}
+
+/// What `swiftshunt explain` says about what broke.
+pub(super) fn explain(program: &Path, subject: &str, logs: &[std::path::PathBuf]) -> String {
+    let mut command = Command::new(program);
+    command.arg("explain").arg(subject);
+    for log in logs {
+        command.arg("--logs").arg(log);
+    }
+    match command.output() {
+        Ok(output) => {
+            let text = String::from_utf8_lossy(&output.stdout).into_owned();
+            let lines: Vec<&str> = text.lines().take(TOLD_LINES).collect();
+            lines.join("\n")
+        }
+        Err(error) => format!("explain does not run: {error}"),
+    }
+}
+
+const SIZE: (u32, u32) = (1_100, 420);
+const GOOD: RGBColor = RGBColor(30, 130, 80);
+const REFUSED: RGBColor = RGBColor(220, 150, 30);
+const FAILED: RGBColor = RGBColor(200, 50, 40);
+const FAULT: RGBColor = RGBColor(120, 120, 140);
+
+fn colour(ending: Ending) -> (RGBColor, f64) {
+    match ending {
+        Ending::Answered { status: 200, .. } => (GOOD, 1.0),
+        Ending::Answered { .. } => (REFUSED, 2.0),
+        Ending::Broken | Ending::Unanswered => (FAILED, 3.0),
+    }
+}
+
+/// Draws outcomes over time, and above them what was struck.
+pub(super) fn plot(history: &History, file: &Path) -> Result<(), Box<dyn std::error::Error>> {
+    let end = history
+        .online
+        .iter()
+        .map(|call| call.ended)
+        .max()
+        .unwrap_or(1);
+    let area = SVGBackend::new(file, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(20)
+        .build_cartesian_2d(0.0..end as f64 / 1e3, 0.0..8.0)?;
+    chart
+        .configure_mesh()
+        .x_desc("seconds: faults above; below served, refused, broken")
+        .disable_y_mesh()
+        .disable_y_axis()
+        .draw()?;
+    let points = history.online.iter().map(|call| {
+        let (colour, height) = colour(call.ending);
+        Circle::new((call.sent as f64 / 1e3, height), 2, colour.filled())
+    });
+    chart.draw_series(points)?;
+    let bars = history.disturbances.iter().map(|it| {
+        let height = match it.scope {
+            Scope::Gateway(_) => 4.0,
+            Scope::PlannedStop(_) => 5.0,
+            Scope::Store => 6.0,
+            Scope::Worker(_) => 7.0,
+        };
+        let (from, to) = (it.from as f64 / 1e3, it.to as f64 / 1e3 + 0.05);
+        Rectangle::new(
+            [(from, height), (to, height + 0.7)],
+            FAULT.mix(0.4).filled(),
+        )
+    });
+    chart.draw_series(bars)?;
+    area.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/swiftshunt-lab/src/soak/round.rs
@@ -0,0 +1,74 @@
+//! One round: the stage is set, load and faults run, and what was seen is gathered.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::{Display, Error, From};
+use tokio::task::JoinSet;
+
+use super::history::History;
+use super::load::Load;
+use super::plan::{Plan, Step};
+use super::stage::Stage;
+use crate::harness::{Binaries, HarnessError};
+
+/// How long a fault waits for the moment that it is to follow; then it comes all the same.
+const MOMENT_PATIENCE: Duration = Duration::from_secs(8);
+
+/// Why a round was not played.
+#[derive(Debug, Display, Error, From)]
+pub enum SoakError {
+    /// A process did not start.
+    #[display("{_0}")]
+    Harness(HarnessError),
+    /// The system refused.
+    #[display("{_0}")]
+    System(std::io::Error),
+    /// A stand-in did not say where it listens.
+    #[display("a process did not tell its address")]
+    #[from(ignore)]
+    NoDoor,
+}
+
+/// Plays a round; logs, settings and workers' outputs stay in `scratch`.
+pub async fn play(plan: Plan, binaries: Binaries, scratch: PathBuf) -> Result<History, SoakError> {
+    let stage = Arc::new(Stage::set(plan, binaries, scratch).await?);
+    let load = Load::new(Arc::clone(&stage));
+    let mut asking = JoinSet::new();
+    for gateway in 0..stage.gateway_count() {
+        let stage = Arc::clone(&stage);
+        asking.spawn(async move { stage.keep_asking(gateway).await });
+    }
+    let mut faults = JoinSet::new();
+    for step in stage.plan.faults.clone() {
+        let stage = Arc::clone(&stage);
+        faults.spawn(async move { disturb(&stage, &step).await });
+    }
+    load.send().await;
+    while faults.join_next().await.is_some() {}
+    load.finish().await;
+    asking.shutdown().await;
+    let mut history = stage.facts()?;
+    (history.online, history.jobs) = load.seen();
+    Ok(history)
+}
+
+/// Applies a fault at its time.
+async fn disturb(stage: &Stage, step: &Step) {
+    tokio::time::sleep(Duration::from_millis(step.at_ms)).await;
+    if let Some((moment, delay)) = step.after {
+        let mut moments = stage.moments();
+        let comes = async {
+            while let Ok(reached) = moments.recv().await {
+                if reached == moment {
+                    return;
+                }
+            }
+        };
+        if tokio::time::timeout(MOMENT_PATIENCE, comes).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(delay)).await;
+        }
+    }
+    stage.apply(step).await;
+}
--- /dev/null
+++ b/crates/swiftshunt-lab/src/soak/stage.rs
@@ -0,0 +1,300 @@
+//! The processes of a round, the links between them, and the faults that are applied to them.
+
+mod gateways;
+mod operator;
+mod workers;
+
+use std::path::PathBuf;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use swiftshunt_http::{HttpClient, HttpRequest};
+use tokio::sync::broadcast;
+
+use self::gateways::GatewaySlot;
+use self::operator::Operator;
+pub(super) use self::operator::marker;
+pub(super) use self::workers::EVENTS;
+use self::workers::WorkerSlot;
+use super::calm::{Disturbance, Scope};
+use super::history::{History, RunRecord};
+use super::plan::{Disruption, LinkEnd, Moment, Plan, Service, Step};
+use super::{SoakError, journal};
+use crate::harness::{Binaries, Process};
+use crate::platform::process::time_of_day_ms;
+use crate::platform::store::{
+    CONTROL_DEAL_ANEW, CONTROL_DROP_HISTORY, CONTROL_FAULTS, StoreFaults,
+};
+use crate::proxy::Fault;
+use crate::stand_in::lock;
+
+/// Partitions of the store's topics.
+const PARTITIONS: u32 = 6;
+/// Time that a call to a stand-in may take.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Moments that a slow follower may miss.
+const MOMENTS_KEPT: usize = 256;
+
+/// A round's processes.
+pub(super) struct Stage {
+    pub(super) plan: Plan,
+    pub(super) scratch: PathBuf,
+    binaries: Binaries,
+    /// The time of day when the round began, in milliseconds.
+    began: u64,
+    client: HttpClient,
+    /// What operators did and what was struck.
+    facts: Mutex<History>,
+    moments: broadcast::Sender<Moment>,
+    gateways: Vec<GatewaySlot>,
+    whole: Vec<WorkerSlot>,
+    engines: Vec<WorkerSlot>,
+    operator: Operator,
+    _store: Process,
+}
+
+impl Stage {
+    /// Starts everything and waits until the gateways are ready.
+    pub(super) async fn set(
+        plan: Plan,
+        binaries: Binaries,
+        scratch: PathBuf,
+    ) -> Result<Self, SoakError> {
+        std::fs::create_dir_all(&scratch)?;
+        let store = start_store(&plan, &binaries, &scratch)?;
+        let doors = addresses(store.announced("doors"))?;
+        let Some((operators_door, doors)) = doors.split_last() else {
+            return Err(SoakError::NoDoor);
+        };
+        let mut stage = Self {
+            began: time_of_day_ms(),
+            client: HttpClient::new(None),
+            facts: Mutex::default(),
+            moments: broadcast::channel(MOMENTS_KEPT).0,
+            gateways: Vec::new(),
+            whole: Vec::new(),
+            engines: Vec::new(),
+            operator: Operator::new(*operators_door),
+            _store: store,
+            plan,
+            scratch,
+            binaries,
+        };
+        for index in 0..stage.plan.workers {
+            let whole = stage.new_worker(Service::Whole, index).await?;
+            stage.whole.push(whole);
+            let engine = stage.new_worker(Service::Engine, index).await?;
+            stage.engines.push(engine);
+        }
+        stage.configure().await;
+        for (index, door) in doors.iter().enumerate() {
+            let gateway = stage.new_gateway(index, *door).await?;
+            stage.gateways.push(gateway);
+        }
+        for index in 0..stage.gateways.len() {
+            stage.until_ready(index).await;
+        }
+        Ok(stage)
+    }
+
+    /// Milliseconds since the round began.
+    pub(super) fn now(&self) -> u64 {
+        time_of_day_ms().saturating_sub(self.began)
+    }
+
+    /// Tells what follows moments that one has come.
+    pub(super) fn reached(&self, moment: Moment) {
+        // Nobody may be waiting for one.
+        drop(self.moments.send(moment));
+    }
+
+    pub(super) fn moments(&self) -> broadcast::Receiver<Moment> {
+        self.moments.subscribe()
+    }
+
+    fn record(&self, scope: Scope, from: u64) {
+        let to = self.now();
+        lock(&self.facts)
+            .disturbances
+            .push(Disturbance { scope, from, to });
+    }
+
+    /// What operators did and what was struck, and what workers told.
+    pub(super) fn facts(&self) -> Result<History, SoakError> {
+        let mut facts = lock(&self.facts).clone();
+        facts.own_ends = self.own_ends();
+        facts.runs = self.runs()?;
+        Ok(facts)
+    }
+
+    fn runs(&self) -> Result<Vec<RunRecord>, SoakError> {
+        let mut runs = Vec::new();
+        for file in std::fs::read_dir(&self.scratch)? {
+            let file = file?.path();
+            let name = file
+                .file_name()
+                .unwrap_or_default()
+                .to_string_lossy()
+                .into_owned();
+            if name.starts_with("worker-") {
+                runs.extend(journal::read(&file, self.began)?);
+            }
+        }
+        runs.sort_by_key(|run: &RunRecord| run.at);
+        Ok(runs)
+    }
+
+    fn worker(&self, service: Service, index: usize) -> Option<&WorkerSlot> {
+        match service {
+            Service::Whole => self.whole.get(index),
+            Service::Engine => self.engines.get(index),
+        }
+    }
+
+    /// Applies a fault for its time. What it names and is not there is passed over.
+    pub(super) async fn apply(&self, step: &Step) {
+        let time = Duration::from_millis(step.for_ms);
+        match &step.disruption {
+            Disruption::KillGateway(gateway) => self.kill_gateway(*gateway, time).await,
+            Disruption::KillAllGateways => {
+                let all = (0..self.gateways.len()).map(|gateway| self.kill_gateway(gateway, time));
+                futures_util::future::join_all(all).await;
+            }
+            Disruption::PauseGateway(gateway) => self.pause_gateway(*gateway, time).await,
+            Disruption::StopGateway(gateway) => self.stop_gateway(*gateway).await,
+            Disruption::HangUp { gateway, readable } => {
+                self.hang_up(*gateway, *readable, time).await;
+            }
+            Disruption::CrashWorker {
+                service,
+                index,
+                same_address,
+            } => {
+                self.crash_worker(*service, *index, *same_address, time)
+                    .await
+            }
+            Disruption::PauseWorker { service, index } => {
+                self.pause_worker(*service, *index, time).await;
+            }
+            Disruption::DrainWorker { service, index } => {
+                self.drain_worker(*service, *index, time).await;
+            }
+            Disruption::WorkerManner {
+                service,
+                index,
+                manner,
+            } => self.spoil_worker(*service, *index, *manner, time).await,
+            Disruption::Store { gateways, faults } => {
+                self.disturb_store(gateways, faults, time).await;
+            }
+            Disruption::DropHistory => {
+                let from = self.now();
+                self.command_store(CONTROL_DROP_HISTORY).await;
+                self.record(Scope::Store, from);
+            }
+            Disruption::DealAnew => {
+                self.command_store(CONTROL_DEAL_ANEW).await;
+                self.reached(Moment::DealtAnew);
+            }
+            Disruption::Link { link, fault } => self.disturb_link(*link, *fault, time).await,
+            Disruption::Configure => self.configure().await,
+        }
+    }
+
+    async fn command_store(&self, path: &str) {
+        let request = HttpRequest::post(self.operator.door, path, "application/json", "");
+        if let Err(error) = self.client.expect_success(request, CONTROL_TIMEOUT).await {
+            eprintln!("the store's stand-in does not obey {path}: {error}");
+        }
+    }
+
+    async fn set_store_faults(&self, gateway: usize, faults: &StoreFaults) {
+        let Some(slot) = self.gateways.get(gateway) else {
+            return;
+        };
+        let body = serde_json::to_vec(faults).unwrap_or_default();
+        let request = HttpRequest::post(slot.door, CONTROL_FAULTS, "application/json", body);
+        if let Err(error) = self.client.expect_success(request, CONTROL_TIMEOUT).await {
+            eprintln!("the store's stand-in does not take faults: {error}");
+        }
+    }
+
+    async fn disturb_store(&self, gateways: &[usize], faults: &StoreFaults, time: Duration) {
+        let from = self.now();
+        let all: Vec<usize> = (0..self.gateways.len()).collect();
+        let struck = if gateways.is_empty() { &all } else { gateways };
+        for gateway in struck {
+            self.set_store_faults(*gateway, faults).await;
+        }
+        tokio::time::sleep(time).await;
+        for gateway in struck {
+            self.set_store_faults(*gateway, &StoreFaults::default())
+                .await;
+        }
+        // What was done late may come this much after the fault.
+        tokio::time::sleep(faults.done_late).await;
+        if gateways.is_empty() {
+            return self.record(Scope::Store, from);
+        }
+        for gateway in gateways {
+            self.record(Scope::Gateway(*gateway), from);
+        }
+    }
+
+    async fn disturb_link(&self, end: LinkEnd, fault: Fault, time: Duration) {
+        let from = self.now();
+        let (link, scope) = match end {
+            LinkEnd::Store(gateway) | LinkEnd::Callers(gateway) => {
+                let Some(slot) = self.gateways.get(gateway) else {
+                    return;
+                };
+                let is_store = matches!(end, LinkEnd::Store(_));
+                let link = if is_store { &slot.store } else { &slot.callers };
+                (std::sync::Arc::clone(link), Scope::Gateway(gateway))
+            }
+            LinkEnd::Whole(index) | LinkEnd::Engine(index) => {
+                let is_whole = matches!(end, LinkEnd::Whole(_));
+                let service = if is_whole {
+                    Service::Whole
+                } else {
+                    Service::Engine
+                };
+                let Some(slot) = self.worker(service, index) else {
+                    return;
+                };
+                let worker = slot.state.lock().await;
+                let scope = Scope::Worker(worker.incarnation.clone());
+                (std::sync::Arc::clone(&worker.link), scope)
+            }
+        };
+        link.set_fault(fault);
+        tokio::time::sleep(time).await;
+        link.set_fault(Fault::None);
+        self.record(scope, from);
+    }
+}
+
+fn start_store(
+    plan: &Plan,
+    binaries: &Binaries,
+    scratch: &std::path::Path,
+) -> Result<Process, SoakError> {
+    let arguments = [
+        "platform-store".to_owned(),
+        "--doors".to_owned(),
+        (plan.gateways + 1).to_string(),
+        "--partitions".to_owned(),
+        PARTITIONS.to_string(),
+        "--seed".to_owned(),
+        plan.seed.to_string(),
+    ];
+    let log = scratch.join("store.log");
+    Ok(Process::start(&binaries.lab, &arguments, &log)?)
+}
+
+fn addresses(text: &str) -> Result<Vec<std::net::SocketAddr>, SoakError> {
+    let parsed = text
+        .split(',')
+        .map(|one| one.parse().map_err(|_| SoakError::NoDoor));
+    parsed.collect()
+}
--- /dev/null
+++ b/crates/swiftshunt-lab/src/soak/stage/gateways.rs
@@ -0,0 +1,273 @@
+//! Gateway processes: started, killed, paused, stopped, and taken in or out by callers.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex as StdMutex};
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use tokio::sync::Mutex;
+
+use super::{PARTITIONS, Stage};
+use crate::harness::Process;
+use crate::platform::caller::PlatformCaller;
+use crate::platform::fleet::{free_address, settings_text};
+use crate::proxy::Link;
+use crate::soak::SoakError;
+use crate::soak::calm::Scope;
+use crate::soak::history::PlannedStop;
+use crate::soak::plan::Moment;
+use crate::stand_in::lock;
+
+/// Lease of a partition.
+const LEASE: Duration = Duration::from_secs(1);
+/// Gateways that a later one is told of.
+const SEEDS: usize = 3;
+/// Pause between questions whether a gateway is ready; two misses in a row take it out.
+const READY_LOOK: Duration = Duration::from_millis(500);
+/// Misses after which callers are no longer sent to a gateway.
+const MISSES: u32 = 2;
+/// Longest time that a started gateway is waited for: the log may be away.
+const READY_PATIENCE: Duration = Duration::from_secs(10);
+/// Longest time of a planned stop, well beyond its grace period.
+const STOP_PATIENCE: Duration = Duration::from_secs(15);
+/// Pause between looks at a process.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// A gateway's process, links and state.
+pub(super) struct GatewaySlot {
+    process: Mutex<Process>,
+    pub(super) callers: Arc<Link>,
+    pub(super) store: Arc<Link>,
+    /// Its door of the store, behind the link.
+    pub(super) door: SocketAddr,
+    /// Where other gateways reach it.
+    peers: SocketAddr,
+    ready: StdMutex<SocketAddr>,
+    settings: PathBuf,
+    /// Starts of the process so far.
+    life: AtomicUsize,
+    is_in: AtomicBool,
+    /// Whether the process has ended without being told to.
+    ended_itself: AtomicBool,
+}
+
+impl Stage {
+    pub(super) async fn new_gateway(
+        &self,
+        index: usize,
+        door: SocketAddr,
+    ) -> Result<GatewaySlot, SoakError> {
+        let any = ([127, 0, 0, 1], 0).into();
+        let store = Link::open(any, Some(door)).await?;
+        let settings = self.scratch.join(format!("gateway-{index}.toml"));
+        let seeds = self.gateways.iter().take(SEEDS);
+        let seeds: Vec<String> = seeds.map(|it| format!("\"{}\"", it.peers)).collect();
+        let more = format!("[gateways]\nseeds = [{}]\n", seeds.join(", "));
+        let peers = free_address()?;
+        let text = settings_text(index, peers, store.address, PARTITIONS, LEASE, &more);
+        std::fs::write(&settings, text)?;
+        let process = self.start_gateway(&settings)?;
+        let callers = Link::open(
+            any,
+            Some(super::addresses(process.announced("callers"))?[0]),
+        );
+        Ok(GatewaySlot {
+            callers: Arc::new(callers.await?),
+            store: Arc::new(store),
+            door,
+            peers,
+            ready: StdMutex::new(super::addresses(process.announced("ready"))?[0]),
+            settings,
+            life: AtomicUsize::new(0),
+            is_in: AtomicBool::new(true),
+            ended_itself: AtomicBool::new(false),
+            process: Mutex::new(process),
+        })
+    }
+
+    fn start_gateway(&self, settings: &std::path::Path) -> Result<Process, SoakError> {
+        let arguments = [
+            "gateway".to_owned(),
+            "--config".to_owned(),
+            settings.display().to_string(),
+            "--log-level".to_owned(),
+            "debug".to_owned(),
+        ];
+        let log = settings.with_extension("log");
+        let start = || Process::start(&self.binaries.node, &arguments, &log);
+        Ok(tokio::task::block_in_place(start)?)
+    }
+
+    /// Starts a gateway whose process has ended, and waits until it is ready.
+    async fn start_again(&self, index: usize, process: &mut Process) {
+        let slot = &self.gateways[index];
+        let started = self.start_gateway(&slot.settings);
+        let addresses = started.and_then(|started| {
+            let callers = super::addresses(started.announced("callers"))?[0];
+            let ready = super::addresses(started.announced("ready"))?[0];
+            *process = started;
+            Ok((callers, ready))
+        });
+        match addresses {
+            Ok((callers, ready)) => {
+                slot.life.fetch_add(1, Ordering::SeqCst);
+                slot.callers.set_target(callers);
+                *lock(&slot.ready) = ready;
+            }
+            Err(error) => eprintln!("a gateway does not start: {error}"),
+        }
+        self.until_ready(index).await;
+    }
+
+    /// Waits until a gateway is ready, or for as long as it is worth.
+    pub(super) async fn until_ready(&self, index: usize) {
+        let caller = PlatformCaller::default();
+        let ready = *lock(&self.gateways[index].ready);
+        let waited = async {
+            while !caller.is_ready(ready).await {
+                tokio::time::sleep(LOOK).await;
+            }
+        };
+        drop(tokio::time::timeout(READY_PATIENCE, waited).await);
+    }
+
+    fn note_own_end(&self, index: usize, process: &mut Process) {
+        if !process.is_running() {
+            let slot = &self.gateways[index];
+            slot.ended_itself.store(true, Ordering::SeqCst);
+        }
+    }
+
+    pub(super) async fn kill_gateway(&self, index: usize, time: Duration) {
+        let Some(slot) = self.gateways.get(index) else {
+            return;
+        };
+        let mut process = slot.process.lock().await;
+        let from = self.now();
+        self.note_own_end(index, &mut process);
+        tokio::task::block_in_place(|| process.kill());
+        tokio::time::sleep(time).await;
+        self.start_again(index, &mut process).await;
+        self.record(Scope::Gateway(index), from);
+    }
+
+    pub(super) async fn pause_gateway(&self, index: usize, time: Duration) {
+        let Some(slot) = self.gateways.get(index) else {
+            return;
+        };
+        let process = slot.process.lock().await;
+        let from = self.now();
+        process.pause();
+        tokio::time::sleep(time).await;
+        process.resume();
+        self.record(Scope::Gateway(index), from);
+    }
+
+    pub(super) async fn stop_gateway(&self, index: usize) {
+        let Some(slot) = self.gateways.get(index) else {
+            return;
+        };
+        let mut process = slot.process.lock().await;
+        self.note_own_end(index, &mut process);
+        let at = self.now();
+        process.terminate();
+        self.reached(Moment::PlannedStop);
+        let ends = async {
+            while process.is_running() {
+                tokio::time::sleep(LOOK).await;
+            }
+        };
+        if tokio::time::timeout(STOP_PATIENCE, ends).await.is_err() {
+            eprintln!("gateway {index} does not stop");
+            tokio::task::block_in_place(|| process.kill());
+        }
+        let ended = self.now();
+        let stop = PlannedStop {
+            gateway: index,
+            at,
+            ended,
+        };
+        lock(&self.facts).stops.push(stop);
+        self.start_again(index, &mut process).await;
+        self.record(Scope::PlannedStop(index), at);
+    }
+
+    /// SIGHUP with the settings as they are, or with a file that cannot be read.
+    pub(super) async fn hang_up(&self, index: usize, readable: bool, time: Duration) {
+        let Some(slot) = self.gateways.get(index) else {
+            return;
+        };
+        let process = slot.process.lock().await;
+        let text = std::fs::read_to_string(&slot.settings).unwrap_or_default();
+        let changed = if readable {
+            text.clone()
+        } else {
+            format!("{text}\nnot = [settings")
+        };
+        if let Err(error) = std::fs::write(&slot.settings, changed) {
+            eprintln!("settings are not written: {error}");
+        }
+        process.hang_up();
+        tokio::time::sleep(time).await;
+        if let Err(error) = std::fs::write(&slot.settings, text) {
+            eprintln!("settings are not written: {error}");
+        }
+    }
+
+    /// Gateways whose process ended without being told to.
+    pub(super) fn own_ends(&self) -> Vec<usize> {
+        let ended = |index: &usize| {
+            let slot = &self.gateways[*index];
+            if let Ok(mut process) = slot.process.try_lock() {
+                self.note_own_end(*index, &mut process);
+            }
+            slot.ended_itself.load(Ordering::SeqCst)
+        };
+        (0..self.gateways.len()).filter(ended).collect()
+    }
+
+    /// Asks a gateway from time to time whether it is ready, as a platform does.
+    pub(in crate::soak) async fn keep_asking(&self, index: usize) {
+        let caller = PlatformCaller::default();
+        let mut misses = 0;
+        loop {
+            let ready = *lock(&self.gateways[index].ready);
+            let answer = tokio::time::timeout(READY_LOOK, caller.is_ready(ready)).await;
+            misses = if answer.unwrap_or(false) {
+                0
+            } else {
+                misses + 1
+            };
+            let is_in = misses < MISSES;
+            self.gateways[index].is_in.store(is_in, Ordering::SeqCst);
+            tokio::time::sleep(READY_LOOK).await;
+        }
+    }
+
+    /// A gateway that a caller is sent to: one that is in, or any if too few are.
+    pub(in crate::soak) fn some_gateway(&self) -> usize {
+        let all: Vec<usize> = (0..self.gateways.len()).collect();
+        let is_in = |index: &usize| self.gateways[*index].is_in.load(Ordering::SeqCst);
+        let there: Vec<usize> = all.iter().copied().filter(is_in).collect();
+        let few = there.len() * 2 < all.len();
+        let choice = if few { &all } else { &there };
+        choice.choose(&mut rand::rng()).copied().unwrap_or(0)
+    }
+
+    /// How many gateways there are.
+    pub(in crate::soak) fn gateway_count(&self) -> usize {
+        self.gateways.len()
+    }
+
+    /// Where callers reach a gateway.
+    pub(in crate::soak) fn callers(&self, index: usize) -> SocketAddr {
+        self.gateways[index].callers.address
+    }
+
+    /// The start of a gateway's process that runs, counted from 0.
+    pub(in crate::soak) fn life(&self, index: usize) -> usize {
+        self.gateways[index].life.load(Ordering::SeqCst)
+    }
+}
--- /dev/null
+++ b/crates/swiftshunt-lab/src/soak/stage/workers.rs
@@ -0,0 +1,211 @@
+//! Worker processes behind their links.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use swiftshunt_http::HttpRequest;
+use swiftshunt_platform::documents::WorkerDocument;
+use swiftshunt_platform::words::values;
+use tokio::sync::Mutex;
+
+use super::{CONTROL_TIMEOUT, Stage};
+use crate::harness::Process;
+use crate::platform::worker::{CONTROL_MANNER, Manner};
+use crate::proxy::Link;
+use crate::soak::SoakError;
+use crate::soak::calm::Scope;
+use crate::soak::history::Leaving;
+use crate::soak::plan::Service;
+use crate::stand_in::lock;
+
+/// Events of a stream.
+pub(in crate::soak) const EVENTS: u64 = 12;
+/// Time before a whole answer and between events, in milliseconds.
+const PAUSE_MS: u64 = 15;
+/// Silence after which the entry of a worker goes: three heartbeats of a second.
+const ENTRY_GOES_AFTER: Duration = Duration::from_secs(3);
+/// Time for which a leaving worker serves on: what it has may take, and twice the time within which
+/// gateways must obey.
+const SERVES_ON: Duration = Duration::from_secs(5);
+
+/// A worker and those that take its place.
+pub(super) struct WorkerSlot {
+    pub(super) state: Mutex<WorkerState>,
+}
+
+/// The present worker of a slot.
+pub(super) struct WorkerState {
+    process: Process,
+    pub(super) incarnation: String,
+    pub(super) link: Arc<Link>,
+    generation: u32,
+}
+
+fn name(service: Service) -> &'static str {
+    match service {
+        Service::Whole => "whole",
+        Service::Engine => "engine",
+    }
+}
+
+impl Stage {
+    pub(super) async fn new_worker(
+        &self,
+        service: Service,
+        index: usize,
+    ) -> Result<WorkerSlot, SoakError> {
+        let state = self.start_worker(service, index, 0, None).await?;
+        let state = Mutex::new(state);
+        Ok(WorkerSlot { state })
+    }
+
+    /// Starts a worker behind `link`, or a new one, and lists it.
+    async fn start_worker(
+        &self,
+        service: Service,
+        index: usize,
+        generation: u32,
+        link: Option<Arc<Link>>,
+    ) -> Result<WorkerState, SoakError> {
+        let incarnation = format!("{}-{index}-{generation}", name(service));
+        let mut arguments = vec!["platform-worker".to_owned()];
+        let mut option = |name: &str, value: String| {
+            arguments.extend([format!("--{name}"), value]);
+        };
+        option("incarnation", incarnation.clone());
+        option("slots", self.plan.slots.to_string());
+        option("pause-ms", PAUSE_MS.to_string());
+        if service == Service::Engine {
+            option("events", EVENTS.to_string());
+        }
+        let log = self.scratch.join(format!("worker-{incarnation}.log"));
+        let process =
+            tokio::task::block_in_place(|| Process::start(&self.binaries.lab, &arguments, &log))?;
+        let target = super::addresses(process.announced("address"))?[0];
+        let link = match link {
+            Some(link) => {
+                link.set_target(target);
+                link
+            }
+            None => Arc::new(Link::open(([127, 0, 0, 1], 0).into(), Some(target)).await?),
+        };
+        let state = WorkerState {
+            process,
+            incarnation,
+            link,
+            generation,
+        };
+        self.list_worker(service, &state, values::READY).await;
+        Ok(state)
+    }
+
+    async fn list_worker(&self, service: Service, worker: &WorkerState, state: &str) -> bool {
+        let document = WorkerDocument {
+            service: name(service).to_owned(),
+            address: worker.link.address.to_string(),
+            zone: "zone-a".to_owned(),
+            slots: self.plan.slots as u32,
+            state: state.to_owned(),
+            cold_left_ms: 0.0,
+            call_seq: 1,
+        };
+        self.list(&worker.incarnation, &document).await
+    }
+
+    /// Puts another worker in the place of one that has gone.
+    async fn replace(
+        &self,
+        service: Service,
+        index: usize,
+        worker: &mut WorkerState,
+        link: Option<Arc<Link>>,
+    ) {
+        let generation = worker.generation + 1;
+        match self.start_worker(service, index, generation, link).await {
+            Ok(state) => *worker = state,
+            Err(error) => eprintln!("a worker does not start: {error}"),
+        }
+    }
+
+    pub(super) async fn crash_worker(
+        &self,
+        service: Service,
+        index: usize,
+        same_address: bool,
+        time: Duration,
+    ) {
+        let Some(slot) = self.worker(service, index) else {
+            return;
+        };
+        let mut worker = slot.state.lock().await;
+        let from = self.now();
+        worker.process.kill();
+        tokio::time::sleep(time.min(ENTRY_GOES_AFTER)).await;
+        self.unlist(&worker.incarnation).await;
+        tokio::time::sleep(time.saturating_sub(ENTRY_GOES_AFTER)).await;
+        self.record(Scope::Worker(worker.incarnation.clone()), from);
+        let link = same_address.then(|| Arc::clone(&worker.link));
+        self.replace(service, index, &mut worker, link).await;
+    }
+
+    pub(super) async fn pause_worker(&self, service: Service, index: usize, time: Duration) {
+        let Some(slot) = self.worker(service, index) else {
+            return;
+        };
+        let worker = slot.state.lock().await;
+        let from = self.now();
+        worker.process.pause();
+        tokio::time::sleep(time).await;
+        worker.process.resume();
+        self.record(Scope::Worker(worker.incarnation.clone()), from);
+    }
+
+    pub(super) async fn drain_worker(&self, service: Service, index: usize, time: Duration) {
+        let Some(slot) = self.worker(service, index) else {
+            return;
+        };
+        let mut worker = slot.state.lock().await;
+        if self.list_worker(service, &worker, values::DRAINING).await {
+            let leaving = Leaving {
+                incarnation: worker.incarnation.clone(),
+                at: self.now(),
+            };
+            lock(&self.facts).leaving.push(leaving);
+        }
+        tokio::time::sleep(SERVES_ON + time / 4).await;
+        self.unlist(&worker.incarnation).await;
+        let from = self.now();
+        worker.process.kill();
+        self.record(Scope::Worker(worker.incarnation.clone()), from);
+        self.replace(service, index, &mut worker, None).await;
+    }
+
+    pub(super) async fn spoil_worker(
+        &self,
+        service: Service,
+        index: usize,
+        manner: Manner,
+        time: Duration,
+    ) {
+        let Some(slot) = self.worker(service, index) else {
+            return;
+        };
+        let worker = slot.state.lock().await;
+        let from = self.now();
+        self.set_manner(&worker, manner).await;
+        tokio::time::sleep(time).await;
+        self.set_manner(&worker, Manner::Sound).await;
+        self.record(Scope::Worker(worker.incarnation.clone()), from);
+    }
+
+    async fn set_manner(&self, worker: &WorkerState, manner: Manner) {
+        let body = serde_json::to_vec(&manner).unwrap_or_default();
+        let Ok(addresses) = super::addresses(worker.process.announced("address")) else {
+            return;
+        };
+        let request = HttpRequest::post(addresses[0], CONTROL_MANNER, "application/json", body);
+        if let Err(error) = self.client.expect_success(request, CONTROL_TIMEOUT).await {
+            eprintln!("a worker's stand-in does not obey: {error}");
+        }
+    }
+}
