Soak: its own failures end it; fixed seeds in the test command; stand-ins that break a promise are noticed

Now whatever of the round's own does not work ends the round with an error. Denser plans: 12 to 36 faults a minute, 2 to 10 slots, higher waves, a whole service that serves badly.

--- a/crates/swiftshunt-lab/src/platform/store.rs
+++ b/crates/swiftshunt-lab/src/platform/store.rs
@@ -55,6 +55,9 @@
     pub lost_answers: f64,
     /// Appends whose answers are lost are done this much later.
     pub done_late: Duration,
+    /// Share of appends that are acknowledged and not done: no store does that. Shows that a test
+    /// would notice.
+    pub forgotten: f64,
 }
 
 /// A record as it lies in the log.
@@ -216,6 +219,12 @@
         }
     }
 
+    fn end(&self, topic: &str, partition: u32) -> u64 {
+        let state = lock(&self.state);
+        let partition = state.partitions.get(&(topic.to_owned(), partition));
+        partition.map_or(0, |partition| partition.end)
+    }
+
     fn append(&self, topic: &str, partition: u32, records: Vec<(Vec<u8>, Bytes)>) -> (u64, u64) {
         let appended = {
             let mut state = lock(&self.state);
@@ -341,6 +350,10 @@
         });
         return Err(BrokenOff);
     }
+    if lock(&shared.random).random_bool(faults.forgotten) {
+        let end = shared.end(&topic, partition);
+        return Ok(json(&AppendedDocument { offset: end, end }));
+    }
     let (offset, end) = shared.append(&topic, partition, records);
     Ok(json(&AppendedDocument { offset, end }))
 }
--- a/crates/swiftshunt-lab/src/platform/worker.rs
+++ b/crates/swiftshunt-lab/src/platform/worker.rs
@@ -47,6 +47,12 @@
     Never,
     /// Runs them and answers 503 without the word that they did not run.
     FalseRefusal,
+    /// Runs them and signs another answer as theirs: no gateway can tell. Shows that a test would.
+    WrongBody,
+    /// Tells of each run twice. Shows that a test counts runs.
+    TellTwice,
+    /// Runs them and says that it did not. Shows that a test looks at runs.
+    LyingRefusal,
 }
 
 /// What it serves.
@@ -263,6 +269,11 @@
     };
     // A slot is held for as long as the answer is made; the semaphore is never closed.
     (shared.watcher)(RunEvent::Arrived, &run);
+    match manner {
+        Manner::TellTwice => (shared.watcher)(RunEvent::Arrived, &run),
+        Manner::LyingRefusal => return Ok(decline(StatusCode::SERVICE_UNAVAILABLE, &id)),
+        _ => {}
+    }
     let slots = Arc::clone(&shared.slots);
     let permit = slots.acquire_owned().await.map_err(|_| BrokenOff)?;
     (shared.watcher)(RunEvent::Began, &run);
@@ -300,7 +311,10 @@
     let Some(events) = shared.settings.events else {
         tokio::time::sleep(shared.settings.pause).await;
         lock(&shared.runs)[index].ended = true;
-        let body = whole(format!("answer to {id}"));
+        let body = match manner {
+            Manner::WrongBody => whole("answer to another"),
+            _ => whole(format!("answer to {id}")),
+        };
         return Ok(answer_with(StatusCode::OK, &set, body));
     };
     let body = stream(&shared, slot, index, &id, events, last_event, manner);
--- a/crates/swiftshunt-lab/src/soak/load/jobs.rs
+++ b/crates/swiftshunt-lab/src/soak/load/jobs.rs
@@ -25,7 +25,7 @@
 /// Longest wait for an answer to such a question.
 const READ_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Share of jobs that are ended by their sender.
-const ENDED_SHARE: f64 = 0.15;
+const ENDED_SHARE: f64 = 0.25;
 /// Rounds of questions after which such a job is ended at the latest.
 const ENDED_WITHIN: u32 = 8;
 /// Share of questions that begin at an earlier position.
--- a/crates/swiftshunt-lab/src/soak/plan.rs
+++ b/crates/swiftshunt-lab/src/soak/plan.rs
@@ -16,7 +16,7 @@
 /// Time without faults before the load ends.
 const CALM_END: Duration = Duration::from_secs(7);
 /// Faults of a round, a minute.
-const FAULTS_A_MINUTE: std::ops::Range<u32> = 10..18;
+const FAULTS_A_MINUTE: std::ops::Range<u32> = 12..36;
 /// Shortest and longest fault, in milliseconds: from less than a time-out to more than a lease.
 const FAULT_MS: std::ops::Range<u64> = 150..6_000;
 /// Delay after an acknowledgement of faults that come at the worst moment, in milliseconds.
@@ -156,6 +156,13 @@
         /// How.
         manner: Manner,
     },
+    /// All workers of a service serve badly.
+    SpoilService {
+        /// The service.
+        service: Service,
+        /// How.
+        manner: Manner,
+    },
     /// The store misbehaves for some gateways, or for all if none is named.
     Store {
         /// For whom.
@@ -189,14 +196,14 @@
             seed,
             gateways,
             workers,
-            slots: random.random_range(6..=12),
+            slots: random.random_range(2..=10),
             load_ms,
             requests_per_s: random.random_range(15.0..40.0),
-            wave_height: random.random_range(1.0..4.0),
+            wave_height: random.random_range(1.0..8.0),
             wave_ms: random.random_range(3_000..10_000),
             heap_ms: random.random_range(1_500..5_000),
             heap_jobs: random.random_range(1..=4),
-            job_items: random.random_range(4..=16),
+            job_items: random.random_range(4..=24),
             faults: Vec::new(),
         };
         let count = f64::from(random.random_range(FAULTS_A_MINUTE)) * minutes;
@@ -242,7 +249,7 @@
         } else {
             Service::Whole
         };
-        match random.random_range(0..24) {
+        match random.random_range(0..26) {
             0..=2 => Disruption::KillGateway(gateway),
             3 => Disruption::KillAllGateways,
             4..=5 => Disruption::PauseGateway(gateway),
@@ -273,6 +280,10 @@
                 link: draw_link(gateway, index, random),
                 fault: draw_link_fault(random),
             },
+            22 => Disruption::SpoilService {
+                service,
+                manner: draw_manner(service, random),
+            },
             _ => Disruption::Configure,
         }
     }
--- a/crates/swiftshunt-lab/src/soak/round.rs
+++ b/crates/swiftshunt-lab/src/soak/round.rs
@@ -25,6 +25,14 @@
     /// The system refused.
     #[display("{_0}")]
     System(std::io::Error),
+    /// A process or a stand-in did not do what the plan says.
+    #[display("the plan was not played: {}", failures.join("; "))]
+    #[from(ignore)]
+    NotPlayed {
+        /// What did not work.
+        #[error(not(source))]
+        failures: Vec<String>,
+    },
     /// A stand-in did not say where it listens.
     #[display("a process did not tell its address")]
     #[from(ignore)]
@@ -49,6 +57,10 @@
     while faults.join_next().await.is_some() {}
     load.finish().await;
     asking.shutdown().await;
+    let failures = stage.failures();
+    if !failures.is_empty() {
+        return Err(SoakError::NotPlayed { failures });
+    }
     let mut history = stage.facts()?;
     (history.online, history.jobs) = load.seen();
     Ok(history)
--- a/crates/swiftshunt-lab/src/soak/stage.rs
+++ b/crates/swiftshunt-lab/src/soak/stage.rs
@@ -45,6 +45,7 @@
     client: HttpClient,
     /// What operators did and what was struck.
     facts: Mutex<History>,
+    failures: Mutex<Vec<String>>,
     moments: broadcast::Sender<Moment>,
     gateways: Vec<GatewaySlot>,
     whole: Vec<WorkerSlot>,
@@ -70,6 +71,7 @@
             began: time_of_day_ms(),
             client: HttpClient::new(None),
             facts: Mutex::default(),
+            failures: Mutex::default(),
             moments: broadcast::channel(MOMENTS_KEPT).0,
             gateways: Vec::new(),
             whole: Vec::new(),
@@ -112,6 +114,16 @@
         self.moments.subscribe()
     }
 
+    /// Something of the round's own did not work: what it would show is not what the plan says.
+    fn complain(&self, failure: String) {
+        lock(&self.failures).push(failure);
+    }
+
+    /// What of the round's own did not work.
+    pub(super) fn failures(&self) -> Vec<String> {
+        lock(&self.failures).clone()
+    }
+
     fn record(&self, scope: Scope, from: u64) {
         let to = self.now();
         lock(&self.facts)
@@ -184,6 +196,11 @@
                 index,
                 manner,
             } => self.spoil_worker(*service, *index, *manner, time).await,
+            Disruption::SpoilService { service, manner } => {
+                let all = (0..self.plan.workers)
+                    .map(|index| self.spoil_worker(*service, index, *manner, time));
+                futures_util::future::join_all(all).await;
+            }
             Disruption::Store { gateways, faults } => {
                 self.disturb_store(gateways, faults, time).await;
             }
@@ -204,7 +221,9 @@
     async fn command_store(&self, path: &str) {
         let request = HttpRequest::post(self.operator.door, path, "application/json", "");
         if let Err(error) = self.client.expect_success(request, CONTROL_TIMEOUT).await {
-            eprintln!("the store's stand-in does not obey {path}: {error}");
+            self.complain(format!(
+                "the store's stand-in does not obey {path}: {error}"
+            ));
         }
     }
 
@@ -215,7 +234,9 @@
         let body = serde_json::to_vec(faults).unwrap_or_default();
         let request = HttpRequest::post(slot.door, CONTROL_FAULTS, "application/json", body);
         if let Err(error) = self.client.expect_success(request, CONTROL_TIMEOUT).await {
-            eprintln!("the store's stand-in does not take faults: {error}");
+            self.complain(format!(
+                "the store's stand-in does not take faults: {error}"
+            ));
         }
     }
 
--- a/crates/swiftshunt-lab/src/soak/stage/gateways.rs
+++ b/crates/swiftshunt-lab/src/soak/stage/gateways.rs
@@ -116,7 +116,7 @@
                 slot.callers.set_target(callers);
                 *lock(&slot.ready) = ready;
             }
-            Err(error) => eprintln!("a gateway does not start: {error}"),
+            Err(error) => self.complain(format!("a gateway does not start: {error}")),
         }
         self.until_ready(index).await;
     }
@@ -180,7 +180,7 @@
             }
         };
         if tokio::time::timeout(STOP_PATIENCE, ends).await.is_err() {
-            eprintln!("gateway {index} does not stop");
+            self.complain(format!("gateway {index} does not stop"));
             tokio::task::block_in_place(|| process.kill());
         }
         let ended = self.now();
@@ -207,12 +207,12 @@
             format!("{text}\nnot = [settings")
         };
         if let Err(error) = std::fs::write(&slot.settings, changed) {
-            eprintln!("settings are not written: {error}");
+            self.complain(format!("settings are not written: {error}"));
         }
         process.hang_up();
         tokio::time::sleep(time).await;
         if let Err(error) = std::fs::write(&slot.settings, text) {
-            eprintln!("settings are not written: {error}");
+            self.complain(format!("settings are not written: {error}"));
         }
     }
 
--- a/crates/swiftshunt-lab/src/soak/stage/operator.rs
+++ b/crates/swiftshunt-lab/src/soak/stage/operator.rs
@@ -51,7 +51,9 @@
         let request = HttpRequest::post(self.operator.door, path, "application/octet-stream", body);
         let answer = self.client.expect_success(request, CONTROL_TIMEOUT).await;
         if let Err(error) = &answer {
-            eprintln!("the store's stand-in does not take a record: {error}");
+            self.complain(format!(
+                "the store's stand-in does not take a record: {error}"
+            ));
         }
         answer.is_ok()
     }
--- a/crates/swiftshunt-lab/src/soak/stage/workers.rs
+++ b/crates/swiftshunt-lab/src/soak/stage/workers.rs
@@ -123,7 +123,7 @@
         let generation = worker.generation + 1;
         match self.start_worker(service, index, generation, link).await {
             Ok(state) => *worker = state,
-            Err(error) => eprintln!("a worker does not start: {error}"),
+            Err(error) => self.complain(format!("a worker does not start: {error}")),
         }
     }
 
@@ -205,7 +205,7 @@
         };
         let request = HttpRequest::post(addresses[0], CONTROL_MANNER, "application/json", body);
         if let Err(error) = self.client.expect_success(request, CONTROL_TIMEOUT).await {
-            eprintln!("a worker's stand-in does not obey: {error}");
+            self.complain(format!("a worker's stand-in does not obey: {error}"));
         }
     }
 }
--- /dev/null
+++ b/crates/swiftshunt/tests/soak.rs
@@ -0,0 +1,112 @@
+//! The fault soak with fixed seeds and with every plan that ever broke a promise; and that it notices
+//! stand-ins that break promises themselves.
+
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use swiftshunt_lab::harness::Binaries;
+use swiftshunt_lab::platform::store::StoreFaults;
+use swiftshunt_lab::platform::worker::Manner;
+use swiftshunt_lab::soak::history::History;
+use swiftshunt_lab::soak::plan::{Disruption, Plan, Service, Step};
+use swiftshunt_lab::soak::promises::{ALL, Promise, judge};
+use test_case::test_case;
+use tokio::sync::Mutex;
+
+/// One round at a time: rounds count on the machine keeping up with their load.
+static ONE_ROUND: Mutex<()> = Mutex::const_new(());
+
+/// Rounds so far: each has a folder of its own.
+static ROUNDS: AtomicUsize = AtomicUsize::new(0);
+/// Length of a round of a fixed seed, in minutes.
+const ROUND_MINUTES: f64 = 0.35;
+/// Length of a round with one fault alone.
+const SHORT_MINUTES: f64 = 0.15;
+
+async fn play(plan: Plan) -> History {
+    let _turn = ONE_ROUND.lock().await;
+    let binaries = Binaries::beside(env!("CARGO_BIN_EXE_swiftshunt"));
+    let number = ROUNDS.fetch_add(1, Ordering::Relaxed);
+    let folder = format!("soak-{}-{}-{number}", plan.seed, std::process::id());
+    let scratch = Path::new(env!("CARGO_TARGET_TMPDIR")).join(folder);
+    println!("seed {}, logs: {}", plan.seed, scratch.display());
+    let history = swiftshunt_lab::soak::play(plan, binaries, scratch).await;
+    history.expect("a round")
+}
+
+fn assert_all_kept(history: &History) {
+    for promise in ALL {
+        let verdict = judge(promise, history);
+        println!("{promise}: {} checked", verdict.checked);
+        assert_eq!(verdict.breaks, [], "{promise}");
+    }
+}
+
+#[test_case(11)]
+#[test_case(12)]
+#[test_case(13)]
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_under_the_faults_of_a_seed(seed: u64) {
+    let history = play(Plan::draw(seed, ROUND_MINUTES)).await;
+    assert!(history.online.len() > 100, "hardly any load");
+    assert!(!history.jobs.is_empty());
+    assert_all_kept(&history);
+}
+
+/// Plans that broke a promise once; `lab/seeds/README.md` tells why.
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_where_they_once_broke() {
+    let folder: PathBuf = [env!("CARGO_MANIFEST_DIR"), "../../lab/seeds"]
+        .iter()
+        .collect();
+    for file in std::fs::read_dir(folder).expect("plans") {
+        let file = file.expect("a file").path();
+        if file
+            .extension()
+            .is_some_and(|extension| extension == "json")
+        {
+            println!("{}", file.display());
+            let text = std::fs::read_to_string(&file).expect("a plan");
+            let plan = serde_json::from_str(&text).expect("a plan");
+            assert_all_kept(&play(plan).await);
+        }
+    }
+}
+
+/// A plan with one thing going wrong from its first second on.
+fn alone(disruption: Disruption) -> Plan {
+    let mut plan = Plan::draw(1, SHORT_MINUTES);
+    plan.faults = vec![Step {
+        at_ms: 1_000,
+        after: None,
+        for_ms: plan.load_ms,
+        disruption,
+    }];
+    plan
+}
+
+fn spoiled(service: Service, manner: Manner) -> Disruption {
+    Disruption::SpoilService { service, manner }
+}
+
+fn forgetful() -> Disruption {
+    let faults = StoreFaults {
+        forgotten: 0.3,
+        ..StoreFaults::default()
+    };
+    Disruption::Store {
+        gateways: Vec::new(),
+        faults,
+    }
+}
+
+#[test_case(Promise::OwnAnswer, spoiled(Service::Whole, Manner::WrongBody); "wrong bodies")]
+#[test_case(Promise::AtMostOnce, spoiled(Service::Whole, Manner::TellTwice); "double runs")]
+#[test_case(Promise::NotRun, spoiled(Service::Whole, Manner::LyingRefusal); "false words that nothing ran")]
+#[test_case(Promise::ExactlyOnce, forgetful(); "a store that forgets")]
+#[tokio::test(flavor = "multi_thread")]
+async fn stand_ins_that_break_a_promise_are_noticed(promise: Promise, disruption: Disruption) {
+    let history = play(alone(disruption)).await;
+    let verdict = judge(promise, &history);
+    assert!(!verdict.breaks.is_empty(), "{} checked", verdict.checked);
+}
