Go on with a listing where a call failed, in place of from its first page

With 3,001 workers it takes seven calls; a log that refuses a part of its calls lets it through in one go only by luck, and each new beginning adds calls.

--- a/crates/swiftshunt-gateway/src/batch/replay.rs
+++ b/crates/swiftshunt-gateway/src/batch/replay.rs
@@ -15,7 +15,8 @@
 
 use crate::beliefs::lock;
 use crate::clock::Clock;
-use crate::followers::{Away, list_all};
+use crate::followers::Away;
+use crate::listing::Listing;
 use crate::settings::GatewaySettings;
 
 /// How long a read of the tail waits for a record, where items run here and elsewhere.
@@ -172,12 +173,14 @@
     /// Follows a partition for as long as the process lives, while it is wanted.
     pub(crate) async fn follow(&self, partition: u32) {
         let mut away = Away::new("journal partition", partition);
+        let mut listing = Listing::default();
         loop {
             if !self.is_wanted(partition) {
+                listing = Listing::default();
                 self.rest(partition).await;
                 continue;
             }
-            let step = self.step(partition).await;
+            let step = self.step(partition, &mut listing).await;
             away.pause(&step).await;
             if step.is_ok() {
                 tokio::time::sleep(GATHER).await;
@@ -185,10 +188,10 @@
         }
     }
 
-    async fn step(&self, partition: u32) -> Result<(), LogError> {
+    async fn step(&self, partition: u32, listing: &mut Listing) -> Result<(), LogError> {
         let listed = self.state(partition).is_listed;
         if !listed {
-            return self.list(partition).await;
+            return self.list(partition, listing).await;
         }
         let wait = if self.is_held(partition) {
             HELD_TAIL_WAIT
@@ -198,8 +201,9 @@
         self.read_tail(partition, wait).await.map(|_| ())
     }
 
-    async fn list(&self, partition: u32) -> Result<(), LogError> {
-        let pages = list_all(self.log.as_ref(), Topic::Jobs, partition).await?;
+    async fn list(&self, partition: u32, listing: &mut Listing) -> Result<(), LogError> {
+        let log = self.log.as_ref();
+        let pages = listing.read(log, Topic::Jobs, partition).await?;
         let mut state = self.state(partition);
         state.view.abandon_listing();
         let mut changes = Vec::new();
--- a/crates/swiftshunt-gateway/src/followers.rs
+++ b/crates/swiftshunt-gateway/src/followers.rs
@@ -6,11 +6,12 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use rand::Rng;
-use swiftshunt_journal::{Change, KeyedView, Log, LogError, NewestPage, ReadOutcome, Topic};
+use swiftshunt_journal::{Change, KeyedView, Log, LogError, ReadOutcome, Topic};
 use swiftshunt_routing::Installed;
 
 use crate::beliefs::Beliefs;
 use crate::clock::Clock;
+use crate::listing::Listing;
 use crate::metrics::Metrics;
 use crate::protocol::Protocol;
 use crate::settings::DirectorySettings;
@@ -63,25 +64,6 @@
     }
 }
 
-/// Reads the newest record of every key.
-pub(crate) async fn list_all(
-    log: &dyn Log,
-    topic: Topic,
-    partition: u32,
-) -> Result<Vec<NewestPage>, LogError> {
-    let mut pages = Vec::new();
-    let mut after = None;
-    loop {
-        let page = log.newest(topic, partition, after).await?;
-        after = page.records.last().map(|record| record.key.clone());
-        let more = page.more && after.is_some();
-        pages.push(NewestPage { more, ..page });
-        if !more {
-            return Ok(pages);
-        }
-    }
-}
-
 /// How the tail of a topic is read.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Pace {
@@ -126,6 +108,7 @@
 pub(crate) struct Followed {
     topic: Topic,
     view: KeyedView,
+    listing: Listing,
     is_listed: bool,
 }
 
@@ -134,6 +117,7 @@
         Self {
             topic,
             view: KeyedView::default(),
+            listing: Listing::default(),
             is_listed: false,
         }
     }
@@ -157,7 +141,7 @@
     async fn list(&mut self, log: &dyn Log) -> Result<Vec<Change>, LogError> {
         self.is_listed = false;
         self.view.abandon_listing();
-        let pages = list_all(log, self.topic, 0).await?;
+        let pages = self.listing.read(log, self.topic, 0).await?;
         let changes = pages
             .into_iter()
             .flat_map(|page| self.view.apply_page(page));
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod gateway;
 mod in_flight;
 mod journey;
+mod listing;
 mod log_relay;
 mod members;
 mod metrics;
--- a/crates/swiftshunt-lab/src/platform/store.rs
+++ b/crates/swiftshunt-lab/src/platform/store.rs
@@ -55,6 +55,8 @@
     pub lost_answers: f64,
     /// Appends whose answers are lost are done this much later.
     pub done_late: Duration,
+    /// Every second call for the newest records of a topic is refused.
+    pub half_of_listings: bool,
     /// Share of appends that are acknowledged and not done: no store does that. Shows that a test
     /// would notice.
     pub forgotten: f64,
@@ -102,6 +104,8 @@
     partitions: HashMap<(String, u32), Partition>,
     groups: HashMap<String, Group>,
     calls: u64,
+    /// Calls for the newest records, by topic.
+    listings: HashMap<String, u64>,
 }
 
 struct Shared {
@@ -263,6 +267,9 @@
         paths::APPEND => append(&shared, &now, &query, body).await,
         paths::READ if now.lost_reads => std::future::pending().await,
         paths::READ => read(&shared, &faults, &query).await,
+        paths::NEWEST if now.half_of_listings && is_second(&shared, &query) => {
+            Ok(status(StatusCode::TOO_MANY_REQUESTS))
+        }
         paths::NEWEST => Ok(newest(&shared, &query)),
         paths::JOIN => Ok(join(&shared, &body)),
         paths::OWNERS => Ok(owners(&shared, &query)),
@@ -449,6 +456,15 @@
     Response::new(whole(body.freeze()))
 }
 
+/// Whether a call for the newest records of a topic is the second of two.
+fn is_second(shared: &Shared, query: &Query) -> bool {
+    let mut state = lock(&shared.state);
+    let topic = query.text(queries::TOPIC).to_owned();
+    let calls = state.listings.entry(topic).or_default();
+    *calls += 1;
+    calls.is_multiple_of(2)
+}
+
 /// Records of a page.
 const PAGE: usize = 500;
 
--- a/crates/swiftshunt/tests/gateway_refused.rs
+++ b/crates/swiftshunt/tests/gateway_refused.rs
@@ -11,7 +11,7 @@
     ASK, BATCH, PlatformOptions, eventually, first_configuration,
 };
 use swiftshunt_lab::platform::store::{Down, StoreFaults};
-use swiftshunt_platform::words::values;
+use swiftshunt_platform::words::{topics, values};
 use test_case::test_case;
 
 const DEADLINE: Duration = Duration::from_secs(6);
@@ -33,6 +33,43 @@
     fleet
 }
 
+/// Many gateways that start at once list a large directory together, and the log refuses a part of
+/// their calls: a listing of several pages must get through all the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_directory_is_listed_though_calls_in_between_are_refused() {
+    const ENTRIES: usize = 1_400;
+    let options = PlatformOptions {
+        gateways: 1,
+        ..PlatformOptions::default()
+    };
+    let mut fleet = start(options).await;
+    for number in 0..ENTRIES {
+        let other = swiftshunt_platform::documents::WorkerDocument {
+            service: "other".to_owned(),
+            address: "127.0.0.1:9".to_owned(),
+            zone: "zone-a".to_owned(),
+            slots: 1,
+            state: values::READY.to_owned(),
+            ..Default::default()
+        };
+        let body = serde_json::to_vec(&other).expect("a document");
+        // Some come before the workers that serve, and some behind them.
+        let key = format!("{}-{number}", if number % 2 == 0 { "a" } else { "z" });
+        fleet.store.put(topics::WORKERS, &key, body);
+    }
+    fleet.gateways[0].door.set(StoreFaults {
+        half_of_listings: true,
+        ..StoreFaults::default()
+    });
+    fleet.restart(0).expect("a gateway");
+    let gateway = fleet.gateways[0].callers;
+    eventually("the workers are known", || async {
+        let answer = fleet.caller.ask(gateway, ASK, "r", DEADLINE).await;
+        answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+    })
+    .await;
+}
+
 #[test_case(Down::Silent; "by silence")]
 #[test_case(Down::Busy; "by refusals")]
 #[test_case(Down::Reset; "by resets")]
