--- a/crates/swiftshunt-lab/src/soak/plan.rs
+++ b/crates/swiftshunt-lab/src/soak/plan.rs
@@ -198,8 +198,8 @@
             workers,
             slots: random.random_range(2..=10),
             load_ms,
-            requests_per_s: random.random_range(15.0..40.0),
-            wave_height: random.random_range(1.0..8.0),
+            requests_per_s: hundredths(1_500..4_000, &mut random),
+            wave_height: hundredths(100..800, &mut random),
             wave_ms: random.random_range(3_000..10_000),
             heap_ms: random.random_range(1_500..5_000),
             heap_jobs: random.random_range(1..=4),
@@ -299,6 +299,11 @@
     }
 }
 
+/// A number with two decimals: it is the same when a written plan is read again.
+fn hundredths(range: std::ops::Range<u32>, random: &mut StdRng) -> f64 {
+    f64::from(random.random_range(range)) / 100.0
+}
+
 fn draw_manner(service: Service, random: &mut StdRng) -> Manner {
     let late = Manner::Late(Duration::from_millis(random.random_range(50..2_500)));
     let broken = Manner::BreakAfter(random.random_range(0..6));
@@ -329,7 +334,7 @@
         3 => faults.delay = Duration::from_millis(random.random_range(20..600)),
         4 => faults.lost_reads = true,
         _ => {
-            faults.lost_answers = random.random_range(0.1..0.7);
+            faults.lost_answers = hundredths(10..70, random);
             faults.done_late = Duration::from_millis(random.random_range(0..3_000));
         }
     }
