--- a/crates/swiftshunt-gateway/src/slots/mod.rs
+++ b/crates/swiftshunt-gateway/src/slots/mod.rs
@@ -236,7 +236,7 @@
         bids: Vec<Bid>,
         may_wait: bool,
     ) -> (SlotAnswer, Option<Verdict>) {
-        let report = self.report(cell, owner);
+        let report = self.report(cell, owner, self.holding(cell));
         if owner == self.members.own() {
             if self.knows_only_itself(cell) {
                 return (SlotAnswer::Alone, None);
--- a/crates/swiftshunt-gateway/src/slots/reporting.rs
+++ b/crates/swiftshunt-gateway/src/slots/reporting.rs
@@ -6,8 +6,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use swiftshunt_scheduler::slots::Report;
 use swiftshunt_scheduler::slots::cell::Cell;
+use swiftshunt_scheduler::slots::{Held, Report, Waiting, WorkerKey};
 
 use super::Slots;
 use super::message::SlotMessage as Message;
@@ -35,6 +35,12 @@
     pub(super) seen: u64,
 }
 
+/// What this gateway holds in a cell.
+pub(super) struct Holding {
+    held: Vec<(WorkerKey, Held)>,
+    waiting: Waiting,
+}
+
 /// What the owner of a cell is to be told.
 enum Due {
     Nothing,
@@ -46,11 +52,18 @@
 }
 
 impl Slots {
+    /// What this gateway holds in a cell now.
+    pub(super) fn holding(&self, cell: &Cell) -> Holding {
+        Holding {
+            held: self.beliefs.selector().held_in(cell),
+            waiting: self.queue.waiting(cell, self.clock.now()),
+        }
+    }
+
     /// A report for the owner of a cell, recorded as told.
-    pub(super) fn report(&self, cell: &Cell, owner: SocketAddr) -> Report {
+    pub(super) fn report(&self, cell: &Cell, owner: SocketAddr, holding: Holding) -> Report {
         let now = self.clock.now();
-        let held = self.beliefs.selector().held_in(cell);
-        let waiting = self.queue.waiting(cell, now);
+        let Holding { held, waiting } = holding;
         let mut all = lock(&self.told);
         let before = all.remove(cell).filter(|told| told.owner == owner);
         let (asked_at, seen) = before.map_or((None, 0), |told| (told.asked_at, told.seen));
@@ -115,13 +128,14 @@
 
     fn report_cell(&self, cell: &Cell) {
         let owner = self.members.owner(cell);
-        let answer = match self.due_report(cell, owner) {
+        let holding = self.holding(cell);
+        let answer = match self.due_report(cell, owner, &holding) {
             Due::Nothing => return,
             Due::Report => false,
             Due::Question => true,
             Due::Gone => return self.give_up_owner(owner),
         };
-        let report = self.report(cell, owner);
+        let report = self.report(cell, owner, holding);
         if owner == self.members.own() {
             self.take_report(cell, owner, report);
             return;
@@ -138,17 +152,16 @@
     }
 
     /// What the owner of a cell is to be told now.
-    fn due_report(&self, cell: &Cell, owner: SocketAddr) -> Due {
+    fn due_report(&self, cell: &Cell, owner: SocketAddr, holding: &Holding) -> Due {
         let now = self.clock.now();
-        let held = self.beliefs.selector().held_in(cell);
-        let waiting = self.queue.waiting(cell, now);
+        let Holding { held, waiting } = holding;
         let is_idle = held.is_empty() && waiting.items == 0;
         let all = lock(&self.told);
         let Some(told) = all.get(cell).filter(|told| told.owner == owner) else {
             return if is_idle { Due::Nothing } else { Due::Report };
         };
         let report = &told.report;
-        let is_new = report.held != held
+        let is_new = report.held != *held
             || report.waiting.items != waiting.items
             || report.seen != told.seen;
         if !is_new && (is_idle || now < told.at + REFRESH) {
--- a/crates/swiftshunt-lab/src/platform/fleet.rs
+++ b/crates/swiftshunt-lab/src/platform/fleet.rs
@@ -227,15 +227,7 @@
     }
 
     fn run(&self, settings: PathBuf, door: Door) -> Result<RunningGateway, HarnessError> {
-        let arguments = [
-            "gateway".to_owned(),
-            "--config".to_owned(),
-            settings.display().to_string(),
-            "--log-level".to_owned(),
-            "debug".to_owned(),
-        ];
-        let log = settings.with_extension("log");
-        let process = Process::start(&self.binary, &arguments, &log)?;
+        let process = start_gateway(&self.binary, &settings)?;
         let address = |field: &str| {
             let text = process.announced(field);
             text.parse().map_err(|_| HarnessError::NotAnnounced {
@@ -323,6 +315,18 @@
     }
 }
 
+/// Starts a gateway by a settings file; its log lies beside that.
+pub(crate) fn start_gateway(binary: &Path, settings: &Path) -> Result<Process, HarnessError> {
+    let arguments = [
+        "gateway".to_owned(),
+        "--config".to_owned(),
+        settings.display().to_string(),
+        "--log-level".to_owned(),
+        "debug".to_owned(),
+    ];
+    Process::start(binary, &arguments, &settings.with_extension("log"))
+}
+
 /// Ports that the system gives to nobody by itself.
 const FIXED_PORTS: std::ops::Range<u16> = 20_000..30_000;
 /// Ports that are tried until one is free.
--- a/crates/swiftshunt-lab/src/soak/stage/gateways.rs
+++ b/crates/swiftshunt-lab/src/soak/stage/gateways.rs
@@ -1,7 +1,7 @@
 //! Gateway processes: started, killed, paused, stopped, and taken in or out by callers.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex as StdMutex};
 use std::time::Duration;
@@ -12,7 +12,7 @@
 use super::{PARTITIONS, Stage};
 use crate::harness::Process;
 use crate::platform::caller::PlatformCaller;
-use crate::platform::fleet::{free_address, settings_text};
+use crate::platform::fleet::{free_address, settings_text, start_gateway};
 use crate::proxy::Link;
 use crate::soak::SoakError;
 use crate::soak::calm::Scope;
@@ -87,16 +87,8 @@
         })
     }
 
-    fn start_gateway(&self, settings: &std::path::Path) -> Result<Process, SoakError> {
-        let arguments = [
-            "gateway".to_owned(),
-            "--config".to_owned(),
-            settings.display().to_string(),
-            "--log-level".to_owned(),
-            "debug".to_owned(),
-        ];
-        let log = settings.with_extension("log");
-        let start = || Process::start(&self.binaries.node, &arguments, &log);
+    fn start_gateway(&self, settings: &Path) -> Result<Process, SoakError> {
+        let start = || start_gateway(&self.binaries.node, settings);
         Ok(tokio::task::block_in_place(start)?)
     }
 
--- a/crates/swiftshunt-scheduler/tests/slots.rs
+++ b/crates/swiftshunt-scheduler/tests/slots.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use swiftshunt_scheduler::slots::book::{Book, Load, NotPlaced};
+use swiftshunt_scheduler::slots::book::{Book, Load, NotPlaced, Placement};
 use swiftshunt_scheduler::slots::cell::{Cell, cell_count, owner};
 use swiftshunt_scheduler::slots::{
     Bid, CellWorker, Held, ItemTimes, Rank, Report, Waiting, WorkerKey,
@@ -75,19 +75,25 @@
     }
 }
 
+/// A request of a gateway, with a bid for each worker of the cell.
+fn place(book: &mut Book, from: u16, costs: &[u32]) -> Result<Placement, NotPlaced> {
+    let workers = workers(costs.len() as u64);
+    book.place(
+        gateway(from),
+        &bids(costs),
+        &workers,
+        SERVICE_MS,
+        true,
+        SETTLED,
+    )
+}
+
 #[test]
 fn a_request_goes_where_a_slot_is_free() {
     let mut book = Book::default();
     book.take(gateway(1), report(1, 0, &[(0, held(4, 0))]), SETTLED);
     book.take(gateway(2), report(1, 0, &[(1, held(2, 1))]), SETTLED);
-    let placed = book.place(
-        gateway(3),
-        &bids(&[0, 0]),
-        &workers(2),
-        SERVICE_MS,
-        true,
-        SETTLED,
-    );
+    let placed = place(&mut book, 3, &[0, 0]);
     let placed = placed.expect("a worker");
     assert_eq!(placed.worker, key(1));
     assert!(!placed.waits);
@@ -99,14 +105,7 @@
     let mut book = Book::default();
     book.take(gateway(1), report(1, 0, &[(0, held(3, 1))]), SETTLED);
     // Reading 400 ms more at the free worker is worse than an item's way out of the full one.
-    let placed = book.place(
-        gateway(2),
-        &bids(&[0, 400]),
-        &workers(2),
-        SERVICE_MS,
-        true,
-        SETTLED,
-    );
+    let placed = place(&mut book, 2, &[0, 400]);
     assert_eq!(placed.expect("a worker").worker, key(0));
 }
 
@@ -115,14 +114,7 @@
     let mut book = Book::default();
     book.take(gateway(1), report(1, 0, &[(0, held(2, 2))]), SETTLED);
     let mut place = || {
-        let placed = book.place(
-            gateway(2),
-            &bids(&[0]),
-            &workers(1),
-            SERVICE_MS,
-            true,
-            SETTLED,
-        );
+        let placed = place(&mut book, 2, &[0]);
         placed.expect("a worker")
     };
     assert_eq!(place().steps_aside, Some(gateway(1)));
@@ -158,14 +150,7 @@
     let mut book = Book::default();
     book.take(gateway(1), report(1, 0, &[(0, held(0, 3))]), SETTLED);
     book.take(gateway(2), report(1, 0, &[(0, held(0, 1))]), SETTLED);
-    let placed = book.place(
-        gateway(2),
-        &bids(&[0]),
-        &workers(1),
-        SERVICE_MS,
-        true,
-        SETTLED,
-    );
+    let placed = place(&mut book, 2, &[0]);
     assert_eq!(placed.expect("a worker").steps_aside, Some(gateway(2)));
 }
 
@@ -222,26 +207,12 @@
 fn an_assignment_counts_at_once_and_only_until_it_is_reported_or_lost() {
     let mut book = Book::default();
     book.take(gateway(1), report(1, 0, &[]), SETTLED);
-    let placed = book.place(
-        gateway(1),
-        &bids(&[0]),
-        &workers(1),
-        SERVICE_MS,
-        true,
-        SETTLED,
-    );
+    let placed = place(&mut book, 1, &[0]);
     let number = placed.expect("a worker").number;
     assert_eq!(book.load(key(0)).taken(), 1);
     book.take(gateway(1), report(2, number, &[(0, held(1, 0))]), SETTLED);
     assert_eq!(book.load(key(0)).taken(), 1, "counted twice");
-    let lost = book.place(
-        gateway(1),
-        &bids(&[0]),
-        &workers(1),
-        SERVICE_MS,
-        true,
-        SETTLED,
-    );
+    let lost = place(&mut book, 1, &[0]);
     assert!(lost.is_ok());
     assert_eq!(book.load(key(0)).taken(), 2);
     book.expire(SETTLED + Duration::from_millis(400));
--- a/crates/swiftshunt/tests/gateway_changes.rs
+++ b/crates/swiftshunt/tests/gateway_changes.rs
@@ -158,6 +158,39 @@
     assert_eq!(fleet.whole[0].runs().len(), before);
 }
 
+/// The log drops entries of workers while it is away. One that is missing after its return is taken as
+/// gone, and one that is back is offered again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_worker_whose_entry_lapsed_gets_nothing_until_it_is_back() {
+    let fleet = start(PlatformOptions::default()).await;
+    for gateway in &fleet.gateways {
+        gateway.door.set(gateway::down());
+    }
+    fleet.unlist(&fleet.whole[0]);
+    tokio::time::sleep(OBEY_WITHIN / 2).await;
+    for gateway in &fleet.gateways {
+        gateway.door.set(StoreFaults::default());
+    }
+    tokio::time::sleep(OBEY_WITHIN).await;
+    let before = fleet.whole[0].runs().len();
+    for number in 0..24 {
+        let gateway = fleet.gateways[number % 2].callers;
+        let id = format!("gone-{number}");
+        let answer = fleet.caller.ask(gateway, ASK, &id, DEADLINE).await;
+        assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    }
+    assert_eq!(fleet.whole[0].runs().len(), before);
+    fleet.list(&fleet.whole[0], "whole", values::READY);
+    tokio::time::sleep(OBEY_WITHIN).await;
+    for number in 0..24 {
+        let gateway = fleet.gateways[number % 2].callers;
+        let id = format!("back-{number}");
+        let answer = fleet.caller.ask(gateway, ASK, &id, DEADLINE).await;
+        assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    }
+    assert!(fleet.whole[0].runs().len() > before);
+}
+
 /// Found on the bench: workers whose entries do not change were passed over for new ones.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_new_worker_does_not_draw_every_request() {
