--- a/crates/swiftshunt-lab/src/soak/history.rs
+++ b/crates/swiftshunt-lab/src/soak/history.rs
@@ -39,6 +39,8 @@
     Broken,
     /// Nothing came for as long as the caller waited.
     Unanswered,
+    /// The caller closed the connection before there was an answer.
+    Left,
 }
 
 impl Ending {
@@ -46,7 +48,7 @@
     pub fn status(self) -> Option<u16> {
         match self {
             Self::Answered { status, .. } => Some(status),
-            Self::Broken | Self::Unanswered => None,
+            Self::Broken | Self::Unanswered | Self::Left => None,
         }
     }
 }
--- a/crates/swiftshunt-lab/src/soak/promises/runs.rs
+++ b/crates/swiftshunt-lab/src/soak/promises/runs.rs
@@ -6,7 +6,7 @@
 use crate::platform::fleet::{BATCH, STREAM, STREAM_ONCE};
 use crate::platform::worker::RunEvent;
 use crate::soak::calm::Calm;
-use crate::soak::history::{History, OnlineKind, RunRecord};
+use crate::soak::history::{Ending, History, OnlineCall, OnlineKind, RunRecord};
 
 /// Statuses that say that a request has not run.
 const REFUSALS: [u16; 4] = [408, 421, 429, 503];
@@ -14,6 +14,8 @@
 const LEAVES_WITHIN_MS: u64 = 2_000;
 /// A little more, for what is on its way.
 const ON_ITS_WAY_MS: u64 = 400;
+/// Time within which a request is gone from its worker once its caller has left, in milliseconds.
+const GONE_WITHIN_MS: u64 = 500;
 /// Wait for a slot from which a stream counts as one that waits behind others, in milliseconds.
 const WAITS_MS: u64 = 1_500;
 
@@ -100,6 +102,30 @@
     }
 }
 
+/// While nothing is disturbed, a stream or a request that may be repeated leaves its worker soon after
+/// its caller has left, and does not come to one any more.
+pub(super) fn caller_left(history: &History, verdict: &mut Verdict) {
+    let calm = Calm(&history.disturbances);
+    let left = |call: &&OnlineCall| call.ending == Ending::Left && call.kind != OnlineKind::Once;
+    for call in history.online.iter().filter(left) {
+        let gone_by = call.ended + GONE_WITHIN_MS;
+        if !calm.everything(call.sent, gone_by) {
+            continue;
+        }
+        let of_call = || history.runs.iter().filter(|run| run.id == call.id);
+        let came = of_call().find(|run| run.event == RunEvent::Arrived && run.at > gone_by);
+        let stayed = of_call().find(|run| run.event == RunEvent::Ended && run.at > gone_by);
+        let seen = came.or(stayed).map(|run| {
+            let after = run.at - call.ended;
+            format!(
+                "{:?} at {} {after} ms after the caller had left",
+                run.event, run.incarnation
+            )
+        });
+        verdict.check(call.ended, &call.id, seen);
+    }
+}
+
 /// Slots of one worker over time.
 struct Slots<'h> {
     /// Runs that hold a slot: request, path, since when.
--- a/crates/swiftshunt-lab/src/soak/report.rs
+++ b/crates/swiftshunt-lab/src/soak/report.rs
@@ -80,6 +80,7 @@
         Ending::Answered { status, .. } => status.to_string(),
         Ending::Broken => "broken".to_owned(),
         Ending::Unanswered => "unanswered".to_owned(),
+        Ending::Left => "left".to_owned(),
     }
 }
 
@@ -110,6 +111,7 @@
     match ending {
         Ending::Answered { status: 200, .. } => (GOOD, 1.0),
         Ending::Answered { .. } => (REFUSED, 2.0),
+        Ending::Left => (FAULT, 1.5),
         Ending::Broken | Ending::Unanswered => (FAILED, 3.0),
     }
 }
