--- a/crates/swiftshunt-lab/src/soak/load.rs
+++ b/crates/swiftshunt-lab/src/soak/load.rs
@@ -12,7 +12,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::history::{Ending, JobHistory, OnlineCall};
-use super::stage::Stage;
+use super::testbed::Testbed;
 use crate::platform::caller::PlatformCaller;
 use crate::stand_in::lock;
 
@@ -31,7 +31,7 @@
 
 /// The callers of a round.
 pub(super) struct Load {
-    stage: Arc<Stage>,
+    testbed: Arc<Testbed>,
     caller: PlatformCaller,
     seen: Mutex<Seen>,
     tasks: TaskTracker,
@@ -42,9 +42,9 @@
 }
 
 impl Load {
-    pub(super) fn new(stage: Arc<Stage>) -> Arc<Self> {
+    pub(super) fn new(testbed: Arc<Testbed>) -> Arc<Self> {
         Arc::new(Self {
-            stage,
+            testbed,
             caller: PlatformCaller::default(),
             seen: Mutex::default(),
             tasks: TaskTracker::new(),
@@ -55,9 +55,13 @@
 
     /// Sends load for as long as the plan says.
     pub(super) async fn send(self: &Arc<Self>) {
-        let time = Duration::from_millis(self.stage.plan.load_ms);
+        let time = Duration::from_millis(self.testbed.plan.load_ms);
         let sending = async {
-            tokio::join!(self.send_requests(), self.send_markers(), self.send_heaps());
+            tokio::join!(
+                self.send_requests(),
+                self.send_markers(),
+                self.send_job_bursts()
+            );
         };
         // Sending does not end by itself.
         drop(tokio::time::timeout(time, sending).await);
@@ -76,7 +80,7 @@
 
     /// Requests a second, in waves.
     fn rate(&self, at: Duration) -> f64 {
-        let plan = &self.stage.plan;
+        let plan = &self.testbed.plan;
         let turns = at.as_millis() as f64 / plan.wave_ms as f64;
         let height = (turns * std::f64::consts::TAU).sin().max(0.0);
         plan.requests_per_s * (1.0 + plan.wave_height * height)
@@ -90,15 +94,15 @@
         }
     }
 
-    async fn send_heaps(self: &Arc<Self>) {
-        let plan = &self.stage.plan;
-        for heap in 0.. {
-            for job in 0..plan.heap_jobs {
+    async fn send_job_bursts(self: &Arc<Self>) {
+        let plan = &self.testbed.plan;
+        for burst in 0.. {
+            for job in 0..plan.jobs_per_burst {
                 let load = Arc::clone(self);
-                let id = format!("job-{heap}-{job}");
+                let id = format!("job-{burst}-{job}");
                 self.tasks.spawn(async move { load.run_job(id).await });
             }
-            tokio::time::sleep(Duration::from_millis(plan.heap_ms)).await;
+            tokio::time::sleep(Duration::from_millis(plan.job_burst_interval_ms)).await;
         }
     }
 
--- a/crates/swiftshunt-lab/src/soak/load/jobs.rs
+++ b/crates/swiftshunt-lab/src/soak/load/jobs.rs
@@ -37,7 +37,7 @@
 impl Load {
     /// Follows a job from its first submission to its end.
     pub(super) async fn run_job(&self, id: String) {
-        let count = self.stage.plan.job_items;
+        let count = self.testbed.plan.job_items;
         let mut job = JobHistory {
             items: (0..count).map(|item| item_id(&id, item)).collect(),
             id,
@@ -53,9 +53,9 @@
 
     async fn hand_in(&self, job: &mut JobHistory, count: usize) {
         for _ in 0..MOST_TRIES {
-            let gateway = self.stage.some_gateway();
-            let sent = self.stage.now();
-            let address = self.stage.callers(gateway);
+            let gateway = self.testbed.pick_gateway();
+            let sent = self.testbed.now();
+            let address = self.testbed.callers(gateway);
             let asked = self.caller.submit(address, BATCH, &job.id, count);
             let answer = tokio::time::timeout(SUBMISSION_PATIENCE, asked).await;
             let status = match answer {
@@ -65,11 +65,11 @@
             job.submissions.push(Submission {
                 gateway,
                 sent,
-                ended: self.stage.now(),
+                ended: self.testbed.now(),
                 status,
             });
             if status == Some(202) {
-                return self.stage.reached(Moment::JobAccepted);
+                return self.testbed.reached(Moment::JobAccepted);
             }
             tokio::time::sleep(AGAIN_AFTER).await;
         }
@@ -92,7 +92,7 @@
             } else {
                 listed
             };
-            let reading = self.read(self.stage.some_gateway(), &job.id, from).await;
+            let reading = self.read(self.testbed.pick_gateway(), &job.id, from).await;
             let known = from + reading.results.len();
             if known > listed {
                 listed = known;
@@ -104,19 +104,19 @@
     }
 
     async fn end(&self, job: &mut JobHistory) {
-        let gateway = self.stage.some_gateway();
+        let gateway = self.testbed.pick_gateway();
         job.end_asked = true;
-        let asked = self.caller.end(self.stage.callers(gateway), &job.id);
+        let asked = self.caller.end(self.testbed.callers(gateway), &job.id);
         let answer = tokio::time::timeout(READ_PATIENCE, asked).await;
         if matches!(answer, Ok(Ok(status)) if status.is_success()) {
-            job.ended = Some(self.stage.now());
-            self.stage.reached(Moment::JobEnded);
+            job.ended = Some(self.testbed.now());
+            self.testbed.reached(Moment::JobEnded);
         }
     }
 
     async fn read(&self, gateway: usize, job: &str, from: usize) -> Reading {
-        let sent = self.stage.now();
-        let address = self.stage.callers(gateway);
+        let sent = self.testbed.now();
+        let address = self.testbed.callers(gateway);
         let asked = self.caller.results(address, job, from, Duration::ZERO);
         let answer = tokio::time::timeout(READ_PATIENCE, asked).await;
         let (status, page) = match answer {
@@ -126,7 +126,7 @@
         Reading {
             gateway,
             sent,
-            ended: self.stage.now(),
+            ended: self.testbed.now(),
             from,
             status,
             total: page.as_ref().map_or(0, |page| page.total),
@@ -139,7 +139,7 @@
         while !self.is_over() {
             tokio::time::sleep(READ_PAUSE).await;
         }
-        for gateway in 0..self.stage.gateway_count() {
+        for gateway in 0..self.testbed.gateway_count() {
             let reading = self.read_whole(gateway, job).await;
             job.final_readings.push(reading);
         }
--- a/crates/swiftshunt-lab/src/soak/load/online.rs
+++ b/crates/swiftshunt-lab/src/soak/load/online.rs
@@ -10,7 +10,7 @@
 use crate::platform::fleet::{ASK, ONCE, STREAM, STREAM_ONCE};
 use crate::platform::worker::event_data;
 use crate::soak::history::{Ending, OnlineCall, OnlineKind};
-use crate::soak::stage::{EVENTS, marker};
+use crate::soak::testbed::{EVENTS, marker};
 use crate::stand_in::lock;
 
 /// Times that callers allow, in milliseconds.
@@ -35,7 +35,7 @@
 
     /// One request on the route that the newest configuration brought.
     pub(super) async fn ask_marker(self: &Arc<Self>) {
-        let Some(configured) = self.stage.configured() else {
+        let Some(configured) = self.testbed.configured() else {
             return;
         };
         let version = configured.version;
@@ -44,14 +44,14 @@
     }
 
     async fn ask(&self, kind: OnlineKind, path: String) {
-        let gateway = self.stage.some_gateway();
+        let gateway = self.testbed.pick_gateway();
         let id = format!("r-{:016x}", rand::random::<u64>());
         let deadline = rand::rng().random_range(DEADLINES);
         let allowed = Duration::from_millis(deadline);
-        let (life, sent) = (self.stage.life(gateway), self.stage.now());
+        let (life, sent) = (self.testbed.life(gateway), self.testbed.now());
         let asked = self
             .caller
-            .ask(self.stage.callers(gateway), &path, &id, allowed);
+            .ask(self.testbed.callers(gateway), &path, &id, allowed);
         let leaves_after = draw_leaving(kind);
         let patience = leaves_after.unwrap_or(allowed + LISTENS_ON);
         let answer = tokio::time::timeout(patience, asked).await;
@@ -71,7 +71,7 @@
             gateway,
             life,
             sent,
-            ended: self.stage.now(),
+            ended: self.testbed.now(),
             deadline,
             ending,
         };
--- a/crates/swiftshunt-lab/src/soak/plan.rs
+++ b/crates/swiftshunt-lab/src/soak/plan.rs
@@ -41,10 +41,10 @@
     pub wave_height: f64,
     /// From one wave to the next.
     pub wave_ms: u64,
-    /// From one heap of jobs to the next.
-    pub heap_ms: u64,
-    /// Jobs of a heap.
-    pub heap_jobs: usize,
+    /// From one burst of jobs to the next.
+    pub job_burst_interval_ms: u64,
+    /// Jobs of a burst.
+    pub jobs_per_burst: usize,
     /// Items of a job.
     pub job_items: usize,
     /// What goes wrong.
@@ -157,7 +157,7 @@
         manner: Manner,
     },
     /// All workers of a service serve badly.
-    SpoilService {
+    ServiceManner {
         /// The service.
         service: Service,
         /// How.
@@ -201,8 +201,8 @@
             requests_per_s: hundredths(1_500..4_000, &mut random),
             wave_height: hundredths(100..800, &mut random),
             wave_ms: random.random_range(3_000..10_000),
-            heap_ms: random.random_range(1_500..5_000),
-            heap_jobs: random.random_range(1..=4),
+            job_burst_interval_ms: random.random_range(1_500..5_000),
+            jobs_per_burst: random.random_range(1..=4),
             job_items: random.random_range(4..=24),
             faults: Vec::new(),
         };
@@ -280,7 +280,7 @@
                 link: draw_link(gateway, index, random),
                 fault: draw_link_fault(random),
             },
-            22 => Disruption::SpoilService {
+            22 => Disruption::ServiceManner {
                 service,
                 manner: draw_manner(service, random),
             },
--- a/crates/swiftshunt-lab/src/soak/promises/batch.rs
+++ b/crates/swiftshunt-lab/src/soak/promises/batch.rs
@@ -6,7 +6,7 @@
 use crate::platform::worker::{RunEvent, event_data};
 use crate::soak::calm::Calm;
 use crate::soak::history::{History, JobHistory, Listed, Reading};
-use crate::soak::stage::EVENTS;
+use crate::soak::testbed::EVENTS;
 
 /// Time after a 202 from which every gateway in touch must know a job, in milliseconds.
 const KNOWN_AFTER_MS: u64 = 1_000;
--- a/crates/swiftshunt-lab/src/soak/round.rs
+++ b/crates/swiftshunt-lab/src/soak/round.rs
@@ -1,4 +1,4 @@
-//! One round: the stage is set, load and faults run, and what was seen is gathered.
+//! One round: the processes are started, load and faults run, and what was seen is gathered.
 
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -10,7 +10,7 @@
 use super::history::History;
 use super::load::Load;
 use super::plan::{Plan, Step};
-use super::stage::Stage;
+use super::testbed::Testbed;
 use crate::harness::{Binaries, HarnessError};
 
 /// How long a fault waits for the moment that it is to follow; then it comes all the same.
@@ -41,36 +41,36 @@
 
 /// Plays a round; logs, settings and workers' outputs stay in `scratch`.
 pub async fn play(plan: Plan, binaries: Binaries, scratch: PathBuf) -> Result<History, SoakError> {
-    let stage = Arc::new(Stage::set(plan, binaries, scratch).await?);
-    let load = Load::new(Arc::clone(&stage));
+    let testbed = Arc::new(Testbed::start(plan, binaries, scratch).await?);
+    let load = Load::new(Arc::clone(&testbed));
     let mut asking = JoinSet::new();
-    for gateway in 0..stage.gateway_count() {
-        let stage = Arc::clone(&stage);
-        asking.spawn(async move { stage.keep_asking(gateway).await });
+    for gateway in 0..testbed.gateway_count() {
+        let testbed = Arc::clone(&testbed);
+        asking.spawn(async move { testbed.poll_readiness(gateway).await });
     }
     let mut faults = JoinSet::new();
-    for step in stage.plan.faults.clone() {
-        let stage = Arc::clone(&stage);
-        faults.spawn(async move { disturb(&stage, &step).await });
+    for step in testbed.plan.faults.clone() {
+        let testbed = Arc::clone(&testbed);
+        faults.spawn(async move { disturb(&testbed, &step).await });
     }
     load.send().await;
     while faults.join_next().await.is_some() {}
     load.finish().await;
     asking.shutdown().await;
-    let failures = stage.failures();
+    let failures = testbed.failures();
     if !failures.is_empty() {
         return Err(SoakError::NotPlayed { failures });
     }
-    let mut history = stage.facts()?;
+    let mut history = testbed.facts()?;
     (history.online, history.jobs) = load.seen();
     Ok(history)
 }
 
 /// Applies a fault at its time.
-async fn disturb(stage: &Stage, step: &Step) {
+async fn disturb(testbed: &Testbed, step: &Step) {
     tokio::time::sleep(Duration::from_millis(step.at_ms)).await;
     if let Some((moment, delay)) = step.after {
-        let mut moments = stage.moments();
+        let mut moments = testbed.moments();
         let comes = async {
             while let Ok(reached) = moments.recv().await {
                 if reached == moment {
@@ -82,5 +82,5 @@
             tokio::time::sleep(Duration::from_millis(delay)).await;
         }
     }
-    stage.apply(step).await;
+    testbed.apply(step).await;
 }
--- a/crates/swiftshunt-lab/src/soak/stage.rs
+++ b/crates/swiftshunt-lab/src/soak/testbed.rs
@@ -36,7 +36,7 @@
 const MOMENTS_KEPT: usize = 256;
 
 /// A round's processes.
-pub(super) struct Stage {
+pub(super) struct Testbed {
     pub(super) plan: Plan,
     pub(super) scratch: PathBuf,
     binaries: Binaries,
@@ -54,9 +54,9 @@
     _store: Process,
 }
 
-impl Stage {
+impl Testbed {
     /// Starts everything and waits until the gateways are ready.
-    pub(super) async fn set(
+    pub(super) async fn start(
         plan: Plan,
         binaries: Binaries,
         scratch: PathBuf,
@@ -67,7 +67,7 @@
         let Some((operators_door, doors)) = doors.split_last() else {
             return Err(SoakError::NoDoor);
         };
-        let mut stage = Self {
+        let mut testbed = Self {
             began: time_of_day_ms(),
             client: HttpClient::new(None),
             facts: Mutex::default(),
@@ -82,21 +82,21 @@
             scratch,
             binaries,
         };
-        for index in 0..stage.plan.workers {
-            let whole = stage.new_worker(Service::Whole, index).await?;
-            stage.whole.push(whole);
-            let engine = stage.new_worker(Service::Engine, index).await?;
-            stage.engines.push(engine);
+        for index in 0..testbed.plan.workers {
+            let whole = testbed.new_worker(Service::Whole, index).await?;
+            testbed.whole.push(whole);
+            let engine = testbed.new_worker(Service::Engine, index).await?;
+            testbed.engines.push(engine);
         }
-        stage.configure().await;
+        testbed.configure().await;
         for (index, door) in doors.iter().enumerate() {
-            let gateway = stage.new_gateway(index, *door).await?;
-            stage.gateways.push(gateway);
+            let gateway = testbed.new_gateway(index, *door).await?;
+            testbed.gateways.push(gateway);
         }
-        for index in 0..stage.gateways.len() {
-            stage.until_ready(index).await;
+        for index in 0..testbed.gateways.len() {
+            testbed.until_ready(index).await;
         }
-        Ok(stage)
+        Ok(testbed)
     }
 
     /// Milliseconds since the round began.
@@ -115,7 +115,7 @@
     }
 
     /// Something of the round's own did not work: what it would show is not what the plan says.
-    fn complain(&self, failure: String) {
+    fn record_failure(&self, failure: String) {
         lock(&self.failures).push(failure);
     }
 
@@ -195,10 +195,13 @@
                 service,
                 index,
                 manner,
-            } => self.spoil_worker(*service, *index, *manner, time).await,
-            Disruption::SpoilService { service, manner } => {
+            } => {
+                self.set_worker_manner(*service, *index, *manner, time)
+                    .await
+            }
+            Disruption::ServiceManner { service, manner } => {
                 let all = (0..self.plan.workers)
-                    .map(|index| self.spoil_worker(*service, index, *manner, time));
+                    .map(|index| self.set_worker_manner(*service, index, *manner, time));
                 futures_util::future::join_all(all).await;
             }
             Disruption::Store { gateways, faults } => {
@@ -221,7 +224,7 @@
     async fn command_store(&self, path: &str) {
         let request = HttpRequest::post(self.operator.door, path, "application/json", "");
         if let Err(error) = self.client.expect_success(request, CONTROL_TIMEOUT).await {
-            self.complain(format!(
+            self.record_failure(format!(
                 "the store's stand-in does not obey {path}: {error}"
             ));
         }
@@ -234,7 +237,7 @@
         let body = serde_json::to_vec(faults).unwrap_or_default();
         let request = HttpRequest::post(slot.door, CONTROL_FAULTS, "application/json", body);
         if let Err(error) = self.client.expect_success(request, CONTROL_TIMEOUT).await {
-            self.complain(format!(
+            self.record_failure(format!(
                 "the store's stand-in does not take faults: {error}"
             ));
         }
--- a/crates/swiftshunt-lab/src/soak/stage/gateways.rs
+++ b/crates/swiftshunt-lab/src/soak/testbed/gateways.rs
@@ -9,7 +9,7 @@
 use rand::seq::IndexedRandom;
 use tokio::sync::Mutex;
 
-use super::{PARTITIONS, Stage};
+use super::{PARTITIONS, Testbed};
 use crate::harness::Process;
 use crate::platform::caller::PlatformCaller;
 use crate::platform::fleet::{free_address, settings_text, start_gateway};
@@ -53,7 +53,7 @@
     ended_itself: AtomicBool,
 }
 
-impl Stage {
+impl Testbed {
     pub(super) async fn new_gateway(
         &self,
         index: usize,
@@ -108,7 +108,7 @@
                 slot.callers.set_target(callers);
                 *lock(&slot.ready) = ready;
             }
-            Err(error) => self.complain(format!("a gateway does not start: {error}")),
+            Err(error) => self.record_failure(format!("a gateway does not start: {error}")),
         }
         self.until_ready(index).await;
     }
@@ -172,7 +172,7 @@
             }
         };
         if tokio::time::timeout(STOP_PATIENCE, ends).await.is_err() {
-            self.complain(format!("gateway {index} does not stop"));
+            self.record_failure(format!("gateway {index} does not stop"));
             tokio::task::block_in_place(|| process.kill());
         }
         let ended = self.now();
@@ -199,12 +199,12 @@
             format!("{text}\nnot = [settings")
         };
         if let Err(error) = std::fs::write(&slot.settings, changed) {
-            self.complain(format!("settings are not written: {error}"));
+            self.record_failure(format!("settings are not written: {error}"));
         }
         process.hang_up();
         tokio::time::sleep(time).await;
         if let Err(error) = std::fs::write(&slot.settings, text) {
-            self.complain(format!("settings are not written: {error}"));
+            self.record_failure(format!("settings are not written: {error}"));
         }
     }
 
@@ -221,7 +221,7 @@
     }
 
     /// Asks a gateway from time to time whether it is ready, as a platform does.
-    pub(in crate::soak) async fn keep_asking(&self, index: usize) {
+    pub(in crate::soak) async fn poll_readiness(&self, index: usize) {
         let caller = PlatformCaller::default();
         let mut misses = 0;
         loop {
@@ -239,7 +239,7 @@
     }
 
     /// A gateway that a caller is sent to: one that is in, or any if too few are.
-    pub(in crate::soak) fn some_gateway(&self) -> usize {
+    pub(in crate::soak) fn pick_gateway(&self) -> usize {
         let all: Vec<usize> = (0..self.gateways.len()).collect();
         let is_in = |index: &usize| self.gateways[*index].is_in.load(Ordering::SeqCst);
         let there: Vec<usize> = all.iter().copied().filter(is_in).collect();
--- a/crates/swiftshunt-lab/src/soak/stage/operator.rs
+++ b/crates/swiftshunt-lab/src/soak/testbed/operator.rs
@@ -8,7 +8,7 @@
 use swiftshunt_platform::documents::WorkerDocument;
 use swiftshunt_platform::words::{paths, queries, topics, values};
 
-use super::{CONTROL_TIMEOUT, Stage};
+use super::{CONTROL_TIMEOUT, Testbed};
 use crate::platform::fleet::{first_configuration, route};
 use crate::soak::history::Configured;
 use crate::soak::plan::Moment;
@@ -38,7 +38,7 @@
     format!("/marker-{version}/")
 }
 
-impl Stage {
+impl Testbed {
     /// Writes a record under a key; gives whether the store acknowledged it.
     pub(super) async fn put(&self, topic: &str, key: &[u8], value: &[u8]) -> bool {
         let path = format!(
@@ -51,7 +51,7 @@
         let request = HttpRequest::post(self.operator.door, path, "application/octet-stream", body);
         let answer = self.client.expect_success(request, CONTROL_TIMEOUT).await;
         if let Err(error) = &answer {
-            self.complain(format!(
+            self.record_failure(format!(
                 "the store's stand-in does not take a record: {error}"
             ));
         }
--- a/crates/swiftshunt-lab/src/soak/stage/workers.rs
+++ b/crates/swiftshunt-lab/src/soak/testbed/workers.rs
@@ -8,7 +8,7 @@
 use swiftshunt_platform::words::values;
 use tokio::sync::Mutex;
 
-use super::{CONTROL_TIMEOUT, Stage};
+use super::{CONTROL_TIMEOUT, Testbed};
 use crate::harness::Process;
 use crate::platform::worker::{CONTROL_MANNER, Manner};
 use crate::proxy::Link;
@@ -48,7 +48,7 @@
     }
 }
 
-impl Stage {
+impl Testbed {
     pub(super) async fn new_worker(
         &self,
         service: Service,
@@ -123,7 +123,7 @@
         let generation = worker.generation + 1;
         match self.start_worker(service, index, generation, link).await {
             Ok(state) => *worker = state,
-            Err(error) => self.complain(format!("a worker does not start: {error}")),
+            Err(error) => self.record_failure(format!("a worker does not start: {error}")),
         }
     }
 
@@ -180,7 +180,7 @@
         self.replace(service, index, &mut worker, None).await;
     }
 
-    pub(super) async fn spoil_worker(
+    pub(super) async fn set_worker_manner(
         &self,
         service: Service,
         index: usize,
@@ -205,7 +205,7 @@
         };
         let request = HttpRequest::post(addresses[0], CONTROL_MANNER, "application/json", body);
         if let Err(error) = self.client.expect_success(request, CONTROL_TIMEOUT).await {
-            self.complain(format!("a worker's stand-in does not obey: {error}"));
+            self.record_failure(format!("a worker's stand-in does not obey: {error}"));
         }
     }
 }
--- a/crates/swiftshunt-scheduler/src/slots/book.rs
+++ b/crates/swiftshunt-scheduler/src/slots/book.rs
@@ -296,6 +296,7 @@
         (items > 0).then_some(gateway)
     }
 
+    /// Counts an item of a gateway's as one that was told to leave a worker.
     fn order_away(&mut self, gateway: SocketAddr, worker: WorkerKey, now: Duration) {
         if let Some(account) = self.accounts.get_mut(&gateway) {
             account.leaving.push((worker, now));
--- a/crates/swiftshunt/tests/soak.rs
+++ b/crates/swiftshunt/tests/soak.rs
@@ -85,8 +85,8 @@
     plan
 }
 
-fn spoiled(service: Service, manner: Manner) -> Disruption {
-    Disruption::SpoilService { service, manner }
+fn served_badly(service: Service, manner: Manner) -> Disruption {
+    Disruption::ServiceManner { service, manner }
 }
 
 fn forgetful() -> Disruption {
@@ -100,9 +100,9 @@
     }
 }
 
-#[test_case(Promise::OwnAnswer, spoiled(Service::Whole, Manner::WrongBody); "wrong bodies")]
-#[test_case(Promise::AtMostOnce, spoiled(Service::Whole, Manner::TellTwice); "double runs")]
-#[test_case(Promise::NotRun, spoiled(Service::Whole, Manner::LyingRefusal); "false words that nothing ran")]
+#[test_case(Promise::OwnAnswer, served_badly(Service::Whole, Manner::WrongBody); "wrong bodies")]
+#[test_case(Promise::AtMostOnce, served_badly(Service::Whole, Manner::TellTwice); "double runs")]
+#[test_case(Promise::NotRun, served_badly(Service::Whole, Manner::LyingRefusal); "false words that nothing ran")]
 #[test_case(Promise::ExactlyOnce, forgetful(); "a store that forgets")]
 #[tokio::test(flavor = "multi_thread")]
 async fn stand_ins_that_break_a_promise_are_noticed(promise: Promise, disruption: Disruption) {
