Soak test: the store that forgets forgets everything, and jobs come every second

Change: every append is forgotten, and a burst of jobs comes each second. The assertion is the same.

--- a/crates/swiftshunt/tests/soak.rs
+++ b/crates/swiftshunt/tests/soak.rs
@@ -76,6 +76,7 @@
 /// A plan with one thing going wrong from its first second on.
 fn alone(disruption: Disruption) -> Plan {
     let mut plan = Plan::draw(1, SHORT_MINUTES);
+    plan.job_burst_interval_ms = 1_000;
     plan.faults = vec![Step {
         at_ms: 1_000,
         after: None,
@@ -91,7 +92,7 @@
 
 fn forgetful() -> Disruption {
     let faults = StoreFaults {
-        forgotten: 0.3,
+        forgotten: 1.0,
         ..StoreFaults::default()
     };
     Disruption::Store {
