--- a/crates/swiftshunt-lab/src/platform/store.rs
+++ b/crates/swiftshunt-lab/src/platform/store.rs
@@ -3,6 +3,8 @@
 //! Each door is an address with faults of its own, so that some gateways can be refused while
 //! others are served.
 
+mod control;
+
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -25,6 +27,7 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+pub use self::control::{CONTROL_DEAL_ANEW, CONTROL_DROP_HISTORY, CONTROL_FAULTS};
 use super::groups::Group;
 use super::server::{Body, BrokenOff, any_port, serve, whole};
 use crate::stand_in::lock;
@@ -115,13 +118,6 @@
     random: Mutex<StdRng>,
 }
 
-/// Where a test sets the faults of the door that it calls (a body of [`StoreFaults`]).
-pub const CONTROL_FAULTS: &str = "/stand-in/faults";
-/// Where a test has the store drop its history.
-pub const CONTROL_DROP_HISTORY: &str = "/stand-in/drop-history";
-/// Where a test has the store deal all partitions anew.
-pub const CONTROL_DEAL_ANEW: &str = "/stand-in/deal-anew";
-
 /// A door of a store.
 #[derive(Clone)]
 pub struct Door {
@@ -247,8 +243,8 @@
     faults: Arc<Mutex<StoreFaults>>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, BrokenOff> {
-    if request.uri().path().starts_with(CONTROL) {
-        return control(&shared, &faults, request).await;
+    if request.uri().path().starts_with(control::BEGINNING) {
+        return control::obey(&shared, &faults, request).await;
     }
     lock(&shared.state).calls += 1;
     let now = lock(&faults).clone();
@@ -278,30 +274,6 @@
     }
 }
 
-/// Beginning of the paths that tests call.
-const CONTROL: &str = "/stand-in/";
-
-/// Obeys a test.
-async fn control(
-    shared: &Shared,
-    faults: &Mutex<StoreFaults>,
-    request: Request<Incoming>,
-) -> Result<Response<Body>, BrokenOff> {
-    let path = request.uri().path().to_owned();
-    let body = request.into_body().collect().await;
-    let body = body.map_err(|_| BrokenOff)?.to_bytes();
-    match path.as_str() {
-        CONTROL_FAULTS => match serde_json::from_slice(&body) {
-            Ok(wanted) => *lock(faults) = wanted,
-            Err(_) => return Ok(status(StatusCode::BAD_REQUEST)),
-        },
-        CONTROL_DROP_HISTORY => shared.drop_history(),
-        CONTROL_DEAL_ANEW => shared.deal_anew(),
-        _ => return Ok(status(StatusCode::NOT_FOUND)),
-    }
-    Ok(status(StatusCode::OK))
-}
-
 /// Names and values of a query.
 struct Query(HashMap<String, String>);
 
--- a/crates/swiftshunt/tests/gateway_limits.rs
+++ b/crates/swiftshunt/tests/gateway_limits.rs
@@ -49,20 +49,20 @@
     (0..ITEMS).any(|item| !fleet.runs_of(&item_id(job, item)).is_empty())
 }
 
+/// Hands in as many jobs as fit, in turn at each gateway.
+async fn fill(fleet: &ExclusiveFleet) {
+    for job in 0..JOBS {
+        let gateway = fleet.gateways[job % 3].callers;
+        submit(fleet, gateway, &format!("job-{job}"), ITEMS).await;
+    }
+}
+
 /// A job beyond the limit is refused wherever it comes, at once and once what waits was reported, and
 /// does not run; one that was taken before is taken again; one that ends makes room.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_job_beyond_the_limit_is_refused_by_every_gateway() {
     let fleet = limited_fleet().await;
-    for job in 0..JOBS {
-        submit(
-            &fleet,
-            fleet.gateways[job % 3].callers,
-            &format!("job-{job}"),
-            ITEMS,
-        )
-        .await;
-    }
+    fill(&fleet).await;
     for pause in [Duration::ZERO, SETTLED] {
         tokio::time::sleep(pause).await;
         for gateway in 0..3 {
@@ -90,15 +90,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn the_limit_holds_while_a_gateway_is_paused() {
     let fleet = limited_fleet().await;
-    for job in 0..JOBS {
-        submit(
-            &fleet,
-            fleet.gateways[job % 3].callers,
-            &format!("job-{job}"),
-            ITEMS,
-        )
-        .await;
-    }
+    fill(&fleet).await;
     tokio::time::sleep(SETTLED).await;
     for paused in 0..3 {
         // Each gateway has heard the total.
