An append for which no connection was made was not done, and callers are told so

Cause: every append without an answer counted as one that may have been done, also where no connection to the log was made. A caller was then held for 2.5 s of tries and got a 504 that promises nothing, where a 503 with a time to come back is true and at once.

--- a/crates/swiftshunt-journal/src/log.rs
+++ b/crates/swiftshunt-journal/src/log.rs
@@ -89,6 +89,12 @@
         /// HTTP status.
         status: u16,
     },
+    /// No connection was made; nothing was done.
+    #[display("the log is not reached: {reason}")]
+    Unreachable {
+        /// What the connection said.
+        reason: String,
+    },
     /// No answer, or none that can be read.
     #[display("the log did not answer: {reason}")]
     Unanswered {
