One line of the log for what a reading of the directory changed, and for gateways that start together

Change: one line names up to eight workers of each kind that a reading changed and counts the others; one line a second at most tells how many gateways have started. What a line changes in belief is still told. After: lines grow with readings that changed something, not with pairs.

--- /dev/null
+++ b/crates/swiftshunt-gateway/src/directory_news.rs
@@ -0,0 +1,67 @@
+//! What one reading of the directory changed, in one line of the log: a line for each worker at each
+//! gateway would grow with both.
+
+use swiftshunt_scheduler::directory::Availability;
+
+/// Workers that a line names of each kind at most; the others are counted.
+const NAMED: usize = 8;
+
+/// Workers that took one turn.
+#[derive(Default)]
+struct Turned {
+    named: Vec<String>,
+    count: usize,
+}
+
+impl Turned {
+    fn add(&mut self, incarnation: &str) {
+        self.count += 1;
+        if self.named.len() < NAMED {
+            self.named.push(incarnation.to_owned());
+        }
+    }
+
+    fn text(&self) -> String {
+        let named = self.named.join(" ");
+        match self.count - self.named.len() {
+            0 => named,
+            more => format!("{named} and {more} more"),
+        }
+    }
+}
+
+/// What a reading changed.
+#[derive(Default)]
+pub(crate) struct DirectoryNews {
+    ready: Turned,
+    leaving: Turned,
+    gone: Turned,
+    /// The newest entry that was read.
+    offset: u64,
+}
+
+impl DirectoryNews {
+    /// A worker is new, or its availability or address is.
+    pub(crate) fn listed(&mut self, incarnation: &str, availability: Availability, offset: u64) {
+        self.offset = self.offset.max(offset);
+        match availability {
+            Availability::Ready => self.ready.add(incarnation),
+            Availability::Draining => self.leaving.add(incarnation),
+        }
+    }
+
+    /// A worker is no longer listed.
+    pub(crate) fn gone(&mut self, incarnation: &str) {
+        self.gone.add(incarnation);
+    }
+
+    /// Writes the line, if anything changed.
+    pub(crate) fn log(&self) {
+        if self.ready.count + self.leaving.count + self.gone.count == 0 {
+            return;
+        }
+        log::info!(offset = self.offset, ready = self.ready.text().as_str(),
+            leaving = self.leaving.text().as_str(), gone = self.gone.text().as_str();
+            "the directory of workers changed");
+    }
+}
--- a/crates/swiftshunt-gateway/src/followers.rs
+++ b/crates/swiftshunt-gateway/src/followers.rs
@@ -11,6 +11,7 @@
 
 use crate::beliefs::Beliefs;
 use crate::clock::Clock;
+use crate::directory_news::DirectoryNews;
 use crate::listing::Listing;
 use crate::metrics::Metrics;
 use crate::protocol::Protocol;
@@ -225,13 +226,15 @@
 
     fn take_workers(&self, changes: Vec<Change>) {
         let now = self.clock.now();
+        let mut news = DirectoryNews::default();
         for change in changes {
             match change {
                 Change::Set(record) => match self.protocol.worker(&record.key, &record.value) {
                     Ok(entry) => {
-                        let line = format!("{entry:?}");
+                        let (incarnation, availability) =
+                            (entry.incarnation.clone(), entry.availability);
                         if self.beliefs.selector().apply(entry, now) {
-                            log::info!(offset = record.offset; "worker: {line}");
+                            news.listed(&incarnation, availability, record.offset);
                         }
                     }
                     Err(error) => log::error!("a directory entry is not readable: {error}"),
@@ -239,10 +242,11 @@
                 Change::Dropped(key) => {
                     let incarnation = String::from_utf8_lossy(&key);
                     if self.beliefs.selector().remove(&incarnation) {
-                        log::info!(worker = incarnation.as_ref(); "worker gone");
+                        news.gone(&incarnation);
                     }
                 }
             }
         }
+        news.log();
     }
 }
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod beliefs;
 mod clock;
 mod datagrams;
+mod directory_news;
 mod events;
 mod followers;
 mod gateway;
--- a/crates/swiftshunt-gateway/src/peers.rs
+++ b/crates/swiftshunt-gateway/src/peers.rs
@@ -46,6 +46,8 @@
 };
 /// Pause after a change, so that gateways that start together are read together.
 const GATHER: Duration = Duration::from_secs(1);
+/// Pause between two lines on gateways that have started: hundreds may start at a time.
+const STARTS_TOLD_EVERY: Duration = Duration::from_secs(1);
 /// Pause after a socket error.
 const SOCKET_PAUSE: Duration = Duration::from_millis(100);
 
@@ -72,6 +74,13 @@
     Quota(QuotaMessage),
 }
 
+/// Gateways that said that they have started, since the last line on them.
+#[derive(Default)]
+struct Starts {
+    untold: usize,
+    told_at: Option<Duration>,
+}
+
 /// The other gateways.
 pub(crate) struct Peers {
     datagrams: Arc<Datagrams>,
@@ -82,6 +91,7 @@
     metrics: Arc<Metrics>,
     clock: Clock,
     budget: Mutex<TokenBucket>,
+    starts: Mutex<Starts>,
 }
 
 impl Peers {
@@ -102,6 +112,7 @@
             metrics,
             clock,
             budget: Mutex::new(TokenBucket::full(MOST_AT_ONCE, clock.now())),
+            starts: Mutex::default(),
         }
     }
 
@@ -189,14 +200,31 @@
                 selector.sent_by_another(&worker, &parts, missing, now);
             }
             Notice::Here { from } => {
-                log::info!(other = from.to_string().as_str(); "another gateway has started");
                 self.members.list(from, true);
+                self.tell_of_start(from);
             }
             Notice::Slots(message) => slots.take(message, from),
             Notice::Quota(message) => quotas.take(message, from),
         }
     }
 
+    /// Logs that gateways have started, in a line a second at most; `newest` is the last of them.
+    fn tell_of_start(&self, newest: SocketAddr) {
+        let now = self.clock.now();
+        let mut starts = lock(&self.starts);
+        starts.untold += 1;
+        let told_at = starts.told_at;
+        if told_at.is_some_and(|told_at| now < told_at + STARTS_TOLD_EVERY) {
+            return;
+        }
+        log::info!(newest = newest.to_string().as_str(), count = starts.untold;
+            "other gateways have started");
+        *starts = Starts {
+            untold: 0,
+            told_at: Some(now),
+        };
+    }
+
     /// Lists this gateway for as long as the process lives.
     pub(crate) async fn keep_listed(self: Arc<Self>, log: Arc<dyn Log>) {
         loop {
