--- a/crates/swiftshunt-scheduler/src/slots/book.rs
+++ b/crates/swiftshunt-scheduler/src/slots/book.rs
@@ -237,7 +237,7 @@
         }
     }
 
-    /// A gateway's send to a worker failed; tells whether that is news.
+    /// A gateway's send to a worker failed; tells whether requests keep clear of it from now on.
     pub fn failed(&mut self, worker: WorkerKey, now: Duration) -> bool {
         self.troubles.failed(worker, now)
     }
@@ -413,6 +413,7 @@
     }
 
     fn assign(&mut self, to: SocketAddr, worker: WorkerKey, class: Class, now: Duration) -> u64 {
+        self.troubles.sent(worker, now);
         self.last_number += 1;
         let number = self.last_number;
         let account = self.accounts.entry(to).or_default();
--- a/crates/swiftshunt-scheduler/src/slots/trouble.rs
+++ b/crates/swiftshunt-scheduler/src/slots/trouble.rs
@@ -16,6 +16,12 @@
 const FIRST_DOUBT: Duration = Duration::from_millis(1_200);
 /// Doublings at most: 3.2 s without requests, after which the directory has dropped a dead worker.
 const MOST_DOUBLINGS: u32 = 3;
+/// Share of a worker's requests that fail from which it is left: one that loses a request in twenty
+/// still serves the others, and a service of a dozen workers cannot do without half of them (days of
+/// lost answers).
+const FAILING_SHARE: f64 = 0.3;
+/// Time in which what was sent, and what of it failed, counts half.
+const HALF_LIFE: Duration = Duration::from_secs(1);
 /// Time without a failure after which earlier ones are forgotten.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(10);
 
@@ -41,16 +47,44 @@
     }
 }
 
+/// Times at which a worker was left, in a row.
 #[derive(Clone, Copy, Debug)]
 struct Trouble {
-    /// Failures so far, not counting those that came while nothing was sent.
-    failures: u32,
+    times: u32,
     at: Duration,
 }
 
 impl Trouble {
     fn lasts(self, first: Duration) -> Duration {
-        self.at + first * 2_u32.pow((self.failures - 1).min(MOST_DOUBLINGS))
+        self.at + first * 2_u32.pow((self.times - 1).min(MOST_DOUBLINGS))
+    }
+}
+
+/// What of late was sent to a worker and failed, each request counting less as it ages.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    sent: f64,
+    failed: f64,
+    at: Duration,
+}
+
+impl Tally {
+    fn aged(self, now: Duration) -> Self {
+        let age = now.saturating_sub(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        let weight = 0.5_f64.powf(age);
+        Self {
+            sent: self.sent * weight,
+            failed: self.failed * weight,
+            at: now,
+        }
+    }
+
+    fn failing_share(self) -> f64 {
+        if self.failed > 0.0 {
+            self.failed / self.sent.max(self.failed)
+        } else {
+            0.0
+        }
     }
 }
 
@@ -58,18 +92,31 @@
 #[derive(Debug, Default)]
 pub(super) struct Troubles {
     workers: HashMap<WorkerKey, Trouble>,
+    tallies: HashMap<WorkerKey, Tally>,
 }
 
 impl Troubles {
-    /// Records a failure; tells whether it is news, and not one more request that was there already.
+    /// Records that a request or an item was sent to a worker.
+    pub(super) fn sent(&mut self, worker: WorkerKey, now: Duration) {
+        let tally = self.tallies.entry(worker).or_default();
+        *tally = tally.aged(now);
+        tally.sent += 1.0;
+    }
+
+    /// Records a failure; tells whether the worker is left for it from now on.
     pub(super) fn failed(&mut self, worker: WorkerKey, now: Duration) -> bool {
-        if self.standing(worker, now) == Standing::Failing {
+        self.expire(now);
+        let tally = self.tallies.entry(worker).or_default();
+        *tally = tally.aged(now);
+        tally.failed += 1.0;
+        let fails_much = tally.failing_share() >= FAILING_SHARE;
+        // While nothing is sent, requests fail that were there already.
+        if !fails_much || self.standing(worker, now) == Standing::Failing {
             return false;
         }
-        self.expire(now);
-        let before = self.workers.get(&worker).map_or(0, |it| it.failures);
+        let before = self.workers.get(&worker).map_or(0, |it| it.times);
         let trouble = Trouble {
-            failures: before + 1,
+            times: before + 1,
             at: now,
         };
         self.workers.insert(worker, trouble);
@@ -89,5 +136,7 @@
     pub(super) fn expire(&mut self, now: Duration) {
         self.workers
             .retain(|_, trouble| now < trouble.at + FORGOTTEN_AFTER);
+        self.tallies
+            .retain(|_, tally| now < tally.at + FORGOTTEN_AFTER);
     }
 }
--- a/crates/swiftshunt-scheduler/tests/slots.rs
+++ b/crates/swiftshunt-scheduler/tests/slots.rs
@@ -316,6 +316,23 @@
     assert_eq!(place_unless_failing(&mut book, true, now), key(0));
 }
 
+/// A worker that loses an answer now and then is not left: the others could not carry its part.
+#[test]
+fn a_worker_that_fails_seldom_is_not_left() {
+    let mut book = Book::default();
+    let mut now = SETTLED;
+    for _ in 0..20 {
+        now += Duration::from_millis(50);
+        place_unless_failing(&mut book, false, now);
+    }
+    assert!(!book.failed(key(0), now));
+    assert_eq!(place_unless_failing(&mut book, false, now), key(0));
+    // One at which all that runs breaks is.
+    let failed = (0..8).filter(|_| book.failed(key(0), now));
+    assert_eq!(failed.count(), 1);
+    assert_eq!(place_unless_failing(&mut book, true, now), key(1));
+}
+
 #[test]
 fn where_all_workers_fail_requests_are_still_served() {
     let mut book = Book::default();
