--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! Everything that belongs to one platform stands behind [`protocol::Protocol`] and
 //! [`swiftshunt_journal::Log`]; this crate decides, keeps and recovers.
 
+mod abandoned;
 mod answers;
 mod attempt;
 mod batch;
--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -14,6 +14,7 @@
 use swiftshunt_scheduler::admission::{self, Decision, Obstacle, Situation, come_back_to_start};
 use swiftshunt_scheduler::selection::{Chosen, Class, Demand};
 
+use crate::abandoned::Abandoned;
 use crate::answers::{self, CallerAnswer, end_to_end, not_run, plain, whole};
 use crate::attempt::{Answer, Dispatcher, Outgoing, Patience, SendFailure};
 use crate::batch::Batch;
@@ -361,41 +362,6 @@
     }
 }
 
-/// Counts a caller that left before its answer.
-struct Abandoned<'d> {
-    dispatcher: &'d Dispatcher,
-    route: String,
-    id: String,
-    answered: bool,
-}
-
-impl<'d> Abandoned<'d> {
-    fn new(dispatcher: &'d Dispatcher, journey: &Journey) -> Self {
-        Self {
-            dispatcher,
-            route: journey.route.name.clone(),
-            id: journey.id().to_owned(),
-            answered: false,
-        }
-    }
-
-    fn answered(mut self) {
-        self.answered = true;
-    }
-}
-
-impl Drop for Abandoned<'_> {
-    fn drop(&mut self) {
-        let metrics = &self.dispatcher.metrics;
-        metrics.in_flight.dec();
-        if !self.answered {
-            metrics.request_ended(&self.route, RequestEnd::Abandoned);
-            log::info!(request = self.id.as_str(), route = self.route.as_str();
-                "the caller left before the answer");
-        }
-    }
-}
-
 /// Statuses that promise to a caller that its request did not run.
 fn promises_not_run(status: StatusCode) -> bool {
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
--- a/crates/swiftshunt-lab/src/platform/store.rs
+++ b/crates/swiftshunt-lab/src/platform/store.rs
@@ -4,6 +4,7 @@
 //! others are served.
 
 mod control;
+mod wire;
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -12,7 +13,7 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use bytes::{Buf, BufMut, Bytes, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -28,6 +29,7 @@
 use tokio_util::sync::CancellationToken;
 
 pub use self::control::{CONTROL_DEAL_ANEW, CONTROL_DROP_HISTORY, CONTROL_FAULTS};
+use self::wire::{Query, decode, json, place, status};
 use super::groups::Group;
 use super::server::{Body, BrokenOff, any_port, serve, whole};
 use crate::stand_in::lock;
@@ -276,40 +278,6 @@
     }
 }
 
-/// Names and values of a query.
-struct Query(HashMap<String, String>);
-
-impl Query {
-    fn of(request: &Request<Incoming>) -> Self {
-        let query = request.uri().query().unwrap_or("");
-        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        Self(
-            pairs
-                .map(|(key, value)| (key.to_owned(), value.to_owned()))
-                .collect(),
-        )
-    }
-
-    fn text(&self, name: &str) -> &str {
-        self.0.get(name).map_or("", String::as_str)
-    }
-
-    fn number(&self, name: &str) -> u64 {
-        self.text(name).parse().unwrap_or(0)
-    }
-}
-
-fn status(status: StatusCode) -> Response<Body> {
-    let mut answer = Response::new(whole(Bytes::new()));
-    *answer.status_mut() = status;
-    answer
-}
-
-fn json(document: &impl Serialize) -> Response<Body> {
-    let body = serde_json::to_vec(document).unwrap_or_default();
-    Response::new(whole(body))
-}
-
 async fn append(
     shared: &Arc<Shared>,
     faults: &StoreFaults,
@@ -342,25 +310,6 @@
     Ok(json(&AppendedDocument { offset, end }))
 }
 
-/// Records of a body: length, length of the key, key, value.
-fn decode(mut body: Bytes) -> Option<Vec<(Vec<u8>, Bytes)>> {
-    let mut records = Vec::new();
-    while body.has_remaining() {
-        let length = body.try_get_u32().ok()? as usize;
-        if body.remaining() < length || length == 0 {
-            return None;
-        }
-        let mut record = body.split_to(length);
-        let key_length = record.get_u8() as usize;
-        if record.len() < key_length {
-            return None;
-        }
-        let key = record.split_to(key_length).to_vec();
-        records.push((key, record));
-    }
-    Some(records)
-}
-
 async fn read(
     shared: &Shared,
     faults: &Mutex<StoreFaults>,
@@ -408,13 +357,6 @@
     Some(raw(shared, query, &records))
 }
 
-fn place(query: &Query) -> (String, u32) {
-    (
-        query.text(queries::TOPIC).to_owned(),
-        query.number(queries::PARTITION) as u32,
-    )
-}
-
 fn raw(shared: &Shared, query: &Query, records: &[Stored]) -> Response<Body> {
     let (end, first) = {
         let state = lock(&shared.state);
--- a/crates/swiftshunt-lab/src/platform/store/control.rs
+++ b/crates/swiftshunt-lab/src/platform/store/control.rs
@@ -6,7 +6,8 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
-use super::{Shared, StoreFaults, status};
+use super::wire::status;
+use super::{Shared, StoreFaults};
 use crate::platform::server::{Body, BrokenOff};
 use crate::stand_in::lock;
 
--- /dev/null
+++ b/crates/swiftshunt-lab/src/platform/store/wire.rs
@@ -0,0 +1,74 @@
+//! How calls and answers of the store's stand-in are written.
+
+use std::collections::HashMap;
+
+use bytes::{Buf, Bytes};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use serde::Serialize;
+use swiftshunt_platform::words::queries;
+
+use crate::platform::server::{Body, whole};
+
+/// Names and values of a query.
+pub(super) struct Query(HashMap<String, String>);
+
+impl Query {
+    pub(super) fn of(request: &Request<Incoming>) -> Self {
+        let query = request.uri().query().unwrap_or("");
+        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        Self(
+            pairs
+                .map(|(key, value)| (key.to_owned(), value.to_owned()))
+                .collect(),
+        )
+    }
+
+    pub(super) fn text(&self, name: &str) -> &str {
+        self.0.get(name).map_or("", String::as_str)
+    }
+
+    pub(super) fn number(&self, name: &str) -> u64 {
+        self.text(name).parse().unwrap_or(0)
+    }
+}
+
+/// An answer without a body.
+pub(super) fn status(status: StatusCode) -> Response<Body> {
+    let mut answer = Response::new(whole(Bytes::new()));
+    *answer.status_mut() = status;
+    answer
+}
+
+/// An answer with a document.
+pub(super) fn json(document: &impl Serialize) -> Response<Body> {
+    let body = serde_json::to_vec(document).unwrap_or_default();
+    Response::new(whole(body))
+}
+
+/// Records of a body: length, length of the key, key, value.
+pub(super) fn decode(mut body: Bytes) -> Option<Vec<(Vec<u8>, Bytes)>> {
+    let mut records = Vec::new();
+    while body.has_remaining() {
+        let length = body.try_get_u32().ok()? as usize;
+        if body.remaining() < length || length == 0 {
+            return None;
+        }
+        let mut record = body.split_to(length);
+        let key_length = record.get_u8() as usize;
+        if record.len() < key_length {
+            return None;
+        }
+        let key = record.split_to(key_length).to_vec();
+        records.push((key, record));
+    }
+    Some(records)
+}
+
+/// The topic and partition that a call names.
+pub(super) fn place(query: &Query) -> (String, u32) {
+    (
+        query.text(queries::TOPIC).to_owned(),
+        query.number(queries::PARTITION) as u32,
+    )
+}
--- a/crates/swiftshunt-scheduler/src/candidate.rs
+++ b/crates/swiftshunt-scheduler/src/candidate.rs
@@ -6,6 +6,7 @@
 use crate::residency::Residency;
 use crate::selection::ToldLoad;
 use crate::slots::WorkerKey;
+use crate::slots::cell::Cell;
 
 /// Age at which what a worker told of others' requests counts half, and the service's mean half.
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(1_500);
@@ -65,6 +66,11 @@
         }
     }
 
+    /// Whether it is in a cell of its service.
+    pub(crate) fn is_in(&self, cell: &Cell) -> bool {
+        self.key.cell_index(cell.count) == cell.index
+    }
+
     pub(crate) fn own(&self) -> u32 {
         self.own_online + self.own_batch
     }
--- a/crates/swiftshunt-scheduler/src/cells.rs
+++ b/crates/swiftshunt-scheduler/src/cells.rs
@@ -53,8 +53,8 @@
         now: Duration,
     ) -> Option<Chosen> {
         self.choose_among(service, demand, now, |candidate| {
-            let is_full = |cell: &Cell| candidate.key.cell_index(cell.count) == cell.index;
-            !tried.contains(&candidate.entry.incarnation) && !full.iter().any(is_full)
+            !tried.contains(&candidate.entry.incarnation)
+                && !full.iter().any(|cell| candidate.is_in(cell))
         })
     }
 
@@ -74,10 +74,9 @@
             return None;
         }
         let is_open = |candidate: &Candidate| {
-            let is_full = |cell: &Cell| candidate.key.cell_index(cell.count) == cell.index;
             candidate.ejected_until <= now
                 && !tried.contains(&candidate.entry.incarnation)
-                && !full.iter().any(is_full)
+                && !full.iter().any(|cell| candidate.is_in(cell))
         };
         let home = self.home_among(service, &demand.prompt, is_open)?;
         let missing = missing_tokens(home, demand);
@@ -86,7 +85,7 @@
 
     fn members<'s>(&'s self, cell: &'s Cell) -> impl Iterator<Item = &'s Candidate> {
         self.ready(&cell.service)
-            .filter(|candidate| candidate.key.cell_index(cell.count) == cell.index)
+            .filter(|candidate| candidate.is_in(cell))
     }
 
     /// Where in a cell a request may go, and what speaks against each worker beside its load and what
@@ -139,9 +138,7 @@
     /// What this node holds at the workers of a cell, also at those that are leaving.
     pub fn held_in(&self, cell: &Cell) -> Vec<(WorkerKey, Held)> {
         let members = self.candidates.values().filter(|candidate| {
-            candidate.own() > 0
-                && candidate.entry.service == cell.service
-                && candidate.key.cell_index(cell.count) == cell.index
+            candidate.own() > 0 && candidate.entry.service == cell.service && candidate.is_in(cell)
         });
         let held = members.map(|candidate| {
             let held = Held {
--- a/crates/swiftshunt-scheduler/src/slots/book.rs
+++ b/crates/swiftshunt-scheduler/src/slots/book.rs
@@ -7,9 +7,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::account::{Account, Assignment, Class};
 use super::prompts::{EngineRates, Prompt, Prompts, Reading};
 use super::trouble::{Standing, Troubles};
-use super::{Bid, CellWorker, Held, Report, Waiting, WorkerKey};
+use super::{Bid, CellWorker, Report, WorkerKey};
 
 /// Age from which a report no longer counts: its gateway is gone or asks elsewhere. Gateways that
 /// hold something report at least three times in this time.
@@ -35,77 +36,6 @@
 /// for too long loses about as much as the prompt's own request would.
 const DISTURBANCE_COST: f64 = 0.5;
 
-/// How a batch item's slot is granted or a request's worker assigned.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Class {
-    Online,
-    Batch,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Assignment {
-    number: u64,
-    worker: WorkerKey,
-    class: Class,
-    at: Duration,
-}
-
-/// What is known of one gateway.
-#[derive(Debug, Default)]
-struct Account {
-    life: u64,
-    report: u64,
-    heard_at: Duration,
-    held: HashMap<WorkerKey, Held>,
-    waiting: Waiting,
-    /// Assignments that no report shows yet.
-    unconfirmed: Vec<Assignment>,
-    /// Items that were told to step aside and are still held, each with the time of the order.
-    leaving: Vec<(WorkerKey, Duration)>,
-}
-
-impl Account {
-    fn at(&self, worker: WorkerKey) -> Held {
-        let mut held = self.held.get(&worker).copied().unwrap_or_default();
-        for assignment in &self.unconfirmed {
-            if assignment.worker == worker {
-                match assignment.class {
-                    Class::Online => held.online += 1,
-                    Class::Batch => held.batch += 1,
-                }
-            }
-        }
-        held
-    }
-
-    fn leaving(&self, worker: WorkerKey) -> u32 {
-        self.leaving.iter().filter(|(at, _)| *at == worker).count() as u32
-    }
-
-    /// Items that may still be told to step aside.
-    fn movable(&self, worker: WorkerKey) -> u32 {
-        let held = self.held.get(&worker).map_or(0, |held| held.batch);
-        held.saturating_sub(self.leaving(worker))
-    }
-
-    fn take(&mut self, report: Report, now: Duration) {
-        for (worker, before) in &self.held {
-            let after = report.held.iter().find(|(key, _)| key == worker);
-            let after = after.map_or(0, |(_, held)| held.batch);
-            for _ in after..before.batch {
-                let position = self.leaving.iter().position(|(at, _)| at == worker);
-                position.map(|position| self.leaving.swap_remove(position));
-            }
-        }
-        self.life = report.life;
-        self.report = report.number;
-        self.heard_at = now;
-        self.unconfirmed.retain(|it| it.number > report.seen);
-        self.held = report.held.into_iter().collect();
-        self.waiting = report.waiting;
-    }
-}
-
 /// What all gateways together hold at a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -182,7 +112,7 @@
 }
 
 /// A worker that a request may be assigned to.
-struct Offer<'w> {
+struct Opening<'w> {
     /// Whether the worker fails, and the request goes there only for want of another.
     is_last_resort: bool,
     cost_ms: f64,
@@ -191,7 +121,7 @@
     reading: Reading,
 }
 
-impl Offer<'_> {
+impl Opening<'_> {
     fn is_full(&self) -> bool {
         self.load.taken() >= self.worker.slots
     }
@@ -296,15 +226,15 @@
         now: Duration,
     ) -> Result<Placement, NotPlaced> {
         self.expire(now);
-        let offers = self.offers(question, workers, rates, now);
-        let best = cheapest(offers.iter()).ok_or(NotPlaced::NoWorker)?;
-        let offer = if question.may_wait || best.has_room() {
+        let openings = self.openings(question, workers, rates, now);
+        let best = cheapest(openings.iter()).ok_or(NotPlaced::NoWorker)?;
+        let opening = if question.may_wait || best.has_room() {
             best
         } else {
-            let with_room = |offer: &&Offer| offer.has_room() && !offer.is_last_resort;
-            cheapest(offers.iter().filter(with_room)).ok_or(NotPlaced::Full)?
+            let with_room = |opening: &&Opening| opening.has_room() && !opening.is_last_resort;
+            cheapest(openings.iter().filter(with_room)).ok_or(NotPlaced::Full)?
         };
-        let (worker, is_full, reading) = (offer.worker.key, offer.is_full(), offer.reading);
+        let (worker, is_full, reading) = (opening.worker.key, opening.is_full(), opening.reading);
         let steps_aside = if is_full {
             self.step_aside(worker, from, now)
         } else {
@@ -324,14 +254,14 @@
         })
     }
 
-    fn offers<'w>(
+    fn openings<'w>(
         &self,
         question: &Question<'_>,
         workers: &'w [CellWorker],
         rates: &EngineRates,
         now: Duration,
-    ) -> Vec<Offer<'w>> {
-        let offers = question.bids.iter().filter_map(|bid| {
+    ) -> Vec<Opening<'w>> {
+        let openings = question.bids.iter().filter_map(|bid| {
             let worker = workers.iter().find(|worker| worker.key == bid.worker)?;
             let load = self.load_as_told(worker);
             let reading = self
@@ -341,7 +271,7 @@
             let own_reading = rates.reading_time(reading.missing_tokens);
             let disturbance = disturbance_cost(load, own_reading);
             let standing = self.troubles.standing(worker.key, now);
-            Some(Offer {
+            Some(Opening {
                 is_last_resort: standing.keeps_away(question.may_repeat),
                 cost_ms: f64::from(bid.cost_ms) + queue + disturbance + milliseconds(reading.time),
                 worker,
@@ -349,7 +279,7 @@
                 reading,
             })
         });
-        offers.collect()
+        openings.collect()
     }
 
     /// Has a gateway take an item away from a worker: `from` itself if it has one there.
@@ -493,11 +423,11 @@
     }
 }
 
-fn cheapest<'o, 'w>(offers: impl Iterator<Item = &'o Offer<'w>>) -> Option<&'o Offer<'w>>
+fn cheapest<'o, 'w>(openings: impl Iterator<Item = &'o Opening<'w>>) -> Option<&'o Opening<'w>>
 where
     'w: 'o,
 {
-    offers.min_by(|one, other| {
+    openings.min_by(|one, other| {
         let by_need = one.is_last_resort.cmp(&other.is_last_resort);
         by_need.then(one.cost_ms.total_cmp(&other.cost_ms))
     })
--- a/crates/swiftshunt-scheduler/src/slots/mod.rs
+++ b/crates/swiftshunt-scheduler/src/slots/mod.rs
@@ -9,6 +9,7 @@
 //!
 //! All of it is a hint: an owner that is gone, late or doubled costs a worse choice and nothing else.
 
+mod account;
 pub mod book;
 pub mod cell;
 pub mod prompts;
