Reckon once what stood twice: a chosen worker, workers left for a request, whether the log is away

A worker that an owner assigned was put together by hand beside `Selector::chosen`; both go through `Candidate::chosen` now. The check for workers neither tried nor in a full cell stood in two choices. That the log is away follows from since when it is. The comment on come-back times said three or four refusals in an outage of 7 s; it is five, as its test has it. No behaviour changes.

--- a/crates/swiftshunt-gateway/src/batch/leases.rs
+++ b/crates/swiftshunt-gateway/src/batch/leases.rs
@@ -33,14 +33,13 @@
     /// Partitions, and since when.
     partitions: BTreeMap<u32, Duration>,
     until: Duration,
-    log_is_away: bool,
     /// Since when the log has not answered a renewal.
     away_since: Option<Duration>,
 }
 
 impl Held {
     fn is_valid(&self, now: Duration, lease: Duration) -> bool {
-        let until = if self.log_is_away {
+        let until = if self.away_since.is_some() {
             self.until + lease * LEASES_WHILE_AWAY
         } else {
             self.until
@@ -102,7 +101,7 @@
     /// Whether the log did not answer the last renewal: nobody else can be dealt partitions then, and
     /// hardly anybody can end a job.
     pub(crate) fn log_is_away(&self) -> bool {
-        lock(&self.held).log_is_away
+        lock(&self.held).away_since.is_some()
     }
 
     /// Renews for as long as the process takes work, and has what is held followed.
@@ -124,7 +123,6 @@
     fn note_log(&self, is_away: bool) {
         let now = self.clock.now();
         let mut held = lock(&self.held);
-        held.log_is_away = is_away;
         held.away_since = is_away.then(|| held.away_since.unwrap_or(now));
     }
 
--- a/crates/swiftshunt-scheduler/src/admission.rs
+++ b/crates/swiftshunt-scheduler/src/admission.rs
@@ -93,8 +93,8 @@
 }
 
 /// When a caller comes back whose request needs the log, which has been away for `outage`: after as
-/// long again. A caller is refused three or four times in an outage of 7 s, and one of any length
-/// costs it at most twice its length.
+/// long again. A caller that has the time for it is refused five times in an outage of 7 s, and one of
+/// any length costs it about twice its length at most.
 pub fn come_back_to_log(outage: Duration, time_left: Duration, draw: f64) -> Duration {
     spread(outage.max(SHORTEST_COME_BACK), time_left, draw)
 }
--- a/crates/swiftshunt-scheduler/src/candidate.rs
+++ b/crates/swiftshunt-scheduler/src/candidate.rs
@@ -4,9 +4,10 @@
 
 use crate::directory::WorkerEntry;
 use crate::residency::Residency;
-use crate::selection::ToldLoad;
+use crate::selection::{Chosen, ToldLoad};
 use crate::slots::WorkerKey;
 use crate::slots::cell::Cell;
+use crate::slots::prompts::Reading;
 
 /// Age at which what a worker told of others' requests counts half, and the service's mean half.
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(1_500);
@@ -66,6 +67,18 @@
         }
     }
 
+    /// It is chosen for a request, for which it has to read this.
+    pub(crate) fn chosen(&self, reading: Reading, has_prompt: bool) -> Chosen {
+        Chosen {
+            service: self.entry.service.clone(),
+            incarnation: self.entry.incarnation.clone(),
+            address: self.entry.address,
+            missing_tokens: reading.missing_tokens,
+            expected_reading: reading.time,
+            has_prompt,
+        }
+    }
+
     /// Whether it is in a cell of its service.
     pub(crate) fn is_in(&self, cell: &Cell) -> bool {
         self.key.cell_index(cell.count) == cell.index
--- a/crates/swiftshunt-scheduler/src/cells.rs
+++ b/crates/swiftshunt-scheduler/src/cells.rs
@@ -53,8 +53,7 @@
         now: Duration,
     ) -> Option<Chosen> {
         self.choose_among(service, demand, now, |candidate| {
-            !tried.contains(&candidate.entry.incarnation)
-                && !full.iter().any(|cell| candidate.is_in(cell))
+            is_left(candidate, tried, full)
         })
     }
 
@@ -74,9 +73,7 @@
             return None;
         }
         let is_open = |candidate: &Candidate| {
-            candidate.ejected_until <= now
-                && !tried.contains(&candidate.entry.incarnation)
-                && !full.iter().any(|cell| candidate.is_in(cell))
+            candidate.ejected_until <= now && is_left(candidate, tried, full)
         };
         let home = self.home_among(service, &demand.prompt, is_open)?;
         let missing = missing_tokens(home, demand);
@@ -179,13 +176,11 @@
         reading: Reading,
     ) -> Option<Chosen> {
         let candidate = self.ready_by_key(service, key)?;
-        Some(Chosen {
-            service: candidate.entry.service.clone(),
-            incarnation: candidate.entry.incarnation.clone(),
-            address: candidate.entry.address,
-            missing_tokens: reading.missing_tokens,
-            expected_reading: reading.time,
-            has_prompt: demand.prompt_tokens > 0,
-        })
+        Some(candidate.chosen(reading, demand.prompt_tokens > 0))
     }
 }
+
+/// Whether a worker is neither tried nor in a full cell.
+fn is_left(candidate: &Candidate, tried: &[String], full: &[Cell]) -> bool {
+    !tried.contains(&candidate.entry.incarnation) && !full.iter().any(|cell| candidate.is_in(cell))
+}
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -10,6 +10,7 @@
 use crate::cost::{ServiceTimes, expected_reading, expected_wait, reading_ms};
 use crate::directory::{Availability, WorkerEntry};
 use crate::residency::PromptPart;
+use crate::slots::prompts::Reading;
 
 /// Load that a worker told with an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -240,14 +241,11 @@
     ) -> Chosen {
         let times = self.services.get(&candidate.entry.service);
         let reading = expected_reading(candidate, times, missing_tokens, now);
-        Chosen {
-            service: candidate.entry.service.clone(),
-            incarnation: candidate.entry.incarnation.clone(),
-            address: candidate.entry.address,
+        let reading = Reading {
             missing_tokens,
-            expected_reading: Duration::from_secs_f64(reading / 1e3),
-            has_prompt,
-        }
+            time: Duration::from_secs_f64(reading / 1e3),
+        };
+        candidate.chosen(reading, has_prompt)
     }
 
     /// How long a worker with requests of this node has given no sign of life; none if the worker
