Workers whose entries all lapsed while the log was away serve on until they may be back

Cause: a log that was away for longer than three heartbeats comes back without the entries of its workers.

Ruled out: keeping entries that vanish at any time (a leaving worker must get nothing in time), and keeping the few of many that vanish after an outage (the existing test of one lapsed worker holds).

Change: a reading of the directory that ends an outage, seen here as a failed or an overdue read, opens a window of 2 s, at most nine tenths of the time in which a leaving worker must be obeyed. Workers of a service of which more than half vanish at once in that window serve on until its end. What the selector knows of listed workers has a file of its own.

The pure tests of the new function were not seen failing.

--- a/crates/swiftshunt-gateway/src/directory_news.rs
+++ b/crates/swiftshunt-gateway/src/directory_news.rs
@@ -2,6 +2,7 @@
 //! gateway would grow with both.
 
 use swiftshunt_scheduler::directory::Availability;
+use swiftshunt_scheduler::listed::Unlisted;
 
 /// Workers that a line names of each kind at most; the others are counted.
 const NAMED: usize = 8;
@@ -36,6 +37,7 @@
     ready: Turned,
     leaving: Turned,
     gone: Turned,
+    lapsed: Turned,
     /// The newest entry that was read.
     offset: u64,
 }
@@ -50,18 +52,27 @@
         }
     }
 
-    /// A worker is no longer listed.
-    pub(crate) fn gone(&mut self, incarnation: &str) {
-        self.gone.add(incarnation);
+    /// Workers are no longer listed.
+    pub(crate) fn unlisted(&mut self, unlisted: &Unlisted) {
+        for incarnation in &unlisted.gone {
+            self.gone.add(incarnation);
+        }
+        for incarnation in &unlisted.lapsed {
+            self.lapsed.add(incarnation);
+        }
     }
 
     /// Writes the line, if anything changed.
     pub(crate) fn log(&self) {
-        if self.ready.count + self.leaving.count + self.gone.count == 0 {
+        if [&self.ready, &self.leaving, &self.gone, &self.lapsed]
+            .iter()
+            .all(|turned| turned.count == 0)
+        {
             return;
         }
         log::info!(offset = self.offset, ready = self.ready.text().as_str(),
-            leaving = self.leaving.text().as_str(), gone = self.gone.text().as_str();
+            leaving = self.leaving.text().as_str(), gone = self.gone.text().as_str(),
+            lapsed = self.lapsed.text().as_str();
             "the directory of workers changed");
     }
 }
--- a/crates/swiftshunt-gateway/src/followers.rs
+++ b/crates/swiftshunt-gateway/src/followers.rs
@@ -1,5 +1,6 @@
 //! What is followed in the log: the configuration and the directory of workers.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use rand::Rng;
 use swiftshunt_journal::{Change, KeyedView, Log, LogError, ReadOutcome, Topic};
 use swiftshunt_routing::Installed;
+use swiftshunt_scheduler::listed::Unlisted;
 
 use crate::beliefs::Beliefs;
 use crate::clock::Clock;
@@ -26,6 +28,11 @@
 /// rests, so that changes that come together are read together: each worker writes every second or
 /// so, and each write would wake every gateway.
 const GATHERINGS_WITHIN_OBEDIENCE: u32 = 5;
+/// Time after the log's return in which workers whose entries lapsed meanwhile list themselves again.
+const LISTED_AGAIN_WITHIN: Duration = Duration::from_secs(2);
+/// Part of the time within which a change must be in force for which workers may serve on whose entries
+/// lapsed: one that has left must get nothing at the end of it.
+const LAPSED_WITHIN_OBEDIENCE: f64 = 0.9;
 /// First and longest pause after a call that gave nothing.
 const FIRST_PAUSE: Duration = Duration::from_millis(80);
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
@@ -46,6 +53,11 @@
         }
     }
 
+    /// Whether the last call failed.
+    fn is_away(&self) -> bool {
+        self.failures > 0
+    }
+
     pub(crate) async fn pause<T>(&mut self, outcome: &Result<T, LogError>) {
         let Err(error) = outcome else {
             if self.failures > 1 {
@@ -84,6 +96,13 @@
     }
 }
 
+/// A read of the tail of a topic.
+struct HedgedRead {
+    outcome: ReadOutcome,
+    /// Whether it had to be made again.
+    was_overdue: bool,
+}
+
 /// Reads the tail of a topic. A log that was away never answers what it was asked meanwhile, also
 /// after it is back, and one that is slow answers late: so the read is made again beside the one
 /// whose answer is overdue, and the first outcome counts.
@@ -92,15 +111,22 @@
     topic: Topic,
     from: u64,
     pace: Pace,
-) -> Result<ReadOutcome, LogError> {
+) -> Result<HedgedRead, LogError> {
     let mut reads = FuturesUnordered::new();
     reads.push(log.read(topic, 0, from, pace.wait));
     let mut pause = pace.wait + pace.hedge_after;
+    let mut was_overdue = false;
     loop {
         match tokio::time::timeout(pause, reads.next()).await {
-            Ok(Some(outcome)) => return outcome,
+            Ok(Some(outcome)) => {
+                return outcome.map(|outcome| HedgedRead {
+                    outcome,
+                    was_overdue,
+                });
+            }
             Ok(None) | Err(_) => reads.push(log.read(topic, 0, from, Duration::ZERO)),
         }
+        was_overdue = true;
         pause = pace.hedge_after;
     }
 }
@@ -111,6 +137,8 @@
     view: KeyedView,
     listing: Listing,
     is_listed: bool,
+    /// Whether the last read had to be made again.
+    was_overdue: bool,
 }
 
 impl Followed {
@@ -120,6 +148,7 @@
             view: KeyedView::default(),
             listing: Listing::default(),
             is_listed: false,
+            was_overdue: false,
         }
     }
 
@@ -133,7 +162,9 @@
             return self.list(log).await;
         }
         let from = self.view.next_offset();
-        match read_hedged(log, self.topic, from, pace).await? {
+        let read = read_hedged(log, self.topic, from, pace).await?;
+        self.was_overdue = read.was_overdue;
+        match read.outcome {
             ReadOutcome::Records { records, .. } => Ok(self.view.apply_tail(records)),
             ReadOutcome::Dropped => self.list(log).await,
         }
@@ -207,32 +238,54 @@
         let mut away = Away::new("directory", 0);
         let pace = Pace::obeying(settings.obey_within);
         let gather = settings.obey_within / GATHERINGS_WITHIN_OBEDIENCE;
+        let lapse = LISTED_AGAIN_WITHIN.min(settings.obey_within.mul_f64(LAPSED_WITHIN_OBEDIENCE));
+        let mut lapses_until = Duration::ZERO;
         loop {
             let changes = followed.changes(self.log.as_ref(), pace).await;
             self.count(&changes);
+            let was_away = away.is_away() || followed.was_overdue;
             away.pause(&changes).await;
             if let Ok(changes) = changes {
-                self.take_workers(changes);
+                let now = self.clock.now();
+                if was_away {
+                    lapses_until = now + lapse;
+                }
+                self.take_workers(changes, lapses_until);
                 tokio::time::sleep(gather).await;
             }
         }
     }
 
+    /// Takes workers as gone whose entries lapsed and are not back in time.
+    async fn end_lapse(self: Arc<Self>, until: Duration) {
+        tokio::time::sleep(until.saturating_sub(self.clock.now())).await;
+        let gone = self.beliefs.selector().remove_lapsed(self.clock.now());
+        let mut news = DirectoryNews::default();
+        news.unlisted(&Unlisted {
+            gone,
+            ..Unlisted::default()
+        });
+        news.log();
+    }
+
     fn count<T>(&self, outcome: &Result<T, LogError>) {
         if outcome.is_err() {
             self.metrics.log_failures.inc();
         }
     }
 
-    fn take_workers(&self, changes: Vec<Change>) {
+    /// Takes what a reading changed; entries that are missing before `lapses_until` may have lapsed.
+    fn take_workers(self: &Arc<Self>, changes: Vec<Change>, lapses_until: Duration) {
         let now = self.clock.now();
         let mut news = DirectoryNews::default();
+        let mut unlisted = BTreeSet::new();
         for change in changes {
             match change {
                 Change::Set(record) => match self.protocol.worker(&record.key, &record.value) {
                     Ok(entry) => {
                         let (incarnation, availability) =
                             (entry.incarnation.clone(), entry.availability);
+                        unlisted.remove(&incarnation);
                         if self.beliefs.selector().apply(entry, now) {
                             news.listed(&incarnation, availability, record.offset);
                         }
@@ -240,13 +293,16 @@
                     Err(error) => log::error!("a directory entry is not readable: {error}"),
                 },
                 Change::Dropped(key) => {
-                    let incarnation = String::from_utf8_lossy(&key);
-                    if self.beliefs.selector().remove(&incarnation) {
-                        news.gone(&incarnation);
-                    }
+                    unlisted.insert(String::from_utf8_lossy(&key).into_owned());
                 }
             }
         }
+        let lapses_until = (now < lapses_until).then_some(lapses_until);
+        let unlisted = self.beliefs.selector().unlist(&unlisted, lapses_until);
+        news.unlisted(&unlisted);
+        if let Some(until) = lapses_until.filter(|_| !unlisted.lapsed.is_empty()) {
+            tokio::spawn(Arc::clone(self).end_lapse(until));
+        }
         news.log();
     }
 }
--- a/crates/swiftshunt-scheduler/src/candidate.rs
+++ b/crates/swiftshunt-scheduler/src/candidate.rs
@@ -25,6 +25,8 @@
 #[derive(Debug)]
 pub(crate) struct Candidate {
     pub(crate) entry: WorkerEntry,
+    /// Until when it serves on though its entry lapsed; none while it is listed.
+    pub(crate) lapsed_until: Option<Duration>,
     pub(crate) key: WorkerKey,
     pub(crate) own_online: u32,
     pub(crate) own_batch: u32,
@@ -50,6 +52,7 @@
         Self {
             key: WorkerKey::of(&entry.incarnation),
             entry,
+            lapsed_until: None,
             own_online: 0,
             own_batch: 0,
             pending_tokens: 0,
--- a/crates/swiftshunt-scheduler/src/lib.rs
+++ b/crates/swiftshunt-scheduler/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod directory;
 pub mod grants;
 pub mod limits;
+pub mod listed;
 pub mod placement;
 pub mod quota;
 pub mod residency;
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -8,7 +8,7 @@
 
 use crate::candidate::Candidate;
 use crate::cost::{ServiceTimes, expected_reading, expected_wait, reading_ms};
-use crate::directory::{Availability, WorkerEntry};
+use crate::directory::Availability;
 use crate::residency::PromptPart;
 use crate::slots::prompts::Reading;
 
@@ -125,26 +125,6 @@
         times.map_or(u64::MAX / 2, |times| times.memory_tokens)
     }
 
-    /// Takes an entry of the directory; gives whether its availability or address is new.
-    pub fn apply(&mut self, entry: WorkerEntry, now: Duration) -> bool {
-        let memory = self.memory_tokens(&entry.service);
-        if let Some(known) = self.candidates.get_mut(&entry.incarnation) {
-            let changed = known.entry.availability != entry.availability
-                || known.entry.address != entry.address;
-            known.entry = entry;
-            return changed;
-        }
-        let key = entry.incarnation.clone();
-        self.candidates
-            .insert(key, Candidate::new(entry, memory, now));
-        true
-    }
-
-    /// Removes a worker that the directory no longer lists.
-    pub fn remove(&mut self, incarnation: &str) -> bool {
-        self.candidates.remove(incarnation).is_some()
-    }
-
     /// Whether the directory lists any worker.
     pub fn is_empty(&self) -> bool {
         self.candidates.is_empty()
--- a/crates/swiftshunt-scheduler/tests/selection.rs
+++ b/crates/swiftshunt-scheduler/tests/selection.rs
@@ -1,6 +1,6 @@
 //! The choice of a worker under a slow view.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use swiftshunt_scheduler::directory::{Availability, WorkerEntry};
@@ -115,7 +115,7 @@
     let mut selector = selector(2);
     fail(&mut selector, &chosen("w0"), Ending::Unreachable, START);
     assert_eq!(spread(&mut selector, 6, START).get("w0"), None);
-    selector.remove("w1");
+    selector.unlist(&BTreeSet::from(["w1".to_owned()]), None);
     let only = selector.choose("s", &demand(1), &[], START);
     assert_eq!(only.map(|chosen| chosen.incarnation), Some("w0".to_owned()));
 }
