--- a/crates/swiftshunt-http/src/serve.rs
+++ b/crates/swiftshunt-http/src/serve.rs
@@ -15,8 +15,9 @@
 
 use crate::acceptor::ClosableAcceptor;
 
-/// Time in which a request on a connection accepted last is read.
-const LAST_REQUEST: Duration = Duration::from_millis(250);
+/// Time in which a request on a connection accepted last is read; a part of it passes before the listener
+/// closes.
+const LAST_REQUEST: Duration = Duration::from_millis(300);
 
 /// Why an address cannot be listened on.
 #[derive(Debug, Display, Error)]
