Prefer workers to which a connection rests

At 295 gateways each sends a given one of 204 workers a request in minutes, so that nearly every request opened a connection, which takes a way to and fro and holds one of the worker's slots for a moment.

Change: a worker to which no connection rests costs 2 ms more, as one in another zone does. It is a part of the bids, so owners of cells weigh it, too; fuller workers cost more than that.

Ruled out: longer rests (workers close resting connections when they say so).

--- a/crates/swiftshunt-scheduler/src/cells.rs
+++ b/crates/swiftshunt-scheduler/src/cells.rs
@@ -103,7 +103,7 @@
             let incarnation = candidate.entry.incarnation.as_str();
             let mut cost = standing_cost(candidate, times, now)
                 + unexplained_wait(candidate, times, now)
-                + self.place_cost(candidate)
+                + self.place_cost(candidate, now)
                 + spread(demand.salt, incarnation);
             if home != Some(incarnation) {
                 cost += away_from_home;
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -88,6 +88,9 @@
 const HANGING: Duration = Duration::from_secs(2);
 /// Cost of a worker in another zone, in milliseconds.
 const OTHER_ZONE_COST: f64 = 2.0;
+/// Cost of a worker to which no connection rests, in milliseconds: a way to and fro, and the slot that
+/// a new connection holds for a moment.
+const CONNECTION_COST: f64 = 2.0;
 /// Differences of cost that do not matter, in milliseconds.
 const SPREAD: f64 = 2.0;
 /// Cost of a worker at which a shared beginning is not looked for first, against the time of reading
@@ -196,7 +199,7 @@
         let scored = open.map(|candidate| {
             let missing = missing_tokens(candidate, demand);
             let mut cost = expected_wait(candidate, times, missing, usual_others, now)
-                + self.place_cost(candidate);
+                + self.place_cost(candidate, now);
             cost += spread(demand.salt, &candidate.entry.incarnation);
             if home != Some(candidate.entry.incarnation.as_str()) {
                 cost += away_from_home;
@@ -270,11 +273,22 @@
         reading_ms(times, shared_tokens(demand)) * AWAY_FROM_HOME
     }
 
-    pub(crate) fn place_cost(&self, candidate: &Candidate) -> f64 {
-        if candidate.entry.zone == self.zone {
-            0.0
-        } else {
-            OTHER_ZONE_COST
+    /// What the way to a worker costs, in milliseconds.
+    pub(crate) fn place_cost(&self, candidate: &Candidate, now: Duration) -> f64 {
+        let mut cost = 0.0;
+        if candidate.entry.zone != self.zone {
+            cost += OTHER_ZONE_COST;
+        }
+        if candidate.connected_until <= now {
+            cost += CONNECTION_COST;
+        }
+        cost
+    }
+
+    /// Records until when a connection to a worker rests for the next request.
+    pub fn connected(&mut self, incarnation: &str, until: Duration) {
+        if let Some(candidate) = self.get_mut(incarnation) {
+            candidate.connected_until = until;
         }
     }
 
