--- a/crates/swiftshunt-scheduler/src/lib.rs
+++ b/crates/swiftshunt-scheduler/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod grants;
 pub mod limits;
 pub mod listed;
+mod observed;
 pub mod placement;
 pub mod quota;
 pub mod readers;
--- a/crates/swiftshunt-scheduler/src/slots/book.rs
+++ b/crates/swiftshunt-scheduler/src/slots/book.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::account::{Account, Assignment, Class};
+use super::openings::{Opening, cheapest};
 use super::prompts::{EngineRates, Prompt, Prompts, Reading};
 use super::trouble::{Standing, Troubles};
 use super::{Bid, CellWorker, Report, WorkerKey};
@@ -23,18 +24,6 @@
 /// Requests beyond the book's that a worker may tell of without anybody else sending there: what has
 /// ended a moment ago.
 const TOLD_SLACK: u32 = 2;
-/// Cost of full slots against empty ones, in milliseconds: spreads requests over equal workers.
-const OCCUPANCY_COST: f64 = 8.0;
-/// Cost of a slot that a batch item must leave first, in milliseconds: the order's way, and that its
-/// prompt is read again elsewhere.
-const STEP_ASIDE_COST: f64 = 30.0;
-
-/// Reading time of a prompt from which streams that run beside it are disturbed: an engine reads a piece
-/// of it before each of their tokens, and their pauses grow with what is left.
-const DISTURBING: Duration = Duration::from_millis(150);
-/// Cost of a disturbed stream, against the time by which the reading exceeds that: a stream that pauses
-/// for too long loses about as much as the prompt's own request would.
-const DISTURBANCE_COST: f64 = 0.5;
 
 /// What all gateways together hold at a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -111,33 +100,12 @@
     pub free: u32,
 }
 
-/// A worker that a request may be assigned to.
-struct Opening<'w> {
-    /// Whether the worker fails, and the request goes there only for want of another.
-    is_last_resort: bool,
-    cost_ms: f64,
-    worker: &'w CellWorker,
-    load: Load,
-    reading: Reading,
-}
-
-impl Opening<'_> {
-    fn is_full(&self) -> bool {
-        self.load.taken() >= self.worker.slots
-    }
-
-    /// Whether a slot is free, or a batch item may leave one.
-    fn has_room(&self) -> bool {
-        !self.is_full() || self.load.batch > 0
-    }
-}
-
 /// The book of a cell.
 #[derive(Debug, Default)]
 pub struct Book {
     accounts: HashMap<SocketAddr, Account>,
-    prompts: Prompts,
-    troubles: Troubles,
+    pub(super) prompts: Prompts,
+    pub(super) troubles: Troubles,
     last_number: u64,
     opened_at: Option<Duration>,
     heard_at: Duration,
@@ -205,7 +173,7 @@
 
     /// The same, or what the worker itself told where that is more: requests of gateways that do not
     /// report here.
-    fn load_as_told(&self, worker: &CellWorker) -> Load {
+    pub(super) fn load_as_told(&self, worker: &CellWorker) -> Load {
         let mut load = self.load(worker.key);
         let told = worker.told.unwrap_or(0);
         if told > load.taken() + TOLD_SLACK {
@@ -254,34 +222,6 @@
         })
     }
 
-    fn openings<'w>(
-        &self,
-        question: &Question<'_>,
-        workers: &'w [CellWorker],
-        rates: &EngineRates,
-        now: Duration,
-    ) -> Vec<Opening<'w>> {
-        let openings = question.bids.iter().filter_map(|bid| {
-            let worker = workers.iter().find(|worker| worker.key == bid.worker)?;
-            let load = self.load_as_told(worker);
-            let reading = self
-                .prompts
-                .reading(worker.key, question.prompt, rates, now);
-            let queue = queue_cost(load, worker.slots, rates.slot_ms);
-            let own_reading = rates.reading_time(reading.missing_tokens);
-            let disturbance = disturbance_cost(load, own_reading);
-            let standing = self.troubles.standing(worker.key, now);
-            Some(Opening {
-                is_last_resort: standing.keeps_away(question.may_repeat),
-                cost_ms: f64::from(bid.cost_ms) + queue + disturbance + milliseconds(reading.time),
-                worker,
-                load,
-                reading,
-            })
-        });
-        openings.collect()
-    }
-
     /// Has a gateway take an item away from a worker: `from` itself if it has one there.
     fn step_aside(
         &mut self,
@@ -422,37 +362,3 @@
         usage
     }
 }
-
-fn cheapest<'o, 'w>(openings: impl Iterator<Item = &'o Opening<'w>>) -> Option<&'o Opening<'w>>
-where
-    'w: 'o,
-{
-    openings.min_by(|one, other| {
-        let by_need = one.is_last_resort.cmp(&other.is_last_resort);
-        by_need.then(one.cost_ms.total_cmp(&other.cost_ms))
-    })
-}
-
-fn milliseconds(time: Duration) -> f64 {
-    time.as_secs_f64() * 1e3
-}
-
-/// What streams lose by a prompt that takes `reading` to read beside them, in milliseconds.
-fn disturbance_cost(load: Load, reading: Duration) -> f64 {
-    let disturbing = milliseconds(reading.saturating_sub(DISTURBING));
-    f64::from(load.online) * disturbing * DISTURBANCE_COST
-}
-
-/// Expected milliseconds until a slot is there, for a request that comes now.
-fn queue_cost(load: Load, slots: u32, service_ms: f64) -> f64 {
-    let slots = slots.max(1);
-    let occupancy = f64::from(load.taken().min(slots)) / f64::from(slots) * OCCUPANCY_COST;
-    if load.taken() < slots {
-        return occupancy;
-    }
-    if load.batch > 0 {
-        return occupancy + STEP_ASIDE_COST;
-    }
-    let ahead = f64::from(load.taken() - slots + 1);
-    occupancy + STEP_ASIDE_COST + ahead * service_ms / f64::from(slots)
-}
--- /dev/null
+++ b/crates/swiftshunt-scheduler/src/slots/openings.rs
@@ -0,0 +1,108 @@
+//! What the workers of a cell would cost a request, by the book.
+
+use std::time::Duration;
+
+use super::CellWorker;
+use super::book::{Book, Load, Question};
+use super::prompts::{EngineRates, Reading};
+
+/// Cost of full slots against empty ones, in milliseconds: spreads requests over equal workers.
+const OCCUPANCY_COST: f64 = 8.0;
+/// Cost of a slot that a batch item must leave first, in milliseconds: the order's way, and that its
+/// prompt is read again elsewhere.
+const STEP_ASIDE_COST: f64 = 30.0;
+/// Reading time of a prompt from which streams that run beside it are disturbed: an engine reads a piece
+/// of it before each of their tokens, and their pauses grow with what is left.
+const DISTURBING: Duration = Duration::from_millis(150);
+/// Cost of a disturbed stream, against the time by which the reading exceeds that: a stream that pauses
+/// for too long loses about as much as the prompt's own request would.
+const DISTURBANCE_COST: f64 = 0.5;
+
+/// A worker that a request may be assigned to.
+pub(super) struct Opening<'w> {
+    /// Whether the worker fails, and the request goes there only for want of another.
+    pub(super) is_last_resort: bool,
+    cost_ms: f64,
+    pub(super) worker: &'w CellWorker,
+    pub(super) load: Load,
+    pub(super) reading: Reading,
+}
+
+impl Opening<'_> {
+    pub(super) fn is_full(&self) -> bool {
+        self.load.taken() >= self.worker.slots
+    }
+
+    /// Whether a slot is free, or a batch item may leave one.
+    pub(super) fn has_room(&self) -> bool {
+        !self.is_full() || self.load.batch > 0
+    }
+}
+
+impl Book {
+    /// The workers among the bids, with what each would cost.
+    pub(super) fn openings<'w>(
+        &self,
+        question: &Question<'_>,
+        workers: &'w [CellWorker],
+        rates: &EngineRates,
+        now: Duration,
+    ) -> Vec<Opening<'w>> {
+        let openings = question.bids.iter().filter_map(|bid| {
+            let worker = workers.iter().find(|worker| worker.key == bid.worker)?;
+            let load = self.load_as_told(worker);
+            let reading = self
+                .prompts
+                .reading(worker.key, question.prompt, rates, now);
+            let queue = queue_cost(load, worker.slots, rates.slot_ms);
+            let own_reading = rates.reading_time(reading.missing_tokens);
+            let disturbance = disturbance_cost(load, own_reading);
+            let standing = self.troubles.standing(worker.key, now);
+            Some(Opening {
+                is_last_resort: standing.keeps_away(question.may_repeat),
+                cost_ms: f64::from(bid.cost_ms) + queue + disturbance + milliseconds(reading.time),
+                worker,
+                load,
+                reading,
+            })
+        });
+        openings.collect()
+    }
+}
+
+/// The best of some openings: the cheapest of those that are no last resort, or of all.
+pub(super) fn cheapest<'o, 'w>(
+    openings: impl Iterator<Item = &'o Opening<'w>>,
+) -> Option<&'o Opening<'w>>
+where
+    'w: 'o,
+{
+    openings.min_by(|one, other| {
+        let by_need = one.is_last_resort.cmp(&other.is_last_resort);
+        by_need.then(one.cost_ms.total_cmp(&other.cost_ms))
+    })
+}
+
+fn milliseconds(time: Duration) -> f64 {
+    time.as_secs_f64() * 1e3
+}
+
+/// What streams lose by a prompt that takes `reading` to read beside them, in milliseconds.
+fn disturbance_cost(load: Load, reading: Duration) -> f64 {
+    let disturbing = milliseconds(reading.saturating_sub(DISTURBING));
+    f64::from(load.online) * disturbing * DISTURBANCE_COST
+}
+
+/// Expected milliseconds until a slot is there, for a request that comes now.
+fn queue_cost(load: Load, slots: u32, service_ms: f64) -> f64 {
+    let slots = slots.max(1);
+    let occupancy = f64::from(load.taken().min(slots)) / f64::from(slots) * OCCUPANCY_COST;
+    if load.taken() < slots {
+        return occupancy;
+    }
+    if load.batch > 0 {
+        return occupancy + STEP_ASIDE_COST;
+    }
+    let ahead = f64::from(load.taken() - slots + 1);
+    occupancy + STEP_ASIDE_COST + ahead * service_ms / f64::from(slots)
+}
