--- /dev/null
+++ b/crates/swiftshunt-scheduler/tests/slots/requests.rs
@@ -0,0 +1,122 @@
+//! Where requests go, and which items step aside for them.
+
+use std::time::Duration;
+
+use swiftshunt_scheduler::slots::book::{Book, NotPlaced, Question};
+
+use crate::support::{
+    RATES, SETTLED, bids, gateway, held, key, place, place_at, question, report, workers,
+};
+
+#[test]
+fn a_request_goes_where_a_slot_is_free() {
+    let mut book = Book::default();
+    book.take(gateway(1), report(1, 0, &[(0, held(4, 0))]), SETTLED);
+    book.take(gateway(2), report(1, 0, &[(1, held(2, 1))]), SETTLED);
+    let placed = place(&mut book, 3, &[0, 0]);
+    let placed = placed.expect("a worker");
+    assert_eq!(placed.worker, key(1));
+    assert!(!placed.waits);
+    assert_eq!(placed.steps_aside, None);
+}
+
+#[test]
+fn what_speaks_against_a_free_worker_is_weighed_against_a_slot() {
+    let mut book = Book::default();
+    book.take(gateway(1), report(1, 0, &[(0, held(3, 1))]), SETTLED);
+    // Reading 400 ms more at the free worker is worse than an item's way out of the full one.
+    let placed = place(&mut book, 2, &[0, 400]);
+    assert_eq!(placed.expect("a worker").worker, key(0));
+}
+
+#[test]
+fn exactly_one_item_steps_aside_for_each_request_that_would_wait() {
+    let mut book = Book::default();
+    book.take(gateway(1), report(1, 0, &[(0, held(2, 2))]), SETTLED);
+    let mut place = || {
+        let placed = place(&mut book, 2, &[0]);
+        placed.expect("a worker")
+    };
+    assert_eq!(place().steps_aside, Some(gateway(1)));
+    assert_eq!(place().steps_aside, Some(gateway(1)));
+    let third = place();
+    assert_eq!(third.steps_aside, None, "no item is left");
+    assert!(third.waits);
+}
+
+#[test]
+fn a_request_that_would_wait_is_told_so_if_it_may_go_elsewhere() {
+    let mut book = Book::default();
+    book.take(gateway(1), report(1, 0, &[(0, held(4, 0))]), SETTLED);
+    let mut place = |may_wait| {
+        let bids = bids(&[0]);
+        let question = Question {
+            may_wait,
+            ..question(&bids)
+        };
+        book.place(gateway(2), &question, &workers(1), &RATES, SETTLED)
+    };
+    assert_eq!(place(false), Err(NotPlaced::Full));
+    assert!(place(true).expect("a worker").waits);
+    let mut unknown = Book::default();
+    let none = unknown.place(gateway(2), &question(&bids(&[0])), &[], &RATES, SETTLED);
+    assert_eq!(none, Err(NotPlaced::NoWorker));
+}
+
+#[test]
+fn a_gateway_gives_up_its_own_item_first() {
+    let mut book = Book::default();
+    book.take(gateway(1), report(1, 0, &[(0, held(0, 3))]), SETTLED);
+    book.take(gateway(2), report(1, 0, &[(0, held(0, 1))]), SETTLED);
+    let placed = place(&mut book, 2, &[0]);
+    assert_eq!(placed.expect("a worker").steps_aside, Some(gateway(2)));
+}
+
+#[test]
+fn an_order_that_was_lost_is_given_again() {
+    let mut book = Book::default();
+    book.take(gateway(1), report(1, 0, &[(0, held(3, 1))]), SETTLED);
+    let mut now = SETTLED;
+    let first = place_at(&mut book, 2, &[0], now);
+    assert_eq!(first.expect("a worker").steps_aside, Some(gateway(1)));
+    now += Duration::from_millis(300);
+    book.take(gateway(2), report(1, 1, &[(0, held(1, 0))]), now);
+    let second = place_at(&mut book, 2, &[0], now);
+    assert_eq!(second.expect("a worker").steps_aside, Some(gateway(1)));
+}
+
+/// Found by a test with real processes: a new owner had granted items slots that another gateway's
+/// items held, and a stream waited behind the surplus until an item ended.
+#[test]
+fn items_leave_a_worker_that_holds_more_than_its_slots() {
+    let mut book = Book::default();
+    book.take(gateway(1), report(1, 0, &[(0, held(1, 3))]), SETTLED);
+    assert_eq!(book.relieve(&workers(1), SETTLED), []);
+    // Two gateways whose requests and items did not know of each other.
+    book.take(gateway(2), report(1, 0, &[(0, held(1, 1))]), SETTLED);
+    let orders = book.relieve(&workers(1), SETTLED);
+    assert_eq!(orders, [(gateway(1), key(0)), (gateway(1), key(0))]);
+    assert_eq!(book.relieve(&workers(1), SETTLED), [], "told twice");
+    book.take(gateway(1), report(2, 0, &[(0, held(1, 1))]), SETTLED);
+    assert_eq!(book.relieve(&workers(1), SETTLED), [], "it fits");
+}
+
+#[test]
+fn an_order_of_relief_that_was_lost_is_given_again() {
+    let mut book = Book::default();
+    book.take(gateway(1), report(1, 0, &[(0, held(4, 1))]), SETTLED);
+    assert_eq!(book.relieve(&workers(1), SETTLED), [(gateway(1), key(0))]);
+    let later = SETTLED + Duration::from_millis(300);
+    assert_eq!(book.relieve(&workers(1), later), [(gateway(1), key(0))]);
+}
+
+#[test]
+fn requests_that_wait_without_an_item_at_their_worker_move_nobody() {
+    let mut book = Book::default();
+    book.take(
+        gateway(1),
+        report(1, 0, &[(0, held(7, 0)), (1, held(0, 4))]),
+        SETTLED,
+    );
+    assert_eq!(book.relieve(&workers(2), SETTLED), []);
+}
--- /dev/null
+++ b/crates/swiftshunt-scheduler/tests/slots/support.rs
@@ -0,0 +1,101 @@
+//! Cells, requests and reports that the tests of the book share.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use swiftshunt_scheduler::slots::book::{Book, NotPlaced, Placement, Question};
+use swiftshunt_scheduler::slots::prompts::{EngineRates, Prompt};
+use swiftshunt_scheduler::slots::{Bid, CellWorker, Held, Rank, Report, Waiting, WorkerKey};
+
+pub(crate) const SLOTS: u32 = 4;
+pub(crate) const RATES: EngineRates = EngineRates {
+    slot_ms: 700.0,
+    tokens_per_ms: 40.0,
+    memory_tokens: 60_000,
+};
+/// A book that has been open for this long knows everybody.
+pub(crate) const SETTLED: Duration = Duration::from_secs(1);
+
+pub(crate) fn gateway(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 1_000 + number))
+}
+
+pub(crate) fn key(number: u64) -> WorkerKey {
+    WorkerKey(number)
+}
+
+pub(crate) fn workers(count: u64) -> Vec<CellWorker> {
+    let worker = |number| CellWorker {
+        key: key(number),
+        slots: SLOTS,
+        told: None,
+        is_sound: true,
+    };
+    (0..count).map(worker).collect()
+}
+
+pub(crate) fn bids(costs: &[u32]) -> Vec<Bid> {
+    let bid = |(number, cost)| Bid {
+        worker: key(number),
+        cost_ms: cost,
+    };
+    (0..).zip(costs.iter().copied()).map(bid).collect()
+}
+
+pub(crate) fn held(online: u32, batch: u32) -> Held {
+    Held { online, batch }
+}
+
+pub(crate) fn report(number: u64, seen: u64, at_workers: &[(u64, Held)]) -> Report {
+    Report {
+        life: 1,
+        number,
+        seen,
+        held: at_workers
+            .iter()
+            .map(|(at, held)| (key(*at), *held))
+            .collect(),
+        waiting: Waiting::default(),
+    }
+}
+
+pub(crate) fn rank(due_in_ms: i64) -> Rank {
+    Rank {
+        is_late: false,
+        due_in_ms,
+    }
+}
+
+pub(crate) fn waiting(items: u32, due_in_ms: i64) -> Report {
+    let first = rank(due_in_ms);
+    Report {
+        waiting: Waiting { items, first },
+        ..report(1, 0, &[])
+    }
+}
+
+/// A request without a prompt that may wait.
+pub(crate) fn question(bids: &[Bid]) -> Question<'_> {
+    Question {
+        bids,
+        prompt: Prompt::default(),
+        may_wait: true,
+        may_repeat: true,
+    }
+}
+
+/// A request of a gateway, with a bid for each worker of the cell.
+pub(crate) fn place(book: &mut Book, from: u16, costs: &[u32]) -> Result<Placement, NotPlaced> {
+    place_at(book, from, costs, SETTLED)
+}
+
+pub(crate) fn place_at(
+    book: &mut Book,
+    from: u16,
+    costs: &[u32],
+    now: Duration,
+) -> Result<Placement, NotPlaced> {
+    let workers = workers(costs.len() as u64);
+    let bids = bids(costs);
+    book.place(gateway(from), &question(&bids), &workers, &RATES, now)
+}
