--- a/crates/swiftshunt-gateway/src/log_relay/mod.rs
+++ b/crates/swiftshunt-gateway/src/log_relay/mod.rs
@@ -24,11 +24,11 @@
 use swiftshunt_journal::{AppendOutcome, Lease, Log, LogError, NewestPage, ReadOutcome, Topic};
 use tokio::sync::watch;
 
-use crate::answers::{CallerAnswer, plain, whole};
+use crate::answers::{CallerAnswer, plain};
 use crate::beliefs::lock;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
-use crate::peer_http::{self, PeerClient, encoded};
+use crate::peer_http::{self, PeerClient, answer_with, encoded, read_call};
 use crate::peers::Peers;
 use message::{LogAnswer, LogCall};
 use standing::Standing;
@@ -109,18 +109,12 @@
         if *self.away.borrow() {
             return plain(StatusCode::SERVICE_UNAVAILABLE, "the log is away here, too");
         }
-        let body = Limited::new(request.into_body(), MESSAGE_BYTES).collect();
-        let Ok(body) = body.await else {
-            return plain(StatusCode::BAD_REQUEST, "the call broke off");
-        };
-        let Ok(call) = ciborium::from_reader::<LogCall, _>(body.to_bytes().as_ref()) else {
-            return plain(StatusCode::BAD_REQUEST, "the call is not readable");
+        let call: LogCall = match read_call(request, MESSAGE_BYTES).await {
+            Ok(call) => call,
+            Err(refusal) => return refusal,
         };
         let answer = self.directly(call).await;
-        match encoded(&answer) {
-            Some(body) => hyper::Response::new(whole(body)),
-            None => plain(StatusCode::INTERNAL_SERVER_ERROR, "the answer has no form"),
-        }
+        answer_with(&answer)
     }
 
     async fn call(&self, call: LogCall) -> LogAnswer {
--- a/crates/swiftshunt-gateway/src/peer_http.rs
+++ b/crates/swiftshunt-gateway/src/peer_http.rs
@@ -4,11 +4,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::Uri;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
 use hyper::http::uri::PathAndQuery;
+use hyper::{Request, Response, StatusCode, Uri};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::answers::{CallerAnswer, plain, whole};
 
 /// Time within which a connection to another gateway is made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -43,8 +49,29 @@
         .ok()
 }
 
+/// Reads a call of another gateway, of at most `limit` bytes, or gives the answer to one that is none.
+pub(crate) async fn read_call<T: DeserializeOwned>(
+    request: Request<Incoming>,
+    limit: usize,
+) -> Result<T, CallerAnswer> {
+    let body = Limited::new(request.into_body(), limit).collect().await;
+    let Ok(body) = body else {
+        return Err(plain(StatusCode::BAD_REQUEST, "the call broke off"));
+    };
+    let call = ciborium::from_reader(body.to_bytes().as_ref());
+    call.map_err(|_| plain(StatusCode::BAD_REQUEST, "the call is not readable"))
+}
+
+/// A message as the answer to another gateway.
+pub(crate) fn answer_with(message: &impl Serialize) -> CallerAnswer {
+    match encoded(message) {
+        Some(body) => Response::new(whole(body)),
+        None => plain(StatusCode::INTERNAL_SERVER_ERROR, "the answer has no form"),
+    }
+}
+
 /// A message as a body; none if it has no form.
-pub(crate) fn encoded(message: &impl serde::Serialize) -> Option<Bytes> {
+pub(crate) fn encoded(message: &impl Serialize) -> Option<Bytes> {
     let mut body = Vec::new();
     ciborium::into_writer(message, &mut body).ok()?;
     Some(body.into())
--- a/crates/swiftshunt-gateway/src/tails/mod.rs
+++ b/crates/swiftshunt-gateway/src/tails/mod.rs
@@ -16,17 +16,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, StatusCode};
 use swiftshunt_journal::{KeyedRecord, TailPart, Topic, news};
 
-use crate::answers::{CallerAnswer, plain, whole};
+use crate::answers::{CallerAnswer, plain};
 use crate::clock::Clock;
 use crate::followed::Pace;
 use crate::members::Members;
 use crate::metrics::Metrics;
-use crate::peer_http::encoded;
+use crate::peer_http::{answer_with, read_call};
 use message::TailCall;
 use published::Published;
 use readers::Readers;
@@ -83,26 +82,20 @@
 
     /// Answers a gateway that waits for a change.
     pub(crate) async fn answer_peer(&self, request: Request<Incoming>) -> CallerAnswer {
-        let body = Limited::new(request.into_body(), CALL_BYTES).collect();
-        let Ok(body) = body.await else {
-            return plain(StatusCode::BAD_REQUEST, "the call broke off");
-        };
-        let Ok(call) = ciborium::from_reader::<TailCall, _>(body.to_bytes().as_ref()) else {
-            return plain(StatusCode::BAD_REQUEST, "the call is not readable");
+        let call: TailCall = match read_call(request, CALL_BYTES).await {
+            Ok(call) => call,
+            Err(refusal) => return refusal,
         };
         let Some(published) = self.published(call.topic) else {
             return plain(StatusCode::NOT_FOUND, "this topic is not shared");
         };
         let part = published.after(call.from, call.wait, self.clock).await;
-        let Some(part) = part else {
-            return plain(
+        match part {
+            Some(part) => answer_with(&part),
+            None => plain(
                 StatusCode::SERVICE_UNAVAILABLE,
                 "not read here, or not of late",
-            );
-        };
-        match encoded(&part) {
-            Some(body) => Response::new(whole(body)),
-            None => plain(StatusCode::INTERNAL_SERVER_ERROR, "the answer has no form"),
+            ),
         }
     }
 }
