Tell by logs why an answer was late: when it was sent, what was to read, how long its stream paused

Change: the line of a late answer has the time until it was sent, the prompt's tokens, those missing at the worker and the expected reading; a whole stream with a longer pause than its route allows has a line and counts; explain names it.

Tests: streams_that_pause_for_too_long_are_counted_and_named (failed once while its stand-in paused for so long that the stream was taken elsewhere; the stand-in now pauses 540 ms), a_late_answer_is_logged_with_what_took_its_time.

--- a/crates/swiftshunt-gateway/src/journey.rs
+++ b/crates/swiftshunt-gateway/src/journey.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::StatusCode;
 use swiftshunt_routing::{Repeat, Route};
 use swiftshunt_scheduler::selection::Chosen;
 
@@ -12,6 +13,17 @@
 /// Silence of a worker that is never a reason to take a request away.
 const SHORTEST_SILENCE: Duration = Duration::from_millis(600);
 
+/// What was known when a request was sent to a worker.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LastSend {
+    /// When, on the gateway's clock.
+    pub(crate) at: Duration,
+    /// Prompt tokens that the worker was expected to read for it.
+    pub(crate) missing_tokens: u64,
+    /// How long it was expected to read, what waited there included.
+    pub(crate) expected_reading: Duration,
+}
+
 /// A request on its way.
 pub(crate) struct Journey {
     pub(crate) route: Arc<Route>,
@@ -21,6 +33,7 @@
     pub(crate) arrived: Duration,
     pub(crate) until: Duration,
     pub(crate) tried: Vec<String>,
+    pub(crate) last_send: Option<LastSend>,
     /// Sends after which the request may have run.
     pub(crate) runs: u32,
     /// Whether a worker has declined it since all were asked last.
@@ -57,6 +70,31 @@
         self.route.objective.max(pause).max(SHORTEST_SILENCE)
     }
 
+    /// It goes to a worker now.
+    pub(crate) fn sent(&mut self, chosen: &Chosen, now: Duration) {
+        self.tried.push(chosen.incarnation.clone());
+        self.last_send = Some(LastSend {
+            at: now,
+            missing_tokens: chosen.missing_tokens,
+            expected_reading: chosen.expected_reading,
+        });
+    }
+
+    /// Logs that it was answered `waited` after it came, with what tells why it took that long: when it
+    /// was sent last, and what the worker had to read for it.
+    pub(crate) fn log_answered(&self, status: StatusCode, waited: Duration) {
+        let worker = self.tried.last().map_or("", String::as_str);
+        let sent = self.last_send.as_ref();
+        let sent_after = sent.map_or(Duration::ZERO, |sent| sent.at.saturating_sub(self.arrived));
+        let missing_tokens = sent.map_or(0, |sent| sent.missing_tokens);
+        let reading = sent.map_or(Duration::ZERO, |sent| sent.expected_reading);
+        log::info!(request = self.id(), route = self.route.name.as_str(), worker,
+            sends = self.tried.len(), status = status.as_u16(), waited_ms = waited.as_millis() as u64,
+            sent_after_ms = sent_after.as_millis() as u64,
+            prompt_tokens = self.outgoing.demand.prompt_tokens, missing_tokens,
+            reading_ms = reading.as_millis() as u64; "answered");
+    }
+
     /// Logs that a send of it failed.
     pub(crate) fn log_failure(&self, chosen: &Chosen, failure: &SendFailure) {
         log::info!(request = self.id(), worker = chosen.incarnation.as_str(),
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod members;
 mod metrics;
 mod online;
+mod pauses;
 mod peer_http;
 mod peers;
 pub mod protocol;
--- a/crates/swiftshunt-gateway/src/metrics.rs
+++ b/crates/swiftshunt-gateway/src/metrics.rs
@@ -126,6 +126,7 @@
     pub(crate) slots: Family<UseLabels, Gauge>,
     pub(crate) refusals: Family<RefusalLabels, Counter>,
     pub(crate) asked_again: Counter,
+    pub(crate) streams_paused: Counter,
     pub(crate) slot_owners_lost: Counter,
     pub(crate) items_stepped_aside: Counter,
     pub(crate) workers_relieved: Counter,
@@ -209,6 +210,10 @@
             "asked_again",
             "Times that a request found all workers full and went on looking",
         );
+        let streams_paused = counter(
+            "streams_paused",
+            "Streams that ended whole and paused for longer than their route allows",
+        );
         let log_failures = counter("log_failures", "Calls to the log without a use");
         let log_calls_relayed = counter(
             "log_calls_relayed",
@@ -258,6 +263,7 @@
             slots,
             refusals,
             asked_again,
+            streams_paused,
             slot_owners_lost,
             items_stepped_aside,
             workers_relieved,
--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -130,6 +130,7 @@
             arrived,
             until: arrived + time,
             tried: Vec::new(),
+            last_send: None,
             runs: 0,
             was_declined: false,
         }
@@ -158,7 +159,7 @@
                     }
                 }
             };
-            journey.tried.push(chosen.incarnation.clone());
+            journey.sent(&chosen, self.dispatcher.clock.now());
             let patience = self.patience(&journey, &chosen);
             let last_event = journey.facts.last_event;
             let sent = self
@@ -332,10 +333,7 @@
         metrics.request_ended(&journey.route.name, RequestEnd::Answered);
         let unusual = journey.tried.len() > 1 || waited > journey.route.objective;
         if unusual || !status.is_success() {
-            log::info!(request = journey.id(), route = journey.route.name.as_str(),
-                worker = journey.tried.last().map_or("", String::as_str),
-                sends = journey.tried.len(), status = status.as_u16(),
-                waited_ms = waited.as_millis() as u64; "answered");
+            journey.log_answered(status, waited);
         }
     }
 
--- a/crates/swiftshunt-gateway/src/relay.rs
+++ b/crates/swiftshunt-gateway/src/relay.rs
@@ -13,6 +13,7 @@
 use crate::attempt::{Answer, Dispatcher, Outgoing, Patience, SendFailure};
 use crate::events::EventBorders;
 use crate::journey::Journey;
+use crate::pauses::Pauses;
 use crate::slots::Placing;
 
 /// Pause between looks at a worker whose stream is silent.
@@ -101,6 +102,7 @@
     first: Option<Bytes>,
     until: Duration,
     id: String,
+    pauses: Pauses,
 }
 
 /// What is needed to go on elsewhere.
@@ -140,6 +142,7 @@
         first: Some(first),
         until: journey.until,
         id,
+        pauses: Pauses::new(journey.route.pause_target),
     };
     let frames = stream::unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
@@ -172,11 +175,13 @@
                         None => bytes,
                     };
                     if !whole.is_empty() {
+                        self.pauses.passed(self.dispatcher.clock.now());
                         return Ok(Some(whole));
                     }
                 }
                 Ok(Next::End) => {
                     if let Some(answer) = self.answer.take() {
+                        self.log_pauses(&answer);
                         answer.finish(&self.dispatcher);
                     }
                     let rest = self.resume.as_mut().map(|resume| resume.borders.rest());
@@ -187,6 +192,16 @@
         }
     }
 
+    /// Logs that the stream was late by its pauses, if it was.
+    fn log_pauses(&self, answer: &Answer) {
+        let Some(longest) = self.pauses.too_long() else {
+            return;
+        };
+        self.dispatcher.metrics.streams_paused.inc();
+        log::info!(request = self.id.as_str(), worker = answer.in_flight.chosen.incarnation.as_str(),
+            longest_ms = longest.as_millis() as u64; "a stream paused for longer than its route allows");
+    }
+
     async fn go_on_elsewhere(&mut self, failure: SendFailure) -> Result<(), BodyError> {
         let last = self.resume.as_ref().and_then(Resume::position);
         log::info!(request = self.id.as_str(), failure:% = failure, last_event:? = last;
--- a/crates/swiftshunt/src/explain.rs
+++ b/crates/swiftshunt/src/explain.rs
@@ -188,6 +188,9 @@
         let end = match line.text("message") {
             "given up" => format!("it was given up, since {}", line.text("reason")),
             "answered" => format!("it was answered, {}", line.details()),
+            "a stream paused for longer than its route allows" => {
+                format!("its stream came whole, late by a pause, {}", line.details())
+            }
             "an item is given up" => format!("the item was given up: {}", line.text("reason")),
             "a job was ended" => "the job was ended by a caller".to_owned(),
             "the caller left before the answer" => "the caller left first".to_owned(),
--- a/crates/swiftshunt/tests/gateway_metrics.rs
+++ b/crates/swiftshunt/tests/gateway_metrics.rs
@@ -4,9 +4,9 @@
 
 use std::time::Duration;
 
-use gateway::start;
+use gateway::{ExclusiveFleet, start};
 use hyper::StatusCode;
-use swiftshunt_lab::platform::fleet::{ASK, BATCH, PlatformOptions};
+use swiftshunt_lab::platform::fleet::{ASK, BATCH, PlatformOptions, STREAM, eventually};
 use swiftshunt_lab::platform::store::{Down, StoreFaults};
 
 const OBEY_WITHIN: Duration = Duration::from_secs(2);
@@ -49,3 +49,68 @@
     assert_eq!(refused("LogAway").await, 1.0);
     assert_eq!(refused("NoWorker").await, 1.0);
 }
+
+/// A stream that began in time is late by a pause: without a line nobody could tell why.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_that_pause_for_too_long_are_counted_and_named() {
+    let fleet = start(PlatformOptions {
+        gateways: 1,
+        events: 3,
+        event_pause: Duration::from_millis(540),
+        ..PlatformOptions::default()
+    })
+    .await;
+    let gateway = &fleet.gateways[0];
+    let answer = fleet
+        .caller
+        .ask(gateway.callers, STREAM, "s1", DEADLINE)
+        .await;
+    assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    let name = "swiftshunt_streams_paused_total";
+    eventually("the pause is counted", || async {
+        fleet.caller.figure(gateway.metrics, name).await == 1.0
+    })
+    .await;
+    let line = line_of(&fleet, "s1", "a stream paused").await;
+    let longest = line["longest_ms"].as_u64().expect("a time");
+    assert!((500..5_000).contains(&longest), "{line}");
+}
+
+/// What was late tells when it was sent and what its worker had to read.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_answer_is_logged_with_what_took_its_time() {
+    let fleet = start(PlatformOptions {
+        gateways: 1,
+        whole_pause: Duration::from_millis(500),
+        ..PlatformOptions::default()
+    })
+    .await;
+    let gateway = &fleet.gateways[0];
+    let answer = fleet.caller.ask(gateway.callers, ASK, "r1", DEADLINE).await;
+    assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    let line = line_of(&fleet, "r1", "answered").await;
+    let field = |name: &str| line[name].as_u64().expect("a number");
+    assert!(field("waited_ms") >= 500, "{line}");
+    assert!(field("sent_after_ms") < field("waited_ms"), "{line}");
+    assert_eq!(field("missing_tokens"), 0);
+    assert_eq!(
+        line["worker"].as_str().map(|worker| &worker[..6]),
+        Some("whole-")
+    );
+}
+
+/// The line of a request whose message begins with `message`, once the gateway has written it.
+async fn line_of(fleet: &ExclusiveFleet, request: &str, message: &str) -> serde_json::Value {
+    let file = fleet.logs().join("gateway-0.log");
+    let find = || {
+        let text = std::fs::read_to_string(&file).unwrap_or_default();
+        let lines = text.lines();
+        let mut lines = lines.filter_map(|line| serde_json::from_str(line).ok());
+        lines.find(|line: &serde_json::Value| {
+            let begins = line["message"].as_str().map(|it| it.starts_with(message));
+            line["request"] == request && begins == Some(true)
+        })
+    };
+    eventually("the line is written", || async { find().is_some() }).await;
+    find().expect("the line")
+}
