Nobody relies on a gateway that no longer reads the log

Cause, found while reading the diff: a gateway that read for others and then waits at a reader itself (others started, and weigh more) kept its window as sure. A gateway whose list of gateways is older, while the log is away say, could have waited there and been told for seconds that nothing is new, past the time within which a leaving worker and a configuration must be obeyed.

Change: a gateway that waits at a reader refuses others from then on; and a window may be relied on only until the reader's next answer of the log is due, so that one that stood still refuses once it goes on.

--- a/crates/swiftshunt-gateway/src/followed.rs
+++ b/crates/swiftshunt-gateway/src/followed.rs
@@ -75,6 +75,11 @@
             hedge_after: obey_within / HEDGES_WITHIN_OBEDIENCE,
         }
     }
+
+    /// Time within which a read is answered that was not lost.
+    pub(crate) fn longest(self) -> Duration {
+        self.wait + self.hedge_after
+    }
 }
 
 /// A read of the tail of a topic.
@@ -96,7 +101,7 @@
 ) -> Result<HedgedRead, LogError> {
     let mut reads = FuturesUnordered::new();
     reads.push(log.read(topic, 0, from, pace.wait));
-    let mut pause = pace.wait + pace.hedge_after;
+    let mut pause = pace.longest();
     let mut was_overdue = false;
     loop {
         match tokio::time::timeout(pause, reads.next()).await {
@@ -211,7 +216,7 @@
         self.answered(read.was_overdue);
         match read.outcome {
             ReadOutcome::Records { records, .. } => {
-                self.publish(from, &records);
+                self.publish(from, &records, pace);
                 Ok(self.view.apply_tail(records))
             }
             ReadOutcome::Dropped => self.list(log).await,
@@ -225,9 +230,9 @@
         }
     }
 
-    fn publish(&self, from: u64, records: &[KeyedRecord]) {
+    fn publish(&self, from: u64, records: &[KeyedRecord], pace: Pace) {
         if let Some(shared) = &self.shared {
-            shared.publish(from, records, self.returned_at);
+            shared.publish(from, records, pace, self.returned_at);
         }
     }
 
--- a/crates/swiftshunt-gateway/src/tails/mod.rs
+++ b/crates/swiftshunt-gateway/src/tails/mod.rs
@@ -34,6 +34,9 @@
 pub(crate) const PATH: &str = "/peer/tail";
 /// Largest call.
 const CALL_BYTES: usize = 4 << 10;
+/// Share by which the time between two answers of the log exceeds that of one read: the pause between
+/// reads.
+const PAUSE_SHARE: f64 = 0.25;
 
 /// The tails that gateways share.
 pub(crate) struct Tails {
@@ -115,8 +118,10 @@
             from,
             wait: pace.wait,
         };
-        let limit = pace.wait + pace.hedge_after;
-        self.tails.readers.ask(&call, limit).await
+        let reader = self.tails.readers.own_reader()?;
+        // Others may still take this gateway for a reader.
+        self.not_sure();
+        self.tails.readers.ask(reader, &call, pace.longest()).await
     }
 
     /// The log answered this gateway with the records from an offset on.
@@ -124,6 +129,7 @@
         &self,
         from: u64,
         records: &[KeyedRecord],
+        pace: Pace,
         returned_at: Option<Duration>,
     ) {
         let Some(published) = self.tails.published(self.topic) else {
@@ -133,7 +139,10 @@
             return published.not_sure();
         }
         let next = records.last().map_or(from, |record| record.offset + 1);
-        published.read(from, news(records, &self.is_news), next, returned_at);
+        let next_answer = pace.longest().mul_f64(1.0 + PAUSE_SHARE);
+        let sure_until = self.tails.clock.now() + next_answer;
+        let records = news(records, &self.is_news);
+        published.read(from, records, next, sure_until, returned_at);
     }
 
     /// The log does not answer this gateway in time.
--- a/crates/swiftshunt-gateway/src/tails/published.rs
+++ b/crates/swiftshunt-gateway/src/tails/published.rs
@@ -20,10 +20,11 @@
         from: u64,
         records: Vec<KeyedRecord>,
         next: u64,
+        sure_until: Duration,
         returned_at: Option<Duration>,
     ) {
         self.window
-            .send_if_modified(|window| window.read(from, records, next, returned_at));
+            .send_if_modified(|window| window.read(from, records, next, sure_until, returned_at));
     }
 
     /// See [`TailWindow::not_sure`].
@@ -35,7 +36,7 @@
     /// none if this gateway does not know.
     pub(super) async fn after(&self, from: u64, wait: Duration, clock: Clock) -> Option<TailPart> {
         let mut changes = self.window.subscribe();
-        let decided = changes.wait_for(|window| window.is_decided(from));
+        let decided = changes.wait_for(|window| window.is_decided(from, clock.now()));
         // Without a change the answer is that there is none.
         drop(tokio::time::timeout(wait, decided).await);
         self.window.borrow().part(from, clock.now())
--- a/crates/swiftshunt-gateway/src/tails/readers.rs
+++ b/crates/swiftshunt-gateway/src/tails/readers.rs
@@ -77,7 +77,7 @@
     }
 
     /// The reader at which this gateway waits; none if it is to read the log itself.
-    fn own_reader(&self) -> Option<SocketAddr> {
+    pub(super) fn own_reader(&self) -> Option<SocketAddr> {
         let own = self.members.own();
         let readers = self.all();
         if readers.contains(&own) {
@@ -92,9 +92,13 @@
         trusted.max_by_key(|reader| weight((own, *reader)))
     }
 
-    /// Asks this gateway's reader; none if there is none or it does not answer within `limit`.
-    pub(super) async fn ask(&self, call: &TailCall, limit: Duration) -> Option<TailPart> {
-        let reader = self.own_reader()?;
+    /// Asks a reader; none if it does not answer within `limit`.
+    pub(super) async fn ask(
+        &self,
+        reader: SocketAddr,
+        call: &TailCall,
+        limit: Duration,
+    ) -> Option<TailPart> {
         let asked = tokio::time::timeout(limit, self.exchange(reader, call)).await;
         match asked {
             Ok(Ok(part)) => {
--- a/crates/swiftshunt-journal/src/tail_window.rs
+++ b/crates/swiftshunt-journal/src/tail_window.rs
@@ -28,19 +28,23 @@
     start: u64,
     next: u64,
     records: VecDeque<KeyedRecord>,
-    is_sure: bool,
+    /// Until when the reader may be relied on; none while it may not.
+    sure_until: Option<Duration>,
     returned_at: Option<Duration>,
 }
 
 impl TailWindow {
     /// The log answered the reader with what stands from an offset up to `next`; `records` are those
-    /// that matter of it. What was read before stays if this follows it. `returned_at` is when the log
-    /// was back after it had not answered. Tells whether there is something new.
+    /// that matter of it. What was read before stays if this follows it. The next answer is due by
+    /// `sure_until`: a reader that stood still, or reads no more, must not be relied on for longer.
+    /// `returned_at` is when the log was back after it had not answered. Tells whether there is something
+    /// new.
     pub fn read(
         &mut self,
         from: u64,
         records: Vec<KeyedRecord>,
         next: u64,
+        sure_until: Duration,
         returned_at: Option<Duration>,
     ) -> bool {
         let is_new = !records.is_empty();
@@ -54,7 +58,7 @@
             self.start = oldest.map_or(self.start, |record| record.offset + 1);
         }
         self.next = next;
-        self.is_sure = true;
+        self.sure_until = Some(sure_until);
         self.returned_at = returned_at;
         is_new
     }
@@ -62,20 +66,20 @@
     /// The log does not answer the reader in time, or it reads no more: nobody is to rely on it. Tells
     /// whether somebody could until now.
     pub fn not_sure(&mut self) -> bool {
-        std::mem::take(&mut self.is_sure)
+        self.sure_until.take().is_some()
     }
 
     /// Whether there is an answer to a question for what stands from an offset on; otherwise it is to
     /// wait for the next change.
-    pub fn is_decided(&self, from: u64) -> bool {
+    pub fn is_decided(&self, from: u64, now: Duration) -> bool {
         let newest = self.records.back();
         let has_more = newest.is_some_and(|record| record.offset >= from);
-        !self.knows(from) || has_more
+        !self.knows(from, now) || has_more
     }
 
     /// What stands from an offset on; none if the reader does not know.
     pub fn part(&self, from: u64, now: Duration) -> Option<TailPart> {
-        if !self.knows(from) {
+        if !self.knows(from, now) {
             return None;
         }
         let records = self.records.iter().filter(|record| record.offset >= from);
@@ -86,8 +90,9 @@
         })
     }
 
-    fn knows(&self, from: u64) -> bool {
-        self.is_sure && from >= self.start
+    fn knows(&self, from: u64, now: Duration) -> bool {
+        let is_sure = self.sure_until.is_some_and(|until| now < until);
+        is_sure && from >= self.start
     }
 }
 
--- a/crates/swiftshunt-journal/tests/tail_window.rs
+++ b/crates/swiftshunt-journal/tests/tail_window.rs
@@ -6,6 +6,7 @@
 use swiftshunt_journal::{KeyedRecord, TailPart, TailWindow, news};
 
 const NOW: Duration = Duration::from_secs(9);
+const SURE_UNTIL: Duration = Duration::from_secs(11);
 
 fn record(offset: u64, key: &str, value: &'static str) -> KeyedRecord {
     KeyedRecord {
@@ -25,7 +26,7 @@
 fn window() -> TailWindow {
     let mut window = TailWindow::default();
     let records = vec![record(12, "a", "x"), record(15, "b", "x")];
-    assert!(window.read(10, records, 20, None));
+    assert!(window.read(10, records, 20, SURE_UNTIL, None));
     window
 }
 
@@ -45,26 +46,26 @@
 #[test]
 fn what_lies_before_the_window_is_not_known() {
     let window = window();
-    assert!(window.is_decided(9));
+    assert!(window.is_decided(9, NOW));
     assert_eq!(window.part(9, NOW), None);
 }
 
 #[test]
 fn a_question_waits_until_there_is_news() {
     let mut window = window();
-    assert!(window.is_decided(12));
-    assert!(!window.is_decided(16));
-    assert!(!window.read(20, Vec::new(), 30, None));
-    assert!(!window.is_decided(16));
-    assert!(window.read(30, vec![record(31, "a", "")], 40, None));
-    assert!(window.is_decided(16));
+    assert!(window.is_decided(12, NOW));
+    assert!(!window.is_decided(16, NOW));
+    assert!(!window.read(20, Vec::new(), 30, SURE_UNTIL, None));
+    assert!(!window.is_decided(16, NOW));
+    assert!(window.read(30, vec![record(31, "a", "")], 40, SURE_UNTIL, None));
+    assert!(window.is_decided(16, NOW));
     assert_eq!(offsets(window.part(16, NOW)), Some((vec![31], 40)));
 }
 
 #[test]
 fn a_reader_that_missed_a_part_begins_anew() {
     let mut window = window();
-    window.read(50, vec![record(51, "a", "y")], 60, None);
+    window.read(50, vec![record(51, "a", "y")], 60, SURE_UNTIL, None);
     assert_eq!(window.part(20, NOW), None);
     assert_eq!(offsets(window.part(50, NOW)), Some((vec![51], 60)));
 }
@@ -74,18 +75,29 @@
     let mut window = window();
     assert!(window.not_sure());
     assert!(!window.not_sure());
-    assert!(window.is_decided(16));
+    assert!(window.is_decided(16, NOW));
     assert_eq!(window.part(16, NOW), None);
-    window.read(20, Vec::new(), 21, Some(Duration::from_secs(8)));
+    window.read(20, Vec::new(), 21, SURE_UNTIL, Some(Duration::from_secs(8)));
     let part = window.part(16, NOW).expect("a part");
     assert_eq!(part.returned_ago, Some(Duration::from_secs(1)));
 }
 
+/// A gateway that stood still, or reads no more, must not go on saying that nothing is new.
+#[test]
+fn a_reader_that_has_read_nothing_for_long_is_not_relied_on() {
+    let window = window();
+    let before = SURE_UNTIL - Duration::from_millis(1);
+    assert!(!window.is_decided(16, before));
+    assert!(window.part(16, before).is_some());
+    assert!(window.is_decided(16, SURE_UNTIL));
+    assert_eq!(window.part(16, SURE_UNTIL), None);
+}
+
 #[test]
 fn a_window_keeps_the_newest_records() {
     let mut window = TailWindow::default();
     let records = (0..5_000).map(|offset| record(offset, "a", "x")).collect();
-    window.read(0, records, 5_000, None);
+    window.read(0, records, 5_000, SURE_UNTIL, None);
     assert_eq!(window.part(0, NOW), None);
     let part = window.part(4_000, NOW).expect("a part");
     assert_eq!(part.records.len(), 1_000);
--- a/crates/swiftshunt/tests/gateway_readers.rs
+++ b/crates/swiftshunt/tests/gateway_readers.rs
@@ -6,6 +6,8 @@
 
 use gateway::{ExclusiveFleet, start};
 use hyper::StatusCode;
+use serde::Serialize;
+use swiftshunt_http::{CBOR, HttpClient, HttpRequest, encode_cbor};
 use swiftshunt_lab::platform::fleet::{
     ASK, PlatformOptions, eventually, first_configuration, route,
 };
@@ -19,12 +21,14 @@
 /// Time in which workers renew their entries, as those of the users' platform do.
 const HEARTBEAT: Duration = Duration::from_millis(250);
 const GATEWAYS: usize = 5;
+/// Two of up to five gateways read for the others.
+const SHARING: &str = "gateways_per_reader = 2";
 
 /// Five gateways, of which two read for the others.
 async fn start_sharing() -> ExclusiveFleet {
     let options = PlatformOptions {
         gateways: GATEWAYS,
-        directory: "gateways_per_reader = 2".to_owned(),
+        directory: SHARING.to_owned(),
         ..PlatformOptions::default()
     };
     let fleet = start(options).await;
@@ -147,3 +151,57 @@
     }
     obey(&mut fleet, &others).await;
 }
+
+/// A call as gateways make it, for what is new behind the end of the directory.
+#[derive(Serialize)]
+struct TailCall {
+    topic: &'static str,
+    from: u64,
+    wait: Duration,
+}
+
+/// A gateway that has read for others and reads no more must not go on saying that nothing is new:
+/// others may still take it for a reader.
+#[tokio::test(flavor = "multi_thread")]
+async fn only_readers_answer_for_the_log() {
+    let mut fleet = start(PlatformOptions {
+        directory: SHARING.to_owned(),
+        ..PlatformOptions::default()
+    })
+    .await;
+    eventually("both read", || async { readers(&fleet).await.len() == 2 }).await;
+    // Of five the two that read are others, nine times of ten.
+    for _ in 2..GATEWAYS {
+        fleet.add_gateway("").await.expect("a gateway");
+    }
+    for gateway in &fleet.gateways {
+        let caller = fleet.caller.clone();
+        eventually("it is ready", || caller.is_ready(gateway.ready)).await;
+    }
+    eventually("others read no more", || async {
+        readers(&fleet).await.len() == 2
+    })
+    .await;
+    let readers = readers(&fleet).await;
+    let client = HttpClient::new(None);
+    let call = TailCall {
+        topic: "Workers",
+        from: 1_000_000,
+        wait: Duration::ZERO,
+    };
+    let body = encode_cbor(&call).expect("a form");
+    for (index, gateway) in fleet.gateways.iter().enumerate() {
+        fleet.list_all(values::READY);
+        let request = HttpRequest::post(gateway.peers, "/peer/tail", CBOR, body.clone());
+        let answer = client.exchange(request, DEADLINE).await.expect("an answer");
+        let expected = if readers.contains(&index) {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        assert_eq!(
+            answer.status, expected,
+            "gateway {index}, readers {readers:?}"
+        );
+    }
+}
