--- a/crates/swiftshunt-gateway/src/followers.rs
+++ b/crates/swiftshunt-gateway/src/followers.rs
@@ -26,6 +26,7 @@
 /// Part of the time within which a change must be in force for which workers may serve on whose entries
 /// lapsed: one that has left must get nothing at the end of it.
 const LAPSED_WITHIN_OBEDIENCE: f64 = 0.9;
+
 /// Keeps the beliefs of a gateway up to date.
 pub(crate) struct Followers {
     pub(crate) log: Arc<dyn Log>,
--- a/crates/swiftshunt-gateway/src/tails/readers.rs
+++ b/crates/swiftshunt-gateway/src/tails/readers.rs
@@ -9,7 +9,6 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, StatusCode};
-
 use swiftshunt_journal::TailPart;
 use swiftshunt_scheduler::readers::{readers, weight};
 
