Sight: which tries are the same request, and whether its worker ended

Added: a fingerprint (caller, host, method, path, body; BLAKE3, 128 bits) in the lines of failed sends and of streams that broke off, made only when one fails; one connection tried for each worker at which requests broke off, with the line 'a worker ended while it ran requests' where it is refused; the figure workers_ended. No change of logic.

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -17,6 +17,7 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::protocol::{AnswerFacts, Identity, Protocol, SendFacts};
+use crate::quarantine::{Subject, WorkerEnds};
 use crate::slots::Slots;
 use crate::upstream::{Sender, Upstream};
 
@@ -28,6 +29,7 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) peers: Arc<Peers>,
     pub(crate) slots: Arc<Slots>,
+    pub(crate) worker_ends: Arc<WorkerEnds>,
     pub(crate) clock: Clock,
 }
 
@@ -42,6 +44,8 @@
     pub(crate) demand: Demand,
     /// For whom it runs.
     pub(crate) identity: Identity,
+    /// What it is, however often it is sent.
+    pub(crate) subject: Subject,
 }
 
 /// How long a send may take.
@@ -160,7 +164,7 @@
         last_event: Option<u64>,
         patience: Patience,
     ) -> Result<Answer, SendFailure> {
-        let mut in_flight = InFlight::new(self, chosen, &outgoing.demand);
+        let mut in_flight = InFlight::new(self, chosen, outgoing);
         let prompt = &outgoing.demand.prompt;
         let missing = chosen.missing_tokens;
         self.peers
--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -16,6 +16,7 @@
 use crate::attempt::{Answer, Outgoing, Patience, SendFailure};
 use crate::beliefs::lock;
 use crate::protocol::Identity;
+use crate::quarantine::Subject;
 use crate::running::ItemId;
 
 /// Pause before it is looked again whether items of a partition may be sent.
@@ -245,10 +246,16 @@
         let facts = protocol.item_facts(item);
         let mut headers = protocol.item_headers(item);
         headers.insert("host", spec.host.parse().ok()?);
+        let identity = match &spec.tenant {
+            Some(tenant) => Identity::Tenant(tenant.clone()),
+            None => Identity::Unchecked,
+        };
+        let target = item.path.parse::<Uri>().ok()?;
+        let subject = Subject::new(&identity, &spec.host, &Method::POST, &target, &item.body);
         Some(Outgoing {
             id: Some(item.id.clone()),
             method: Method::POST,
-            target: item.path.parse::<Uri>().ok()?,
+            target,
             headers,
             body: item.body.clone(),
             demand: Demand {
@@ -257,10 +264,8 @@
                 prompt_tokens: facts.prompt_tokens,
                 salt: rand::rng().next_u64(),
             },
-            identity: match &spec.tenant {
-                Some(tenant) => Identity::Tenant(tenant.clone()),
-                None => Identity::Unchecked,
-            },
+            identity,
+            subject,
         })
     }
 
--- a/crates/swiftshunt-gateway/src/entry.rs
+++ b/crates/swiftshunt-gateway/src/entry.rs
@@ -28,6 +28,7 @@
 use crate::metrics::Refusal;
 use crate::online::Online;
 use crate::protocol::{Call, Identity, RequestFacts};
+use crate::quarantine::Subject;
 use crate::rates::Refused;
 
 /// A request whose route and caller are known.
@@ -256,14 +257,18 @@
             prompt_tokens: facts.prompt_tokens,
             salt: rand::rng().next_u64(),
         };
+        let identity = Identity::from(&caller);
+        let target = origin_form(&head.uri);
+        let subject = Subject::new(&identity, &route.host, &head.method, &target, &body);
         let outgoing = Outgoing {
             id: facts.id.clone(),
             method: head.method,
-            target: origin_form(&head.uri),
+            target,
             headers,
             body,
             demand,
-            identity: Identity::from(&caller),
+            identity,
+            subject,
         };
         Journey {
             route,
--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use crate::online::Online;
 use crate::peers::{Peers, Receivers};
 use crate::protocol::Protocol;
+use crate::quarantine::WorkerEnds;
 use crate::rates::Rates;
 use crate::running::Running;
 use crate::server::{Stop, listen, serve_callers, serve_metrics, serve_peers, serve_ready};
@@ -145,6 +146,11 @@
             clock,
             settings.batch.headroom,
         ));
+        let worker_ends = Arc::new(WorkerEnds::new(
+            Arc::clone(&beliefs),
+            Arc::clone(&metrics),
+            clock,
+        ));
         let dispatcher = Arc::new(Dispatcher {
             protocol: Arc::clone(&protocol),
             beliefs: Arc::clone(&beliefs),
@@ -152,6 +158,7 @@
             metrics: Arc::clone(&metrics),
             peers: Arc::clone(&others),
             slots: Arc::clone(&slots),
+            worker_ends,
             clock,
         });
         let batch = Arc::new(Batch::new(
--- a/crates/swiftshunt-gateway/src/in_flight.rs
+++ b/crates/swiftshunt-gateway/src/in_flight.rs
@@ -3,17 +3,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use swiftshunt_scheduler::selection::{Chosen, Class, Demand, Ending};
+use swiftshunt_scheduler::selection::{Chosen, Class, Ending};
 
-use crate::attempt::Dispatcher;
+use crate::attempt::{Dispatcher, Outgoing};
 use crate::beliefs::Beliefs;
 use crate::clock::Clock;
+use crate::quarantine::{Subject, WorkerEnds};
 use crate::slots::Slots;
 
 /// A request at a worker. Dropping it tells the view of the workers.
 pub(crate) struct InFlight {
     beliefs: Arc<Beliefs>,
     slots: Arc<Slots>,
+    worker_ends: Arc<WorkerEnds>,
+    pub(crate) subject: Subject,
     clock: Clock,
     pub(crate) chosen: Chosen,
     class: Class,
@@ -23,13 +26,16 @@
 }
 
 impl InFlight {
-    pub(crate) fn new(dispatcher: &Dispatcher, chosen: &Chosen, demand: &Demand) -> Self {
+    pub(crate) fn new(dispatcher: &Dispatcher, chosen: &Chosen, outgoing: &Outgoing) -> Self {
         let now = dispatcher.clock.now();
+        let demand = &outgoing.demand;
         dispatcher.beliefs.selector().sent(chosen, demand, now);
         dispatcher.beliefs.load_changed.notify_one();
         Self {
             beliefs: Arc::clone(&dispatcher.beliefs),
             slots: Arc::clone(&dispatcher.slots),
+            worker_ends: Arc::clone(&dispatcher.worker_ends),
+            subject: outgoing.subject.clone(),
             clock: dispatcher.clock,
             chosen: chosen.clone(),
             class: demand.class,
@@ -73,5 +79,9 @@
         if let Ending::Unreachable | Ending::Broken | Ending::Silent = self.ending {
             self.slots.send_failed(&self.chosen);
         }
+        if self.ending == Ending::Broken {
+            let fingerprint = self.subject.fingerprint();
+            self.worker_ends.broke_off(fingerprint, &self.chosen);
+        }
     }
 }
--- a/crates/swiftshunt-gateway/src/journey.rs
+++ b/crates/swiftshunt-gateway/src/journey.rs
@@ -99,6 +99,7 @@
     pub(crate) fn log_failure(&self, chosen: &Chosen, failure: &SendFailure) {
         log::info!(request = self.id(), worker = chosen.incarnation.as_str(),
             address = chosen.address.to_string().as_str(),
-            failure:% = failure, sends = self.tried.len(); "a send failed");
+            failure:% = failure, sends = self.tried.len(),
+            fingerprint:% = self.outgoing.subject.fingerprint(); "a send failed");
     }
 }
--- a/crates/swiftshunt-gateway/src/metrics/mod.rs
+++ b/crates/swiftshunt-gateway/src/metrics/mod.rs
@@ -48,6 +48,7 @@
     pub(crate) items_stepped_aside: Counter,
     pub(crate) workers_relieved: Counter,
     pub(crate) workers_failing: Counter,
+    pub(crate) workers_ended: Counter,
     pub(crate) first_event_seconds: Histogram,
     pub(crate) come_back_seconds: Histogram,
     pub(crate) refused_after_seconds: Histogram,
@@ -181,6 +182,10 @@
             "workers_failing",
             "Times that requests began to keep clear of a worker whose sends failed",
         );
+        let workers_ended = counter(
+            "workers_ended",
+            "Workers that were found to have ended while they ran requests of this gateway",
+        );
         let mut seconds = |name, help| {
             let seconds = Histogram::new(exponential_buckets(0.005, 2.0, 12));
             registry.register(name, help, Histogram::clone(&seconds));
@@ -212,6 +217,7 @@
             items_stepped_aside,
             workers_relieved,
             workers_failing,
+            workers_ended,
             requests,
             attempts,
             appends,
--- /dev/null
+++ b/crates/swiftshunt-gateway/src/quarantine/mod.rs
@@ -0,0 +1,7 @@
+//! Requests that end the workers that run them.
+
+mod ends;
+mod subject;
+
+pub(crate) use ends::WorkerEnds;
+pub(crate) use subject::Subject;
--- /dev/null
+++ b/crates/swiftshunt-gateway/src/quarantine/subject.rs
@@ -0,0 +1,64 @@
+//! The fingerprint of a request on its way, made only when it is asked for: while no worker ends, no body is
+//! digested.
+
+use std::sync::{Arc, OnceLock};
+
+use bytes::Bytes;
+use hyper::{Method, Uri};
+use swiftshunt_scheduler::quarantine::{Fingerprint, Tried};
+
+use crate::protocol::Identity;
+
+/// What a request is, however often it is sent.
+#[derive(Clone, Debug)]
+pub(crate) struct Subject(Arc<Parts>);
+
+#[derive(Debug)]
+struct Parts {
+    identity: Identity,
+    host: String,
+    method: Method,
+    target: Uri,
+    body: Bytes,
+    fingerprint: OnceLock<Fingerprint>,
+}
+
+impl Subject {
+    pub(crate) fn new(
+        identity: &Identity,
+        host: &str,
+        method: &Method,
+        target: &Uri,
+        body: &Bytes,
+    ) -> Self {
+        Self(Arc::new(Parts {
+            identity: identity.clone(),
+            host: host.to_owned(),
+            method: method.clone(),
+            target: target.clone(),
+            body: body.clone(),
+            fingerprint: OnceLock::new(),
+        }))
+    }
+
+    /// The digest, made at the first call.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        let parts = &self.0;
+        *parts.fingerprint.get_or_init(|| {
+            Fingerprint::of(&Tried {
+                caller: match &parts.identity {
+                    Identity::Tenant(name) => name.as_str(),
+                    // Nothing tells such callers apart.
+                    Identity::Unchecked | Identity::Anyone => "",
+                },
+                host: &parts.host,
+                method: parts.method.as_str(),
+                path: parts
+                    .target
+                    .path_and_query()
+                    .map_or("", |path| path.as_str()),
+                body: &parts.body,
+            })
+        })
+    }
+}
--- a/crates/swiftshunt-gateway/src/relay.rs
+++ b/crates/swiftshunt-gateway/src/relay.rs
@@ -204,9 +204,10 @@
 
     async fn go_on_elsewhere(&mut self, failure: SendFailure) -> Result<(), BodyError> {
         let last = self.resume.as_ref().and_then(Resume::position);
-        log::info!(request = self.id.as_str(), failure:% = failure, last_event:? = last;
-            "a stream broke off");
         if let Some(mut answer) = self.answer.take() {
+            log::info!(request = self.id.as_str(), failure:% = failure, last_event:? = last,
+                worker = answer.in_flight.chosen.incarnation.as_str(),
+                fingerprint:% = answer.in_flight.subject.fingerprint(); "a stream broke off");
             ends_by(&mut answer, &failure);
         }
         let broken = || -> BodyError { format!("the stream broke off: {failure:?}").into() };
--- a/crates/swiftshunt-scheduler/src/lib.rs
+++ b/crates/swiftshunt-scheduler/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod listed;
 mod observed;
 pub mod placement;
+pub mod quarantine;
 pub mod rates;
 pub mod readers;
 pub mod residency;
--- /dev/null
+++ b/crates/swiftshunt-scheduler/src/quarantine/fingerprint.rs
@@ -0,0 +1,70 @@
+//! What makes two tries the same request.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Bytes of a fingerprint: two requests of the 10^12 that a year brings share one by chance once in 10^14
+/// years, and one of them must end workers for it to matter.
+const FINGERPRINT_BYTES: usize = 16;
+/// Keeps these digests apart from all others.
+const FINGERPRINT_CONTEXT: &str = "swiftshunt fingerprint of a request";
+
+/// A digest of what a request is, however often and wherever it comes. Nothing of it can be read back.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint([u8; FINGERPRINT_BYTES]);
+
+/// What of a try makes it the same request as another one. Identifiers, deadlines and all else that a caller
+/// draws anew for each try are left out.
+#[derive(Clone, Copy, Debug)]
+pub struct Tried<'t> {
+    /// For whom it runs.
+    pub caller: &'t str,
+    /// The host that it names.
+    pub host: &'t str,
+    /// Its method.
+    pub method: &'t str,
+    /// Its path and query.
+    pub path: &'t str,
+    /// Its body.
+    pub body: &'t [u8],
+}
+
+impl Fingerprint {
+    /// The fingerprint of a try.
+    pub fn of(tried: &Tried<'_>) -> Self {
+        let mut hasher = blake3::Hasher::new_derive_key(FINGERPRINT_CONTEXT);
+        for part in [tried.caller, tried.host, tried.method, tried.path] {
+            // The length in front keeps the border between two parts.
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part.as_bytes());
+        }
+        hasher.update(tried.body);
+        let mut fingerprint = [0; FINGERPRINT_BYTES];
+        hasher.finalize_xof().fill(&mut fingerprint);
+        Self(fingerprint)
+    }
+
+    /// Its bytes, as they stand in records.
+    pub fn bytes(&self) -> &[u8] {
+        &self.0
+    }
+
+    /// From its bytes; none if they are no fingerprint.
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        bytes.try_into().ok().map(Self)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&hex::encode(self.0))
+    }
+}
+
+impl fmt::Debug for Fingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{self}")
+    }
+}
