--- a/crates/swiftshunt-lab/src/platform/caller.rs
+++ b/crates/swiftshunt-lab/src/platform/caller.rs
@@ -60,7 +60,18 @@
         id: &str,
         deadline: Duration,
     ) -> HttpRequest {
-        let request = HttpRequest::post(gateway, path, "text/plain", "a question");
+        self.question_of(gateway, path, id, deadline, "a question")
+    }
+
+    fn question_of(
+        &self,
+        gateway: SocketAddr,
+        path: &str,
+        id: &str,
+        deadline: Duration,
+        body: &str,
+    ) -> HttpRequest {
+        let request = HttpRequest::post(gateway, path, "text/plain", body.to_owned());
         self.signed(request)
             .with_header(headers::REQUEST_ID, id)
             .with_header(headers::DEADLINE, deadline.as_millis().to_string())
@@ -93,6 +104,18 @@
         self.client.exchange(request, CALL_TIMEOUT).await
     }
 
+    /// Sends a request with a body of the caller's choice.
+    pub async fn ask_with_body(
+        &self,
+        gateway: SocketAddr,
+        path: &str,
+        id: &str,
+        body: &str,
+    ) -> Result<HttpAnswer, HttpError> {
+        let request = self.question_of(gateway, path, id, CALL_TIMEOUT, body);
+        self.client.exchange(request, CALL_TIMEOUT).await
+    }
+
     /// Sends a request whose prompt has `tokens` tokens.
     pub async fn ask_with_prompt(
         &self,
--- a/crates/swiftshunt-lab/src/platform/fleet.rs
+++ b/crates/swiftshunt-lab/src/platform/fleet.rs
@@ -91,6 +91,8 @@
     pub settings: String,
     /// More lines of its part on the directory.
     pub directory: String,
+    /// The body of a request that ends each worker that begins to run it.
+    pub workers_ended_by: Option<String>,
 }
 
 impl Default for PlatformOptions {
@@ -105,6 +107,7 @@
             seed: 1,
             settings: String::new(),
             directory: String::new(),
+            workers_ended_by: None,
         }
     }
 }
@@ -229,6 +232,7 @@
                 slots: 16,
                 events,
                 pause,
+                ended_by: options.workers_ended_by.clone(),
             };
             let of_whole = settings("whole", None, options.whole_pause);
             whole.push(Worker::start(of_whole).await?);
--- a/crates/swiftshunt-lab/src/platform/process.rs
+++ b/crates/swiftshunt-lab/src/platform/process.rs
@@ -89,6 +89,7 @@
         slots: arguments.slots,
         events: arguments.events,
         pause: Duration::from_millis(arguments.pause_ms),
+        ended_by: None,
     };
     let tell = move |event: RunEvent, run: &Run| {
         let line = RunLine {
--- a/crates/swiftshunt-lab/src/platform/worker.rs
+++ b/crates/swiftshunt-lab/src/platform/worker.rs
@@ -66,6 +66,8 @@
     pub events: Option<u64>,
     /// Time before a whole answer, and between events.
     pub pause: Duration,
+    /// The body of a request that ends it a pause after it began to run.
+    pub ended_by: Option<String>,
 }
 
 /// Where a test sets a worker's manner (a body of [`Manner`]).
@@ -111,6 +113,7 @@
     manner: Mutex<Manner>,
     runs: Mutex<Vec<Run>>,
     slots: Arc<Semaphore>,
+    stop: CancellationToken,
 }
 
 impl Shared {
@@ -165,6 +168,7 @@
             watcher,
             manner: Mutex::default(),
             runs: Mutex::default(),
+            stop: stop.clone(),
         });
         let of_server = Arc::clone(&shared);
         let address = serve(listen, stop.clone(), move |request| {
@@ -193,6 +197,11 @@
         lock(&self.shared.runs).clone()
     }
 
+    /// Whether it has ended, and nothing runs on it any more.
+    pub fn has_ended(&self) -> bool {
+        self.stop.is_cancelled()
+    }
+
     /// Requests that hold a slot now.
     pub fn running(&self) -> usize {
         self.shared.running()
@@ -299,6 +308,13 @@
         runs.push(run);
         runs.len() - 1
     };
+    if let Some(body) = &shared.settings.ended_by
+        && has_body(request, body).await
+    {
+        tokio::time::sleep(shared.settings.pause).await;
+        shared.stop.cancel();
+        return Err(BrokenOff);
+    }
     match manner {
         Manner::Dark => return std::future::pending().await,
         Manner::HangSometimes if index % 2 == 0 => {
@@ -336,6 +352,12 @@
     Ok(answer)
 }
 
+/// Whether a request's body is `expected`.
+async fn has_body(request: Request<Incoming>, expected: &str) -> bool {
+    let body = request.into_body().collect().await;
+    body.is_ok_and(|body| body.to_bytes() == expected)
+}
+
 fn signed(shared: &Shared, status: StatusCode, id: &str) -> Response<Body> {
     let signature = format!("signed-by-{}", shared.settings.incarnation);
     let set = [
