--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -17,7 +17,7 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::protocol::{AnswerFacts, Identity, Protocol, SendFacts};
-use crate::quarantine::{Subject, WorkerEnds};
+use crate::quarantine::{Quarantine, Subject};
 use crate::slots::Slots;
 use crate::upstream::{Sender, Upstream};
 
@@ -29,7 +29,7 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) peers: Arc<Peers>,
     pub(crate) slots: Arc<Slots>,
-    pub(crate) worker_ends: Arc<WorkerEnds>,
+    pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) clock: Clock,
 }
 
@@ -63,6 +63,12 @@
 /// How a send ended before there was a usable head of an answer.
 #[derive(Clone, Debug, Display)]
 pub(crate) enum SendFailure {
+    /// The request has ended too many workers: no byte was sent.
+    #[display("not sent: it is held, since {ends} workers ended while they ran it")]
+    Held {
+        /// How many.
+        ends: usize,
+    },
     /// No byte was sent.
     #[display("not sent: {reason}")]
     NotSent {
@@ -92,7 +98,10 @@
 impl SendFailure {
     /// Whether the request surely did not run.
     pub(crate) fn did_not_run(&self) -> bool {
-        matches!(self, Self::NotSent { .. } | Self::Declined { .. })
+        matches!(
+            self,
+            Self::Held { .. } | Self::NotSent { .. } | Self::Declined { .. }
+        )
     }
 }
 
@@ -124,6 +133,9 @@
             ..
         } = self;
         in_flight.ends(ending_by_status(head.status));
+        if head.status.is_success() {
+            dispatcher.quarantine.ran_well(&in_flight.subject);
+        }
         let now = dispatcher.clock.now();
         let incarnation = &in_flight.chosen.incarnation;
         dispatcher
@@ -164,6 +176,9 @@
         last_event: Option<u64>,
         patience: Patience,
     ) -> Result<Answer, SendFailure> {
+        if let Some(held) = self.quarantine.holds(&outgoing.subject).await {
+            return Err(SendFailure::Held { ends: held.ends });
+        }
         let mut in_flight = InFlight::new(self, chosen, outgoing);
         let prompt = &outgoing.demand.prompt;
         let missing = chosen.missing_tokens;
@@ -353,6 +368,7 @@
 
 fn ending_of(failure: &SendFailure) -> Ending {
     match failure {
+        SendFailure::Held { .. } => Ending::Withdrawn,
         SendFailure::NotSent { .. } => Ending::Unreachable,
         SendFailure::Declined { .. } => Ending::TurnedAway,
         SendFailure::Broken { .. } => Ending::Broken,
@@ -362,6 +378,7 @@
 
 fn name_of(failure: &SendFailure) -> &'static str {
     match failure {
+        SendFailure::Held { .. } => "held",
         SendFailure::NotSent { .. } => "not_sent",
         SendFailure::Declined { .. } => "declined",
         SendFailure::Broken { .. } => "broken",
--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -16,13 +16,15 @@
 use crate::attempt::{Answer, Outgoing, Patience, SendFailure};
 use crate::beliefs::lock;
 use crate::protocol::Identity;
-use crate::quarantine::Subject;
+use crate::quarantine::{Held, Subject};
 use crate::running::ItemId;
 
 /// Pause before it is looked again whether items of a partition may be sent.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 /// Longest wait for a slot before the item's route and time are looked at again.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
+/// Pause before it is looked again whether an item is still held back.
+const HELD_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after an attempt that failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
 /// Silence of a worker after which an item is taken away from it.
@@ -40,6 +42,8 @@
     ran: Duration,
     /// Whether it has begun at another gateway.
     is_taken_over: bool,
+    /// Whether it is held back, since it ended its workers.
+    is_held: bool,
 }
 
 /// How an attempt ended.
@@ -90,6 +94,16 @@
                 tokio::time::sleep(RETRY_PAUSE).await;
                 continue;
             }
+            let Some(outgoing) = self.outgoing(spec, item) else {
+                let reason = "it has no form as a request";
+                return self.settle(id, item, ItemOutcome::GivenUp, String::new(), reason);
+            };
+            if let Some(held) = self.dispatcher.quarantine.holds(&outgoing.subject).await {
+                output.hold(id, item, held);
+                tokio::time::sleep(HELD_PAUSE).await;
+                continue;
+            }
+            output.is_held = false;
             let service = self.dispatcher.beliefs.next_service(&route);
             let needs = self.item_time.expected().saturating_sub(output.ran);
             self.running.needs(id, needs);
@@ -103,7 +117,7 @@
                 continue;
             }
             let began = self.dispatcher.clock.now();
-            let attempt = self.attempt(id, spec, item, &chosen, output).await;
+            let attempt = self.attempt(id, item, &outgoing, &chosen, output).await;
             output.ran += self.dispatcher.clock.now().saturating_sub(began);
             match attempt {
                 Attempt::Whole => {
@@ -146,6 +160,7 @@
             failures: progress.failures,
             ran: Duration::ZERO,
             is_taken_over: true,
+            is_held: false,
         })
     }
 
@@ -196,14 +211,11 @@
     async fn attempt(
         &self,
         id: &ItemId,
-        spec: &JobSpec,
         item: &ItemSpec,
+        outgoing: &Outgoing,
         chosen: &Chosen,
         output: &mut Output,
     ) -> Attempt {
-        let Some(outgoing) = self.outgoing(spec, item) else {
-            return Attempt::Impossible;
-        };
         let interrupt = self.running.at_worker(id, Some(&chosen.incarnation));
         let now = self.dispatcher.clock.now();
         let patience = Patience {
@@ -214,7 +226,7 @@
         let run = async {
             let sent = self
                 .dispatcher
-                .send(chosen, &outgoing, output.last_event, patience)
+                .send(chosen, outgoing, output.last_event, patience)
                 .await;
             match sent {
                 Ok(answer) => self.read(answer, output).await,
@@ -361,6 +373,15 @@
 }
 
 impl Output {
+    /// The item is held back: it waits until it may be sent, or is given up as late as any other.
+    fn hold(&mut self, id: &ItemId, item: &ItemSpec, held: Held) {
+        if !std::mem::replace(&mut self.is_held, true) {
+            log::info!(job = id.job.as_str(), item = item.id.as_str(), ends = held.ends,
+                held_for_ms = held.time_left.as_millis() as u64;
+                "an item is held back, since it ended its workers");
+        }
+    }
+
     /// Adds an event, which must follow the last one.
     fn take(&mut self, event: &eventsource_stream::Event) -> Result<(), SendFailure> {
         let id: Option<u64> = event.id.parse().ok();
--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -22,7 +22,7 @@
 use crate::online::Online;
 use crate::peers::{Peers, Receivers};
 use crate::protocol::Protocol;
-use crate::quarantine::WorkerEnds;
+use crate::quarantine::Quarantine;
 use crate::rates::Rates;
 use crate::running::Running;
 use crate::server::{Stop, listen, serve_callers, serve_metrics, serve_peers, serve_ready};
@@ -137,6 +137,14 @@
             clock,
             settings.tenants.tolerance(),
         ));
+        let quarantine = Arc::new(Quarantine::new(
+            Arc::clone(&log),
+            Arc::clone(&members),
+            Arc::clone(&datagrams),
+            Arc::clone(&beliefs),
+            Arc::clone(&metrics),
+            clock,
+        ));
         let slots = Arc::new(Slots::new(
             members,
             datagrams,
@@ -146,11 +154,6 @@
             clock,
             settings.batch.headroom,
         ));
-        let worker_ends = Arc::new(WorkerEnds::new(
-            Arc::clone(&beliefs),
-            Arc::clone(&metrics),
-            clock,
-        ));
         let dispatcher = Arc::new(Dispatcher {
             protocol: Arc::clone(&protocol),
             beliefs: Arc::clone(&beliefs),
@@ -158,7 +161,7 @@
             metrics: Arc::clone(&metrics),
             peers: Arc::clone(&others),
             slots: Arc::clone(&slots),
-            worker_ends,
+            quarantine: Arc::clone(&quarantine),
             clock,
         });
         let batch = Arc::new(Batch::new(
@@ -203,14 +206,18 @@
                 Arc::clone(&protocol),
                 Arc::clone(&batch),
                 Arc::clone(&relayed),
-                tails,
+                Arc::clone(&tails),
             )),
             tokio::spawn(relayed.probe()),
             tokio::spawn(Arc::clone(&others).listen(Receivers {
                 slots: Arc::clone(&slots),
                 waiting_limits,
                 rates: Arc::clone(&rates),
+                quarantine: Arc::clone(&quarantine),
             })),
+            tokio::spawn(Arc::clone(&quarantine).follow(tails)),
+            tokio::spawn(Arc::clone(&quarantine).keep_recording()),
+            tokio::spawn(quarantine.keep_lapsing()),
             tokio::spawn(rates.keep_tidy()),
             tokio::spawn(slots.keep_reporting()),
             tokio::spawn(Arc::clone(&others).keep_listed(Arc::clone(&log))),
--- a/crates/swiftshunt-gateway/src/in_flight.rs
+++ b/crates/swiftshunt-gateway/src/in_flight.rs
@@ -8,14 +8,14 @@
 use crate::attempt::{Dispatcher, Outgoing};
 use crate::beliefs::Beliefs;
 use crate::clock::Clock;
-use crate::quarantine::{Subject, WorkerEnds};
+use crate::quarantine::{Quarantine, Subject};
 use crate::slots::Slots;
 
 /// A request at a worker. Dropping it tells the view of the workers.
 pub(crate) struct InFlight {
     beliefs: Arc<Beliefs>,
     slots: Arc<Slots>,
-    worker_ends: Arc<WorkerEnds>,
+    quarantine: Arc<Quarantine>,
     pub(crate) subject: Subject,
     clock: Clock,
     pub(crate) chosen: Chosen,
@@ -34,7 +34,7 @@
         Self {
             beliefs: Arc::clone(&dispatcher.beliefs),
             slots: Arc::clone(&dispatcher.slots),
-            worker_ends: Arc::clone(&dispatcher.worker_ends),
+            quarantine: Arc::clone(&dispatcher.quarantine),
             subject: outgoing.subject.clone(),
             clock: dispatcher.clock,
             chosen: chosen.clone(),
@@ -80,8 +80,7 @@
             self.slots.send_failed(&self.chosen);
         }
         if self.ending == Ending::Broken {
-            let fingerprint = self.subject.fingerprint();
-            self.worker_ends.broke_off(fingerprint, &self.chosen);
+            self.quarantine.broke_off(&self.subject, &self.chosen, held);
         }
     }
 }
--- a/crates/swiftshunt-gateway/src/members.rs
+++ b/crates/swiftshunt-gateway/src/members.rs
@@ -1,6 +1,7 @@
 //! The other gateways: who is listed, who does not answer, and who owns a cell.
 
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -133,9 +134,14 @@
 
     /// The first `count` gateways in the order in which they count for a tenant, whether they answer or not.
     pub(crate) fn counters(&self, tenant: &TenantName, count: usize) -> Vec<SocketAddr> {
+        self.ranked(tenant, count)
+    }
+
+    /// The first `count` gateways in the order that is a subject's own, whether they answer or not.
+    pub(crate) fn ranked(&self, subject: &impl Hash, count: usize) -> Vec<SocketAddr> {
         let known = lock(&self.known);
         let all = known.listed.keys().copied().chain([self.own]);
-        first_ranked(tenant, all, count)
+        first_ranked(subject, all, count)
     }
 
     /// Whether a gateway counts as gone.
--- a/crates/swiftshunt-gateway/src/metrics/labels.rs
+++ b/crates/swiftshunt-gateway/src/metrics/labels.rs
@@ -66,6 +66,8 @@
     RateUnsure,
     /// The configuration could not be confirmed for too long.
     Unconfirmed,
+    /// Workers ended while they ran the same request.
+    Held,
 }
 
 impl From<Obstacle> for Refusal {
--- a/crates/swiftshunt-gateway/src/metrics/mod.rs
+++ b/crates/swiftshunt-gateway/src/metrics/mod.rs
@@ -49,6 +49,8 @@
     pub(crate) workers_relieved: Counter,
     pub(crate) workers_failing: Counter,
     pub(crate) workers_ended: Counter,
+    pub(crate) requests_held: Counter,
+    pub(crate) records_unreadable: Counter,
     pub(crate) first_event_seconds: Histogram,
     pub(crate) come_back_seconds: Histogram,
     pub(crate) refused_after_seconds: Histogram,
@@ -186,6 +188,14 @@
             "workers_ended",
             "Workers that were found to have ended while they ran requests of this gateway",
         );
+        let requests_held = counter(
+            "requests_held",
+            "Requests that are not sent any more, since workers ended while they ran them",
+        );
+        let records_unreadable = counter(
+            "records_unreadable",
+            "Records of the log that could not be read and were passed over",
+        );
         let mut seconds = |name, help| {
             let seconds = Histogram::new(exponential_buckets(0.005, 2.0, 12));
             registry.register(name, help, Histogram::clone(&seconds));
@@ -218,6 +228,8 @@
             workers_relieved,
             workers_failing,
             workers_ended,
+            requests_held,
+            records_unreadable,
             requests,
             attempts,
             appends,
--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -15,6 +15,7 @@
 use crate::batch::Batch;
 use crate::journey::Journey;
 use crate::metrics::{Refusal, RequestEnd};
+use crate::quarantine::Held;
 use crate::rates::Rates;
 use crate::relay;
 use crate::slots::{Place, Placing};
@@ -55,6 +56,10 @@
             if now >= journey.until {
                 return self.out_of_time(journey);
             }
+            let subject = &journey.outgoing.subject;
+            if let Some(held) = self.dispatcher.quarantine.holds(subject).await {
+                return self.hold_back(journey, held);
+            }
             let Some(chosen) = self.place(journey).await else {
                 let (obstacle, decision) = self.admit(journey);
                 match decision {
@@ -310,6 +315,18 @@
         not_run(reason, come_back)
     }
 
+    /// The final answer to a request that has ended too many workers: at once, as it would end more of them,
+    /// and their other requests with each. The caller of one that did not run in this try may come back when
+    /// it is sent again; a status of the caller's own fault would be final, also for one that was wronged.
+    fn hold_back(&self, journey: &Journey, held: Held) -> CallerAnswer {
+        log::info!(request = journey.id(), fingerprint:% = journey.outgoing.subject.fingerprint(),
+            ends = held.ends, held_for_ms = held.time_left.as_millis() as u64, runs = journey.runs;
+            "a request is held back, since it ended its workers");
+        let reason =
+            "workers ended while they ran this request, and it is not sent to more of them";
+        self.give_up(journey, Refusal::Held, reason, held.time_left)
+    }
+
     /// The final answer to a request that may have run.
     fn fail(&self, journey: &Journey, reason: &'static str) -> CallerAnswer {
         self.ended(journey, RequestEnd::Failed, reason);
--- a/crates/swiftshunt-gateway/src/peers.rs
+++ b/crates/swiftshunt-gateway/src/peers.rs
@@ -23,6 +23,7 @@
 use crate::followed::{Away, Followed, Pace};
 use crate::members::Members;
 use crate::metrics::Metrics;
+use crate::quarantine::{Quarantine, QuarantineMessage};
 use crate::rates::{RateMessage, Rates};
 use crate::slots::{SlotMessage, Slots};
 use crate::waiting_limits::{WaitingLimits, WaitingMessage};
@@ -80,6 +81,8 @@
     Waiting(WaitingMessage),
     /// About limits of tenants' requests.
     Rate(RateMessage),
+    /// About requests that end their workers.
+    Quarantine(QuarantineMessage),
 }
 
 /// Who takes which messages.
@@ -87,6 +90,7 @@
     pub(crate) slots: Arc<Slots>,
     pub(crate) waiting_limits: Arc<WaitingLimits>,
     pub(crate) rates: Arc<Rates>,
+    pub(crate) quarantine: Arc<Quarantine>,
 }
 
 /// Gateways that said that they have started, since the last line on them.
@@ -222,6 +226,7 @@
             Notice::Slots(message) => receivers.slots.take(message, from),
             Notice::Waiting(message) => receivers.waiting_limits.take(message, from),
             Notice::Rate(message) => receivers.rates.take(message, from),
+            Notice::Quarantine(message) => receivers.quarantine.take(message),
         }
     }
 
--- a/crates/swiftshunt-gateway/src/quarantine/ends.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/ends.rs
@@ -5,20 +5,19 @@
 //! worker, whatever number of requests broke off there; a worker behind a dead link gives no answer, and then
 //! nothing is known.
 
-use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
-use swiftshunt_scheduler::quarantine::Fingerprint;
+use swiftshunt_scheduler::quarantine::{Fingerprint, WorkerEnd};
 use swiftshunt_scheduler::selection::Chosen;
+use swiftshunt_scheduler::slots::WorkerKey;
 use tokio::net::TcpStream;
 
-use crate::beliefs::{Beliefs, lock};
+use super::{Quarantine, Subject};
+use crate::beliefs::lock;
 use crate::clock::Clock;
-use crate::metrics::Metrics;
-use crate::own_failures::OwnFailures;
 
 /// Time within which a connection is refused or taken: a few times the way to and fro within a region.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
@@ -26,59 +25,60 @@
 /// off a moment later.
 const ENDED_FOR: Duration = Duration::from_secs(2);
 
+/// A request that broke off at a worker.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct BrokenOff {
+    fingerprint: Fingerprint,
+    sent_unix_ms: u64,
+    ended_unix_ms: u64,
+}
+
 /// What is known of a worker at which requests broke off.
-enum Check {
+pub(super) enum Check {
     /// It is being looked at, for these requests.
-    UnderWay(Vec<Fingerprint>),
+    UnderWay(Vec<BrokenOff>),
     /// It has ended.
     Ended(Duration),
 }
 
-/// Looks at workers at which requests broke off.
-pub(crate) struct WorkerEnds {
-    beliefs: Arc<Beliefs>,
-    metrics: Arc<Metrics>,
-    clock: Clock,
-    checks: Mutex<HashMap<String, Check>>,
-    own_failures: Mutex<OwnFailures>,
-}
-
-impl WorkerEnds {
-    pub(crate) fn new(beliefs: Arc<Beliefs>, metrics: Arc<Metrics>, clock: Clock) -> Self {
-        Self {
-            beliefs,
-            metrics,
-            clock,
-            checks: Mutex::default(),
-            own_failures: Mutex::default(),
-        }
-    }
-
-    /// A request broke off at a worker.
-    pub(crate) fn broke_off(self: &Arc<Self>, fingerprint: Fingerprint, chosen: &Chosen) {
+impl Quarantine {
+    /// A request broke off at a worker to which it was sent `ago`.
+    pub(crate) fn broke_off(self: &Arc<Self>, subject: &Subject, chosen: &Chosen, ago: Duration) {
         if self.is_own_fault(chosen) {
             return;
         }
         let now = self.clock.now();
+        let ended_unix_ms = Clock::unix_ms();
+        let broken_off = BrokenOff {
+            fingerprint: subject.fingerprint(),
+            sent_unix_ms: ended_unix_ms.saturating_sub(ago.as_millis() as u64),
+            ended_unix_ms,
+        };
         let mut checks = lock(&self.checks);
-        checks.retain(|_, check| match check {
-            Check::UnderWay(_) => true,
-            Check::Ended(at) => now < *at + ENDED_FOR,
-        });
         match checks.get_mut(&chosen.incarnation) {
-            Some(Check::UnderWay(requests)) => requests.push(fingerprint),
-            Some(Check::Ended(_)) => {
+            Some(Check::UnderWay(requests)) => requests.push(broken_off),
+            Some(Check::Ended(at)) if now < *at + ENDED_FOR => {
                 drop(checks);
-                self.ended(chosen, &[fingerprint]);
+                self.ended(chosen, &[broken_off]);
             }
-            None => {
-                let check = Check::UnderWay(vec![fingerprint]);
+            Some(Check::Ended(_)) | None => {
+                let check = Check::UnderWay(vec![broken_off]);
                 checks.insert(chosen.incarnation.clone(), check);
                 tokio::spawn(Arc::clone(self).check(chosen.clone()));
             }
         }
     }
 
+    /// Whether the word is awaited on a worker at which a request broke off.
+    pub(super) fn is_being_checked(&self, fingerprint: &Fingerprint) -> bool {
+        lock(&self.checks).values().any(|check| match check {
+            Check::UnderWay(requests) => requests
+                .iter()
+                .any(|broken_off| broken_off.fingerprint == *fingerprint),
+            Check::Ended(_) => false,
+        })
+    }
+
     /// Whether requests break off at so many workers together that the cause is likely to be here.
     fn is_own_fault(&self, chosen: &Chosen) -> bool {
         let now = self.clock.now();
@@ -93,6 +93,10 @@
         let now = self.clock.now();
         let checked = {
             let mut checks = lock(&self.checks);
+            checks.retain(|_, check| match check {
+                Check::UnderWay(_) => true,
+                Check::Ended(at) => now < *at + ENDED_FOR,
+            });
             let checked = checks.remove(&chosen.incarnation);
             if has_ended {
                 checks.insert(chosen.incarnation.clone(), Check::Ended(now));
@@ -103,12 +107,27 @@
             self.metrics.workers_ended.inc();
             self.ended(&chosen, &requests);
         }
+        self.checked.notify_waiters();
     }
 
     /// A worker ended while it ran requests.
-    fn ended(&self, chosen: &Chosen, requests: &[Fingerprint]) {
+    fn ended(&self, chosen: &Chosen, requests: &[BrokenOff]) {
+        let worker = WorkerKey::of(&chosen.incarnation);
+        let ends: Vec<(Fingerprint, WorkerEnd)> = requests
+            .iter()
+            .map(|broken_off| {
+                let end = WorkerEnd {
+                    worker,
+                    sent_unix_ms: broken_off.sent_unix_ms,
+                    ended_unix_ms: broken_off.ended_unix_ms,
+                };
+                (broken_off.fingerprint, end)
+            })
+            .collect();
+        let fingerprints: Vec<Fingerprint> = ends.iter().map(|(request, _)| *request).collect();
         log::info!(worker = chosen.incarnation.as_str(), address = chosen.address.to_string().as_str(),
-            fingerprints:? = requests; "a worker ended while it ran requests");
+            fingerprints:? = fingerprints; "a worker ended while it ran requests");
+        self.saw(&ends);
     }
 }
 
--- /dev/null
+++ b/crates/swiftshunt-gateway/src/quarantine/records.rs
@@ -0,0 +1,184 @@
+//! The log's part: ends of workers are recorded there, and all gateways follow the records.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use swiftshunt_journal::{AppendOutcome, Change, Topic};
+use swiftshunt_scheduler::quarantine::{Fingerprint, WorkerEnd};
+use swiftshunt_scheduler::slots::WorkerKey;
+use tokio::sync::Notify;
+
+use super::Quarantine;
+use crate::beliefs::lock;
+use crate::followed::{Away, Followed, Pace};
+use crate::tails::Tails;
+
+/// How the records are followed: datagrams are quicker, and a lost read costs the time of both. Three
+/// seconds and a half are half of the time in which a caller's tries follow each other.
+const PACE: Pace = Pace {
+    wait: Duration::from_millis(2_500),
+    hedge_after: Duration::from_secs(1),
+};
+/// Records of one append at most: some 70 bytes each.
+const MOST_IN_AN_APPEND: usize = 500;
+/// Records that wait for the log at most; what comes beyond is known to those who were told by datagram.
+const MOST_UNRECORDED: usize = 8_192;
+/// Pause before an append is made again.
+const APPEND_AGAIN: Duration = Duration::from_secs(1);
+/// Between the request and the worker in a record's key.
+const SEPARATOR: char = '-';
+
+/// Why a record is passed over.
+#[derive(Debug, Display, Error)]
+enum Unreadable {
+    #[display("its key names no request and worker")]
+    Key,
+    #[display("its value is no end of a worker: {reason}")]
+    Value { reason: String },
+    #[display("its value is about another worker than its key")]
+    AnotherWorker,
+}
+
+/// Records that the log does not have yet, by request and worker: the newest word counts. Appended again it
+/// is the same record.
+#[derive(Default)]
+pub(super) struct Unrecorded {
+    records: Mutex<BTreeMap<(Fingerprint, WorkerKey), Option<WorkerEnd>>>,
+    added: Notify,
+}
+
+impl Unrecorded {
+    /// A worker ended while it ran a request.
+    pub(super) fn ended(&self, fingerprint: Fingerprint, end: WorkerEnd) {
+        self.add(fingerprint, end.worker, Some(end));
+    }
+
+    /// It is no longer to be known that a worker ended while it ran a request.
+    pub(super) fn dropped(&self, fingerprint: Fingerprint, worker: WorkerKey) {
+        self.add(fingerprint, worker, None);
+    }
+
+    fn add(&self, fingerprint: Fingerprint, worker: WorkerKey, end: Option<WorkerEnd>) {
+        let mut records = lock(&self.records);
+        if records.len() >= MOST_UNRECORDED {
+            log::warn!(fingerprint:% = fingerprint; "too much waits for the log, and an end is not recorded");
+            return;
+        }
+        records.insert((fingerprint, worker), end);
+        self.added.notify_one();
+    }
+
+    fn take(&self) -> Vec<((Fingerprint, WorkerKey), Option<WorkerEnd>)> {
+        let mut records = lock(&self.records);
+        let taken: Vec<_> = records
+            .iter()
+            .take(MOST_IN_AN_APPEND)
+            .map(|(key, end)| (*key, *end))
+            .collect();
+        for (key, _) in &taken {
+            records.remove(key);
+        }
+        taken
+    }
+
+    /// What was taken is not recorded, and waits again unless there is newer word.
+    fn put_back(&self, taken: Vec<((Fingerprint, WorkerKey), Option<WorkerEnd>)>) {
+        let mut records = lock(&self.records);
+        for (key, end) in taken {
+            records.entry(key).or_insert(end);
+        }
+        self.added.notify_one();
+    }
+}
+
+impl Quarantine {
+    /// Records in the log what is not there yet, for as long as the process lives.
+    pub(crate) async fn keep_recording(self: Arc<Self>) {
+        loop {
+            self.unrecorded.added.notified().await;
+            loop {
+                let taken = self.unrecorded.take();
+                if taken.is_empty() {
+                    break;
+                }
+                let records = taken.iter().map(|(key, end)| record(key, end.as_ref()));
+                let appended = self.log.append(Topic::Quarantine, 0, records.collect());
+                let outcome = appended.await;
+                log::debug!(records = taken.len(), outcome:? = outcome; "ends of workers are recorded");
+                if !matches!(outcome, AppendOutcome::Done { .. }) {
+                    self.unrecorded.put_back(taken);
+                    tokio::time::sleep(APPEND_AGAIN).await;
+                }
+            }
+        }
+    }
+
+    /// Follows the records of all gateways for as long as the process lives.
+    pub(crate) async fn follow(self: Arc<Self>, tails: Arc<Tails>) {
+        let shared = tails.shared(Topic::Quarantine, |_| true);
+        let mut followed = Followed::new(Topic::Quarantine, self.clock).sharing(shared);
+        let mut away = Away::new("quarantine", 0);
+        loop {
+            let changes = followed.changes(self.log.as_ref(), PACE).await;
+            away.pause(&changes).await;
+            let Ok(changes) = changes else {
+                continue;
+            };
+            for change in changes {
+                self.apply(change);
+            }
+            self.is_read.send_replace(true);
+        }
+    }
+
+    fn apply(&self, change: Change) {
+        let taken = match change {
+            Change::Set(record) => read(&record.key, &record.value)
+                .map(|(fingerprint, end)| self.learn(&fingerprint, end)),
+            Change::Dropped(key) => read_key(&key).map(|(fingerprint, worker)| {
+                lock(&self.table).forget(&fingerprint, worker);
+            }),
+        };
+        if let Err(error) = taken {
+            self.metrics.records_unreadable.inc();
+            log::debug!("a record of the quarantine is passed over: {error}");
+        }
+    }
+}
+
+/// The record of an end; without one its key is dropped. Keys are text: a log may list them as such.
+fn record(
+    (fingerprint, worker): &(Fingerprint, WorkerKey),
+    end: Option<&WorkerEnd>,
+) -> (Vec<u8>, Bytes) {
+    let key = format!("{fingerprint}{SEPARATOR}{:016x}", worker.0);
+    let mut value = Vec::new();
+    if let Some(end) = end
+        && let Err(error) = ciborium::into_writer(end, &mut value)
+    {
+        log::error!("an end of a worker has no form: {error}");
+    }
+    (key.into_bytes(), value.into())
+}
+
+fn read_key(key: &[u8]) -> Result<(Fingerprint, WorkerKey), Unreadable> {
+    let key = std::str::from_utf8(key).map_err(|_| Unreadable::Key)?;
+    let (fingerprint, worker) = key.split_once(SEPARATOR).ok_or(Unreadable::Key)?;
+    let fingerprint = fingerprint.parse().map_err(|_| Unreadable::Key)?;
+    let worker = u64::from_str_radix(worker, 16).map_err(|_| Unreadable::Key)?;
+    Ok((fingerprint, WorkerKey(worker)))
+}
+
+fn read(key: &[u8], value: &[u8]) -> Result<(Fingerprint, WorkerEnd), Unreadable> {
+    let (fingerprint, worker) = read_key(key)?;
+    let end: WorkerEnd = ciborium::from_reader(value).map_err(|error| Unreadable::Value {
+        reason: error.to_string(),
+    })?;
+    if end.worker != worker {
+        return Err(Unreadable::AnotherWorker);
+    }
+    Ok((fingerprint, end))
+}
--- a/crates/swiftshunt-gateway/src/relay.rs
+++ b/crates/swiftshunt-gateway/src/relay.rs
@@ -245,6 +245,11 @@
             if self.runs_left == 0 || now >= until {
                 return None;
             }
+            if let Some(held) = dispatcher.quarantine.holds(&self.outgoing.subject).await {
+                log::info!(request = self.outgoing.id.as_deref().unwrap_or(""), ends = held.ends;
+                    "a stream does not go on, since its request ended its workers");
+                return None;
+            }
             let placing = Placing {
                 request: self.outgoing.id.as_deref().unwrap_or(""),
                 service: &self.service,
@@ -273,6 +278,7 @@
                     return Some(answer);
                 }
                 Ok(_) => self.runs_left -= 1,
+                Err(SendFailure::Held { .. }) => return None,
                 Err(failure) if failure.did_not_run() => {}
                 Err(_) => self.runs_left -= 1,
             }
--- a/crates/swiftshunt-gateway/src/tails/mod.rs
+++ b/crates/swiftshunt-gateway/src/tails/mod.rs
@@ -44,6 +44,7 @@
     readers: Readers,
     configuration: Published,
     workers: Published,
+    quarantine: Published,
     /// Whether the log turns this gateway away.
     log_away: watch::Receiver<bool>,
     clock: Clock,
@@ -61,6 +62,7 @@
             readers: Readers::new(members, gateways_per_reader, metrics, clock),
             configuration: Published::default(),
             workers: Published::default(),
+            quarantine: Published::default(),
             log_away,
             clock,
         }
@@ -71,6 +73,7 @@
         match topic {
             Topic::Configuration => Some(&self.configuration),
             Topic::Workers => Some(&self.workers),
+            Topic::Quarantine => Some(&self.quarantine),
             Topic::Jobs | Topic::Gateways => None,
         }
     }
--- a/crates/swiftshunt-gateway/src/tails/readers.rs
+++ b/crates/swiftshunt-gateway/src/tails/readers.rs
@@ -20,7 +20,7 @@
 use crate::peer_http::{self, PeerClient, encoded};
 
 /// Connections that rest for one reader: one a topic.
-const MOST_RESTING: usize = 2;
+const MOST_RESTING: usize = 3;
 /// First time for which a reader that did not answer, or refused, is passed over; doubled with each time
 /// in a row, up to the longest.
 const FIRST_DOUBT: Duration = Duration::from_secs(1);
--- a/crates/swiftshunt-journal/src/log.rs
+++ b/crates/swiftshunt-journal/src/log.rs
@@ -19,6 +19,8 @@
     Jobs,
     /// The gateways that are there.
     Gateways,
+    /// Workers that ended while they ran a request.
+    Quarantine,
 }
 
 /// A record under a key. An empty value drops the key.
--- a/crates/swiftshunt-scheduler/src/quarantine/fingerprint.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/fingerprint.rs
@@ -1,7 +1,9 @@
 //! What makes two tries the same request.
 
 use std::fmt;
+use std::str::FromStr;
 
+use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
 /// Bytes of a fingerprint: two requests of the 10^12 that a year brings share one by chance once in 10^14
@@ -45,15 +47,24 @@
         hasher.finalize_xof().fill(&mut fingerprint);
         Self(fingerprint)
     }
+}
 
-    /// Its bytes, as they stand in records.
-    pub fn bytes(&self) -> &[u8] {
-        &self.0
-    }
+/// Why a text is no fingerprint.
+#[derive(Debug, Display, Error)]
+#[display("not a fingerprint: {source}")]
+pub struct NoFingerprint {
+    /// What of its digits is wrong.
+    pub source: hex::FromHexError,
+}
 
-    /// From its bytes; none if they are no fingerprint.
-    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
-        bytes.try_into().ok().map(Self)
+impl FromStr for Fingerprint {
+    type Err = NoFingerprint;
+
+    fn from_str(digits: &str) -> Result<Self, NoFingerprint> {
+        let mut fingerprint = [0; FINGERPRINT_BYTES];
+        hex::decode_to_slice(digits, &mut fingerprint)
+            .map_err(|source| NoFingerprint { source })?;
+        Ok(Self(fingerprint))
     }
 }
 
--- a/crates/swiftshunt-scheduler/src/quarantine/mod.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/mod.rs
@@ -1,5 +1,60 @@
-//! Requests that end the workers that run them: by what they are known, and whether they may be sent.
+//! Requests that end the workers that run them.
+//!
+//! A worker that ends while it runs six requests accuses six, and one did it. What is known is therefore a
+//! set: which workers ended while they ran which requests. It is the same set wherever it is put together, in
+//! any order and from whatever sources, and what follows for a request is a function of it ([`Quarantine`]):
+//!
+//! - Each worker counts once, by its incarnation. Of many that end at one moment, and did not all run the
+//!   request, one counts: a rack that dies while a popular request runs on half of its workers says no more
+//!   than one worker would.
+//! - Ends that a request shares with another one which has ended more workers are that one's, and do not
+//!   count.
+//! - A run that ended well clears a request.
+//! - What is known lapses after [`KNOWN_FOR`].
 
 mod fingerprint;
+mod table;
 
-pub use fingerprint::{Fingerprint, Tried};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::slots::WorkerKey;
+
+pub use fingerprint::{Fingerprint, NoFingerprint, Tried};
+pub use table::Quarantine;
+
+/// Ends of workers after which a request is not sent any more. Two come together by chance: a request that
+/// goes on at another worker, and meets the one there that ended its first.
+pub const MOST_ENDS: usize = 3;
+/// How long an end is remembered: a request is tried again after it, at the risk of as many workers. Callers'
+/// own tries end within minutes, and a worker's software is replaced within an hour.
+pub const KNOWN_FOR: Duration = Duration::from_secs(15 * 60);
+/// Ends within this time of each other are one moment, unless the later run began after the earlier end. What
+/// dies together is noticed within a few times the way to and fro within a region.
+pub const ONE_MOMENT: Duration = Duration::from_millis(30);
+
+/// A worker that ended while it ran a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerEnd {
+    /// The worker.
+    pub worker: WorkerKey,
+    /// When the request was sent to it, in milliseconds of Unix time.
+    pub sent_unix_ms: u64,
+    /// When its end was seen, in milliseconds of Unix time.
+    pub ended_unix_ms: u64,
+}
+
+/// What follows for a request from the ends of workers that ran it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It may be sent.
+    Free,
+    /// It may not be sent.
+    Held {
+        /// Workers that have ended while they ran it.
+        ends: usize,
+        /// How long it is held yet.
+        time_left: Duration,
+    },
+}
--- /dev/null
+++ b/crates/swiftshunt-scheduler/src/quarantine/table.rs
@@ -0,0 +1,208 @@
+//! Which workers ended while they ran which requests.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use super::{Fingerprint, KNOWN_FOR, MOST_ENDS, ONE_MOMENT, Standing, WorkerEnd};
+use crate::slots::WorkerKey;
+
+/// Requests that are remembered at most: those of a rack of 40 workers, 30 times over. Some 300 bytes each.
+const MOST_REQUESTS: usize = 8_192;
+/// Workers that end at one moment by chance. More have a cause in common: a rack, or copies of one request that
+/// came together.
+const MOST_AT_A_MOMENT: u32 = 3;
+/// Share of the workers that ended at one moment which must have run a request that is the cause. The rest is
+/// for those that ended by chance, or ran a second such request.
+const SHARE_OF_A_CAUSE: f64 = 0.75;
+/// Ends of workers that are remembered for one request.
+const MOST_REMEMBERED: usize = 16;
+
+/// An end as it is remembered here.
+#[derive(Clone, Copy, Debug)]
+struct KnownEnd {
+    end: WorkerEnd,
+    /// When it is forgotten.
+    lapses_at: Duration,
+}
+
+/// A worker that has ended.
+#[derive(Debug)]
+struct Accuser {
+    /// When, in milliseconds of Unix time, by the first who saw it.
+    ended_unix_ms: u64,
+    /// The requests that it ran.
+    requests: BTreeSet<Fingerprint>,
+}
+
+/// The ends of workers, by request.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    requests: HashMap<Fingerprint, Vec<KnownEnd>>,
+    workers: HashMap<WorkerKey, Accuser>,
+}
+
+impl Quarantine {
+    /// A worker ended while it ran a request; gives whether that is new. `unix_ms` is the time of day: an end
+    /// that is learnt late, from the log, lapses as early as elsewhere.
+    pub fn learn(
+        &mut self,
+        request: Fingerprint,
+        end: WorkerEnd,
+        unix_ms: u64,
+        now: Duration,
+    ) -> bool {
+        let age = Duration::from_millis(unix_ms.saturating_sub(end.ended_unix_ms));
+        let left = KNOWN_FOR.saturating_sub(age);
+        let is_known = self.ends(&request).any(|known| known.worker == end.worker);
+        if left.is_zero() || is_known || self.ends(&request).count() >= MOST_REMEMBERED {
+            return false;
+        }
+        if self.requests.len() >= MOST_REQUESTS && !self.requests.contains_key(&request) {
+            self.forget_next_to_lapse();
+        }
+        let lapses_at = now + left;
+        let known = KnownEnd { end, lapses_at };
+        self.requests.entry(request).or_default().push(known);
+        let accuser = self.workers.entry(end.worker).or_insert(Accuser {
+            ended_unix_ms: end.ended_unix_ms,
+            requests: BTreeSet::new(),
+        });
+        accuser.ended_unix_ms = accuser.ended_unix_ms.min(end.ended_unix_ms);
+        accuser.requests.insert(request);
+        true
+    }
+
+    /// What follows for a request.
+    pub fn standing(&self, request: &Fingerprint, now: Duration) -> Standing {
+        let Some(known) = self.requests.get(request) else {
+            return Standing::Free;
+        };
+        let own = known.iter().filter(|one| {
+            one.lapses_at > now && !self.is_explained(request, &one.end.worker, known.len())
+        });
+        let mut lapses = self.moments(request, own.copied().collect());
+        lapses.sort_unstable();
+        // Held until all but the two that lapse last have lapsed.
+        let held_by = lapses.len().checked_sub(MOST_ENDS);
+        match held_by.and_then(|index| lapses.get(index)) {
+            Some(until) => Standing::Held {
+                ends: known.len(),
+                time_left: until.saturating_sub(now),
+            },
+            None => Standing::Free,
+        }
+    }
+
+    /// Whether any end is known.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// How many requests are known to have run on workers that ended.
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// The ends that are known for a request.
+    pub fn ends(&self, request: &Fingerprint) -> impl Iterator<Item = WorkerEnd> {
+        let known = self.requests.get(request).into_iter().flatten();
+        known.map(|known| known.end)
+    }
+
+    /// Forgets that a worker ended while it ran a request.
+    pub fn forget(&mut self, request: &Fingerprint, worker: WorkerKey) {
+        if let Some(known) = self.requests.get_mut(request) {
+            known.retain(|known| known.end.worker != worker);
+            if known.is_empty() {
+                self.requests.remove(request);
+            }
+        }
+        if let Some(accuser) = self.workers.get_mut(&worker) {
+            accuser.requests.remove(request);
+            if accuser.requests.is_empty() {
+                self.workers.remove(&worker);
+            }
+        }
+    }
+
+    /// A run of a request ended well: gives the ends that are forgotten by that.
+    pub fn clear(&mut self, request: &Fingerprint) -> Vec<WorkerEnd> {
+        let ends: Vec<WorkerEnd> = self.ends(request).collect();
+        for end in &ends {
+            self.forget(request, end.worker);
+        }
+        ends
+    }
+
+    /// Forgets what has lapsed, and gives it.
+    pub fn lapse(&mut self, now: Duration) -> Vec<(Fingerprint, WorkerKey)> {
+        let all = self.requests.iter().flat_map(|(request, known)| {
+            let lapsed = known.iter().filter(|known| known.lapses_at <= now);
+            lapsed.map(|known| (*request, known.end.worker))
+        });
+        let lapsed: Vec<_> = all.collect();
+        for (request, worker) in &lapsed {
+            self.forget(request, *worker);
+        }
+        lapsed
+    }
+
+    /// Whether another request that ran on a worker as it ended has ended more workers than this one.
+    fn is_explained(&self, request: &Fingerprint, worker: &WorkerKey, own_ends: usize) -> bool {
+        let Some(accuser) = self.workers.get(worker) else {
+            return false;
+        };
+        accuser.requests.iter().any(|other| {
+            let ends = self.ends(other).count();
+            other != request && ends >= MOST_ENDS && ends > own_ends
+        })
+    }
+
+    /// When those ends of a request lapse that count: of many that have another cause the first alone.
+    fn moments(&self, request: &Fingerprint, mut ends: Vec<KnownEnd>) -> Vec<Duration> {
+        ends.sort_by_key(|known| (known.end.ended_unix_ms, known.end.worker));
+        let mut counting: Vec<KnownEnd> = Vec::with_capacity(ends.len());
+        for known in ends {
+            let last = counting.last();
+            let is_apart = last.is_none_or(|last| is_apart(&last.end, &known.end));
+            if is_apart || !self.is_one_of_many(request, &known.end) {
+                counting.push(known);
+            }
+        }
+        counting.into_iter().map(|known| known.lapses_at).collect()
+    }
+
+    /// Whether many workers ended at the moment at which one did, of which enough did not run the request.
+    fn is_one_of_many(&self, request: &Fingerprint, end: &WorkerEnd) -> bool {
+        let accuser = self.workers.get(&end.worker);
+        let own = accuser.map_or(end.ended_unix_ms, |accuser| accuser.ended_unix_ms);
+        let moment = ONE_MOMENT.as_millis() as u64;
+        let mut together = 0_u32;
+        let mut ran_it = 0_u32;
+        for other in self.workers.values() {
+            if other.ended_unix_ms.abs_diff(own) < moment {
+                together += 1;
+                ran_it += u32::from(other.requests.contains(request));
+            }
+        }
+        let share = f64::from(ran_it) / f64::from(together.max(1));
+        together > MOST_AT_A_MOMENT && share < SHARE_OF_A_CAUSE
+    }
+
+    fn forget_next_to_lapse(&mut self) {
+        let last_lapse = |known: &Vec<KnownEnd>| known.iter().map(|known| known.lapses_at).max();
+        let next = self
+            .requests
+            .iter()
+            .min_by_key(|(_, known)| last_lapse(known));
+        if let Some(request) = next.map(|(request, _)| *request) {
+            self.clear(&request);
+        }
+    }
+}
+
+fn is_apart(earlier: &WorkerEnd, later: &WorkerEnd) -> bool {
+    let began_after = later.sent_unix_ms >= earlier.ended_unix_ms;
+    let between = Duration::from_millis(later.ended_unix_ms.saturating_sub(earlier.ended_unix_ms));
+    began_after || between >= ONE_MOMENT
+}
--- /dev/null
+++ b/crates/swiftshunt-scheduler/tests/quarantine.rs
@@ -0,0 +1,267 @@
+//! Which requests are held for the ends of workers that ran them.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use swiftshunt_scheduler::quarantine::{
+    Fingerprint, KNOWN_FOR, MOST_ENDS, Quarantine, Standing, Tried, WorkerEnd,
+};
+use swiftshunt_scheduler::slots::WorkerKey;
+
+const NOW: Duration = Duration::from_secs(1_000);
+const UNIX_MS: u64 = 1_700_000_000_000;
+
+fn request(body: &str) -> Fingerprint {
+    Fingerprint::of(&tried(body))
+}
+
+fn tried(body: &str) -> Tried<'_> {
+    Tried {
+        caller: "tenant",
+        host: "host",
+        method: "POST",
+        path: "/a/",
+        body: body.as_bytes(),
+    }
+}
+
+/// A worker that ended `at` milliseconds after the beginning, 50 ms after the request was sent to it.
+fn end(worker: u64, at: u64) -> WorkerEnd {
+    WorkerEnd {
+        worker: WorkerKey(worker),
+        sent_unix_ms: UNIX_MS + at - 50,
+        ended_unix_ms: UNIX_MS + at,
+    }
+}
+
+fn learn(quarantine: &mut Quarantine, body: &str, ends: impl IntoIterator<Item = WorkerEnd>) {
+    for end in ends {
+        quarantine.learn(request(body), end, end.ended_unix_ms, NOW);
+    }
+}
+
+fn is_held(quarantine: &Quarantine, body: &str) -> bool {
+    quarantine.standing(&request(body), NOW) != Standing::Free
+}
+
+#[test]
+fn caller_host_method_path_and_body_make_a_request_the_same() {
+    let same = tried("body");
+    assert_eq!(Fingerprint::of(&same), Fingerprint::of(&tried("body")));
+    let others = [
+        Tried {
+            caller: "other",
+            ..same
+        },
+        Tried {
+            host: "other",
+            ..same
+        },
+        Tried {
+            method: "GET",
+            ..same
+        },
+        Tried {
+            path: "/b/",
+            ..same
+        },
+        Tried {
+            body: b"other",
+            ..same
+        },
+        // The border between two parts counts.
+        Tried {
+            caller: "tenanth",
+            host: "ost",
+            ..same
+        },
+    ];
+    for other in others {
+        assert_ne!(Fingerprint::of(&same), Fingerprint::of(&other), "{other:?}");
+    }
+    let fingerprint = Fingerprint::of(&same);
+    assert_eq!(fingerprint.to_string().parse().ok(), Some(fingerprint));
+    assert!("short".parse::<Fingerprint>().is_err());
+}
+
+#[test]
+fn a_request_is_held_by_its_third_worker_and_by_no_worker_twice() {
+    let mut quarantine = Quarantine::default();
+    learn(&mut quarantine, "harmful", [end(1, 100), end(2, 300)]);
+    learn(&mut quarantine, "harmful", [end(1, 100), end(2, 900)]);
+    assert!(!is_held(&quarantine, "harmful"));
+    learn(&mut quarantine, "harmful", [end(3, 600)]);
+    assert!(is_held(&quarantine, "harmful"));
+    assert!(!is_held(&quarantine, "another"));
+}
+
+/// One try may end three workers within milliseconds, one after the other.
+#[test]
+fn runs_that_follow_each_other_are_no_one_moment() {
+    let mut quarantine = Quarantine::default();
+    let quick = |worker, sent, ended| WorkerEnd {
+        worker: WorkerKey(worker),
+        sent_unix_ms: UNIX_MS + sent,
+        ended_unix_ms: UNIX_MS + ended,
+    };
+    learn(
+        &mut quarantine,
+        "harmful",
+        [quick(1, 0, 5), quick(2, 6, 11), quick(3, 11, 17)],
+    );
+    assert!(is_held(&quarantine, "harmful"));
+}
+
+/// A request that many callers send runs on half of the workers of a rack as that loses power.
+#[test]
+fn many_ends_of_one_moment_with_another_cause_are_one() {
+    let mut quarantine = Quarantine::default();
+    for worker in 0..12 {
+        learn(
+            &mut quarantine,
+            &format!("rare-{worker}"),
+            [end(worker, 100 + worker)],
+        );
+    }
+    learn(
+        &mut quarantine,
+        "popular",
+        (0..6).map(|worker| end(worker, 100 + worker)),
+    );
+    assert!(!is_held(&quarantine, "popular"));
+    learn(
+        &mut quarantine,
+        "popular",
+        [end(20, 5_000), end(21, 10_000)],
+    );
+    assert!(is_held(&quarantine, "popular"));
+}
+
+/// Copies of one request came together, each to another worker.
+#[test]
+fn many_ends_of_one_moment_at_which_one_request_ran_are_its_own() {
+    let mut quarantine = Quarantine::default();
+    for worker in 0..6 {
+        learn(
+            &mut quarantine,
+            &format!("rare-{worker}"),
+            [end(worker, 100 + worker)],
+        );
+    }
+    learn(
+        &mut quarantine,
+        "harmful",
+        (0..6).map(|worker| end(worker, 100 + worker)),
+    );
+    assert!(is_held(&quarantine, "harmful"));
+}
+
+/// A request that was moved twice, to workers that the harmful one came to, too.
+#[test]
+fn what_another_request_explains_does_not_count() {
+    let mut quarantine = Quarantine::default();
+    let ends = [end(1, 100), end(2, 300), end(3, 600)];
+    learn(&mut quarantine, "innocent", ends);
+    learn(&mut quarantine, "harmful", ends);
+    assert!(is_held(&quarantine, "harmful"));
+    learn(&mut quarantine, "harmful", [end(4, 900)]);
+    assert!(is_held(&quarantine, "harmful"));
+    assert!(!is_held(&quarantine, "innocent"));
+}
+
+#[test]
+fn a_run_that_ended_well_clears_a_request() {
+    let mut quarantine = Quarantine::default();
+    learn(&mut quarantine, "popular", [end(1, 100), end(2, 300)]);
+    assert_eq!(quarantine.clear(&request("popular")).len(), 2);
+    assert!(quarantine.is_empty());
+    learn(&mut quarantine, "popular", [end(3, 600), end(4, 900)]);
+    assert!(!is_held(&quarantine, "popular"));
+}
+
+/// Three ends hold a request until the first of them lapses, at the same time wherever they were learnt.
+#[test]
+fn what_is_known_lapses() {
+    let mut quarantine = Quarantine::default();
+    let harmful = request("harmful");
+    for (worker, at) in [(1, 0), (2, 10_000), (3, 20_000)] {
+        quarantine.learn(harmful, end(worker, 50 + at), UNIX_MS + 20_050, NOW);
+    }
+    let Standing::Held { ends, time_left } = quarantine.standing(&harmful, NOW) else {
+        panic!("it is not held");
+    };
+    assert_eq!((ends, time_left), (3, KNOWN_FOR - Duration::from_secs(20)));
+    assert_eq!(
+        quarantine.standing(&harmful, NOW + time_left),
+        Standing::Free
+    );
+    assert_eq!(quarantine.lapse(NOW + time_left), [(harmful, WorkerKey(1))]);
+    assert_eq!(quarantine.lapse(NOW + KNOWN_FOR).len(), 2);
+    assert!(quarantine.is_empty());
+    let old = end(9, 50);
+    let late = UNIX_MS + 50 + KNOWN_FOR.as_millis() as u64;
+    assert!(!quarantine.learn(harmful, old, late, NOW));
+}
+
+#[test]
+fn what_is_remembered_is_bounded() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..20_000_u64 {
+        let body = number.to_string();
+        quarantine.learn(request(&body), end(number, 100), UNIX_MS + 100, NOW);
+    }
+    for worker in 0..1_000 {
+        quarantine.learn(
+            request("harmful"),
+            end(worker, 100 + worker * 200),
+            UNIX_MS,
+            NOW,
+        );
+    }
+    assert!(quarantine.len() <= 8_192, "{}", quarantine.len());
+    assert!(quarantine.ends(&request("harmful")).count() <= 16);
+    assert!(is_held(&quarantine, "harmful"));
+}
+
+proptest! {
+    /// Gateways learn of ends in different orders, some of them twice, and decide alike.
+    #[test]
+    fn the_order_of_news_decides_nothing(
+        ends in prop::collection::vec((0_usize..4, 0_u64..6, 0_u64..2_000), 0..24),
+        order in any::<prop::sample::Index>(),
+    ) {
+        // A worker ends once.
+        let news: Vec<_> = ends
+            .iter()
+            .map(|(body, worker, _)| (body.to_string(), end(*worker, 100 + worker * 130)))
+            .collect();
+        let mut one = Quarantine::default();
+        let mut other = Quarantine::default();
+        for (body, end) in &news {
+            one.learn(request(body), *end, UNIX_MS, NOW);
+        }
+        let first = order.index(news.len().max(1));
+        let turned = news.iter().skip(first).chain(news.iter().take(first));
+        for (body, end) in turned.chain(news.iter().rev()) {
+            other.learn(request(body), *end, UNIX_MS, NOW);
+        }
+        for body in 0..4 {
+            let request = request(&body.to_string());
+            prop_assert_eq!(one.standing(&request, NOW), other.standing(&request, NOW));
+        }
+    }
+
+    /// Whoever alone ended three workers, at moments that are apart, is held, whoever else ran there.
+    #[test]
+    fn the_one_that_is_at_every_end_is_held(
+        others in prop::collection::vec((0_usize..12, 0_u64..5), 0..40),
+    ) {
+        let mut quarantine = Quarantine::default();
+        for (body, worker) in others {
+            learn(&mut quarantine, &body.to_string(), [end(worker, 100 + worker * 200)]);
+        }
+        learn(&mut quarantine, "harmful", (0..5).map(|worker| end(worker, 100 + worker * 200)));
+        prop_assert!(is_held(&quarantine, "harmful"));
+        prop_assert!(quarantine.ends(&request("harmful")).count() >= MOST_ENDS);
+    }
+}
--- a/crates/swiftshunt/tests/gateway_quarantine.rs
+++ b/crates/swiftshunt/tests/gateway_quarantine.rs
@@ -10,9 +10,16 @@
 
 mod gateway;
 
-use gateway::{ExclusiveFleet, start};
+use std::time::Duration;
+
+use gateway::{ExclusiveFleet, down, start, submit};
 use hyper::StatusCode;
-use swiftshunt_lab::platform::fleet::{ASK, ONCE, PlatformOptions, STREAM, STREAM_ONCE};
+use swiftshunt_lab::platform::caller::{item_body, item_id};
+use swiftshunt_lab::platform::fleet::{
+    ASK, ONCE, PlatformOptions, STREAM, STREAM_ONCE, eventually, first_configuration,
+};
+use swiftshunt_platform::words::{topics, values};
+use test_case::test_case;
 
 /// The body of a request that ends its workers.
 const HARMFUL: &str = "a question that ends its worker";
@@ -23,15 +30,57 @@
 const GATEWAYS: usize = 3;
 
 async fn fleet() -> ExclusiveFleet {
+    fleet_ended_by(HARMFUL).await
+}
+
+async fn fleet_ended_by(body: &str) -> ExclusiveFleet {
     start(PlatformOptions {
         gateways: GATEWAYS,
         workers: 12,
-        workers_ended_by: Some(HARMFUL.to_owned()),
+        workers_ended_by: Some(body.to_owned()),
         ..PlatformOptions::default()
     })
     .await
 }
 
+/// Sends the harmful request at each gateway at the same time; gives the statuses.
+async fn try_everywhere(fleet: &ExclusiveFleet, path: &str, name: &str) -> Vec<StatusCode> {
+    let tries = fleet.gateways.iter().enumerate().map(|(index, gateway)| {
+        let id = format!("{name}-{index}");
+        async move {
+            let answer = fleet
+                .caller
+                .ask_with_body(gateway.callers, path, &id, HARMFUL);
+            // A stream may also break off.
+            match answer.await {
+                Ok(answer) => {
+                    println!("{id}: {} {:?}", answer.status, answer.body);
+                    answer.status
+                }
+                Err(error) => {
+                    println!("{id}: {error}");
+                    StatusCode::BAD_GATEWAY
+                }
+            }
+        }
+    });
+    futures_util::future::join_all(tries).await
+}
+
+/// Waits until every gateway holds the harmful request back. What it ends until then is told.
+async fn until_held(fleet: &ExclusiveFleet, path: &str) {
+    for number in 0.. {
+        let statuses = try_everywhere(fleet, path, &format!("held-{number}")).await;
+        if statuses
+            .iter()
+            .all(|status| *status == StatusCode::SERVICE_UNAVAILABLE)
+        {
+            return;
+        }
+        assert!(number < 20, "{statuses:?}");
+    }
+}
+
 /// Workers that have ended.
 fn ended(fleet: &ExclusiveFleet) -> usize {
     let workers = fleet.whole.iter().chain(&fleet.engines);
@@ -81,3 +130,147 @@
         }
     }
 }
+
+/// Tries at three gateways at the same moment may each end a worker before anybody knows. Then there is an
+/// end to it, everywhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn tries_at_the_same_moment_are_followed_by_none() {
+    let fleet = fleet().await;
+    for round in 0..2 {
+        try_everywhere(&fleet, STREAM_ONCE, &format!("first-{round}")).await;
+    }
+    until_held(&fleet, STREAM_ONCE).await;
+    let ended_first = ended(&fleet);
+    println!("{ended_first} workers ended");
+    assert!(ended_first <= 2 * GATEWAYS, "{ended_first}");
+    for round in 0..6 {
+        let statuses = try_everywhere(&fleet, STREAM_ONCE, &format!("more-{round}")).await;
+        assert_eq!(statuses, [StatusCode::SERVICE_UNAVAILABLE; GATEWAYS]);
+    }
+    assert_eq!(ended(&fleet), ended_first);
+}
+
+/// All gateways are killed at the same moment: the log knows what the request did.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateways_that_start_anew_hold_it_back_at_once() {
+    let mut fleet = fleet().await;
+    until_held(&fleet, ONCE).await;
+    let ended_first = ended(&fleet);
+    eventually("the ends are recorded", || async {
+        fleet.store.keys(topics::QUARANTINE) >= ended_first
+    })
+    .await;
+    for index in 0..GATEWAYS {
+        fleet.gateways[index].process.kill();
+    }
+    for index in 0..GATEWAYS {
+        fleet.restart(index).expect("a gateway");
+    }
+    for gateway in &fleet.gateways {
+        eventually("the gateway is ready", || {
+            fleet.caller.is_ready(gateway.ready)
+        })
+        .await;
+    }
+    let statuses = try_everywhere(&fleet, ONCE, "after").await;
+    assert_eq!(statuses, [StatusCode::SERVICE_UNAVAILABLE; GATEWAYS]);
+    assert_eq!(ended(&fleet), ended_first);
+}
+
+/// While the log is away gateways tell each other, and record it when the log is back.
+#[tokio::test(flavor = "multi_thread")]
+async fn it_is_held_back_while_the_log_is_away() {
+    let fleet = fleet().await;
+    // Gateways learn of each other.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    for gateway in &fleet.gateways {
+        gateway.door.set(down());
+    }
+    let mut statuses = Vec::new();
+    for number in 0..TRIES {
+        let gateway = fleet.gateways[number % GATEWAYS].callers;
+        let id = format!("harmful-{number}");
+        let answer = fleet
+            .caller
+            .ask_with_body(gateway, STREAM_ONCE, &id, HARMFUL)
+            .await;
+        statuses.push(answer.map(|answer| answer.status).ok());
+    }
+    println!("{} workers ended, {statuses:?}", ended(&fleet));
+    assert!(ended(&fleet) <= MOST_ENDS, "{}", ended(&fleet));
+    for gateway in &fleet.gateways {
+        gateway.door.set(Default::default());
+    }
+    eventually("the ends are recorded", || async {
+        fleet.store.keys(topics::QUARANTINE) >= MOST_ENDS
+    })
+    .await;
+}
+
+/// An item that ends its workers waits and is given up in its time; the others of its job are done.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_that_ends_its_workers_keeps_its_job_from_nothing() {
+    let mut fleet = fleet_ended_by(&item_body("job", 2)).await;
+    let mut configuration = first_configuration();
+    for route in &mut configuration.routes {
+        route.max_wait_s = route.max_wait_s.map(|_| 8.0);
+    }
+    fleet.configure(configuration);
+    let gateway = fleet.gateways[0].callers;
+    submit(&fleet, gateway, "job", 6).await;
+    let mut results = Vec::new();
+    while results.len() < 6 {
+        let page = fleet
+            .caller
+            .results(gateway, "job", results.len(), Duration::from_secs(1));
+        let (status, page) = page.await.expect("results");
+        assert_eq!(status, StatusCode::OK);
+        results.extend(page.results);
+    }
+    println!("{} workers ended", ended(&fleet));
+    assert!(ended(&fleet) <= MOST_ENDS, "{}", ended(&fleet));
+    for result in results {
+        let is_harmful = result.id == item_id("job", 2);
+        let expected = if is_harmful {
+            values::GIVEN_UP
+        } else {
+            values::COMPLETED
+        };
+        assert_eq!(result.state, expected, "{}", result.id);
+    }
+}
+
+/// A request that many send runs wherever a worker crashes; it also ends well, and is served on.
+#[test_case(ASK; "whole answers")]
+#[test_case(STREAM; "streams")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_ends_well_elsewhere_is_served_on(path: &str) {
+    let fleet = start(PlatformOptions {
+        gateways: GATEWAYS,
+        workers: 8,
+        whole_pause: Duration::from_millis(100),
+        event_pause: Duration::from_millis(40),
+        ..PlatformOptions::default()
+    })
+    .await;
+    for crash in 0..5 {
+        let gateway = fleet.gateways[crash % GATEWAYS].callers;
+        let caller = fleet.caller.clone();
+        let id = format!("popular-{crash}");
+        let path = path.to_owned();
+        let asked =
+            tokio::spawn(async move { caller.ask_with_body(gateway, &path, &id, "popular").await });
+        let workers = || fleet.whole.iter().chain(&fleet.engines);
+        let runs_at = || workers().find(|worker| worker.running() > 0 && !worker.has_ended());
+        eventually("it runs", || async { runs_at().is_some() }).await;
+        runs_at().expect("a worker").crash();
+        let answer = asked.await.expect("a task").expect("an answer");
+        assert_eq!(answer.status, StatusCode::OK, "crash {crash}");
+    }
+    for gateway in &fleet.gateways {
+        let answer = fleet
+            .caller
+            .ask_with_body(gateway.callers, path, "last", "popular");
+        assert_eq!(answer.await.expect("an answer").status, StatusCode::OK);
+    }
+}
