A worker's life has a type: restarts under one identifier, and entries of other writers

Cause: a worker may start again under its identifier, told by its start; all beliefs were keyed by the identifier, so the new life kept requests, load, failures, prompts and the leaving of the last one. Entries with fields missing were filled with defaults, an unknown state was obeyed as leaving, and each reading of an entry that cannot be read was an error line at each gateway.

Change: WorkerLife (identifier and start) is decoded in platform/; everything is keyed by its incarnation, a later life ends the earlier one, an earlier one that comes late changes nothing, an entry without a start is about the life that is known. Entries have all fields of the right type or name no worker, the one under whose key they stand included. Records that cannot be read are counted, and told once as long as they stay the same.

Seen failing with the incarnation made from the identifier alone: two pure tests (a later life begins with nothing; gone in any life).

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -301,7 +301,7 @@
         let mut headers = outgoing.headers.clone();
         let now = self.clock.now();
         let facts = SendFacts {
-            incarnation: &chosen.incarnation,
+            worker: &chosen.id,
             deadline: patience.told_until.map(|until| until.saturating_sub(now)),
             last_event,
             identity: &outgoing.identity,
--- a/crates/swiftshunt-gateway/src/followers.rs
+++ b/crates/swiftshunt-gateway/src/followers.rs
@@ -16,6 +16,7 @@
 use crate::protocol::Protocol;
 use crate::settings::DirectorySettings;
 use crate::tails::Tails;
+use crate::unreadable::UnreadableRecords;
 
 /// Part of the time within which a change must be in force for which a change of the directory
 /// rests, so that changes that come together are read together: each worker writes every second or
@@ -33,6 +34,7 @@
     pub(crate) protocol: Arc<dyn Protocol>,
     pub(crate) beliefs: Arc<Beliefs>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) unreadable: Arc<UnreadableRecords>,
     pub(crate) tails: Arc<Tails>,
     pub(crate) clock: Clock,
 }
@@ -64,10 +66,11 @@
             Ok(Some(configuration)) => configuration,
             Ok(None) => return,
             Err(error) => {
-                log::error!("a configuration is not readable: {error}");
-                return;
+                let topic = Topic::Configuration;
+                return self.unreadable.passed_over(topic, key, &error);
             }
         };
+        self.unreadable.is_over(Topic::Configuration, key);
         let version = configuration.version;
         if let Err(error) = configuration.validate() {
             log::error!(version; "a configuration is not taken: {error}");
@@ -110,8 +113,8 @@
     fn is_news(&self, record: &KeyedRecord) -> bool {
         match self.protocol.worker(&record.key, &record.value) {
             Ok(entry) => self.beliefs.selector().is_news(&entry),
-            // Whoever takes it says that it is not readable.
-            Err(_) => true,
+            // Each gateway that takes it has to know once that it names no worker.
+            Err(_) => !self.unreadable.is_known(Topic::Workers, &record.key),
         }
     }
 
@@ -142,16 +145,23 @@
             match change {
                 Change::Set(record) => match self.protocol.worker(&record.key, &record.value) {
                     Ok(entry) => {
+                        self.unreadable.is_over(Topic::Workers, &record.key);
                         let (incarnation, availability) =
                             (entry.incarnation.clone(), entry.availability);
-                        unlisted.remove(&incarnation);
+                        unlisted.remove(&entry.life.id);
                         if self.beliefs.selector().apply(entry, now) {
                             news.listed(&incarnation, availability, record.offset);
                         }
                     }
-                    Err(error) => log::error!("a directory entry is not readable: {error}"),
+                    Err(error) => {
+                        // It names no worker to use: neither itself nor the one that it has replaced.
+                        let topic = Topic::Workers;
+                        self.unreadable.passed_over(topic, &record.key, &error);
+                        unlisted.insert(String::from_utf8_lossy(&record.key).into_owned());
+                    }
                 },
                 Change::Dropped(key) => {
+                    self.unreadable.is_over(Topic::Workers, &key);
                     unlisted.insert(String::from_utf8_lossy(&key).into_owned());
                 }
             }
--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -29,6 +29,7 @@
 use crate::settings::{GatewaySettings, StopSettings};
 use crate::slots::Slots;
 use crate::tails::Tails;
+use crate::unreadable::UnreadableRecords;
 use crate::upstream::Upstream;
 use crate::waiting_limits::WaitingLimits;
 
@@ -101,12 +102,14 @@
         })?;
         let members = Arc::new(Members::new(peers_address, clock));
         let datagrams = Arc::new(Datagrams::new(notices, Arc::clone(&metrics)));
+        let unreadable = Arc::new(UnreadableRecords::new(Arc::clone(&metrics)));
         let others = Arc::new(Peers::new(
             Arc::clone(&datagrams),
             Arc::clone(&members),
             &settings.gateways.seeds,
             Arc::clone(&beliefs),
             Arc::clone(&metrics),
+            Arc::clone(&unreadable),
             clock,
         ));
         let relayed = Arc::new(RelayedLog::new(
@@ -143,6 +146,7 @@
             Arc::clone(&datagrams),
             Arc::clone(&beliefs),
             Arc::clone(&metrics),
+            Arc::clone(&unreadable),
             clock,
         ));
         let slots = Arc::new(Slots::new(
@@ -184,6 +188,7 @@
             protocol: Arc::clone(&protocol),
             beliefs: Arc::clone(&beliefs),
             metrics: Arc::clone(&metrics),
+            unreadable: Arc::clone(&unreadable),
             tails: Arc::clone(&tails),
             clock,
         });
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod settings;
 mod slots;
 mod tails;
+mod unreadable;
 mod upstream;
 mod waiting_limits;
 
--- a/crates/swiftshunt-gateway/src/peers.rs
+++ b/crates/swiftshunt-gateway/src/peers.rs
@@ -26,6 +26,7 @@
 use crate::quarantine::{Quarantine, QuarantineMessage};
 use crate::rates::{RateMessage, Rates};
 use crate::slots::{SlotMessage, Slots};
+use crate::unreadable::UnreadableRecords;
 use crate::waiting_limits::{WaitingLimits, WaitingMessage};
 
 /// Reading time from which others are told of a prompt.
@@ -108,6 +109,7 @@
     seeds: Vec<SocketAddr>,
     beliefs: Arc<Beliefs>,
     metrics: Arc<Metrics>,
+    unreadable: Arc<UnreadableRecords>,
     clock: Clock,
     budget: Mutex<TokenBucket>,
     starts: Mutex<Starts>,
@@ -120,6 +122,7 @@
         seeds: &[SocketAddr],
         beliefs: Arc<Beliefs>,
         metrics: Arc<Metrics>,
+        unreadable: Arc<UnreadableRecords>,
         clock: Clock,
     ) -> Self {
         let own = members.own();
@@ -129,6 +132,7 @@
             seeds: seeds.iter().copied().filter(|seed| *seed != own).collect(),
             beliefs,
             metrics,
+            unreadable,
             clock,
             budget: Mutex::new(TokenBucket::full(MOST_AT_ONCE, clock.now())),
             starts: Mutex::default(),
@@ -301,7 +305,7 @@
             };
             match String::from_utf8_lossy(&key).parse::<SocketAddr>() {
                 Ok(address) => is_news |= self.members.list(address, is_there),
-                Err(error) => log::warn!("a listed gateway is passed over: {error}"),
+                Err(error) => self.unreadable.passed_over(Topic::Gateways, &key, &error),
             }
         }
         self.members.forget_old();
--- a/crates/swiftshunt-gateway/src/protocol.rs
+++ b/crates/swiftshunt-gateway/src/protocol.rs
@@ -107,8 +107,8 @@
 /// What is added to a request for a worker.
 #[derive(Clone, Debug)]
 pub struct SendFacts<'s> {
-    /// The incarnation that alone may run it.
-    pub incarnation: &'s str,
+    /// Identifier of the worker that alone may run it.
+    pub worker: &'s str,
     /// Time left.
     pub deadline: Option<Duration>,
     /// The last event that is already here, for a stream that goes on.
--- a/crates/swiftshunt-gateway/src/quarantine/mod.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/mod.rs
@@ -28,6 +28,7 @@
 use crate::metrics::Metrics;
 use crate::own_failures::OwnFailures;
 use crate::peers::Notice;
+use crate::unreadable::UnreadableRecords;
 use ends::Check;
 pub(crate) use message::QuarantineMessage;
 use records::Unrecorded;
@@ -59,6 +60,7 @@
     datagrams: Arc<Datagrams>,
     beliefs: Arc<Beliefs>,
     metrics: Arc<Metrics>,
+    unreadable: Arc<UnreadableRecords>,
     clock: Clock,
     table: Mutex<Table>,
     /// Workers at which requests of this gateway broke off, by incarnation.
@@ -78,6 +80,7 @@
         datagrams: Arc<Datagrams>,
         beliefs: Arc<Beliefs>,
         metrics: Arc<Metrics>,
+        unreadable: Arc<UnreadableRecords>,
         clock: Clock,
     ) -> Self {
         Self {
@@ -86,6 +89,7 @@
             datagrams,
             beliefs,
             metrics,
+            unreadable,
             clock,
             table: Mutex::default(),
             checks: Mutex::default(),
--- a/crates/swiftshunt-gateway/src/quarantine/records.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/records.rs
@@ -135,16 +135,20 @@
     }
 
     fn apply(&self, change: Change) {
-        let taken = match change {
-            Change::Set(record) => read(&record.key, &record.value)
-                .map(|(fingerprint, end)| self.learn(&fingerprint, end)),
-            Change::Dropped(key) => read_key(&key).map(|(fingerprint, worker)| {
-                lock(&self.table).forget(&fingerprint, worker);
-            }),
-        };
-        if let Err(error) = taken {
-            self.metrics.records_unreadable.inc();
-            log::debug!("a record of the quarantine is passed over: {error}");
+        match change {
+            Change::Set(record) => match read(&record.key, &record.value) {
+                Ok((fingerprint, end)) => self.learn(&fingerprint, end),
+                Err(error) => self
+                    .unreadable
+                    .passed_over(Topic::Quarantine, &record.key, &error),
+            },
+            Change::Dropped(key) => {
+                self.unreadable.is_over(Topic::Quarantine, &key);
+                // What could not be read when it came is not known, and need not be forgotten.
+                if let Ok((fingerprint, worker)) = read_key(&key) {
+                    lock(&self.table).forget(&fingerprint, worker);
+                }
+            }
         }
     }
 }
--- a/crates/swiftshunt-lab/src/platform/fleet.rs
+++ b/crates/swiftshunt-lab/src/platform/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Serialize;
@@ -12,6 +13,7 @@
 use swiftshunt_platform::words::{topics, values};
 
 use super::caller::{HOST, PlatformCaller};
+use super::process::time_of_day_ms;
 use super::store::{Door, Store};
 use super::worker::{Worker, WorkerSettings};
 use crate::harness::{HarnessError, Process};
@@ -93,6 +95,8 @@
     pub directory: String,
     /// The body of a request that ends each worker that begins to run it.
     pub workers_ended_by: Option<String>,
+    /// Whether workers tell when they started, and keep their identifiers when they start again.
+    pub workers_tell_start: bool,
 }
 
 impl Default for PlatformOptions {
@@ -108,6 +112,7 @@
             settings: String::new(),
             directory: String::new(),
             workers_ended_by: None,
+            workers_tell_start: false,
         }
     }
 }
@@ -233,6 +238,7 @@
                 events,
                 pause,
                 ended_by: options.workers_ended_by.clone(),
+                started_unix_ms: options.workers_tell_start.then(time_of_day_ms),
             };
             let of_whole = settings("whole", None, options.whole_pause);
             whole.push(Worker::start(of_whole).await?);
@@ -359,17 +365,40 @@
 
     /// Lists a worker in the directory.
     pub fn list(&self, worker: &Worker, service: &str, state: &str) {
-        let document = WorkerDocument {
+        let document = Self::entry_of(worker, service, state);
+        let body = serde_json::to_vec(&document).unwrap_or_default();
+        self.store.put(topics::WORKERS, worker.incarnation(), body);
+    }
+
+    /// What a worker says of itself.
+    pub fn entry_of(worker: &Worker, service: &str, state: &str) -> WorkerDocument {
+        WorkerDocument {
             service: service.to_owned(),
             address: worker.address.to_string(),
             zone: "zone-a".to_owned(),
+            version: "v1".to_owned(),
             slots: 16,
             state: state.to_owned(),
             cold_left_ms: 0.0,
             call_seq: 1,
+            born: worker.started_unix_ms(),
+        }
+    }
+
+    /// Ends a worker of the service `whole` and starts it again, at its address and under its identifier; it
+    /// is listed as ready in its new life.
+    pub async fn restart_worker(&mut self, index: usize) -> std::io::Result<()> {
+        let old = &self.whole[index];
+        old.crash();
+        let address = old.address;
+        let settings = WorkerSettings {
+            started_unix_ms: Some(time_of_day_ms()),
+            ..old.settings().clone()
         };
-        let body = serde_json::to_vec(&document).unwrap_or_default();
-        self.store.put(topics::WORKERS, worker.incarnation(), body);
+        let worker = start_worker_at(address, settings).await?;
+        self.list(&worker, "whole", values::READY);
+        self.whole[index] = worker;
+        Ok(())
     }
 
     /// Takes a worker out of the directory.
@@ -392,6 +421,17 @@
     }
 }
 
+/// Starts a worker at an address that another one may just be leaving.
+async fn start_worker_at(address: SocketAddr, settings: WorkerSettings) -> std::io::Result<Worker> {
+    for _ in 0..PORT_TRIES {
+        match Worker::start_watched(address, settings.clone(), Arc::new(|_, _| {})).await {
+            Ok(worker) => return Ok(worker),
+            Err(_) => tokio::time::sleep(LOOK).await,
+        }
+    }
+    Err(std::io::Error::from(std::io::ErrorKind::AddrInUse))
+}
+
 /// Starts a gateway by a settings file; its log lies beside that.
 pub(crate) fn start_gateway(binary: &Path, settings: &Path) -> Result<Process, HarnessError> {
     let arguments = [
--- a/crates/swiftshunt-lab/src/platform/process.rs
+++ b/crates/swiftshunt-lab/src/platform/process.rs
@@ -90,6 +90,7 @@
         events: arguments.events,
         pause: Duration::from_millis(arguments.pause_ms),
         ended_by: None,
+        started_unix_ms: None,
     };
     let tell = move |event: RunEvent, run: &Run| {
         let line = RunLine {
--- a/crates/swiftshunt-lab/src/platform/worker.rs
+++ b/crates/swiftshunt-lab/src/platform/worker.rs
@@ -68,6 +68,8 @@
     pub pause: Duration,
     /// The body of a request that ends it a pause after it began to run.
     pub ended_by: Option<String>,
+    /// When it started, in milliseconds of Unix time, if it tells.
+    pub started_unix_ms: Option<u64>,
 }
 
 /// Where a test sets a worker's manner (a body of [`Manner`]).
@@ -187,6 +189,16 @@
         &self.shared.settings.incarnation
     }
 
+    /// What it tells of its start.
+    pub fn started_unix_ms(&self) -> Option<u64> {
+        self.shared.settings.started_unix_ms
+    }
+
+    /// What it was started with.
+    pub fn settings(&self) -> &WorkerSettings {
+        &self.shared.settings
+    }
+
     /// Changes its manner.
     pub fn set(&self, manner: Manner) {
         *lock(&self.shared.manner) = manner;
--- a/crates/swiftshunt-lab/src/soak/testbed/workers.rs
+++ b/crates/swiftshunt-lab/src/soak/testbed/workers.rs
@@ -104,10 +104,12 @@
             service: name(service).to_owned(),
             address: worker.link.address.to_string(),
             zone: "zone-a".to_owned(),
+            version: "v1".to_owned(),
             slots: self.plan.slots as u32,
             state: state.to_owned(),
             cold_left_ms: 0.0,
             call_seq: 1,
+            born: None,
         };
         self.list(&worker.incarnation, &document).await
     }
--- a/crates/swiftshunt-scheduler/src/candidate.rs
+++ b/crates/swiftshunt-scheduler/src/candidate.rs
@@ -74,6 +74,7 @@
     pub(crate) fn chosen(&self, reading: Reading, has_prompt: bool) -> Chosen {
         Chosen {
             service: self.entry.service.clone(),
+            id: self.entry.life.id.clone(),
             incarnation: self.entry.incarnation.clone(),
             address: self.entry.address,
             missing_tokens: reading.missing_tokens,
--- a/crates/swiftshunt-scheduler/src/directory.rs
+++ b/crates/swiftshunt-scheduler/src/directory.rs
@@ -12,10 +12,33 @@
     Draining,
 }
 
-/// An entry of the directory: one incarnation of a worker.
+/// One life of a worker. A worker that starts again has another life, though it may keep its identifier: it
+/// holds and knows nothing of what it did before.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerLife {
+    /// The identifier, under which it is listed.
+    pub id: String,
+    /// When it started, in milliseconds of Unix time; none where workers do not tell. Those start again under
+    /// another identifier.
+    pub started_unix_ms: Option<u64>,
+}
+
+impl WorkerLife {
+    /// The incarnation: a text that no other life has.
+    pub fn incarnation(&self) -> String {
+        match self.started_unix_ms {
+            Some(started) => format!("{}@{started}", self.id),
+            None => self.id.clone(),
+        }
+    }
+}
+
+/// An entry of the directory: one life of a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerEntry {
-    /// The incarnation; a restarted worker has another one.
+    /// The life.
+    pub life: WorkerLife,
+    /// Its incarnation.
     pub incarnation: String,
     /// The service it belongs to.
     pub service: String,
--- a/crates/swiftshunt-scheduler/src/listed.rs
+++ b/crates/swiftshunt-scheduler/src/listed.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::candidate::Candidate;
-use crate::directory::WorkerEntry;
+use crate::directory::{WorkerEntry, WorkerLife};
 use crate::selection::Selector;
 
 /// What became of workers that the directory no longer lists.
@@ -17,9 +17,27 @@
     pub lapsed: Vec<String>,
 }
 
+/// How a life stands to the one that is known of the same worker.
+enum Life {
+    /// It is that one, or none is known.
+    Same,
+    /// It came later, and that one, of this incarnation, has ended.
+    Later(String),
+    /// It had ended before that one began.
+    Earlier,
+    /// Its start is not told: it is taken for that one, of this incarnation.
+    Untold(String),
+}
+
 impl Selector {
     /// Takes an entry of the directory; gives whether its availability or address is new.
-    pub fn apply(&mut self, entry: WorkerEntry, now: Duration) -> bool {
+    pub fn apply(&mut self, mut entry: WorkerEntry, now: Duration) -> bool {
+        match self.compare_lives(&entry.life) {
+            Life::Earlier => return false,
+            Life::Later(ended) => self.remove(&ended),
+            Life::Untold(known) => entry.incarnation = known,
+            Life::Same => {}
+        }
         let memory = self.memory_tokens(&entry.service);
         if let Some(known) = self.candidates.get_mut(&entry.incarnation) {
             let changed = known.entry.availability != entry.availability
@@ -30,14 +48,40 @@
             return changed;
         }
         let key = entry.incarnation.clone();
+        self.incarnations.insert(entry.life.id.clone(), key.clone());
         self.candidates
             .insert(key, Candidate::new(entry, memory, now));
         true
     }
 
+    /// How a life stands to the one that is known under its identifier.
+    fn compare_lives(&self, life: &WorkerLife) -> Life {
+        let Some(known) = self.incarnations.get(&life.id) else {
+            return Life::Same;
+        };
+        let candidate = self.candidates.get(known);
+        let known_start = candidate.and_then(|candidate| candidate.entry.life.started_unix_ms);
+        match (known_start, life.started_unix_ms) {
+            (Some(_), None) => Life::Untold(known.clone()),
+            (before, after) if after > before => Life::Later(known.clone()),
+            (before, after) if after < before => Life::Earlier,
+            _ => Life::Same,
+        }
+    }
+
+    /// Removes a worker, and all that is believed of it.
+    fn remove(&mut self, incarnation: &str) {
+        if let Some(candidate) = self.candidates.remove(incarnation) {
+            self.incarnations.remove(&candidate.entry.life.id);
+        }
+    }
+
     /// Whether an entry says something that matters for a choice and is not known; entries are written
     /// anew every second or so, and most of them say nothing new.
     pub fn is_news(&self, entry: &WorkerEntry) -> bool {
+        if matches!(self.compare_lives(&entry.life), Life::Earlier) {
+            return false;
+        }
         let Some(known) = self.candidates.get(&entry.incarnation) else {
             return true;
         };
@@ -49,32 +93,30 @@
         known.lapsed_until.is_some() || before != *entry || !is_cold_as_before
     }
 
-    /// Removes workers that one reading of the directory no longer lists.
+    /// Removes workers, by their identifiers, that one reading of the directory no longer lists.
     ///
     /// A log that was away has dropped the entries of workers that could not renew them, and they
     /// list themselves again a moment after its return. `lapses_until` is the end of that moment,
     /// while it lasts: until then the workers of a service serve on of which more than half vanished
     /// at once. Few of many that vanish are taken as gone.
-    pub fn unlist(
-        &mut self,
-        incarnations: &BTreeSet<String>,
-        lapses_until: Option<Duration>,
-    ) -> Unlisted {
+    pub fn unlist(&mut self, ids: &BTreeSet<String>, lapses_until: Option<Duration>) -> Unlisted {
         let mut unlisted = Unlisted::default();
+        let listed = ids.iter().filter_map(|id| self.incarnations.get(id));
+        let incarnations: BTreeSet<String> = listed.cloned().collect();
         let lapsing = match lapses_until {
-            Some(_) => self.mostly_in(incarnations),
+            Some(_) => self.mostly_in(&incarnations),
             None => BTreeSet::new(),
         };
         for incarnation in incarnations {
-            let Some(candidate) = self.candidates.get_mut(incarnation) else {
+            let Some(candidate) = self.candidates.get_mut(&incarnation) else {
                 continue;
             };
             if lapsing.contains(&candidate.entry.service) {
                 candidate.lapsed_until = lapses_until;
-                unlisted.lapsed.push(incarnation.clone());
+                unlisted.lapsed.push(incarnation);
             } else {
-                self.candidates.remove(incarnation);
-                unlisted.gone.push(incarnation.clone());
+                self.remove(&incarnation);
+                unlisted.gone.push(incarnation);
             }
         }
         unlisted
@@ -82,14 +124,14 @@
 
     /// Removes workers whose entries lapsed and are not back in time; gives their incarnations.
     pub fn remove_lapsed(&mut self, now: Duration) -> Vec<String> {
-        let mut removed = Vec::new();
-        self.candidates.retain(|incarnation, candidate| {
-            let stays = candidate.lapsed_until.is_none_or(|until| now < until);
-            if !stays {
-                removed.push(incarnation.clone());
-            }
-            stays
+        let over = self.candidates.iter().filter(|(_, candidate)| {
+            let until = candidate.lapsed_until;
+            until.is_some_and(|until| until <= now)
         });
+        let removed: Vec<String> = over.map(|(incarnation, _)| incarnation.clone()).collect();
+        for incarnation in &removed {
+            self.remove(incarnation);
+        }
         removed
     }
 
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -50,6 +50,8 @@
 pub struct Chosen {
     /// Its service.
     pub service: String,
+    /// Its identifier.
+    pub id: String,
     /// Its incarnation.
     pub incarnation: String,
     /// Its address.
@@ -93,7 +95,10 @@
 #[derive(Debug)]
 pub struct Selector {
     zone: String,
+    /// By incarnation.
     pub(crate) candidates: BTreeMap<String, Candidate>,
+    /// The incarnation of each worker that is listed, by its identifier.
+    pub(crate) incarnations: BTreeMap<String, String>,
     pub(crate) services: BTreeMap<String, ServiceTimes>,
 }
 
@@ -103,6 +108,7 @@
         Self {
             zone: zone.to_owned(),
             candidates: BTreeMap::new(),
+            incarnations: BTreeMap::new(),
             services: BTreeMap::new(),
         }
     }
--- a/crates/swiftshunt-scheduler/tests/listed.rs
+++ b/crates/swiftshunt-scheduler/tests/listed.rs
@@ -3,16 +3,26 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use swiftshunt_scheduler::directory::{Availability, WorkerEntry};
+use swiftshunt_scheduler::directory::{Availability, WorkerEntry, WorkerLife};
 use swiftshunt_scheduler::listed::Unlisted;
-use swiftshunt_scheduler::selection::Selector;
+use swiftshunt_scheduler::selection::{Class, Demand, Ending, Selector, ToldLoad};
 
 const START: Duration = Duration::from_secs(10);
 const BACK_BY: Duration = Duration::from_secs(12);
 
 fn entry(service: &str, number: u32) -> WorkerEntry {
+    started(service, number, None)
+}
+
+/// The entry of a worker that tells its start, in milliseconds.
+fn started(service: &str, number: u32, started_unix_ms: Option<u64>) -> WorkerEntry {
+    let life = WorkerLife {
+        id: format!("{service}{number}"),
+        started_unix_ms,
+    };
     WorkerEntry {
-        incarnation: format!("{service}{number}"),
+        incarnation: life.incarnation(),
+        life,
         service: service.to_owned(),
         address: format!("10.0.0.{number}:80").parse().expect("an address"),
         zone: "z".to_owned(),
@@ -133,3 +143,96 @@
     selector.unlist(&named("few", 0..2), Some(BACK_BY));
     assert!(selector.is_news(&entry("few", 0)));
 }
+
+const DEMAND: Demand = Demand {
+    class: Class::Online,
+    prompt: Vec::new(),
+    prompt_tokens: 0,
+    salt: 1,
+};
+
+/// A worker that starts again under its identifier holds nothing of before: neither requests that were sent
+/// to its last life, nor load that this told, nor its failures, nor that it was leaving.
+#[test]
+fn a_later_life_of_a_worker_begins_with_nothing() {
+    let mut selector = Selector::new("z");
+    selector.apply(started("s", 0, Some(1_000)), START);
+    let before = selector.choose("s", &DEMAND, &[], START).expect("a worker");
+    for _ in 0..4 {
+        selector.sent(&before, &DEMAND, START);
+    }
+    let told = ToldLoad {
+        running: 4,
+        waiting: 9,
+        slots: 4,
+    };
+    selector.told(&before.incarnation, told, START);
+    assert!(selector.is_full(&before.incarnation, START));
+    let leaving = WorkerEntry {
+        availability: Availability::Draining,
+        ..started("s", 0, Some(1_000))
+    };
+    selector.apply(leaving, START);
+    let later = started("s", 0, Some(2_000));
+    assert!(selector.is_news(&later));
+    assert!(selector.apply(later, START));
+    let after = selector.choose("s", &DEMAND, &[], START).expect("a worker");
+    assert_eq!(after.id, before.id);
+    assert_ne!(after.incarnation, before.incarnation);
+    assert!(!selector.is_ready(&before.incarnation));
+    assert!(!selector.is_full(&after.incarnation, START));
+    assert_eq!(selector.ready_count("s"), 1);
+    // What ends late of the life before says nothing of this one.
+    let held = Duration::from_secs(1);
+    for _ in 0..4 {
+        selector.left(
+            &before,
+            Class::Online,
+            Ending::Broken,
+            false,
+            held,
+            START + held,
+        );
+    }
+    assert!(!selector.is_full(&after.incarnation, START + held));
+    assert_eq!(selector.silence(&before.incarnation, START), None);
+}
+
+#[test]
+fn an_earlier_life_that_is_heard_of_late_changes_nothing() {
+    let mut selector = Selector::new("z");
+    selector.apply(started("s", 0, Some(2_000)), START);
+    let earlier = WorkerEntry {
+        availability: Availability::Draining,
+        ..started("s", 0, Some(1_000))
+    };
+    assert!(!selector.is_news(&earlier));
+    assert!(!selector.apply(earlier, START));
+    assert_eq!(selector.ready_count("s"), 1);
+}
+
+/// An entry without a start is about the life that is known, and is obeyed.
+#[test]
+fn an_entry_without_a_start_is_about_the_life_that_is_known() {
+    let mut selector = Selector::new("z");
+    selector.apply(started("s", 0, Some(2_000)), START);
+    let leaving = WorkerEntry {
+        availability: Availability::Draining,
+        ..entry("s", 0)
+    };
+    assert!(selector.apply(leaving, START));
+    assert_eq!(selector.ready_count("s"), 0);
+    assert!(selector.apply(started("s", 0, Some(3_000)), START));
+    assert_eq!(selector.ready_count("s"), 1);
+}
+
+#[test]
+fn a_worker_that_is_no_longer_listed_is_gone_in_any_life() {
+    let mut selector = Selector::new("z");
+    selector.apply(started("s", 0, Some(1_000)), START);
+    selector.apply(started("s", 0, Some(2_000)), START);
+    let unlisted = selector.unlist(&named("s", 0..1), None);
+    assert_eq!(unlisted.gone, ["s0@2000"]);
+    assert!(selector.is_empty());
+    assert!(selector.apply(started("s", 0, Some(1_000)), START));
+}
--- a/crates/swiftshunt-scheduler/tests/selection.rs
+++ b/crates/swiftshunt-scheduler/tests/selection.rs
@@ -3,15 +3,20 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use swiftshunt_scheduler::directory::{Availability, WorkerEntry};
+use swiftshunt_scheduler::directory::{Availability, WorkerEntry, WorkerLife};
 use swiftshunt_scheduler::residency::{PromptPart, Residency};
 use swiftshunt_scheduler::selection::{Chosen, Class, Demand, Ending, Selector, ToldLoad};
 
 const START: Duration = Duration::from_secs(100);
 
 fn entry(name: &str, zone: &str) -> WorkerEntry {
+    let life = WorkerLife {
+        id: name.to_owned(),
+        started_unix_ms: None,
+    };
     WorkerEntry {
-        incarnation: name.to_owned(),
+        incarnation: life.incarnation(),
+        life,
         service: "s".to_owned(),
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: zone.to_owned(),
@@ -69,6 +74,7 @@
 fn chosen(name: &str) -> Chosen {
     Chosen {
         service: "s".to_owned(),
+        id: name.to_owned(),
         incarnation: name.to_owned(),
         address: "127.0.0.1:1".parse().expect("an address"),
         missing_tokens: 0,
