An entry without a start takes the known life's start away from nobody

Found by reading the change again. Such an entry was taken for the known life, and stored with no start: the life's own next entry then counted as a restart (its requests and load forgotten), an earlier life as a later one, each such entry as news, and its worker as one whose address another had taken, which accuses requests that broke off there. The new test failed on the code before.

Lives are compared in one place (WorkerLife::compare), the enum of four cases goes, and the quarantine hears of entries that changed alone, in place of each entry that is read.

--- a/crates/swiftshunt-gateway/src/followers.rs
+++ b/crates/swiftshunt-gateway/src/followers.rs
@@ -6,6 +6,7 @@
 
 use swiftshunt_journal::{Change, KeyedRecord, Log, LogError, Topic};
 use swiftshunt_routing::Installed;
+use swiftshunt_scheduler::directory::WorkerEntry;
 use swiftshunt_scheduler::listed::Unlisted;
 
 use crate::beliefs::Beliefs;
@@ -132,6 +133,27 @@
         news.log();
     }
 
+    fn take_worker(
+        &self,
+        entry: WorkerEntry,
+        offset: u64,
+        now: Duration,
+        news: &mut DirectoryNews,
+    ) {
+        let id = entry.life.id.clone();
+        let (address, availability) = (entry.address, entry.availability);
+        let listed = {
+            let mut selector = self.beliefs.selector();
+            let has_changed = selector.apply(entry, now);
+            let incarnation = selector.incarnation(&id).filter(|_| has_changed);
+            incarnation.map(str::to_owned)
+        };
+        if let Some(incarnation) = listed {
+            self.quarantine.listed(&incarnation, address);
+            news.listed(&incarnation, availability, offset);
+        }
+    }
+
     fn count<T>(&self, outcome: &Result<T, LogError>) {
         if outcome.is_err() {
             self.metrics.log_failures.inc();
@@ -148,13 +170,8 @@
                 Change::Set(record) => match self.protocol.worker(&record.key, &record.value) {
                     Ok(entry) => {
                         self.unreadable.is_over(Topic::Workers, &record.key);
-                        let (incarnation, availability) =
-                            (entry.incarnation.clone(), entry.availability);
                         unlisted.remove(&entry.life.id);
-                        self.quarantine.listed(&entry);
-                        if self.beliefs.selector().apply(entry, now) {
-                            news.listed(&incarnation, availability, record.offset);
-                        }
+                        self.take_worker(entry, record.offset, now, &mut news);
                     }
                     Err(error) => {
                         // It names no worker to use: neither itself nor the one that it has replaced.
--- a/crates/swiftshunt-gateway/src/quarantine/ends.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/ends.rs
@@ -11,7 +11,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use swiftshunt_scheduler::directory::WorkerEntry;
 use swiftshunt_scheduler::quarantine::{Fingerprint, WorkerEnd};
 use swiftshunt_scheduler::selection::Chosen;
 use swiftshunt_scheduler::slots::WorkerKey;
@@ -142,14 +141,14 @@
         }
     }
 
-    /// The directory lists a worker that was not known. Another one that had its address has ended.
-    pub(crate) fn listed(&self, entry: &WorkerEntry) {
+    /// The directory lists a worker that was not known, or not so. Another one that had its address has ended.
+    pub(crate) fn listed(&self, incarnation: &str, address: SocketAddr) {
         let now = self.clock.now();
         let ended: Vec<Doubted> = {
             let mut doubted = lock(&self.doubted);
             let is_ended = |worker: &mut Doubted| {
-                let is_another = worker.chosen.incarnation != entry.incarnation;
-                is_another && worker.chosen.address == entry.address
+                let is_another = worker.chosen.incarnation != incarnation;
+                is_another && worker.chosen.address == address
             };
             doubted.extract_if(.., is_ended).collect()
         };
--- a/crates/swiftshunt-scheduler/src/directory.rs
+++ b/crates/swiftshunt-scheduler/src/directory.rs
@@ -1,5 +1,6 @@
 //! What the directory says of a worker.
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -31,6 +32,15 @@
             None => self.id.clone(),
         }
     }
+
+    /// Whether this life of a worker came before another one, after it, or is that one. One that does not tell
+    /// its start is taken for the one that does.
+    pub(crate) fn compare(&self, known: &Self) -> Ordering {
+        match (self.started_unix_ms, known.started_unix_ms) {
+            (None, Some(_)) => Ordering::Equal,
+            (own, known) => own.cmp(&known),
+        }
+    }
 }
 
 /// An entry of the directory: one life of a worker.
--- a/crates/swiftshunt-scheduler/src/listed.rs
+++ b/crates/swiftshunt-scheduler/src/listed.rs
@@ -1,11 +1,12 @@
 //! Which workers a node knows: those that the directory lists, and for a short while those whose entries
 //! lapsed while the log was away.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::candidate::Candidate;
-use crate::directory::{WorkerEntry, WorkerLife};
+use crate::directory::WorkerEntry;
 use crate::selection::Selector;
 
 /// What became of workers that the directory no longer lists.
@@ -17,26 +18,21 @@
     pub lapsed: Vec<String>,
 }
 
-/// How a life stands to the one that is known of the same worker.
-enum Life {
-    /// It is that one, or none is known.
-    Same,
-    /// It came later, and that one, of this incarnation, has ended.
-    Later(String),
-    /// It had ended before that one began.
-    Earlier,
-    /// Its start is not told: it is taken for that one, of this incarnation.
-    Untold(String),
-}
-
 impl Selector {
     /// Takes an entry of the directory; gives whether its availability or address is new.
     pub fn apply(&mut self, mut entry: WorkerEntry, now: Duration) -> bool {
-        match self.compare_lives(&entry.life) {
-            Life::Earlier => return false,
-            Life::Later(ended) => self.remove(&ended),
-            Life::Untold(known) => entry.incarnation = known,
-            Life::Same => {}
+        if let Some(known) = self.known(&entry.life.id) {
+            let WorkerEntry {
+                life, incarnation, ..
+            } = &known.entry;
+            match entry.life.compare(life) {
+                Ordering::Less => return false,
+                Ordering::Greater => self.remove(&incarnation.clone()),
+                Ordering::Equal => {
+                    entry.life.clone_from(life);
+                    entry.incarnation.clone_from(incarnation);
+                }
+            }
         }
         let memory = self.memory_tokens(&entry.service);
         if let Some(known) = self.candidates.get_mut(&entry.incarnation) {
@@ -54,19 +50,14 @@
         true
     }
 
-    /// How a life stands to the one that is known under its identifier.
-    fn compare_lives(&self, life: &WorkerLife) -> Life {
-        let Some(known) = self.incarnations.get(&life.id) else {
-            return Life::Same;
-        };
-        let candidate = self.candidates.get(known);
-        let known_start = candidate.and_then(|candidate| candidate.entry.life.started_unix_ms);
-        match (known_start, life.started_unix_ms) {
-            (Some(_), None) => Life::Untold(known.clone()),
-            (before, after) if after > before => Life::Later(known.clone()),
-            (before, after) if after < before => Life::Earlier,
-            _ => Life::Same,
-        }
+    /// What is known of a worker's life.
+    fn known(&self, id: &str) -> Option<&Candidate> {
+        self.candidates.get(self.incarnations.get(id)?)
+    }
+
+    /// The incarnation of a worker's life that is known.
+    pub fn incarnation(&self, id: &str) -> Option<&str> {
+        self.incarnations.get(id).map(String::as_str)
     }
 
     /// Removes a worker, and all that is believed of it.
@@ -79,13 +70,17 @@
     /// Whether an entry says something that matters for a choice and is not known; entries are written
     /// anew every second or so, and most of them say nothing new.
     pub fn is_news(&self, entry: &WorkerEntry) -> bool {
-        if matches!(self.compare_lives(&entry.life), Life::Earlier) {
-            return false;
-        }
-        let Some(known) = self.candidates.get(&entry.incarnation) else {
+        let Some(known) = self.known(&entry.life.id) else {
             return true;
         };
+        match entry.life.compare(&known.entry.life) {
+            Ordering::Less => return false,
+            Ordering::Greater => return true,
+            Ordering::Equal => {}
+        }
         let before = WorkerEntry {
+            life: entry.life.clone(),
+            incarnation: entry.incarnation.clone(),
             cold_left: entry.cold_left,
             ..known.entry.clone()
         };
--- a/crates/swiftshunt-scheduler/tests/listed.rs
+++ b/crates/swiftshunt-scheduler/tests/listed.rs
@@ -236,3 +236,26 @@
     assert!(selector.is_empty());
     assert!(selector.apply(started("s", 0, Some(1_000)), START));
 }
+
+/// Such an entry leaves the life its start: the next one that tells it is no restart, and an earlier life is
+/// known for that.
+#[test]
+fn an_entry_without_a_start_takes_none_away() {
+    let mut selector = Selector::new("z");
+    selector.apply(started("s", 0, Some(2_000)), START);
+    let chosen = selector.choose("s", &DEMAND, &[], START).expect("a worker");
+    for _ in 0..4 {
+        selector.sent(&chosen, &DEMAND, START);
+    }
+    assert!(!selector.is_news(&entry("s", 0)));
+    assert!(!selector.apply(entry("s", 0), START));
+    assert_eq!(selector.incarnation("s0"), Some("s0@2000"));
+    assert!(!selector.is_news(&started("s", 0, Some(2_000))));
+    assert!(!selector.apply(started("s", 0, Some(2_000)), START));
+    assert!(
+        selector.is_full(&chosen.incarnation, START),
+        "its requests are forgotten"
+    );
+    assert!(!selector.apply(started("s", 0, Some(1_000)), START));
+    assert_eq!(selector.incarnation("s0"), Some("s0@2000"));
+}
