What a request is stands once; less work for items and for ends of workers

No change of behaviour meant. Outgoing repeated what Subject holds (caller, method, target, body): it keeps the Subject alone. An item that waits was made into a request, and its body digested while any end was known, each second anew: its Subject is made once. BrokenOff was a WorkerEnd without its worker, and turned into one later: it goes. The ends of a request were sorted twice. Three sums of tokens that must not turn over are one function (swiftshunt_types::total_tokens). Two loops of tests, and two racks, stand once; what was refused is now looked at after all tries instead of after each, which sees more.

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::http::response;
-use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
+use hyper::{HeaderMap, Request, StatusCode};
 use swiftshunt_scheduler::selection::{Chosen, Demand, Ending};
 
 use crate::beliefs::Beliefs;
@@ -16,7 +16,7 @@
 use crate::in_flight::InFlight;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::protocol::{AnswerFacts, Identity, Protocol, SendFacts};
+use crate::protocol::{AnswerFacts, Protocol, SendFacts};
 use crate::quarantine::{Quarantine, Subject};
 use crate::slots::Slots;
 use crate::upstream::{Sender, Upstream};
@@ -37,13 +37,8 @@
 #[derive(Clone)]
 pub(crate) struct Outgoing {
     pub(crate) id: Option<String>,
-    pub(crate) method: Method,
-    pub(crate) target: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
     pub(crate) demand: Demand,
-    /// For whom it runs.
-    pub(crate) identity: Identity,
     /// What it is, however often it is sent.
     pub(crate) subject: Subject,
 }
@@ -304,12 +299,12 @@
             worker: &chosen.id,
             deadline: patience.told_until.map(|until| until.saturating_sub(now)),
             last_event,
-            identity: &outgoing.identity,
+            identity: outgoing.subject.identity(),
         };
         self.protocol.address_worker(&mut headers, &facts);
-        let mut request = Request::new(Full::new(outgoing.body.clone()));
-        *request.method_mut() = outgoing.method.clone();
-        *request.uri_mut() = outgoing.target.clone();
+        let mut request = Request::new(Full::new(outgoing.subject.body().clone()));
+        *request.method_mut() = outgoing.subject.method().clone();
+        *request.uri_mut() = outgoing.subject.target().clone();
         *request.headers_mut() = headers;
         request
     }
--- a/crates/swiftshunt-gateway/src/batch/admission.rs
+++ b/crates/swiftshunt-gateway/src/batch/admission.rs
@@ -8,6 +8,7 @@
 use swiftshunt_jobs::JobSpec;
 use swiftshunt_routing::Route;
 use swiftshunt_scheduler::admission::{come_back_for_room, come_back_to_log};
+use swiftshunt_types::total_tokens;
 
 use super::Batch;
 use crate::answers::{CallerAnswer, not_run, too_many};
@@ -42,10 +43,7 @@
         let Some(limit) = route.waiting_tokens else {
             return Ok(());
         };
-        let tokens = spec
-            .items
-            .iter()
-            .fold(0, |sum: u64, item| sum.saturating_add(item.tokens));
+        let tokens = total_tokens(spec.items.iter().map(|item| item.tokens));
         let allowance = Allowance {
             route: route.name.clone(),
             tenant: spec.tenant.clone(),
--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -76,6 +76,8 @@
         let Some(item) = spec.items.get(id.index as usize) else {
             return;
         };
+        // Made once: its digest costs a look at the whole body.
+        let subject = subject(spec, item);
         loop {
             let route = self
                 .dispatcher
@@ -94,11 +96,11 @@
                 tokio::time::sleep(RETRY_PAUSE).await;
                 continue;
             }
-            let Some(outgoing) = self.outgoing(spec, item) else {
+            let Some(subject) = &subject else {
                 let reason = "it has no form as a request";
                 return self.settle(id, item, ItemOutcome::GivenUp, String::new(), reason);
             };
-            if let Some(held) = self.dispatcher.quarantine.holds(&outgoing.subject).await {
+            if let Some(held) = self.dispatcher.quarantine.holds(subject).await {
                 output.hold(id, item, held);
                 tokio::time::sleep(HELD_PAUSE).await;
                 continue;
@@ -117,7 +119,7 @@
                 continue;
             }
             let began = self.dispatcher.clock.now();
-            let attempt = self.attempt(id, item, &outgoing, &chosen, output).await;
+            let attempt = self.attempt(id, spec, item, subject, &chosen, output).await;
             output.ran += self.dispatcher.clock.now().saturating_sub(began);
             match attempt {
                 Attempt::Whole => {
@@ -211,11 +213,15 @@
     async fn attempt(
         &self,
         id: &ItemId,
+        spec: &JobSpec,
         item: &ItemSpec,
-        outgoing: &Outgoing,
+        subject: &Subject,
         chosen: &Chosen,
         output: &mut Output,
     ) -> Attempt {
+        let Some(outgoing) = self.outgoing(spec, item, subject) else {
+            return Attempt::Impossible;
+        };
         let interrupt = self.running.at_worker(id, Some(&chosen.incarnation));
         let now = self.dispatcher.clock.now();
         let patience = Patience {
@@ -226,7 +232,7 @@
         let run = async {
             let sent = self
                 .dispatcher
-                .send(chosen, outgoing, output.last_event, patience)
+                .send(chosen, &outgoing, output.last_event, patience)
                 .await;
             match sent {
                 Ok(answer) => self.read(answer, output).await,
@@ -253,31 +259,21 @@
         attempt
     }
 
-    fn outgoing(&self, spec: &JobSpec, item: &ItemSpec) -> Option<Outgoing> {
+    fn outgoing(&self, spec: &JobSpec, item: &ItemSpec, subject: &Subject) -> Option<Outgoing> {
         let protocol = &self.dispatcher.protocol;
         let facts = protocol.item_facts(item);
         let mut headers = protocol.item_headers(item);
         headers.insert("host", spec.host.parse().ok()?);
-        let identity = match &spec.tenant {
-            Some(tenant) => Identity::Tenant(tenant.clone()),
-            None => Identity::Unchecked,
-        };
-        let target = item.path.parse::<Uri>().ok()?;
-        let subject = Subject::new(&identity, &spec.host, &Method::POST, &target, &item.body);
         Some(Outgoing {
             id: Some(item.id.clone()),
-            method: Method::POST,
-            target,
             headers,
-            body: item.body.clone(),
             demand: Demand {
                 class: Class::Batch,
                 prompt: facts.prompt,
                 prompt_tokens: facts.prompt_tokens,
                 salt: rand::rng().next_u64(),
             },
-            identity,
-            subject,
+            subject: subject.clone(),
         })
     }
 
@@ -349,6 +345,23 @@
     }
 }
 
+/// What an item is, however often it is sent; none if its path is none.
+fn subject(spec: &JobSpec, item: &ItemSpec) -> Option<Subject> {
+    let identity = match &spec.tenant {
+        Some(tenant) => Identity::Tenant(tenant.clone()),
+        None => Identity::Unchecked,
+    };
+    let target = item.path.parse::<Uri>().ok()?;
+    let body = item.body.clone();
+    Some(Subject::new(
+        identity,
+        &spec.host,
+        Method::POST,
+        target,
+        body,
+    ))
+}
+
 /// Weight of a new run in the mean time of runs.
 const RUN_SMOOTHING: f64 = 0.1;
 
--- a/crates/swiftshunt-gateway/src/entry.rs
+++ b/crates/swiftshunt-gateway/src/entry.rs
@@ -259,16 +259,11 @@
         };
         let identity = Identity::from(&caller);
         let target = origin_form(&head.uri);
-        let subject = Subject::new(&identity, &route.host, &head.method, &target, &body);
         let outgoing = Outgoing {
             id: facts.id.clone(),
-            method: head.method,
-            target,
             headers,
-            body,
             demand,
-            identity,
-            subject,
+            subject: Subject::new(identity, &route.host, head.method, target, body),
         };
         Journey {
             route,
--- a/crates/swiftshunt-gateway/src/quarantine/ends.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/ends.rs
@@ -25,7 +25,6 @@
 /// Time for which a worker that was found to have ended is not looked at again: others of its requests break
 /// off a moment later.
 const ENDED_FOR: Duration = Duration::from_secs(2);
-
 /// Time for which it is remembered that requests broke off at a worker that takes connections: a worker that
 /// has started again lists itself at once, and that is read within two seconds.
 const DOUBTED_FOR: Duration = Duration::from_secs(5);
@@ -35,22 +34,15 @@
 /// A worker that takes connections, though requests broke off there.
 pub(super) struct Doubted {
     chosen: Chosen,
-    requests: Vec<BrokenOff>,
+    /// What has happened if it has ended.
+    ends: Vec<(Fingerprint, WorkerEnd)>,
     since: Duration,
 }
 
-/// A request that broke off at a worker.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct BrokenOff {
-    fingerprint: Fingerprint,
-    sent_unix_ms: u64,
-    ended_unix_ms: u64,
-}
-
 /// What is known of a worker at which requests broke off.
 pub(super) enum Check {
-    /// It is being looked at, for these requests.
-    UnderWay(Vec<BrokenOff>),
+    /// It is being looked at; this has happened if it has ended.
+    UnderWay(Vec<(Fingerprint, WorkerEnd)>),
     /// It has ended.
     Ended(Duration),
 }
@@ -63,20 +55,21 @@
         }
         let now = self.clock.now();
         let ended_unix_ms = Clock::unix_ms();
-        let broken_off = BrokenOff {
-            fingerprint: subject.fingerprint(),
+        let end = WorkerEnd {
+            worker: WorkerKey::of(&chosen.incarnation),
             sent_unix_ms: ended_unix_ms.saturating_sub(ago.as_millis() as u64),
             ended_unix_ms,
         };
+        let end = (subject.fingerprint(), end);
         let mut checks = lock(&self.checks);
         match checks.get_mut(&chosen.incarnation) {
-            Some(Check::UnderWay(requests)) => requests.push(broken_off),
+            Some(Check::UnderWay(ends)) => ends.push(end),
             Some(Check::Ended(at)) if now < *at + ENDED_FOR => {
                 drop(checks);
-                self.ended(chosen, &[broken_off]);
+                self.ended(chosen, &[end]);
             }
             Some(Check::Ended(_)) | None => {
-                let check = Check::UnderWay(vec![broken_off]);
+                let check = Check::UnderWay(vec![end]);
                 checks.insert(chosen.incarnation.clone(), check);
                 tokio::spawn(Arc::clone(self).check(chosen.clone()));
             }
@@ -86,9 +79,7 @@
     /// Whether the word is awaited on a worker at which a request broke off.
     pub(super) fn is_being_checked(&self, fingerprint: &Fingerprint) -> bool {
         lock(&self.checks).values().any(|check| match check {
-            Check::UnderWay(requests) => requests
-                .iter()
-                .any(|broken_off| broken_off.fingerprint == *fingerprint),
+            Check::UnderWay(ends) => ends.iter().any(|(request, _)| request == fingerprint),
             Check::Ended(_) => false,
         })
     }
@@ -117,25 +108,25 @@
             }
             checked
         };
-        if let Some(Check::UnderWay(requests)) = checked {
+        if let Some(Check::UnderWay(ends)) = checked {
             if has_ended {
                 self.metrics.workers_ended.inc();
-                self.ended(&chosen, &requests);
+                self.ended(&chosen, &ends);
             } else {
-                self.doubt(chosen, requests);
+                self.doubt(chosen, ends);
             }
         }
         self.checked.notify_waiters();
     }
 
-    fn doubt(&self, chosen: Chosen, requests: Vec<BrokenOff>) {
+    fn doubt(&self, chosen: Chosen, ends: Vec<(Fingerprint, WorkerEnd)>) {
         let since = self.clock.now();
         let mut doubted = lock(&self.doubted);
         doubted.retain(|worker| since < worker.since + DOUBTED_FOR);
         if doubted.len() < MOST_DOUBTED {
             doubted.push(Doubted {
                 chosen,
-                requests,
+                ends,
                 since,
             });
         }
@@ -155,29 +146,17 @@
         for worker in ended {
             if now < worker.since + DOUBTED_FOR {
                 self.metrics.workers_ended.inc();
-                self.ended(&worker.chosen, &worker.requests);
+                self.ended(&worker.chosen, &worker.ends);
             }
         }
     }
 
     /// A worker ended while it ran requests.
-    fn ended(&self, chosen: &Chosen, requests: &[BrokenOff]) {
-        let worker = WorkerKey::of(&chosen.incarnation);
-        let ends: Vec<(Fingerprint, WorkerEnd)> = requests
-            .iter()
-            .map(|broken_off| {
-                let end = WorkerEnd {
-                    worker,
-                    sent_unix_ms: broken_off.sent_unix_ms,
-                    ended_unix_ms: broken_off.ended_unix_ms,
-                };
-                (broken_off.fingerprint, end)
-            })
-            .collect();
+    fn ended(&self, chosen: &Chosen, ends: &[(Fingerprint, WorkerEnd)]) {
         let fingerprints: Vec<Fingerprint> = ends.iter().map(|(request, _)| *request).collect();
         log::info!(worker = chosen.incarnation.as_str(), address = chosen.address.to_string().as_str(),
             fingerprints:? = fingerprints; "a worker ended while it ran requests");
-        self.saw(&ends);
+        self.saw(ends);
     }
 }
 
--- a/crates/swiftshunt-gateway/src/quarantine/mod.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/mod.rs
@@ -163,10 +163,9 @@
 
     /// Workers ended here while they ran requests.
     fn saw(&self, ends: &[(Fingerprint, WorkerEnd)]) {
-        for (fingerprint, end) in ends {
-            self.unrecorded.ended(*fingerprint, *end);
-            self.learn(fingerprint, *end);
-            let (fingerprint, end) = (*fingerprint, *end);
+        for (fingerprint, end) in ends.iter().copied() {
+            self.unrecorded.ended(fingerprint, end);
+            self.learn(&fingerprint, end);
             self.tell_collectors(fingerprint, QuarantineMessage::Ended { fingerprint, end });
         }
     }
--- a/crates/swiftshunt-gateway/src/quarantine/subject.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/subject.rs
@@ -1,5 +1,5 @@
-//! The fingerprint of a request on its way, made only when it is asked for: while no worker ends, no body is
-//! digested.
+//! What a request on its way is, and its fingerprint, made only when it is asked for: while no worker ends, no
+//! body is digested.
 
 use std::sync::{Arc, OnceLock};
 
@@ -25,22 +25,42 @@
 
 impl Subject {
     pub(crate) fn new(
-        identity: &Identity,
+        identity: Identity,
         host: &str,
-        method: &Method,
-        target: &Uri,
-        body: &Bytes,
+        method: Method,
+        target: Uri,
+        body: Bytes,
     ) -> Self {
         Self(Arc::new(Parts {
-            identity: identity.clone(),
+            identity,
             host: host.to_owned(),
-            method: method.clone(),
-            target: target.clone(),
-            body: body.clone(),
+            method,
+            target,
+            body,
             fingerprint: OnceLock::new(),
         }))
     }
 
+    /// For whom it runs.
+    pub(crate) fn identity(&self) -> &Identity {
+        &self.0.identity
+    }
+
+    /// Its method.
+    pub(crate) fn method(&self) -> &Method {
+        &self.0.method
+    }
+
+    /// Path and query.
+    pub(crate) fn target(&self) -> &Uri {
+        &self.0.target
+    }
+
+    /// Its body.
+    pub(crate) fn body(&self) -> &Bytes {
+        &self.0.body
+    }
+
     /// The digest, made at the first call.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
         let parts = &self.0;
--- a/crates/swiftshunt-jobs/src/fold.rs
+++ b/crates/swiftshunt-jobs/src/fold.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use swiftshunt_types::total_tokens;
+
 use crate::{JobRecord, JobSpec, Progress, Settled};
 
 /// A batch job.
@@ -211,8 +213,7 @@
             }
             let items = job.spec.items.iter().enumerate();
             let left = items.filter(|(index, _)| !job.is_settled(*index));
-            // A caller may say any number.
-            let tokens = left.fold(0, |sum: u64, (_, item)| sum.saturating_add(item.tokens));
+            let tokens = total_tokens(left.map(|(_, item)| item.tokens));
             (job.spec.as_ref(), tokens)
         })
     }
--- a/crates/swiftshunt-scheduler/src/quarantine/table.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/table.rs
@@ -79,10 +79,10 @@
         };
         let known = lives(known);
         let ends = known.len();
-        let own = known.iter().filter(|one| {
+        let own = known.into_iter().filter(|one| {
             one.lapses_at > now && !self.is_explained(request, &one.end.worker, ends)
         });
-        let mut lapses = self.moments(request, own.copied().collect());
+        let mut lapses = self.moments(request, own);
         lapses.sort_unstable();
         // Held until all but the two that lapse last have lapsed.
         let held_by = lapses.len().checked_sub(MOST_ENDS);
@@ -168,10 +168,14 @@
         })
     }
 
-    /// When those ends of a request lapse that count: of many that have another cause the first alone.
-    fn moments(&self, request: &Fingerprint, mut ends: Vec<KnownEnd>) -> Vec<Duration> {
-        ends.sort_by_key(|known| (known.end.ended_unix_ms, known.end.worker));
-        let mut counting: Vec<KnownEnd> = Vec::with_capacity(ends.len());
+    /// When those ends of a request, in their order, lapse that count: of many that have another cause the
+    /// first alone.
+    fn moments(
+        &self,
+        request: &Fingerprint,
+        ends: impl Iterator<Item = KnownEnd>,
+    ) -> Vec<Duration> {
+        let mut counting: Vec<KnownEnd> = Vec::new();
         for known in ends {
             let last = counting.last();
             let is_apart = last.is_none_or(|last| is_apart(&last.end, &known.end));
@@ -211,7 +215,7 @@
     }
 }
 
-/// The ends, one for each life: of one worker the later ones count whose request was sent after the one before
+/// The ends in their order, one for each life: of one worker the later ones count whose request was sent after the one before
 /// had ended, since what has ended runs nothing. A worker may start again under the name that it had.
 fn lives(known: &[KnownEnd]) -> Vec<KnownEnd> {
     let mut sorted = known.to_vec();
--- a/crates/swiftshunt-scheduler/src/waiting_tokens.rs
+++ b/crates/swiftshunt-scheduler/src/waiting_tokens.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use swiftshunt_types::total_tokens;
+
 /// Time in which an admitted job shows in the report of the partition that it lies in: an append, the
 /// read of it and a report.
 const ADMISSION_AGE: Duration = Duration::from_millis(1_500);
@@ -51,9 +53,7 @@
             .retain(|_, waiting| now < waiting.at + ADMISSION_AGE);
         let reported = self.partitions.values();
         let admitted = self.admitted.values();
-        reported
-            .chain(admitted)
-            .fold(0, |sum: u64, waiting| sum.saturating_add(waiting.tokens))
+        total_tokens(reported.chain(admitted).map(|waiting| waiting.tokens))
     }
 
     /// Admits a job of `tokens`, if they fit into `limit` together with what waits. The same job is
--- a/crates/swiftshunt-scheduler/tests/quarantine.rs
+++ b/crates/swiftshunt-scheduler/tests/quarantine.rs
@@ -40,6 +40,14 @@
     }
 }
 
+/// The first workers end at one moment; each ran a request that no other had.
+fn end_together(quarantine: &mut Quarantine, workers: u64) {
+    for worker in 0..workers {
+        let body = format!("rare-{worker}");
+        learn(quarantine, &body, [end(worker, 100 + worker)]);
+    }
+}
+
 fn is_held(quarantine: &Quarantine, body: &str) -> bool {
     quarantine.standing(&request(body), NOW) != Standing::Free
 }
@@ -131,13 +139,7 @@
 #[test]
 fn many_ends_of_one_moment_with_another_cause_are_one() {
     let mut quarantine = Quarantine::default();
-    for worker in 0..12 {
-        learn(
-            &mut quarantine,
-            &format!("rare-{worker}"),
-            [end(worker, 100 + worker)],
-        );
-    }
+    end_together(&mut quarantine, 12);
     learn(
         &mut quarantine,
         "popular",
@@ -156,13 +158,7 @@
 #[test]
 fn many_ends_of_one_moment_at_which_one_request_ran_are_its_own() {
     let mut quarantine = Quarantine::default();
-    for worker in 0..6 {
-        learn(
-            &mut quarantine,
-            &format!("rare-{worker}"),
-            [end(worker, 100 + worker)],
-        );
-    }
+    end_together(&mut quarantine, 6);
     learn(
         &mut quarantine,
         "harmful",
--- a/crates/swiftshunt-types/src/lib.rs
+++ b/crates/swiftshunt-types/src/lib.rs
@@ -6,6 +6,7 @@
 mod machines;
 mod priority;
 mod rate;
+mod tokens;
 
 pub use digest::{Digest, token_digest};
 pub use execution::{ErrorBody, ErrorEnvelope, ErrorKind, Execution, Failure};
@@ -16,6 +17,7 @@
 pub use machines::{Machine, MachineKind, MachineList, MachineState};
 pub use priority::Priority;
 pub use rate::RateLimit;
+pub use tokens::total_tokens;
 
 /// Time on the process's own monotonic clock, counted from the start of the process.
 ///
--- a/crates/swiftshunt/tests/gateway_quarantine.rs
+++ b/crates/swiftshunt/tests/gateway_quarantine.rs
@@ -14,6 +14,7 @@
 
 use gateway::{ExclusiveFleet, down, start, submit};
 use hyper::StatusCode;
+use swiftshunt_http::{HttpAnswer, HttpError};
 use swiftshunt_lab::platform::caller::{item_body, item_id};
 use swiftshunt_lab::platform::fleet::{
     ASK, ONCE, PlatformOptions, STREAM, STREAM_ONCE, eventually, first_configuration,
@@ -81,6 +82,30 @@
     }
 }
 
+/// Sends the harmful request again and again, to each gateway in turn and with a new identifier each time; gives
+/// the identifiers and what became of them.
+async fn try_in_turn(
+    fleet: &ExclusiveFleet,
+    path: &str,
+) -> Vec<(String, Result<HttpAnswer, HttpError>)> {
+    let mut tried = Vec::new();
+    for number in 0..TRIES {
+        let gateway = fleet.gateways[number % GATEWAYS].callers;
+        let id = format!("harmful-{number}");
+        let answer = fleet
+            .caller
+            .ask_with_body(gateway, path, &id, HARMFUL)
+            .await;
+        tried.push((id, answer));
+    }
+    tried
+}
+
+/// The status of an answer, if there is one.
+fn status_of(answer: &Result<HttpAnswer, HttpError>) -> Option<StatusCode> {
+    answer.as_ref().map(|answer| answer.status).ok()
+}
+
 /// Workers that have ended.
 fn ended(fleet: &ExclusiveFleet) -> usize {
     let workers = fleet.whole.iter().chain(&fleet.engines);
@@ -95,14 +120,8 @@
     for path in [ASK, ONCE, STREAM, STREAM_ONCE] {
         let fleet = fleet().await;
         let mut statuses = Vec::new();
-        for number in 0..TRIES {
-            let gateway = fleet.gateways[number % GATEWAYS].callers;
-            let id = format!("harmful-{number}");
-            let answer = fleet
-                .caller
-                .ask_with_body(gateway, path, &id, HARMFUL)
-                .await;
-            let status = answer.as_ref().map(|answer| answer.status).ok();
+        for (id, answer) in try_in_turn(&fleet, path).await {
+            let status = status_of(&answer);
             if status == Some(StatusCode::SERVICE_UNAVAILABLE) {
                 let headers = &answer.expect("an answer").headers;
                 assert!(headers.contains_key("retry-after"), "{path} {id}");
@@ -186,16 +205,8 @@
     for gateway in &fleet.gateways {
         gateway.door.set(down());
     }
-    let mut statuses = Vec::new();
-    for number in 0..TRIES {
-        let gateway = fleet.gateways[number % GATEWAYS].callers;
-        let id = format!("harmful-{number}");
-        let answer = fleet
-            .caller
-            .ask_with_body(gateway, STREAM_ONCE, &id, HARMFUL)
-            .await;
-        statuses.push(answer.map(|answer| answer.status).ok());
-    }
+    let tried = try_in_turn(&fleet, STREAM_ONCE).await;
+    let statuses: Vec<_> = tried.iter().map(|(_, answer)| status_of(answer)).collect();
     println!("{} workers ended, {statuses:?}", ended(&fleet));
     assert!(ended(&fleet) <= MOST_ENDS, "{}", ended(&fleet));
     for gateway in &fleet.gateways {
