--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{HeaderMap, Request, StatusCode};
+use swiftshunt_scheduler::offers::Withheld;
 use swiftshunt_scheduler::selection::{Chosen, Demand, Ending};
 
 use crate::beliefs::Beliefs;
@@ -64,6 +65,12 @@
         /// How many.
         ends: usize,
     },
+    /// The worker may not be offered it: no byte was sent.
+    #[display("not sent: {why}")]
+    Withheld {
+        /// Why.
+        why: Withheld,
+    },
     /// No byte was sent.
     #[display("not sent: {reason}")]
     NotSent {
@@ -95,7 +102,10 @@
     pub(crate) fn did_not_run(&self) -> bool {
         matches!(
             self,
-            Self::Held { .. } | Self::NotSent { .. } | Self::Declined { .. }
+            Self::Held { .. }
+                | Self::Withheld { .. }
+                | Self::NotSent { .. }
+                | Self::Declined { .. }
         )
     }
 }
@@ -174,6 +184,7 @@
         if let Some(held) = self.quarantine.holds(&outgoing.subject).await {
             return Err(SendFailure::Held { ends: held.ends });
         }
+        self.may_offer(chosen, outgoing)?;
         let mut in_flight = InFlight::new(self, chosen, outgoing);
         let prompt = &outgoing.demand.prompt;
         let missing = chosen.missing_tokens;
@@ -272,6 +283,7 @@
                 reason: "the time was over before it was sent".to_owned(),
             });
         }
+        self.may_offer(chosen, outgoing)?;
         let request = self.request(chosen, outgoing, last_event, patience);
         match sender.try_send_request(request).await {
             Ok(response) => Ok((response, sender)),
@@ -286,6 +298,17 @@
         }
     }
 
+    /// Whether the worker may still be offered the request: it was chosen a moment ago.
+    fn may_offer(&self, chosen: &Chosen, outgoing: &Outgoing) -> Result<(), SendFailure> {
+        let selector = self.beliefs.selector();
+        let offered = selector.may_offer(&chosen.incarnation, &outgoing.demand.residency);
+        offered.map_err(|why| {
+            log::info!(request = outgoing.id.as_deref().unwrap_or(""),
+                worker = chosen.incarnation.as_str(), why:% = why; "a send is withheld");
+            SendFailure::Withheld { why }
+        })
+    }
+
     fn request(
         &self,
         chosen: &Chosen,
@@ -363,7 +386,7 @@
 
 fn ending_of(failure: &SendFailure) -> Ending {
     match failure {
-        SendFailure::Held { .. } => Ending::Withdrawn,
+        SendFailure::Held { .. } | SendFailure::Withheld { .. } => Ending::Withdrawn,
         SendFailure::NotSent { .. } => Ending::Unreachable,
         SendFailure::Declined { .. } => Ending::TurnedAway,
         SendFailure::Broken { .. } => Ending::Broken,
@@ -374,6 +397,7 @@
 fn name_of(failure: &SendFailure) -> &'static str {
     match failure {
         SendFailure::Held { .. } => "held",
+        SendFailure::Withheld { .. } => "withheld",
         SendFailure::NotSent { .. } => "not_sent",
         SendFailure::Declined { .. } => "declined",
         SendFailure::Broken { .. } => "broken",
--- a/crates/swiftshunt-gateway/src/batch/admission.rs
+++ b/crates/swiftshunt-gateway/src/batch/admission.rs
@@ -12,8 +12,9 @@
 
 use super::Batch;
 use crate::answers::{CallerAnswer, not_run, too_many};
+use crate::messages::waiting::Allowance;
 use crate::metrics::Refusal;
-use crate::waiting_limits::{Allowance, REPORT_EVERY};
+use crate::waiting_limits::REPORT_EVERY;
 
 /// What waits of an allowance, by partition.
 type Waiting = BTreeMap<u32, u64>;
--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -9,8 +9,10 @@
 use hyper::{Method, Uri};
 use rand::RngCore;
 use swiftshunt_jobs::{ItemOutcome, ItemSpec, JobSpec, Progress, Settled};
+use swiftshunt_routing::Route;
 use swiftshunt_scheduler::selection::{Chosen, Class, Demand, Ending};
 use swiftshunt_scheduler::slots::ItemTimes;
+use swiftshunt_topology::Residency;
 
 use super::Batch;
 use crate::attempt::{Answer, Outgoing, Patience, SendFailure};
@@ -106,11 +108,13 @@
                 continue;
             }
             output.is_held = false;
+            let residency = self.residency(&route, spec);
             let service = self.dispatcher.beliefs.next_service(&route);
             let needs = self.item_time.expected().saturating_sub(output.ran);
             self.running.needs(id, needs);
             let times = ItemTimes { needs, ..times };
-            let slot = self.dispatcher.slots.wait_for_slot(&service, times);
+            let slots = &self.dispatcher.slots;
+            let slot = slots.wait_for_slot(&service, times, &residency);
             // The route may change or the item's time be over while it waits.
             let Ok(chosen) = tokio::time::timeout(LONGEST_WAIT, slot).await else {
                 continue;
@@ -119,7 +123,11 @@
                 continue;
             }
             let began = self.dispatcher.clock.now();
-            let attempt = self.attempt(id, spec, item, subject, &chosen, output).await;
+            let Some(outgoing) = self.outgoing(spec, item, subject, residency) else {
+                let reason = "it has no form as a request";
+                return self.settle(id, item, ItemOutcome::GivenUp, String::new(), reason);
+            };
+            let attempt = self.attempt(id, &outgoing, &chosen, output).await;
             output.ran += self.dispatcher.clock.now().saturating_sub(began);
             match attempt {
                 Attempt::Whole => {
@@ -213,15 +221,11 @@
     async fn attempt(
         &self,
         id: &ItemId,
-        spec: &JobSpec,
-        item: &ItemSpec,
-        subject: &Subject,
+        outgoing: &Outgoing,
         chosen: &Chosen,
         output: &mut Output,
     ) -> Attempt {
-        let Some(outgoing) = self.outgoing(spec, item, subject) else {
-            return Attempt::Impossible;
-        };
+        let item = outgoing.id.as_deref().unwrap_or("");
         let interrupt = self.running.at_worker(id, Some(&chosen.incarnation));
         let now = self.dispatcher.clock.now();
         let patience = Patience {
@@ -232,12 +236,12 @@
         let run = async {
             let sent = self
                 .dispatcher
-                .send(chosen, &outgoing, output.last_event, patience)
+                .send(chosen, outgoing, output.last_event, patience)
                 .await;
             match sent {
                 Ok(answer) => self.read(answer, output).await,
                 Err(failure) => {
-                    log::debug!(item = item.id.as_str(), failure:% = failure; "an item's send failed");
+                    log::debug!(item, failure:% = failure; "an item's send failed");
                     if failure.did_not_run() {
                         Attempt::NotTaken
                     } else {
@@ -252,14 +256,28 @@
         };
         self.running.at_worker(id, None);
         if !matches!(attempt, Attempt::Whole) {
-            log::info!(job = id.job.as_str(), item = item.id.as_str(),
+            log::info!(job = id.job.as_str(), item,
                 worker = chosen.incarnation.as_str(), attempt:? = attempt,
                 last_event:? = output.last_event; "an item's attempt ended");
         }
         attempt
     }
 
-    fn outgoing(&self, spec: &JobSpec, item: &ItemSpec, subject: &Subject) -> Option<Outgoing> {
+    /// Where the items of a job may be handled, by the configuration in force.
+    fn residency(&self, route: &Route, spec: &JobSpec) -> Residency {
+        let configuration = self.dispatcher.beliefs.configuration();
+        configuration.map_or_else(Residency::anywhere, |configuration| {
+            configuration.residency_of(route, spec.tenant.as_ref())
+        })
+    }
+
+    fn outgoing(
+        &self,
+        spec: &JobSpec,
+        item: &ItemSpec,
+        subject: &Subject,
+        residency: Residency,
+    ) -> Option<Outgoing> {
         let protocol = &self.dispatcher.protocol;
         let facts = protocol.item_facts(item);
         let mut headers = protocol.item_headers(item);
@@ -271,6 +289,7 @@
                 class: Class::Batch,
                 prompt: facts.prompt,
                 prompt_tokens: facts.prompt_tokens,
+                residency,
                 salt: rand::rng().next_u64(),
             },
             subject: subject.clone(),
--- a/crates/swiftshunt-gateway/src/entry.rs
+++ b/crates/swiftshunt-gateway/src/entry.rs
@@ -255,6 +255,7 @@
             class: Class::Online,
             prompt: facts.prompt.clone(),
             prompt_tokens: facts.prompt_tokens,
+            residency: Configuration::residency(&route, &caller),
             salt: rand::rng().next_u64(),
         };
         let identity = Identity::from(&caller);
--- a/crates/swiftshunt-gateway/src/followers.rs
+++ b/crates/swiftshunt-gateway/src/followers.rs
@@ -14,7 +14,7 @@
 use crate::directory_news::DirectoryNews;
 use crate::followed::{Away, Followed, Pace};
 use crate::metrics::Metrics;
-use crate::protocol::Protocol;
+use crate::protocol::{OperatorRecord, Protocol};
 use crate::quarantine::Quarantine;
 use crate::settings::DirectorySettings;
 use crate::tails::Tails;
@@ -57,13 +57,38 @@
                 self.beliefs.confirm(self.clock.now());
             }
             for change in changes.unwrap_or_default() {
-                if let Change::Set(record) = change {
-                    self.take_configuration(&record.key, &record.value);
-                }
+                self.take_operator_record(&change);
             }
         }
     }
 
+    /// Takes a change of what operators have written.
+    fn take_operator_record(&self, change: &Change) {
+        let (key, value) = match change {
+            Change::Set(record) => (&record.key, Some(&record.value)),
+            Change::Dropped(key) => (key, None),
+        };
+        match (self.protocol.operator_record(key), value) {
+            (OperatorRecord::Configuration, Some(value)) => self.take_configuration(key, value),
+            (OperatorRecord::Evacuation { zone }, Some(_)) => self.evacuate(&zone),
+            (OperatorRecord::Evacuation { zone }, None) => self.withdraw_evacuation(&zone),
+            (OperatorRecord::Configuration, None) | (OperatorRecord::Other, _) => {}
+        }
+    }
+
+    fn evacuate(&self, zone: &str) {
+        if self.beliefs.selector().evacuate(zone, self.clock.now()) {
+            log::warn!(zone; "a zone is evacuated: its workers get nothing new");
+        }
+    }
+
+    fn withdraw_evacuation(&self, zone: &str) {
+        let mut selector = self.beliefs.selector();
+        if selector.withdraw_evacuation(zone, self.clock.now()) {
+            log::warn!(zone; "the evacuation of a zone is withdrawn");
+        }
+    }
+
     fn take_configuration(&self, key: &[u8], value: &[u8]) {
         let configuration = match self.protocol.configuration(key, value) {
             Ok(Some(configuration)) => configuration,
--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 use derive_more::{Display, Error};
 use swiftshunt_journal::Log;
 use swiftshunt_scheduler::selection::Selector;
+use swiftshunt_topology::TopologyError;
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 
@@ -35,14 +36,20 @@
 
 /// Why a gateway did not start.
 #[derive(Debug, Display, Error)]
-#[display("{field}: cannot listen on {address}: {source}")]
-pub struct StartError {
-    /// The setting.
-    pub field: &'static str,
-    /// The address.
-    pub address: SocketAddr,
-    /// The system's reason.
-    pub source: std::io::Error,
+pub enum StartError {
+    /// An address cannot be listened on.
+    #[display("{field}: cannot listen on {address}: {source}")]
+    Listen {
+        /// The setting.
+        field: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// The system's reason.
+        source: std::io::Error,
+    },
+    /// The zones of the settings make no topology.
+    #[display("{_0}")]
+    Topology(TopologyError),
 }
 
 /// A gateway that runs.
@@ -76,7 +83,7 @@
     ) -> Result<Self, StartError> {
         let settings = Arc::new(settings);
         let bind = |field, address| {
-            listen(address).map_err(|source| StartError {
+            listen(address).map_err(|source| StartError::Listen {
                 field,
                 address,
                 source,
@@ -93,14 +100,15 @@
         let metrics_listener = metrics_listener.transpose()?;
         let clock = Clock::start();
         let metrics = Arc::new(Metrics::new());
-        let selector = Selector::new(&settings.zone);
+        let topology = settings.topology().map_err(StartError::Topology)?;
+        let selector = Selector::at(topology.clone());
         let beliefs = Arc::new(Beliefs::new(selector));
-        let notices = bind_datagrams(peers_address).map_err(|source| StartError {
+        let notices = bind_datagrams(peers_address).map_err(|source| StartError::Listen {
             field: "listen.peers",
             address: peers_address,
             source,
         })?;
-        let members = Arc::new(Members::new(peers_address, clock));
+        let members = Arc::new(Members::new(peers_address, topology, clock));
         let datagrams = Arc::new(Datagrams::new(notices, Arc::clone(&metrics)));
         let unreadable = Arc::new(UnreadableRecords::new(Arc::clone(&metrics), clock));
         let others = Arc::new(Peers::new(
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod listing;
 mod log_relay;
 mod members;
+mod messages;
 mod metrics;
 mod online;
 mod own_failures;
--- a/crates/swiftshunt-gateway/src/members.rs
+++ b/crates/swiftshunt-gateway/src/members.rs
@@ -8,7 +8,8 @@
 
 use swiftshunt_scheduler::readers::first_ranked;
 use swiftshunt_scheduler::slots::cell::{Cell, owner};
-use swiftshunt_types::TenantName;
+use swiftshunt_topology::{Distance, Topology};
+use swiftshunt_types::{RegionName, TenantName};
 
 use crate::beliefs::lock;
 use crate::clock::Clock;
@@ -49,27 +50,42 @@
     }
 }
 
+/// A gateway that is listed.
+struct Listed {
+    /// When it was listed last.
+    at: Duration,
+    /// Its zone, if it has told.
+    zone: Option<String>,
+}
+
 #[derive(Default)]
 struct Known {
-    /// When each was listed last.
-    listed: HashMap<SocketAddr, Duration>,
+    listed: HashMap<SocketAddr, Listed>,
     doubts: HashMap<SocketAddr, Doubt>,
     heard_at: HashMap<SocketAddr, Duration>,
     /// Whether the list was read.
     is_read: bool,
 }
 
+impl Known {
+    fn zone_of(&self, gateway: &SocketAddr) -> Option<&str> {
+        self.listed.get(gateway)?.zone.as_deref()
+    }
+}
+
 /// The gateways.
 pub(crate) struct Members {
     own: SocketAddr,
+    topology: Topology,
     clock: Clock,
     known: Mutex<Known>,
 }
 
 impl Members {
-    pub(crate) fn new(own: SocketAddr, clock: Clock) -> Self {
+    pub(crate) fn new(own: SocketAddr, topology: Topology, clock: Clock) -> Self {
         Self {
             own,
+            topology,
             clock,
             known: Mutex::default(),
         }
@@ -102,21 +118,57 @@
         }
         let mut known = lock(&self.known);
         if is_there {
-            return known.listed.insert(gateway, self.clock.now()).is_none();
+            let at = self.clock.now();
+            let before = known.listed.get_mut(&gateway);
+            let is_new = before.is_none();
+            match before {
+                Some(listed) => listed.at = at,
+                None => drop(known.listed.insert(gateway, Listed { at, zone: None })),
+            }
+            return is_new;
         }
         known.doubts.remove(&gateway);
         known.heard_at.remove(&gateway);
         known.listed.remove(&gateway).is_some()
     }
 
+    /// A listed gateway tells its zone.
+    pub(crate) fn stands_in(&self, gateway: SocketAddr, zone: &str) {
+        if let Some(listed) = lock(&self.known).listed.get_mut(&gateway) {
+            listed.zone = Some(zone.to_owned());
+        }
+    }
+
+    /// This gateway's place, and where zones are.
+    pub(crate) fn topology(&self) -> &Topology {
+        &self.topology
+    }
+
+    /// The zone of a gateway, if it is known.
+    pub(crate) fn zone_of(&self, gateway: SocketAddr) -> Option<String> {
+        if gateway == self.own {
+            return Some(self.topology.own_zone().to_owned());
+        }
+        lock(&self.known).zone_of(&gateway).map(str::to_owned)
+    }
+
+    /// How far a gateway is; one whose zone is not known yet counts as far where there are several regions.
+    pub(crate) fn distance_to(&self, gateway: SocketAddr) -> Distance {
+        let zone = self.zone_of(gateway).unwrap_or_default();
+        self.topology.distance_to(&zone)
+    }
+
     /// Forgets gateways that have not listed themselves for long.
     pub(crate) fn forget_old(&self) {
         let now = self.clock.now();
         let mut known = lock(&self.known);
-        known.listed.retain(|_, at| now < *at + FORGOTTEN_AFTER);
+        known
+            .listed
+            .retain(|_, listed| now < listed.at + FORGOTTEN_AFTER);
     }
 
-    /// The gateway that owns a cell, among this one and the others that answer.
+    /// The gateway that owns a cell, among this one and the others that answer: one of its region, as long as
+    /// one is known there.
     pub(crate) fn owner(&self, cell: &Cell) -> SocketAddr {
         let now = self.clock.now();
         let known = lock(&self.known);
@@ -124,7 +176,22 @@
             let doubt = known.doubts.get(gateway);
             doubt.is_none_or(|doubt| doubt.until <= now)
         });
-        owner(cell, there.chain([self.own])).unwrap_or(self.own)
+        let there: Vec<SocketAddr> = there.chain([self.own]).collect();
+        let is_near = |gateway: &SocketAddr| self.is_in(&known, *gateway, cell.region.as_ref());
+        let near = owner(cell, there.iter().copied().filter(is_near));
+        near.or_else(|| owner(cell, there)).unwrap_or(self.own)
+    }
+
+    /// Whether a gateway stands in a region; all do where there is one alone.
+    fn is_in(&self, known: &Known, gateway: SocketAddr, region: Option<&RegionName>) -> bool {
+        let Some(region) = region else {
+            return true;
+        };
+        if gateway == self.own {
+            return self.topology.own_region() == Some(region);
+        }
+        let zone = known.zone_of(&gateway);
+        zone.and_then(|zone| self.topology.region_of(zone)) == Some(region)
     }
 
     /// How many gateways there are, this one included.
--- a/crates/swiftshunt-gateway/src/peers.rs
+++ b/crates/swiftshunt-gateway/src/peers.rs
@@ -15,19 +15,20 @@
 use serde::{Deserialize, Serialize};
 use swiftshunt_journal::{Change, Log, Topic};
 use swiftshunt_scheduler::limits::TokenBucket;
-use swiftshunt_scheduler::residency::PromptPart;
+use swiftshunt_scheduler::prompt_memory::PromptPart;
 
 use crate::beliefs::{Beliefs, lock};
 use crate::clock::Clock;
 use crate::datagrams::{DATAGRAM_BYTES, Datagrams};
 use crate::followed::{Away, Followed, Pace};
 use crate::members::Members;
+use crate::messages::Notice;
 use crate::metrics::Metrics;
-use crate::quarantine::{Quarantine, QuarantineMessage};
-use crate::rates::{RateMessage, Rates};
-use crate::slots::{SlotMessage, Slots};
+use crate::quarantine::Quarantine;
+use crate::rates::Rates;
+use crate::slots::Slots;
 use crate::unreadable::UnreadableRecords;
-use crate::waiting_limits::{WaitingLimits, WaitingMessage};
+use crate::waiting_limits::WaitingLimits;
 
 /// Reading time from which others are told of a prompt.
 const WORTH_TELLING: Duration = Duration::from_millis(25);
@@ -59,33 +60,6 @@
 /// Pause after a socket error.
 const SOCKET_PAUSE: Duration = Duration::from_millis(100);
 
-/// What one gateway tells another.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) enum Notice {
-    /// A long prompt is on its way to a worker.
-    Reading {
-        /// The worker's incarnation.
-        worker: String,
-        /// Tokens that it is expected to read.
-        missing: u64,
-        /// The beginning of the prompt.
-        parts: Vec<PromptPart>,
-    },
-    /// The sender has started and reaches the log: others may not have heard of it.
-    Here {
-        /// Where it is listed.
-        from: SocketAddr,
-    },
-    /// About slots that requests and batch items share.
-    Slots(SlotMessage),
-    /// About limits of what waits on batch routes.
-    Waiting(WaitingMessage),
-    /// About limits of tenants' requests.
-    Rate(RateMessage),
-    /// About requests that end their workers.
-    Quarantine(QuarantineMessage),
-}
-
 /// Who takes which messages.
 pub(crate) struct Receivers {
     pub(crate) slots: Arc<Slots>,
@@ -94,6 +68,28 @@
     pub(crate) quarantine: Arc<Quarantine>,
 }
 
+/// What a gateway lists of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct GatewayRecord {
+    /// Its zone.
+    zone: String,
+}
+
+impl GatewayRecord {
+    fn encoded(&self) -> Bytes {
+        let mut value = Vec::new();
+        if let Err(error) = ciborium::into_writer(self, &mut value) {
+            log::error!("a gateway's record has no form: {error}");
+        }
+        value.into()
+    }
+
+    /// None where a gateway lists nothing of itself: it is there all the same.
+    fn decoded(value: &[u8]) -> Option<Self> {
+        ciborium::from_reader(value).ok()
+    }
+}
+
 /// Gateways that said that they have started, since the last line on them.
 #[derive(Default)]
 struct Starts {
@@ -223,8 +219,11 @@
                 let mut selector = self.beliefs.selector();
                 selector.sent_by_another(&worker, &parts, missing, now);
             }
-            Notice::Here { from } => {
+            Notice::Here { from, zone } => {
                 self.members.list(from, true);
+                if let Some(zone) = zone {
+                    self.members.stands_in(from, &zone);
+                }
                 self.tell_of_start(from);
             }
             Notice::Slots(message) => receivers.slots.take(message, from),
@@ -254,7 +253,10 @@
     /// Lists this gateway for as long as the process lives.
     pub(crate) async fn keep_listed(self: Arc<Self>, log: Arc<dyn Log>) {
         loop {
-            let appended = log.append(Topic::Gateways, 0, vec![self.record("there")]);
+            let record = GatewayRecord {
+                zone: self.members.topology().own_zone().to_owned(),
+            };
+            let appended = log.append(Topic::Gateways, 0, vec![self.record(record.encoded())]);
             let pause = match appended.await {
                 swiftshunt_journal::AppendOutcome::Done { .. } => LISTED_EVERY,
                 _ => LIST_AGAIN,
@@ -265,13 +267,13 @@
 
     /// Takes this gateway from the list; without success it is forgotten by its silence.
     pub(crate) async fn unlist(&self, log: &dyn Log) {
-        let appended = log.append(Topic::Gateways, 0, vec![self.record("")]);
+        let appended = log.append(Topic::Gateways, 0, vec![self.record(Bytes::new())]);
         log::debug!(outcome:? = appended.await; "this gateway is no longer listed");
     }
 
-    fn record(&self, value: &'static str) -> (Vec<u8>, Bytes) {
+    fn record(&self, value: Bytes) -> (Vec<u8>, Bytes) {
         let key = self.members.own().to_string().into_bytes();
-        (key, Bytes::from_static(value.as_bytes()))
+        (key, value)
     }
 
     /// Follows the list of gateways for as long as the process lives.
@@ -286,8 +288,10 @@
                 let is_news = self.apply(changes);
                 self.members.list_is_read();
                 if !is_known {
-                    let from = self.members.own();
-                    self.send(&Notice::Here { from });
+                    self.send(&Notice::Here {
+                        from: self.members.own(),
+                        zone: Some(self.members.topology().own_zone().to_owned()),
+                    });
                     is_known = true;
                 }
                 tokio::time::sleep(if is_news { GATHER } else { CALM_GATHER }).await;
@@ -299,12 +303,17 @@
     fn apply(&self, changes: Vec<Change>) -> bool {
         let mut is_news = false;
         for change in changes {
-            let (key, is_there) = match change {
-                Change::Set(record) => (record.key, true),
-                Change::Dropped(key) => (key, false),
+            let (key, value) = match change {
+                Change::Set(record) => (record.key, Some(record.value)),
+                Change::Dropped(key) => (key, None),
             };
             match String::from_utf8_lossy(&key).parse::<SocketAddr>() {
-                Ok(address) => is_news |= self.members.list(address, is_there),
+                Ok(address) => {
+                    is_news |= self.members.list(address, value.is_some());
+                    if let Some(record) = value.as_deref().and_then(GatewayRecord::decoded) {
+                        self.members.stands_in(address, &record.zone);
+                    }
+                }
                 Err(error) => self.unreadable.passed_over(Topic::Gateways, &key, &error),
             }
         }
--- a/crates/swiftshunt-gateway/src/protocol.rs
+++ b/crates/swiftshunt-gateway/src/protocol.rs
@@ -10,7 +10,7 @@
 use swiftshunt_jobs::{ItemSpec, JobSpec, Page};
 use swiftshunt_routing::{Caller, Configuration, Credentials};
 use swiftshunt_scheduler::directory::WorkerEntry;
-use swiftshunt_scheduler::residency::PromptPart;
+use swiftshunt_scheduler::prompt_memory::PromptPart;
 use swiftshunt_scheduler::selection::ToldLoad;
 use swiftshunt_types::TenantName;
 
@@ -130,6 +130,8 @@
     pub load: Option<ToldLoad>,
     /// How long the connection may rest.
     pub keep_alive: Option<Duration>,
+    /// How much longer the worker is cold, if it says so.
+    pub cold_left: Option<Duration>,
 }
 
 /// A body in the platform's encoding.
@@ -148,6 +150,20 @@
     pub reason: String,
 }
 
+/// What a record of the operators is about, by its key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OperatorRecord {
+    /// The configuration.
+    Configuration,
+    /// A zone's workers are to get nothing for as long as the record is there.
+    Evacuation {
+        /// The zone.
+        zone: String,
+    },
+    /// Something else.
+    Other,
+}
+
 /// A platform's protocol.
 pub trait Protocol: Send + Sync {
     /// Sorts a caller's request.
@@ -172,6 +188,8 @@
     }
     /// Writes a page of results that begins at position `from`.
     fn job_page(&self, job: &JobSpec, page: &Page<'_>, from: usize) -> Encoded;
+    /// What a record of the operators is about.
+    fn operator_record(&self, key: &[u8]) -> OperatorRecord;
     /// Reads a configuration.
     fn configuration(&self, key: &[u8], value: &[u8]) -> Result<Option<Configuration>, Malformed>;
     /// Reads an entry of the directory.
--- a/crates/swiftshunt-gateway/src/quarantine/mod.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/mod.rs
@@ -8,7 +8,6 @@
 //! is sent, recorded or digested.
 
 mod ends;
-mod message;
 mod records;
 mod subject;
 
@@ -25,12 +24,12 @@
 use crate::clock::Clock;
 use crate::datagrams::Datagrams;
 use crate::members::Members;
+use crate::messages::Notice;
+use crate::messages::quarantine::QuarantineMessage;
 use crate::metrics::Metrics;
 use crate::own_failures::OwnFailures;
-use crate::peers::Notice;
 use crate::unreadable::UnreadableRecords;
 use ends::{Check, Doubted};
-pub(crate) use message::QuarantineMessage;
 use records::Unrecorded;
 pub(crate) use subject::Subject;
 
--- a/crates/swiftshunt-gateway/src/rates/counters.rs
+++ b/crates/swiftshunt-gateway/src/rates/counters.rs
@@ -13,13 +13,13 @@
 use swiftshunt_types::TenantName;
 
 use super::COUNTERS;
-use super::message::{CounterAnswer, RateMessage, VersionedLimit};
 use super::surroundings::{Surroundings, View};
 use crate::beliefs::lock;
 use crate::clock::Clock;
 use crate::datagrams::Datagrams;
 use crate::members::Members;
-use crate::peers::Notice;
+use crate::messages::Notice;
+use crate::messages::rates::{CounterAnswer, RateMessage, VersionedLimit};
 
 /// Time without a sign of life, though it was asked for, after which a gateway is gone: twice the way to
 /// and fro within a region and some standstill.
--- a/crates/swiftshunt-gateway/src/rates/mod.rs
+++ b/crates/swiftshunt-gateway/src/rates/mod.rs
@@ -2,7 +2,6 @@
 //! others ask it for credits ([`swiftshunt_scheduler::rates`]).
 
 mod counters;
-mod message;
 mod questions;
 mod surroundings;
 
@@ -22,10 +21,9 @@
 use crate::clock::Clock;
 use crate::datagrams::Datagrams;
 use crate::members::Members;
+use crate::messages::rates::VersionedLimit;
 use crate::metrics::{Metrics, RateAnswer};
 use counters::Counters;
-pub(crate) use message::RateMessage;
-use message::VersionedLimit;
 use questions::{Asked, Word};
 
 /// Pause before a gateway is asked again that is finding out whether it is to count.
--- a/crates/swiftshunt-gateway/src/rates/questions.rs
+++ b/crates/swiftshunt-gateway/src/rates/questions.rs
@@ -9,11 +9,11 @@
 use swiftshunt_scheduler::readers::weight;
 use swiftshunt_types::TenantName;
 
-use super::message::{CounterAnswer, RateMessage, VersionedLimit};
 use super::{COUNTERS, Rates};
 use crate::beliefs::lock;
+use crate::messages::Notice;
+use crate::messages::rates::{CounterAnswer, RateMessage, VersionedLimit};
 use crate::metrics::RateAnswer;
-use crate::peers::Notice;
 
 /// How long a counter's answer is waited for: a few times the way to and fro within a region.
 const ASK_PATIENCE: Duration = Duration::from_millis(20);
--- a/crates/swiftshunt-gateway/src/settings.rs
+++ b/crates/swiftshunt-gateway/src/settings.rs
@@ -1,11 +1,14 @@
 //! Settings of a gateway, checked.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use derive_more::{Display, Error};
 use serde::Deserialize;
 use swiftshunt_scheduler::rates::Tolerance;
+use swiftshunt_topology::{Topology, TopologyError};
+use swiftshunt_types::RegionName;
 
 /// The settings file. Durations are written like `2s` or `150ms`.
 #[derive(Clone, Debug, Deserialize)]
@@ -15,6 +18,9 @@
     pub name: String,
     /// The zone that it stands in.
     pub zone: String,
+    /// The zones of the deployment, and the region of each; one region where none is listed.
+    #[serde(default)]
+    pub zones: BTreeMap<String, RegionName>,
     /// Where to listen.
     pub listen: ListenSettings,
     /// The platform's log.
@@ -30,6 +36,12 @@
     /// Tenants' keys and limits.
     #[serde(default)]
     pub tenants: TenantSettings,
+    /// Workers that have just started.
+    #[serde(default)]
+    pub cold: ColdSettings,
+    /// Evacuation of zones.
+    #[serde(default)]
+    pub evacuation: EvacuationSettings,
     /// The planned stop.
     #[serde(default)]
     pub stop: StopSettings,
@@ -168,6 +180,43 @@
     }
 }
 
+/// Workers that have just started, and bear few requests a second for some time.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ColdSettings {
+    /// Requests that all gateways together may send to a cold worker in a second, as a multiple of what its
+    /// service's configuration says.
+    pub share: f64,
+    /// Requests in a second beyond that.
+    pub requests: f64,
+}
+
+impl Default for ColdSettings {
+    fn default() -> Self {
+        Self {
+            share: 1.0,
+            requests: 0.0,
+        }
+    }
+}
+
+/// Evacuation of zones.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EvacuationSettings {
+    /// How soon an evacuation must be in force here.
+    #[serde(with = "duration_text")]
+    pub obey_within: Duration,
+}
+
+impl Default for EvacuationSettings {
+    fn default() -> Self {
+        Self {
+            obey_within: Duration::from_secs(5),
+        }
+    }
+}
+
 /// The planned stop.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -217,6 +266,14 @@
         /// Where and why.
         reason: String,
     },
+    /// Zones that make no topology.
+    #[display("{file}: {source}")]
+    Topology {
+        /// The file.
+        file: String,
+        /// Why.
+        source: TopologyError,
+    },
     /// A value that cannot work.
     #[display("{file}: {field}: {reason}")]
     Invalid {
@@ -249,6 +306,11 @@
         Ok(settings)
     }
 
+    /// The zones, and this gateway's place among them.
+    pub(crate) fn topology(&self) -> Result<Topology, TopologyError> {
+        Topology::new(&self.zone, self.zones.clone())
+    }
+
     fn validate(&self, file: &str) -> Result<(), SettingsError> {
         let invalid = |field, reason| {
             Err(SettingsError::Invalid {
@@ -290,6 +352,17 @@
             let reason = "and tenants.tolerated_requests must be numbers from 0 on";
             return invalid("tenants.tolerance", reason);
         }
+        self.topology().map_err(|source| SettingsError::Topology {
+            file: file.to_owned(),
+            source,
+        })?;
+        let cold = [self.cold.share, self.cold.requests];
+        if cold.iter().any(|part| !part.is_finite() || *part < 0.0) {
+            return invalid("cold.share", "and cold.requests must be numbers from 0 on");
+        }
+        if self.evacuation.obey_within.is_zero() {
+            return invalid("evacuation.obey_within", "must be above zero");
+        }
         if self.tenants.window.is_zero() {
             return invalid("tenants.window", "must be above zero");
         }
--- a/crates/swiftshunt-gateway/src/slots/failures.rs
+++ b/crates/swiftshunt-gateway/src/slots/failures.rs
@@ -7,8 +7,8 @@
 use swiftshunt_scheduler::slots::cell::Cell;
 
 use super::Slots;
-use super::message::SlotMessage as Message;
 use crate::beliefs::lock;
+use crate::messages::slots::SlotMessage as Message;
 
 impl Slots {
     /// A send of this gateway to a worker broke, found no connection, or was met by silence.
--- a/crates/swiftshunt-gateway/src/slots/mod.rs
+++ b/crates/swiftshunt-gateway/src/slots/mod.rs
@@ -2,7 +2,6 @@
 //! and taken back by it.
 
 mod failures;
-mod message;
 mod owner;
 mod queue;
 mod reporting;
@@ -18,22 +17,25 @@
 use swiftshunt_scheduler::slots::book::{Book, NotPlaced};
 use swiftshunt_scheduler::slots::cell::Cell;
 use swiftshunt_scheduler::slots::{Bid, ItemTimes, WorkerKey};
+use swiftshunt_topology::{Distance, Residency};
 use tokio::sync::oneshot;
 
 use crate::beliefs::{Beliefs, lock};
 use crate::clock::Clock;
 use crate::datagrams::Datagrams;
 use crate::members::Members;
+use crate::messages::Notice;
+use crate::messages::slots::{Assigned, SlotMessage as Message, SlotRequest, Verdict};
 use crate::metrics::{Metrics, SlotAnswer};
 use crate::own_failures::OwnFailures;
 use crate::running::Running;
-pub(crate) use message::SlotMessage;
-use message::{Assigned, SlotMessage as Message, SlotRequest, Verdict};
 use queue::{Granted, Queue};
 use reporting::Told;
 
 /// How long the answer of an owner is waited for: a few times the way to and fro within a region.
 const ASK_PATIENCE: Duration = Duration::from_millis(14);
+/// The same for an owner in another region.
+const FAR_ASK_PATIENCE: Duration = Duration::from_millis(150);
 /// Other cells that are asked where a cell has no slot.
 const MOST_OTHER_CELLS: u32 = 2;
 /// Time for which a cell that had no slot is passed over: some tens of requests of a busy cell end in
@@ -296,7 +298,11 @@
             request,
         };
         self.send(message, owner);
-        match tokio::time::timeout(ASK_PATIENCE, receiver).await {
+        let patience = match self.members.distance_to(owner) {
+            Distance::SameZone | Distance::SameRegion => ASK_PATIENCE,
+            Distance::OtherRegion => FAR_ASK_PATIENCE,
+        };
+        match tokio::time::timeout(patience, receiver).await {
             Ok(Ok(verdict)) => {
                 let answer = match verdict {
                     Ok(_) => SlotAnswer::Assigned,
@@ -315,10 +321,17 @@
         }
     }
 
-    /// Waits until a batch item may run at a worker.
-    pub(crate) async fn wait_for_slot(&self, service: &str, times: ItemTimes) -> Chosen {
+    /// Waits until a batch item may run at a worker in one of the regions in which it may be handled.
+    pub(crate) async fn wait_for_slot(
+        &self,
+        service: &str,
+        times: ItemTimes,
+        residency: &Residency,
+    ) -> Chosen {
         loop {
-            let (ticket, granted) = self.queue.enter(service, times, self.clock.now());
+            let regions = self.beliefs.selector().regions(service, residency);
+            let now = self.clock.now();
+            let (ticket, granted) = self.queue.enter(service, regions, times, now);
             self.beliefs.load_changed.notify_one();
             let granted = granted.await;
             drop(ticket);
@@ -328,7 +341,7 @@
             self.saw(&granted.cell, granted.number);
             let now = self.clock.now();
             let selector = self.beliefs.selector();
-            if let Some(chosen) = selector.assigned(service, granted.worker, now) {
+            if let Some(chosen) = selector.assigned(service, granted.worker, residency, now) {
                 return chosen;
             }
         }
@@ -343,8 +356,7 @@
     }
 
     fn send(&self, message: Message, to: SocketAddr) {
-        self.datagrams
-            .send(&crate::peers::Notice::Slots(message), [to]);
+        self.datagrams.send(&Notice::Slots(message), [to]);
     }
 
     /// Takes a message of another gateway.
--- a/crates/swiftshunt-gateway/src/slots/owner.rs
+++ b/crates/swiftshunt-gateway/src/slots/owner.rs
@@ -8,9 +8,9 @@
 use swiftshunt_scheduler::slots::{Report, WorkerKey};
 
 use super::Slots;
-use super::message::{Assigned, SlotMessage as Message, SlotRequest, Verdict};
 use super::queue::Granted;
 use crate::beliefs::lock;
+use crate::messages::slots::{Assigned, SlotMessage as Message, SlotRequest, Verdict};
 
 impl Slots {
     /// Takes a report, has items leave workers that hold too much, and grants what is free to items
--- a/crates/swiftshunt-gateway/src/slots/queue.rs
+++ b/crates/swiftshunt-gateway/src/slots/queue.rs
@@ -7,6 +7,7 @@
 use rand::RngCore;
 use swiftshunt_scheduler::slots::cell::Cell;
 use swiftshunt_scheduler::slots::{ItemTimes, Waiting, WorkerKey};
+use swiftshunt_types::RegionName;
 use tokio::sync::oneshot;
 
 use crate::beliefs::lock;
@@ -27,16 +28,21 @@
 struct Entry {
     /// Differs between items; decides in which cell it waits first.
     draw: u64,
+    /// Regions in which it may wait, in this order; one without a name where there is one alone.
+    regions: Vec<Option<RegionName>>,
     times: ItemTimes,
     since: Duration,
     granted: oneshot::Sender<Granted>,
 }
 
 impl Entry {
-    fn cell_index(&self, count: u32, now: Duration) -> u32 {
+    /// Whether it waits in a cell now: first in one of its first region.
+    fn waits_in(&self, cell: &Cell, now: Duration) -> bool {
         let waited = now.saturating_sub(self.since).as_millis();
-        let moves = waited / NEXT_CELL_AFTER.as_millis();
-        (self.draw.wrapping_add(moves as u64) % u64::from(count.max(1))) as u32
+        let moves = (waited / NEXT_CELL_AFTER.as_millis()) as usize;
+        let turn = moves % self.regions.len().max(1);
+        let index = self.draw.wrapping_add(moves as u64) % u64::from(cell.count.max(1));
+        self.regions.get(turn) == Some(&cell.region) && index == u64::from(cell.index)
     }
 }
 
@@ -66,6 +72,7 @@
     pub(crate) fn enter<'q>(
         &'q self,
         service: &'q str,
+        regions: Vec<Option<RegionName>>,
         times: ItemTimes,
         now: Duration,
     ) -> (Ticket<'q>, oneshot::Receiver<Granted>) {
@@ -73,6 +80,7 @@
         let draw = rand::rng().next_u64();
         let entry = Entry {
             draw,
+            regions,
             times,
             since: now,
             granted,
@@ -92,9 +100,7 @@
     pub(crate) fn waiting(&self, cell: &Cell, now: Duration) -> Waiting {
         let services = lock(&self.services);
         let items = services.get(&cell.service).map_or(&[][..], Vec::as_slice);
-        let here = items
-            .iter()
-            .filter(|entry| entry.cell_index(cell.count, now) == cell.index);
+        let here = items.iter().filter(|entry| entry.waits_in(cell, now));
         let ranks = here.map(|entry| entry.times.rank(now));
         ranks.fold(Waiting::default(), |waiting, rank| Waiting {
             items: waiting.items + 1,
@@ -106,7 +112,7 @@
         })
     }
 
-    /// Gives a slot to the first item of its service; tells whether one took it.
+    /// Gives a slot to the first item of its service that may run in its region; tells whether one took it.
     pub(crate) fn grant(&self, granted: &Granted, now: Duration) -> bool {
         let mut services = lock(&self.services);
         let Some(items) = services.get_mut(&granted.cell.service) else {
@@ -114,6 +120,7 @@
         };
         loop {
             let ranked = items.iter().enumerate();
+            let ranked = ranked.filter(|(_, entry)| entry.regions.contains(&granted.cell.region));
             let first = ranked.min_by_key(|(_, entry)| entry.times.rank(now));
             let Some((position, _)) = first else {
                 return false;
--- a/crates/swiftshunt-gateway/src/slots/reporting.rs
+++ b/crates/swiftshunt-gateway/src/slots/reporting.rs
@@ -10,8 +10,8 @@
 use swiftshunt_scheduler::slots::{Held, Report, Waiting, WorkerKey};
 
 use super::Slots;
-use super::message::SlotMessage as Message;
 use crate::beliefs::lock;
+use crate::messages::slots::SlotMessage as Message;
 
 /// Pause after a change before it is reported, so that changes that come together go together.
 const GATHER: Duration = Duration::from_millis(12);
--- a/crates/swiftshunt-gateway/src/waiting_limits.rs
+++ b/crates/swiftshunt-gateway/src/waiting_limits.rs
@@ -9,7 +9,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use swiftshunt_scheduler::slots::cell::Cell;
 use swiftshunt_scheduler::waiting_tokens::{Admission, WaitingTokens};
 use swiftshunt_types::TenantName;
@@ -19,7 +18,8 @@
 use crate::clock::Clock;
 use crate::datagrams::Datagrams;
 use crate::members::Members;
-use crate::peers::Notice;
+use crate::messages::Notice;
+use crate::messages::waiting::{Allowance, WaitingMessage};
 
 /// Pause between two reports.
 pub(crate) const REPORT_EVERY: Duration = Duration::from_millis(400);
@@ -29,49 +29,6 @@
 /// Age up to which the last total counts where nobody answers.
 const TOTAL_AGE: Duration = Duration::from_secs(5);
 
-/// What is limited together.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub(crate) struct Allowance {
-    /// The route.
-    pub(crate) route: String,
-    /// The tenant; none where callers need no keys.
-    pub(crate) tenant: Option<TenantName>,
-}
-
-/// A message about a limit. Each is one datagram.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum WaitingMessage {
-    /// What waits in partitions that the sender holds.
-    Report {
-        /// What is limited.
-        allowance: Allowance,
-        /// Tokens by partition.
-        partitions: Vec<(u32, u64)>,
-    },
-    /// Asks whether a job fits.
-    Ask {
-        /// Names the question in the answer.
-        ask: u64,
-        /// What is limited.
-        allowance: Allowance,
-        /// The job.
-        job: String,
-        /// Its tokens.
-        tokens: u64,
-        /// The limit.
-        limit: u64,
-    },
-    /// The answer.
-    Answer {
-        /// The question.
-        ask: u64,
-        /// Whether it fits.
-        fits: bool,
-        /// Tokens that wait, with this job if it fits.
-        waiting: u64,
-    },
-}
-
 /// The last total that was told of a route.
 #[derive(Clone, Copy)]
 struct Total {
@@ -109,6 +66,7 @@
         let tenant = allowance.tenant.as_ref().map_or("", TenantName::as_str);
         self.members.owner(&Cell {
             service: format!("{}/{tenant}", allowance.route),
+            region: None,
             count: 1,
             index: 0,
         })
--- a/crates/swiftshunt-lab/src/platform/fleet.rs
+++ b/crates/swiftshunt-lab/src/platform/fleet.rs
@@ -143,7 +143,7 @@
     let service = |name: &str| ServiceDocument {
         name: name.to_owned(),
         max_conns: 200,
-        engine: None,
+        ..ServiceDocument::default()
     };
     ConfigurationDocument {
         version: 1,
--- a/crates/swiftshunt-routing/src/configuration.rs
+++ b/crates/swiftshunt-routing/src/configuration.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error, From};
+use swiftshunt_topology::Residency;
+use swiftshunt_types::TenantName;
 
 use crate::tenants::{Caller, Credentials, Rejected, TenantError, Tenants};
 
@@ -72,6 +74,8 @@
     pub give_up_after: Option<Duration>,
     /// Tokens of a batch route's items that may wait at a time; none where there is no limit.
     pub waiting_tokens: Option<u64>,
+    /// Where its requests may be handled.
+    pub residency: Residency,
 }
 
 /// What is known of the engines of a service.
@@ -83,6 +87,15 @@
     pub memory_tokens: u64,
 }
 
+/// What workers of a service bear after a start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdSpec {
+    /// How long a worker is cold after a start.
+    pub lasts: Duration,
+    /// Requests that it bears a second meanwhile.
+    pub per_second: f64,
+}
+
 /// A service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -90,6 +103,8 @@
     pub connection_cap: u32,
     /// Set where the workers are model engines.
     pub engine: Option<EngineSpec>,
+    /// Set where workers bear less than usual after a start.
+    pub cold: Option<ColdSpec>,
 }
 
 /// What a caller may send, and how long it may take.
@@ -185,6 +200,24 @@
         }
     }
 
+    /// Where a caller's requests on a route may be handled: route and tenant each bind.
+    pub fn residency(route: &Route, caller: &Caller) -> Residency {
+        match caller.tenant() {
+            Some(tenant) => route.residency.and(&tenant.residency),
+            None => route.residency.clone(),
+        }
+    }
+
+    /// Where what a tenant of that name has handed in on a route may be handled.
+    pub fn residency_of(&self, route: &Route, tenant: Option<&TenantName>) -> Residency {
+        let tenants = self.tenants.as_ref();
+        let tenant = tenant.and_then(|name| tenants?.named(name));
+        match tenant {
+            Some(tenant) => route.residency.and(&tenant.residency),
+            None => route.residency.clone(),
+        }
+    }
+
     /// Who makes a call about a batch job, which names no route: where jobs may be handed in without a
     /// key, they may be asked for without one.
     pub fn job_caller(&self, credentials: &Credentials) -> Result<Caller, Rejected> {
--- a/crates/swiftshunt-routing/src/lib.rs
+++ b/crates/swiftshunt-routing/src/lib.rs
@@ -6,8 +6,8 @@
 mod tenants;
 
 pub use configuration::{
-    Configuration, ConfigurationError, EngineSpec, Installed, Limits, Repeat, Route, RouteKind,
-    Service, Share, Versioned,
+    ColdSpec, Configuration, ConfigurationError, EngineSpec, Installed, Limits, Repeat, Route,
+    RouteKind, Service, Share, Versioned,
 };
 pub use split::SplitState;
 pub use tenants::{Caller, Credentials, KeyDigest, Rejected, Tenant, TenantError, Tenants};
--- a/crates/swiftshunt-routing/src/tenants.rs
+++ b/crates/swiftshunt-routing/src/tenants.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use derive_more::{Display, Error};
+use swiftshunt_topology::Residency;
 use swiftshunt_types::{RateLimit, TenantName};
 
 /// What sets digests of keys apart from those of anything else.
@@ -60,6 +61,8 @@
     pub priority: u32,
     /// Limit of its requests over all gateways together; none if there is none.
     pub rate: Option<RateLimit>,
+    /// Where its requests may be handled.
+    pub residency: Residency,
 }
 
 /// Why tenants are not taken.
@@ -162,6 +165,11 @@
         }
     }
 
+    /// The tenant of a name.
+    pub(crate) fn named(&self, name: &TenantName) -> Option<&Arc<Tenant>> {
+        self.all.iter().find(|tenant| tenant.name == *name)
+    }
+
     /// Refuses tenants that cannot be told apart or limited.
     pub(crate) fn validate(&self) -> Result<(), TenantError> {
         let mut names = BTreeSet::new();
--- a/crates/swiftshunt-routing/tests/routing.rs
+++ b/crates/swiftshunt-routing/tests/routing.rs
@@ -8,6 +8,7 @@
     Configuration, ConfigurationError, Installed, Limits, Repeat, Route, RouteKind, Share,
     SplitState, Versioned,
 };
+use swiftshunt_topology::Residency;
 
 fn route(name: &str, host: &str, prefix: &str, shares: &[(&str, u32)]) -> Arc<Route> {
     let shares = shares.iter().map(|(service, weight)| Share {
@@ -31,6 +32,7 @@
         completion_target: None,
         give_up_after: None,
         waiting_tokens: None,
+        residency: Residency::anywhere(),
     })
 }
 
--- a/crates/swiftshunt-routing/tests/tenants.rs
+++ b/crates/swiftshunt-routing/tests/tenants.rs
@@ -8,6 +8,7 @@
     Caller, Configuration, Credentials, KeyDigest, Limits, Rejected, Repeat, Route, RouteKind,
     Share, Tenant, TenantError, Tenants,
 };
+use swiftshunt_topology::Residency;
 use swiftshunt_types::RateLimit;
 use test_case::test_case;
 
@@ -17,6 +18,7 @@
         keys: keys.iter().map(|key| KeyDigest::of(key)).collect(),
         priority: 0,
         rate: None,
+        residency: Residency::anywhere(),
     }
 }
 
@@ -48,6 +50,7 @@
         completion_target: None,
         give_up_after: None,
         waiting_tokens: None,
+        residency: Residency::anywhere(),
     }
 }
 
--- a/crates/swiftshunt-scheduler/src/candidate.rs
+++ b/crates/swiftshunt-scheduler/src/candidate.rs
@@ -2,12 +2,15 @@
 
 use std::time::Duration;
 
+use swiftshunt_types::RegionName;
+
 use crate::directory::WorkerEntry;
-use crate::residency::Residency;
+use crate::prompt_memory::PromptMemory;
 use crate::selection::{Chosen, ToldLoad};
 use crate::slots::WorkerKey;
 use crate::slots::cell::Cell;
 use crate::slots::prompts::Reading;
+use crate::warmth::Warmth;
 
 /// Age at which what a worker told of others' requests counts half, and the service's mean half.
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(1_500);
@@ -28,6 +31,10 @@
     /// Until when it serves on though its entry lapsed; none while it is listed.
     pub(crate) lapsed_until: Option<Duration>,
     pub(crate) key: WorkerKey,
+    /// Its region, where there is more than one.
+    pub(crate) region: Option<RegionName>,
+    /// When it is warm, by its entry.
+    pub(crate) cold_until: Duration,
     pub(crate) own_online: u32,
     pub(crate) own_batch: u32,
     pub(crate) pending_tokens: u64,
@@ -38,7 +45,7 @@
     /// When the worker will have read the long prompts that other nodes sent it.
     pub(crate) reads_until: Duration,
     pub(crate) told: Option<(ToldLoad, u32, Duration)>,
-    pub(crate) residency: Residency,
+    pub(crate) memory: PromptMemory,
     pub(crate) failure_rate: f64,
     pub(crate) failure_rate_at: Duration,
     pub(crate) failures_in_row: u32,
@@ -48,9 +55,16 @@
 }
 
 impl Candidate {
-    pub(crate) fn new(entry: WorkerEntry, memory_tokens: u64, now: Duration) -> Self {
+    pub(crate) fn new(
+        entry: WorkerEntry,
+        region: Option<RegionName>,
+        memory_tokens: u64,
+        now: Duration,
+    ) -> Self {
         Self {
             key: WorkerKey::of(&entry.incarnation),
+            region,
+            cold_until: now + entry.cold_left,
             entry,
             lapsed_until: None,
             own_online: 0,
@@ -60,7 +74,7 @@
             latest_begun: Duration::ZERO,
             reads_until: Duration::ZERO,
             told: None,
-            residency: Residency::new(memory_tokens),
+            memory: PromptMemory::new(memory_tokens),
             failure_rate: 0.0,
             failure_rate_at: now,
             failures_in_row: 0,
@@ -77,6 +91,7 @@
             id: self.entry.life.id.clone(),
             incarnation: self.entry.incarnation.clone(),
             address: self.entry.address,
+            zone: self.entry.zone.clone(),
             missing_tokens: reading.missing_tokens,
             expected_reading: reading.time,
             has_prompt,
@@ -85,7 +100,15 @@
 
     /// Whether it is in a cell of its service.
     pub(crate) fn is_in(&self, cell: &Cell) -> bool {
-        self.key.cell_index(cell.count) == cell.index
+        self.region == cell.region && self.key.cell_index(cell.count) == cell.index
+    }
+
+    pub(crate) fn warmth(&self, now: Duration) -> Warmth {
+        if now < self.cold_until {
+            Warmth::ColdUntil(self.cold_until)
+        } else {
+            Warmth::Warm
+        }
     }
 
     pub(crate) fn own(&self) -> u32 {
--- a/crates/swiftshunt-scheduler/src/cells.rs
+++ b/crates/swiftshunt-scheduler/src/cells.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use swiftshunt_topology::Residency;
+use swiftshunt_types::RegionName;
+
 use crate::candidate::Candidate;
 use crate::cost::{USUAL_SILENCE, prefill_rate, service_ms, standing_cost, unexplained_wait};
 use crate::selection::{Chosen, Demand, Selector, missing_tokens, shared_tokens, spread};
@@ -19,25 +22,54 @@
 impl Selector {
     /// The cells of a service.
     pub fn cells(&self, service: &str) -> impl Iterator<Item = Cell> {
-        let count = self.cell_count(service);
+        let mut regions: Vec<Option<RegionName>> = self
+            .ready(service)
+            .map(|candidate| candidate.region.clone())
+            .collect();
+        regions.sort();
+        regions.dedup();
         let service = service.to_owned();
-        (0..count).map(move |index| Cell {
-            service: service.clone(),
-            count,
-            index,
-        })
+        let cells = regions.into_iter().flat_map(move |region| {
+            let count = self.cell_count(&service, region.as_ref());
+            let service = service.clone();
+            (0..count).map(move |index| Cell {
+                service: service.clone(),
+                region: region.clone(),
+                count,
+                index,
+            })
+        });
+        cells.collect::<Vec<_>>().into_iter()
+    }
+
+    /// Regions with workers of a service that may be offered something, the own one first; one without a name
+    /// where there is one alone.
+    pub fn regions(&self, service: &str, residency: &Residency) -> Vec<Option<RegionName>> {
+        if !self.topology.spans_regions() {
+            return vec![None];
+        }
+        let open = self.open(service, residency);
+        let mut regions: Vec<_> = open.map(|candidate| candidate.region.clone()).collect();
+        let own = self.topology.own_region();
+        regions.sort_by_key(|region| (region.as_ref() != own, region.clone()));
+        regions.dedup();
+        regions
     }
 
-    /// How many cells a service has.
-    pub fn cell_count(&self, service: &str) -> u32 {
-        cell_count(self.ready_count(service))
+    /// How many cells a service has in a region.
+    fn cell_count(&self, service: &str, region: Option<&RegionName>) -> u32 {
+        let in_region = self.ready(service);
+        let in_region = in_region.filter(|candidate| candidate.region.as_ref() == region);
+        cell_count(in_region.count())
     }
 
     /// The cell that a worker is in.
     pub fn cell_of(&self, chosen: &Chosen) -> Cell {
-        let count = self.cell_count(&chosen.service);
+        let region = self.topology.dividing_region_of(&chosen.zone);
+        let count = self.cell_count(&chosen.service, region);
         Cell {
             service: chosen.service.clone(),
+            region: region.cloned(),
             count,
             index: WorkerKey::of(&chosen.incarnation).cell_index(count),
         }
@@ -75,7 +107,7 @@
         let is_open = |candidate: &Candidate| {
             candidate.ejected_until <= now && is_left(candidate, tried, full)
         };
-        let home = self.home_among(service, &demand.prompt, is_open)?;
+        let home = self.home_among(service, demand, is_open)?;
         let missing = missing_tokens(home, demand);
         Some(self.chosen(home, missing, true, now))
     }
@@ -90,10 +122,11 @@
     pub fn bids(&self, cell: &Cell, demand: &Demand, tried: &[String], now: Duration) -> Vec<Bid> {
         let open: Vec<&Candidate> = self
             .members(cell)
+            .filter(|candidate| self.withheld(candidate, &demand.residency).is_none())
             .filter(|candidate| !tried.contains(&candidate.entry.incarnation))
             .collect();
         let any_sound = open.iter().any(|candidate| candidate.ejected_until <= now);
-        let home = self.home(&cell.service, &demand.prompt);
+        let home = self.home(&cell.service, demand);
         let away_from_home = self.away_from_home_cost(&cell.service, demand);
         let times = self.services.get(&cell.service);
         let offered = open
@@ -125,7 +158,8 @@
                 key: candidate.key,
                 slots: candidate.slots(),
                 told: told.map(|(load, _, _)| load.running + load.waiting),
-                is_sound: candidate.ejected_until <= now
+                is_sound: !self.is_zone_evacuated(candidate)
+                    && candidate.ejected_until <= now
                     && candidate.silence(now) <= USUAL_SILENCE * 2,
             }
         });
@@ -157,13 +191,25 @@
         }
     }
 
-    fn ready_by_key(&self, service: &str, key: WorkerKey) -> Option<&Candidate> {
-        self.ready(service).find(|candidate| candidate.key == key)
+    fn open_by_key(
+        &self,
+        service: &str,
+        key: WorkerKey,
+        residency: &Residency,
+    ) -> Option<&Candidate> {
+        let candidate = self.ready(service).find(|candidate| candidate.key == key);
+        candidate.filter(|candidate| self.withheld(candidate, residency).is_none())
     }
 
-    /// The worker that an owner assigned, if it still takes new work.
-    pub fn assigned(&self, service: &str, key: WorkerKey, now: Duration) -> Option<Chosen> {
-        let candidate = self.ready_by_key(service, key)?;
+    /// The worker that an owner assigned, if it may still be offered what may be handled in these regions.
+    pub fn assigned(
+        &self,
+        service: &str,
+        key: WorkerKey,
+        residency: &Residency,
+        now: Duration,
+    ) -> Option<Chosen> {
+        let candidate = self.open_by_key(service, key, residency)?;
         Some(self.chosen(candidate, 0, true, now))
     }
 
@@ -175,7 +221,7 @@
         demand: &Demand,
         reading: Reading,
     ) -> Option<Chosen> {
-        let candidate = self.ready_by_key(service, key)?;
+        let candidate = self.open_by_key(service, key, &demand.residency)?;
         Some(candidate.chosen(reading, demand.prompt_tokens > 0))
     }
 }
--- a/crates/swiftshunt-scheduler/src/listed.rs
+++ b/crates/swiftshunt-scheduler/src/listed.rs
@@ -39,14 +39,16 @@
             let changed = known.entry.availability != entry.availability
                 || known.entry.address != entry.address
                 || known.lapsed_until.is_some();
+            known.cold_until = now + entry.cold_left;
             known.entry = entry;
             known.lapsed_until = None;
             return changed;
         }
         let key = entry.incarnation.clone();
         self.incarnations.insert(entry.life.id.clone(), key.clone());
-        self.candidates
-            .insert(key, Candidate::new(entry, memory, now));
+        let region = self.topology.dividing_region_of(&entry.zone).cloned();
+        let candidate = Candidate::new(entry, region, memory, now);
+        self.candidates.insert(key, candidate);
         true
     }
 
--- a/crates/swiftshunt-scheduler/src/observed.rs
+++ b/crates/swiftshunt-scheduler/src/observed.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::candidate::Candidate;
-use crate::residency::PromptPart;
+use crate::prompt_memory::PromptPart;
 use crate::selection::{Chosen, Class, Demand, Ending, Selector, ToldLoad};
 
 /// Weight of a new observation in a moving average.
@@ -32,7 +32,7 @@
         }
         candidate.pending_tokens += chosen.missing_tokens;
         candidate.pending_since.push(now);
-        candidate.residency.touch(&demand.prompt);
+        candidate.memory.touch(&demand.prompt);
     }
 
     /// Records that another node has sent a worker a prompt of which it is to read
@@ -50,7 +50,7 @@
         let reading = self.reading_time(&candidate.entry.service, missing_tokens);
         if let Some(candidate) = self.get_mut(incarnation) {
             candidate.reads_for_another(reading, now);
-            candidate.residency.touch(prompt);
+            candidate.memory.touch(prompt);
         }
     }
 
--- /dev/null
+++ b/crates/swiftshunt-scheduler/src/offers.rs
@@ -0,0 +1,110 @@
+//! May this worker be offered this request now? All placement asks it, whatever is placed, and so does each send.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use swiftshunt_topology::Residency;
+use swiftshunt_types::RegionName;
+
+use crate::candidate::Candidate;
+use crate::directory::Availability;
+use crate::selection::Selector;
+use crate::warmth::Warmth;
+
+/// Why a worker may not be offered a request.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Withheld {
+    /// The directory does not list it.
+    #[display("it is not listed")]
+    Unlisted,
+    /// It is leaving.
+    #[display("it is leaving")]
+    Leaving,
+    /// Its zone is evacuated.
+    #[display("zone {zone} is evacuated")]
+    Evacuated {
+        /// The zone.
+        zone: String,
+        /// Since when, on the own clock.
+        since: Duration,
+    },
+    /// It stands where the request may not go.
+    #[display("the request may not go to {}", region.as_ref().map_or("an unknown region", RegionName::as_str))]
+    OutsideResidency {
+        /// Its region, if it is known.
+        region: Option<RegionName>,
+    },
+}
+
+impl Selector {
+    /// Whether a worker may be offered a request that may be handled in these regions.
+    pub fn may_offer(&self, incarnation: &str, residency: &Residency) -> Result<(), Withheld> {
+        let candidate = self.candidates.get(incarnation).ok_or(Withheld::Unlisted)?;
+        self.withheld(candidate, residency).map_or(Ok(()), Err)
+    }
+
+    pub(crate) fn withheld(
+        &self,
+        candidate: &Candidate,
+        residency: &Residency,
+    ) -> Option<Withheld> {
+        let zone = &candidate.entry.zone;
+        if candidate.entry.availability != Availability::Ready {
+            return Some(Withheld::Leaving);
+        }
+        if let Some(since) = self.evacuations.since(zone) {
+            let zone = zone.clone();
+            return Some(Withheld::Evacuated { zone, since });
+        }
+        if residency.is_anywhere() {
+            return None;
+        }
+        let region = self.topology.region_of(zone);
+        let is_allowed = residency.allows(region);
+        (!is_allowed).then(|| Withheld::OutsideResidency {
+            region: region.cloned(),
+        })
+    }
+
+    /// Workers of a service that may be offered a request.
+    pub(crate) fn open<'s>(
+        &'s self,
+        service: &str,
+        residency: &Residency,
+    ) -> impl Iterator<Item = &'s Candidate> + use<'s> {
+        let residency = residency.clone();
+        self.ready(service)
+            .filter(move |candidate| self.withheld(candidate, &residency).is_none())
+    }
+
+    /// Whether any worker of a service may be offered a request.
+    pub fn is_open(&self, service: &str, residency: &Residency) -> bool {
+        self.open(service, residency).next().is_some()
+    }
+
+    /// Whether a worker bears its usual load.
+    pub fn warmth(&self, incarnation: &str, now: Duration) -> Warmth {
+        let candidate = self.candidates.get(incarnation);
+        candidate.map_or(Warmth::Unknown, |candidate| candidate.warmth(now))
+    }
+
+    /// A zone's workers are to get nothing; gives whether that is new.
+    pub fn evacuate(&mut self, zone: &str, now: Duration) -> bool {
+        self.evacuations.begin(zone, now)
+    }
+
+    /// A zone's workers may get something again; gives whether that is new.
+    pub fn withdraw_evacuation(&mut self, zone: &str, now: Duration) -> bool {
+        self.evacuations.withdraw(zone, now)
+    }
+
+    /// Whether a worker's zone is evacuated.
+    pub fn is_evacuated(&self, incarnation: &str) -> bool {
+        let candidate = self.candidates.get(incarnation);
+        candidate.is_some_and(|candidate| self.is_zone_evacuated(candidate))
+    }
+
+    pub(crate) fn is_zone_evacuated(&self, candidate: &Candidate) -> bool {
+        self.evacuations.since(&candidate.entry.zone).is_some()
+    }
+}
--- a/crates/swiftshunt-scheduler/src/residency.rs
+++ b/crates/swiftshunt-scheduler/src/prompt_memory.rs
@@ -16,7 +16,7 @@
 
 /// The parts that one worker read lately, within its memory.
 #[derive(Debug)]
-pub struct Residency {
+pub struct PromptMemory {
     capacity: u64,
     held: u64,
     sequence: u64,
@@ -29,7 +29,7 @@
     used: u64,
 }
 
-impl Residency {
+impl PromptMemory {
     /// Nothing held yet, in a memory of `capacity` tokens.
     pub fn new(capacity: u64) -> Self {
         Self {
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -6,10 +6,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use swiftshunt_topology::{Distance, Residency, Topology};
+
 use crate::candidate::Candidate;
 use crate::cost::{ServiceTimes, expected_reading, expected_wait, reading_ms};
 use crate::directory::Availability;
-use crate::residency::PromptPart;
+use crate::evacuations::Evacuations;
+use crate::prompt_memory::PromptPart;
 use crate::slots::prompts::Reading;
 
 /// Load that a worker told with an answer.
@@ -41,6 +44,8 @@
     pub prompt: Vec<PromptPart>,
     /// Tokens of the prompt.
     pub prompt_tokens: u64,
+    /// Where it may be handled.
+    pub residency: Residency,
     /// A random number: spreads requests of many nodes over workers that are equally good.
     pub salt: u64,
 }
@@ -56,6 +61,8 @@
     pub incarnation: String,
     /// Its address.
     pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
     /// Prompt tokens that it is expected to read.
     pub missing_tokens: u64,
     /// How long it is expected to read until the first event: what waits there, and these tokens.
@@ -86,6 +93,8 @@
 
 /// Cost of a worker in another zone, in milliseconds.
 const OTHER_ZONE_COST: f64 = 2.0;
+/// Cost of a worker in another region, in milliseconds.
+const OTHER_REGION_COST: f64 = 60.0;
 /// Differences of cost that do not matter, in milliseconds.
 const SPREAD: f64 = 2.0;
 /// Cost of a worker at which a shared beginning is not looked for first, against the time of reading
@@ -94,7 +103,8 @@
 /// The workers that a node knows, and the choice among them.
 #[derive(Debug)]
 pub struct Selector {
-    zone: String,
+    pub(crate) topology: Topology,
+    pub(crate) evacuations: Evacuations,
     /// By incarnation.
     pub(crate) candidates: BTreeMap<String, Candidate>,
     /// The incarnation of each worker that is listed, by its identifier.
@@ -103,10 +113,16 @@
 }
 
 impl Selector {
-    /// A selector of a node in `zone`.
+    /// A selector of a node in `zone` of a deployment of one region.
     pub fn new(zone: &str) -> Self {
+        Self::at(Topology::one_region(zone))
+    }
+
+    /// A selector of a node at its place.
+    pub fn at(topology: Topology) -> Self {
         Self {
-            zone: zone.to_owned(),
+            topology,
+            evacuations: Evacuations::default(),
             candidates: BTreeMap::new(),
             incarnations: BTreeMap::new(),
             services: BTreeMap::new(),
@@ -135,7 +151,10 @@
         self.ready(service).next().is_some()
     }
 
-    pub(crate) fn ready<'s>(&'s self, service: &str) -> impl Iterator<Item = &'s Candidate> {
+    pub(crate) fn ready<'s>(
+        &'s self,
+        service: &str,
+    ) -> impl Iterator<Item = &'s Candidate> + use<'s> {
         let service = service.to_owned();
         self.candidates.values().filter(move |candidate| {
             candidate.entry.service == service
@@ -188,8 +207,9 @@
         now: Duration,
         may: impl Fn(&Candidate) -> bool,
     ) -> Option<Chosen> {
-        let home = self.home(service, &demand.prompt);
-        let open = self.ready(service).filter(|candidate| may(candidate));
+        let home = self.home(service, demand);
+        let open = self.open(service, &demand.residency);
+        let open = open.filter(|candidate| may(candidate));
         let times = self.services.get(service);
         let usual_others = self.usual_others(service, now);
         let away_from_home = self.away_from_home_cost(service, demand);
@@ -271,17 +291,17 @@
     }
 
     pub(crate) fn place_cost(&self, candidate: &Candidate) -> f64 {
-        if candidate.entry.zone == self.zone {
-            0.0
-        } else {
-            OTHER_ZONE_COST
+        match self.topology.distance_to(&candidate.entry.zone) {
+            Distance::SameZone => 0.0,
+            Distance::SameRegion => OTHER_ZONE_COST,
+            Distance::OtherRegion => OTHER_REGION_COST,
         }
     }
 
     /// The worker at which every node first looks for a shared beginning of a prompt, so that it is
     /// read at few workers without a word between nodes.
-    pub(crate) fn home(&self, service: &str, prompt: &[PromptPart]) -> Option<&str> {
-        let home = self.home_among(service, prompt, |_| true);
+    pub(crate) fn home(&self, service: &str, demand: &Demand) -> Option<&str> {
+        let home = self.home_among(service, demand, |_| true);
         home.map(|candidate| candidate.entry.incarnation.as_str())
     }
 
@@ -289,12 +309,13 @@
     pub(crate) fn home_among(
         &self,
         service: &str,
-        prompt: &[PromptPart],
+        demand: &Demand,
         may: impl Fn(&Candidate) -> bool,
     ) -> Option<&Candidate> {
-        let (_, shared) = prompt.split_last()?;
+        let (_, shared) = demand.prompt.split_last()?;
         let last = shared.last()?;
-        let open = self.ready(service).filter(|candidate| may(candidate));
+        let open = self.open(service, &demand.residency);
+        let open = open.filter(|candidate| may(candidate));
         let weighted = open.map(|candidate| {
             let mut hasher = DefaultHasher::new();
             last.id.hash(&mut hasher);
@@ -321,7 +342,7 @@
 }
 
 pub(crate) fn missing_tokens(candidate: &Candidate, demand: &Demand) -> u64 {
-    let resident = candidate.residency.resident_tokens(&demand.prompt);
+    let resident = candidate.memory.resident_tokens(&demand.prompt);
     demand.prompt_tokens.saturating_sub(resident)
 }
 
--- a/crates/swiftshunt-scheduler/src/slots/cell.rs
+++ b/crates/swiftshunt-scheduler/src/slots/cell.rs
@@ -1,9 +1,11 @@
 //! Which workers form a cell, and which gateway owns it: the same answer at every gateway that knows
 //! the same workers and gateways, without a word between them.
 
+use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
+use swiftshunt_types::RegionName;
 
 use super::WorkerKey;
 use crate::readers::weight;
@@ -13,10 +15,13 @@
 const CELL_WORKERS: usize = 16;
 
 /// A cell.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Cell {
     /// The service.
     pub service: String,
+    /// The region that its workers are in, where there is more than one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub region: Option<RegionName>,
     /// Cells that the service has as far as the sender knows: gateways that know different numbers
     /// of workers for a moment do not mix their cells up.
     pub count: u32,
@@ -24,6 +29,18 @@
     pub index: u32,
 }
 
+/// Gateways that know of no regions find the same owner.
+impl Hash for Cell {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.service.hash(state);
+        self.count.hash(state);
+        self.index.hash(state);
+        if let Some(region) = &self.region {
+            region.hash(state);
+        }
+    }
+}
+
 /// Cells of a service with `workers` workers: a power of two, so that it changes seldom.
 pub fn cell_count(workers: usize) -> u32 {
     workers.div_ceil(CELL_WORKERS).next_power_of_two() as u32
--- a/crates/swiftshunt-scheduler/src/slots/prompts.rs
+++ b/crates/swiftshunt-scheduler/src/slots/prompts.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::WorkerKey;
-use crate::residency::{PromptPart, Residency};
+use crate::prompt_memory::{PromptMemory, PromptPart};
 
 /// A prompt that is to be read.
 #[derive(Clone, Copy, Debug, Default)]
@@ -49,7 +49,7 @@
 /// What one worker holds and reads.
 #[derive(Debug)]
 struct Memory {
-    resident: Residency,
+    resident: PromptMemory,
     reads_until: Duration,
 }
 
@@ -102,7 +102,7 @@
         }
         let reading = self.reading(worker, prompt, rates, now);
         let memory = self.workers.entry(worker).or_insert_with(|| Memory {
-            resident: Residency::new(rates.memory_tokens),
+            resident: PromptMemory::new(rates.memory_tokens),
             reads_until: Duration::ZERO,
         });
         memory.reads_until = now + reading.time;
--- a/crates/swiftshunt-scheduler/tests/listed.rs
+++ b/crates/swiftshunt-scheduler/tests/listed.rs
@@ -6,6 +6,7 @@
 use swiftshunt_scheduler::directory::{Availability, WorkerEntry, WorkerLife};
 use swiftshunt_scheduler::listed::Unlisted;
 use swiftshunt_scheduler::selection::{Class, Demand, Ending, Selector, ToldLoad};
+use swiftshunt_topology::Residency;
 
 const START: Duration = Duration::from_secs(10);
 const BACK_BY: Duration = Duration::from_secs(12);
@@ -148,6 +149,7 @@
     class: Class::Online,
     prompt: Vec::new(),
     prompt_tokens: 0,
+    residency: Residency::anywhere(),
     salt: 1,
 };
 
--- /dev/null
+++ b/crates/swiftshunt-scheduler/tests/offers.rs
@@ -0,0 +1,157 @@
+//! May this worker be offered this request now?
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use swiftshunt_scheduler::directory::{Availability, WorkerEntry, WorkerLife};
+use swiftshunt_scheduler::offers::Withheld;
+use swiftshunt_scheduler::selection::{Class, Demand, Selector};
+use swiftshunt_scheduler::slots::WorkerKey;
+use swiftshunt_scheduler::slots::prompts::Reading;
+use swiftshunt_scheduler::warmth::Warmth;
+use swiftshunt_topology::{Residency, Topology};
+use swiftshunt_types::RegionName;
+use test_case::test_case;
+
+const START: Duration = Duration::from_secs(100);
+
+fn region(name: &str) -> RegionName {
+    RegionName(name.to_owned())
+}
+
+fn entry(zone: &str, availability: Availability) -> WorkerEntry {
+    let life = WorkerLife {
+        id: format!("in-{zone}"),
+        started_unix_ms: None,
+    };
+    WorkerEntry {
+        incarnation: life.incarnation(),
+        life,
+        service: "s".to_owned(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: zone.to_owned(),
+        slots: 4,
+        availability,
+        cold_left: Duration::ZERO,
+    }
+}
+
+/// A worker in each of zones a and b of the north and c of the south, seen from a.
+fn selector() -> Selector {
+    let zones = [("a", "north"), ("b", "north"), ("c", "south")];
+    let zones = zones.map(|(zone, name)| (zone.to_owned(), region(name)));
+    let topology = Topology::new("a", BTreeMap::from(zones)).expect("sound");
+    let mut selector = Selector::at(topology);
+    for zone in ["a", "b", "c"] {
+        selector.apply(entry(zone, Availability::Ready), START);
+    }
+    selector
+}
+
+fn demand(residency: Residency) -> Demand {
+    Demand {
+        class: Class::Online,
+        prompt: Vec::new(),
+        prompt_tokens: 0,
+        residency,
+        salt: 1,
+    }
+}
+
+fn south() -> Residency {
+    Residency::within([region("south")])
+}
+
+#[test_case(Residency::anywhere(), "in-a"; "the nearest one")]
+#[test_case(south(), "in-c"; "the only one in its region")]
+fn a_request_goes_to(residency: Residency, worker: &str) {
+    let chosen = selector().choose("s", &demand(residency), &[], START);
+    assert_eq!(
+        chosen.map(|chosen| chosen.incarnation).as_deref(),
+        Some(worker)
+    );
+}
+
+#[test]
+fn a_worker_is_withheld_for_a_reason() {
+    let mut selector = selector();
+    let anywhere = Residency::anywhere();
+    assert_eq!(selector.may_offer("in-a", &anywhere), Ok(()));
+    assert_eq!(
+        selector.may_offer("nobody", &anywhere),
+        Err(Withheld::Unlisted)
+    );
+    let outside = Withheld::OutsideResidency {
+        region: Some(region("north")),
+    };
+    assert_eq!(selector.may_offer("in-a", &south()), Err(outside));
+    selector.apply(entry("b", Availability::Draining), START);
+    assert_eq!(
+        selector.may_offer("in-b", &anywhere),
+        Err(Withheld::Leaving)
+    );
+    assert!(selector.evacuate("c", START));
+    assert!(!selector.evacuate("c", START), "no news");
+    let evacuated = Withheld::Evacuated {
+        zone: "c".to_owned(),
+        since: START,
+    };
+    assert_eq!(selector.may_offer("in-c", &anywhere), Err(evacuated));
+    assert!(selector.withdraw_evacuation("c", START));
+    assert_eq!(selector.may_offer("in-c", &anywhere), Ok(()));
+}
+
+#[test]
+fn nothing_is_placed_in_an_evacuated_zone_by_any_way() {
+    let mut selector = selector();
+    let all = demand(south());
+    let cell = selector
+        .cells("s")
+        .find(|cell| cell.region == Some(region("south")));
+    let cell = cell.expect("a cell in the south");
+    let key = WorkerKey::of("in-c");
+    assert_eq!(selector.bids(&cell, &all, &[], START).len(), 1);
+    selector.evacuate("c", START);
+    assert_eq!(selector.choose("s", &all, &[], START), None);
+    assert!(selector.bids(&cell, &all, &[], START).is_empty());
+    assert_eq!(selector.assigned("s", key, &all.residency, START), None);
+    assert_eq!(
+        selector.assigned_to("s", key, &all, Reading::default()),
+        None
+    );
+    let workers = selector.cell_workers(&cell, START);
+    assert!(
+        workers.iter().all(|worker| !worker.is_sound),
+        "items are granted it"
+    );
+    assert!(!selector.is_open("s", &all.residency));
+    assert!(selector.is_open("s", &Residency::anywhere()));
+}
+
+#[test]
+fn cells_are_a_regions_own_where_there_are_several() {
+    let selector = selector();
+    let regions: Vec<_> = selector.cells("s").map(|cell| cell.region).collect();
+    assert_eq!(regions, [Some(region("north")), Some(region("south"))]);
+    let mut alone = Selector::new("a");
+    alone.apply(entry("a", Availability::Ready), START);
+    let regions: Vec<_> = alone.cells("s").map(|cell| cell.region).collect();
+    assert_eq!(regions, [None]);
+}
+
+#[test]
+fn a_worker_that_has_just_started_is_cold_for_a_while() {
+    let mut selector = selector();
+    let cold_left = Duration::from_secs(3);
+    selector.apply(
+        WorkerEntry {
+            cold_left,
+            ..entry("a", Availability::Ready)
+        },
+        START,
+    );
+    let until = START + cold_left;
+    assert_eq!(selector.warmth("in-a", START), Warmth::ColdUntil(until));
+    assert_eq!(selector.warmth("in-a", until), Warmth::Warm);
+    assert_eq!(selector.warmth("nobody", START), Warmth::Unknown);
+}
--- a/crates/swiftshunt-scheduler/tests/selection.rs
+++ b/crates/swiftshunt-scheduler/tests/selection.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use swiftshunt_scheduler::directory::{Availability, WorkerEntry, WorkerLife};
-use swiftshunt_scheduler::residency::{PromptPart, Residency};
+use swiftshunt_scheduler::prompt_memory::{PromptMemory, PromptPart};
 use swiftshunt_scheduler::selection::{Chosen, Class, Demand, Ending, Selector, ToldLoad};
+use swiftshunt_topology::Residency;
 
 const START: Duration = Duration::from_secs(100);
 
@@ -39,6 +40,7 @@
         class: Class::Online,
         prompt: Vec::new(),
         prompt_tokens: 0,
+        residency: Residency::anywhere(),
         salt,
     }
 }
@@ -77,6 +79,7 @@
         id: name.to_owned(),
         incarnation: name.to_owned(),
         address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "z".to_owned(),
         missing_tokens: 0,
         expected_reading: Duration::ZERO,
         has_prompt: false,
@@ -272,14 +275,14 @@
 #[test]
 fn memory_holds_what_was_read_last() {
     let part = |id| PromptPart { id, tokens: 100 };
-    let mut residency = Residency::new(1_000);
+    let mut memory = PromptMemory::new(1_000);
     for id in 0..20 {
-        residency.touch(&[part(id)]);
+        memory.touch(&[part(id)]);
     }
-    assert_eq!(residency.resident_tokens(&[part(19)]), 100);
-    assert_eq!(residency.resident_tokens(&[part(0)]), 0);
+    assert_eq!(memory.resident_tokens(&[part(19)]), 100);
+    assert_eq!(memory.resident_tokens(&[part(0)]), 0);
     // A part counts only if every part before it is held as well.
-    assert_eq!(residency.resident_tokens(&[part(0), part(19)]), 0);
+    assert_eq!(memory.resident_tokens(&[part(0), part(19)]), 0);
 }
 
 #[test]
--- a/crates/swiftshunt-scheduler/tests/slots/cells.rs
+++ b/crates/swiftshunt-scheduler/tests/slots/cells.rs
@@ -20,6 +20,7 @@
 fn only_the_cells_of_a_gateway_that_goes_get_another_owner() {
     let all: Vec<SocketAddr> = (0..9).map(gateway).collect();
     let cells = (0..64).map(|index| Cell {
+        region: None,
         service: "engine".to_owned(),
         count: 64,
         index,
--- /dev/null
+++ b/crates/swiftshunt-topology/tests/topology.rs
@@ -0,0 +1,80 @@
+//! Places, distances and patience.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use swiftshunt_topology::{Bounds, Distance, Residency, RoundTrips, Topology, TopologyError};
+use swiftshunt_types::RegionName;
+use test_case::test_case;
+
+fn zones(pairs: &[(&str, &str)]) -> BTreeMap<String, RegionName> {
+    let pairs = pairs.iter();
+    pairs
+        .map(|(zone, region)| ((*zone).to_owned(), RegionName((*region).to_owned())))
+        .collect()
+}
+
+#[test_case("a", Distance::SameZone)]
+#[test_case("b", Distance::SameRegion)]
+#[test_case("c", Distance::OtherRegion)]
+#[test_case("unheard of", Distance::OtherRegion)]
+fn a_zone_is_so_far(zone: &str, distance: Distance) {
+    let zones = zones(&[("a", "north"), ("b", "north"), ("c", "south")]);
+    let topology = Topology::new("a", zones).expect("sound");
+    assert_eq!(topology.distance_to(zone), distance);
+}
+
+#[test]
+fn one_region_divides_nothing() {
+    let zones = zones(&[("a", "north"), ("b", "north")]);
+    let topology = Topology::new("a", zones).expect("sound");
+    assert!(!topology.spans_regions());
+    assert_eq!(topology.dividing_region_of("b"), None);
+    assert_eq!(topology.distance_to("unheard of"), Distance::SameRegion);
+}
+
+#[test]
+fn zones_without_the_own_one_are_refused() {
+    let refused = Topology::new("z", zones(&[("a", "north")]));
+    let zone = "z".to_owned();
+    assert_eq!(refused, Err(TopologyError::OwnZone { zone }));
+}
+
+#[test]
+fn an_answer_is_waited_for_as_long_as_answers_take() {
+    let bounds = Bounds {
+        floor: Duration::from_millis(14),
+        ceiling: Duration::from_millis(500),
+    };
+    let mut trips = RoundTrips::default();
+    let unobserved = Duration::from_millis(100);
+    assert_eq!(trips.patience(&1, unobserved, bounds), unobserved);
+    for _ in 0..50 {
+        trips.observe(1, Duration::from_millis(62));
+        trips.observe(2, Duration::from_millis(2));
+        trips.observe(3, Duration::from_secs(3));
+    }
+    let far = trips.patience(&1, unobserved, bounds);
+    assert!(
+        far > Duration::from_millis(62) && far < Duration::from_millis(80),
+        "{far:?}"
+    );
+    assert_eq!(trips.patience(&2, unobserved, bounds), bounds.floor);
+    assert_eq!(trips.patience(&3, unobserved, bounds), bounds.ceiling);
+}
+
+#[test]
+fn of_two_lists_of_regions_each_binds() {
+    let region = |name: &str| RegionName(name.to_owned());
+    let north = Residency::within([region("north")]);
+    let both = Residency::within([region("north"), region("south")]);
+    let south = Residency::within([region("south")]);
+    assert_eq!(Residency::anywhere().and(&north), north);
+    assert_eq!(both.and(&north), north);
+    let nowhere = north.and(&south);
+    assert!(!nowhere.is_anywhere());
+    assert!(!nowhere.allows(Some(&region("north"))));
+    assert!(Residency::within([]).is_anywhere());
+    assert!(Residency::anywhere().allows(None));
+    assert!(!north.allows(None), "where it is is not known");
+}
--- a/crates/swiftshunt-types/src/identifiers.rs
+++ b/crates/swiftshunt-types/src/identifiers.rs
@@ -39,6 +39,10 @@
     /// A customer of the fleet, the unit of limits and shares.
     TenantName
 );
+text_identifier!(
+    /// Zones close together, behind thinner and slower links to others.
+    RegionName
+);
 text_identifier!(
     /// A back end: a model engine or a submission worker.
     WorkerId
