--- a/crates/swiftshunt-gateway/src/directory_news.rs
+++ b/crates/swiftshunt-gateway/src/directory_news.rs
@@ -54,8 +54,8 @@
 
     /// Workers are no longer listed.
     pub(crate) fn unlisted(&mut self, unlisted: &Unlisted) {
-        for incarnation in &unlisted.gone {
-            self.gone.add(incarnation);
+        for departed in &unlisted.gone {
+            self.gone.add(&departed.incarnation);
         }
         for incarnation in &unlisted.lapsed {
             self.lapsed.add(incarnation);
--- a/crates/swiftshunt-gateway/src/followers.rs
+++ b/crates/swiftshunt-gateway/src/followers.rs
@@ -129,6 +129,9 @@
             if let Ok(changes) = changes {
                 let returned_at = followed.returned_at();
                 let lapses_until = returned_at.map_or(Duration::ZERO, |at| at + lapse);
+                if !followed.came_from_a_reader() {
+                    self.quarantine.renewed(&self.renewed(&changes));
+                }
                 self.take_workers(changes, lapses_until);
                 if !followed.came_from_a_reader() {
                     tokio::time::sleep(gather).await;
@@ -146,11 +149,25 @@
         }
     }
 
+    /// Workers that have written their entries anew in the life that is known.
+    fn renewed(&self, changes: &[Change]) -> Vec<String> {
+        let selector = self.beliefs.selector();
+        let entries = changes.iter().filter_map(|change| match change {
+            Change::Set(record) => self.protocol.worker(&record.key, &record.value).ok(),
+            Change::Dropped(_) => None,
+        });
+        let renewed = entries.filter(|entry| {
+            selector.incarnation(&entry.life.id) == Some(entry.incarnation.as_str())
+        });
+        renewed.map(|entry| entry.incarnation).collect()
+    }
+
     /// Takes workers as gone whose entries lapsed and are not back in time.
     async fn end_lapse(self: Arc<Self>, until: Duration) {
         tokio::time::sleep(until.saturating_sub(self.clock.now())).await;
         let gone = self.beliefs.selector().remove_lapsed(self.clock.now());
         let mut news = DirectoryNews::default();
+        self.quarantine.departed(&gone);
         news.unlisted(&Unlisted {
             gone,
             ..Unlisted::default()
@@ -167,14 +184,16 @@
     ) {
         let id = entry.life.id.clone();
         let (address, availability) = (entry.address, entry.availability);
-        let listed = {
+        let (before, listed) = {
             let mut selector = self.beliefs.selector();
+            let before = selector.incarnation(&id).map(str::to_owned);
             let has_changed = selector.apply(entry, now);
             let incarnation = selector.incarnation(&id).filter(|_| has_changed);
-            incarnation.map(str::to_owned)
+            (before, incarnation.map(str::to_owned))
         };
         if let Some(incarnation) = listed {
-            self.quarantine.listed(&incarnation, address);
+            let quarantine = &self.quarantine;
+            quarantine.listed(&incarnation, address, before.as_deref());
             news.listed(&incarnation, availability, offset);
         }
     }
@@ -213,6 +232,7 @@
         }
         let lapses_until = (now < lapses_until).then_some(lapses_until);
         let unlisted = self.beliefs.selector().unlist(&unlisted, lapses_until);
+        self.quarantine.departed(&unlisted.gone);
         news.unlisted(&unlisted);
         if let Some(until) = lapses_until.filter(|_| !unlisted.lapsed.is_empty()) {
             tokio::spawn(Arc::clone(self).end_lapse(until));
--- a/crates/swiftshunt-gateway/src/messages/quarantine.rs
+++ b/crates/swiftshunt-gateway/src/messages/quarantine.rs
@@ -1,7 +1,10 @@
 //! What gateways tell each other of requests that end their workers.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 use swiftshunt_scheduler::quarantine::{Fingerprint, WorkerEnd};
+use swiftshunt_scheduler::slots::WorkerKey;
 
 /// A message. Each is one datagram; any may be lost, doubled or late: all of it is recorded in the log, too.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,4 +28,34 @@
         /// All ends that are known.
         ends: Vec<WorkerEnd>,
     },
+    /// Asks a gateway near a worker whether it reaches it.
+    Look {
+        /// Names the question in the answer.
+        ask: u64,
+        /// Where the worker listens.
+        address: SocketAddr,
+    },
+    /// The answer.
+    Looked {
+        /// The question.
+        ask: u64,
+        /// What was seen.
+        sight: Sight,
+    },
+    /// It is not true that a worker has ended, as far as known: to all.
+    Refuted {
+        /// The worker.
+        worker: WorkerKey,
+    },
+}
+
+/// What a connection to a worker showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Sight {
+    /// Nobody listens at an address whose system answers, or something on the way says so.
+    Refuses,
+    /// It is taken.
+    Takes,
+    /// There was no answer.
+    Nothing,
 }
--- a/crates/swiftshunt-gateway/src/metrics/mod.rs
+++ b/crates/swiftshunt-gateway/src/metrics/mod.rs
@@ -49,6 +49,7 @@
     pub(crate) workers_relieved: Counter,
     pub(crate) workers_failing: Counter,
     pub(crate) workers_ended: Counter,
+    pub(crate) ends_refuted: Counter,
     pub(crate) requests_held: Counter,
     pub(crate) records_unreadable: Counter,
     pub(crate) first_event_seconds: Histogram,
@@ -188,6 +189,10 @@
             "workers_ended",
             "Workers that were found to have ended while they ran requests of this gateway",
         );
+        let ends_refuted = counter(
+            "ends_refuted",
+            "Workers that were said to have ended and gave a sign of life to this gateway",
+        );
         let requests_held = counter(
             "requests_held",
             "Requests that are not sent any more, since workers ended while they ran them",
@@ -228,6 +233,7 @@
             workers_relieved,
             workers_failing,
             workers_ended,
+            ends_refuted,
             requests_held,
             records_unreadable,
             requests,
--- a/crates/swiftshunt-gateway/src/peers.rs
+++ b/crates/swiftshunt-gateway/src/peers.rs
@@ -229,7 +229,7 @@
             Notice::Slots(message) => receivers.slots.take(message, from),
             Notice::Waiting(message) => receivers.waiting_limits.take(message, from),
             Notice::Rate(message) => receivers.rates.take(message, from),
-            Notice::Quarantine(message) => receivers.quarantine.take(message),
+            Notice::Quarantine(message) => receivers.quarantine.take(message, from),
         }
     }
 
--- a/crates/swiftshunt-gateway/src/quarantine/ends.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/ends.rs
@@ -1,37 +1,32 @@
 //! Whether a worker has ended at which a request broke off: its process may have ended, or only a connection
 //! was lost.
 //!
-//! A system refuses connections to the port of a process that has ended. So one connection is tried for each
-//! worker, whatever number of requests broke off there; a worker behind a dead link gives no answer, and then
-//! nothing is known. A worker that is back before it is looked at takes the connection: it has ended all the
-//! same if the directory soon lists another life at its address.
+//! One connection is tried for each worker, whatever number of requests broke off there; a worker behind a dead
+//! link gives no answer, and then nothing is known. A worker that refuses connections, here and in its own zone,
+//! is suspected to have ended. A worker that is back before it is looked at takes the connection. Whatever was
+//! seen, the directory proves the end if it soon lists another life at its address ([`super::directory`]).
 
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use swiftshunt_scheduler::quarantine::{Fingerprint, WorkerEnd};
+use swiftshunt_scheduler::quarantine::{Evidence, Fingerprint, SUSPECTED_FOR, WorkerEnd};
 use swiftshunt_scheduler::selection::Chosen;
 use swiftshunt_scheduler::slots::WorkerKey;
-use tokio::net::TcpStream;
 
+use super::sight::look;
 use super::{Quarantine, Subject};
 use crate::beliefs::lock;
 use crate::clock::Clock;
+use crate::messages::quarantine::Sight;
 
-/// Time within which a connection is refused or taken: a few times the way to and fro within a region.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for which a worker that was found to have ended is not looked at again: others of its requests break
 /// off a moment later.
 const ENDED_FOR: Duration = Duration::from_secs(2);
-/// Time for which it is remembered that requests broke off at a worker that takes connections: a worker that
-/// has started again lists itself at once, and that is read within two seconds.
-const DOUBTED_FOR: Duration = Duration::from_secs(5);
 /// Workers of which that is remembered at most.
 const MOST_DOUBTED: usize = 256;
 
-/// A worker that takes connections, though requests broke off there.
+/// A worker of which it is not known whether it has ended, though requests broke off there.
 pub(super) struct Doubted {
     chosen: Chosen,
     /// What has happened if it has ended.
@@ -43,7 +38,7 @@
 pub(super) enum Check {
     /// It is being looked at; this has happened if it has ended.
     UnderWay(Vec<(Fingerprint, WorkerEnd)>),
-    /// It has ended.
+    /// It refuses connections.
     Ended(Duration),
 }
 
@@ -59,6 +54,7 @@
             worker: WorkerKey::of(&chosen.incarnation),
             sent_unix_ms: ended_unix_ms.saturating_sub(ago.as_millis() as u64),
             ended_unix_ms,
+            evidence: Evidence::Suspected,
         };
         let end = (subject.fingerprint(), end);
         let mut checks = lock(&self.checks);
@@ -94,35 +90,46 @@
     }
 
     async fn check(self: Arc<Self>, chosen: Chosen) {
-        let has_ended = refuses_connections(chosen.address).await;
-        let now = self.clock.now();
-        let checked = {
-            let mut checks = lock(&self.checks);
-            checks.retain(|_, check| match check {
-                Check::UnderWay(_) => true,
-                Check::Ended(at) => now < *at + ENDED_FOR,
-            });
-            let checked = checks.remove(&chosen.incarnation);
-            if has_ended {
-                checks.insert(chosen.incarnation.clone(), Check::Ended(now));
-            }
-            checked
-        };
-        if let Some(Check::UnderWay(ends)) = checked {
-            if has_ended {
-                self.metrics.workers_ended.inc();
-                self.ended(&chosen, &ends);
-            } else {
-                self.doubt(chosen, ends);
-            }
+        let refuses = look(chosen.address).await == Sight::Refuses;
+        let ends = self.checked(&chosen, refuses);
+        if !refuses {
+            return self.doubt(chosen, ends);
         }
+        self.ended(&chosen, &ends);
         self.checked.notify_waiters();
+        // The suspicion stands meanwhile: tries of one request follow each other within milliseconds.
+        if self.second_sight_of(&chosen).await == Sight::Refuses {
+            self.metrics.workers_ended.inc();
+            return;
+        }
+        let worker = WorkerKey::of(&chosen.incarnation);
+        lock(&self.checks).remove(&chosen.incarnation);
+        self.refute(worker, "its zone does not see that it refuses connections");
+        self.doubt(chosen, ends);
+    }
+
+    /// A worker was looked at; gives what has happened there if it has ended.
+    fn checked(&self, chosen: &Chosen, refuses: bool) -> Vec<(Fingerprint, WorkerEnd)> {
+        let now = self.clock.now();
+        let mut checks = lock(&self.checks);
+        checks.retain(|_, check| match check {
+            Check::UnderWay(_) => true,
+            Check::Ended(at) => now < *at + ENDED_FOR,
+        });
+        let checked = checks.remove(&chosen.incarnation);
+        if refuses {
+            checks.insert(chosen.incarnation.clone(), Check::Ended(now));
+        }
+        match checked {
+            Some(Check::UnderWay(ends)) => ends,
+            Some(Check::Ended(_)) | None => Vec::new(),
+        }
     }
 
     fn doubt(&self, chosen: Chosen, ends: Vec<(Fingerprint, WorkerEnd)>) {
         let since = self.clock.now();
         let mut doubted = lock(&self.doubted);
-        doubted.retain(|worker| since < worker.since + DOUBTED_FOR);
+        doubted.retain(|worker| since < worker.since + SUSPECTED_FOR);
         if doubted.len() < MOST_DOUBTED {
             doubted.push(Doubted {
                 chosen,
@@ -130,25 +137,33 @@
                 since,
             });
         }
+        drop(doubted);
+        self.checked.notify_waiters();
     }
 
-    /// The directory lists a worker that was not known, or not so. Another one that had its address has ended.
-    pub(crate) fn listed(&self, incarnation: &str, address: SocketAddr) {
+    /// It is proved that a worker has ended: gives what had happened there, if it was not suspected.
+    pub(super) fn doubted_ends(&self, incarnation: &str) -> Vec<(Fingerprint, WorkerEnd)> {
         let now = self.clock.now();
-        let ended: Vec<Doubted> = {
-            let mut doubted = lock(&self.doubted);
-            let is_ended = |worker: &mut Doubted| {
-                let is_another = worker.chosen.incarnation != incarnation;
-                is_another && worker.chosen.address == address
-            };
-            doubted.extract_if(.., is_ended).collect()
-        };
-        for worker in ended {
-            if now < worker.since + DOUBTED_FOR {
-                self.metrics.workers_ended.inc();
-                self.ended(&worker.chosen, &worker.ends);
-            }
-        }
+        let is_it = |worker: &mut Doubted| worker.chosen.incarnation == incarnation;
+        let proved: Vec<Doubted> = lock(&self.doubted).extract_if(.., is_it).collect();
+        let in_time = proved
+            .into_iter()
+            .filter(|worker| now < worker.since + SUSPECTED_FOR);
+        let ends = in_time.flat_map(|worker| worker.ends);
+        ends.map(|(request, end)| {
+            let evidence = Evidence::Proved;
+            (request, WorkerEnd { evidence, ..end })
+        })
+        .collect()
+    }
+
+    /// The incarnation of a worker that had an address, as far as requests broke off there.
+    pub(super) fn doubted_at(&self, address: SocketAddr) -> Vec<String> {
+        let doubted = lock(&self.doubted);
+        let at = doubted
+            .iter()
+            .filter(|worker| worker.chosen.address == address);
+        at.map(|worker| worker.chosen.incarnation.clone()).collect()
     }
 
     /// A worker ended while it ran requests.
@@ -159,9 +174,3 @@
         self.saw(ends);
     }
 }
-
-/// Whether nobody listens at an address whose system answers.
-async fn refuses_connections(address: SocketAddr) -> bool {
-    let connected = tokio::time::timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await;
-    matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
-}
--- a/crates/swiftshunt-gateway/src/quarantine/mod.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/mod.rs
@@ -7,25 +7,30 @@
 //! first in the request's order, and from them to all once the request is held. While no worker ends nothing
 //! is sent, recorded or digested.
 
+mod directory;
 mod ends;
 mod records;
+mod sight;
 mod subject;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use swiftshunt_journal::Log;
-use swiftshunt_scheduler::quarantine::{Fingerprint, Quarantine as Table, Standing, WorkerEnd};
-use tokio::sync::{Notify, watch};
+use swiftshunt_scheduler::quarantine::{
+    Departures, Fingerprint, Quarantine as Table, SignsOfLife, Standing, WorkerEnd,
+};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::beliefs::{Beliefs, lock};
 use crate::clock::Clock;
 use crate::datagrams::Datagrams;
 use crate::members::Members;
 use crate::messages::Notice;
-use crate::messages::quarantine::QuarantineMessage;
+use crate::messages::quarantine::{QuarantineMessage, Sight};
 use crate::metrics::Metrics;
 use crate::own_failures::OwnFailures;
 use crate::unreadable::UnreadableRecords;
@@ -41,7 +46,7 @@
 /// together, and the tries that they had are back at once. A listing of the log takes some ten milliseconds.
 const READ_WITHIN: Duration = Duration::from_millis(1_500);
 /// Pause between two looks for what has lapsed.
-const LAPSE_EVERY: Duration = Duration::from_secs(10);
+const LAPSE_EVERY: Duration = Duration::from_secs(4);
 
 /// A request that may not be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,10 +69,16 @@
     table: Mutex<Table>,
     /// Workers at which requests of this gateway broke off, by incarnation.
     checks: Mutex<HashMap<String, Check>>,
-    /// Workers that take connections, though requests broke off there a moment ago.
+    /// Workers of which it is not known whether they have ended, though requests broke off there a moment ago.
     doubted: Mutex<Vec<Doubted>>,
     /// Wakes who waits for the end of a check.
     checked: Notify,
+    /// Workers whose entries lapsed.
+    departures: Mutex<Departures>,
+    signs_of_life: Mutex<SignsOfLife>,
+    /// Gateways that were asked to look at a worker, and who waits for their answers.
+    looks: Mutex<HashMap<u64, mpsc::UnboundedSender<Sight>>>,
+    last_look: AtomicU64,
     own_failures: Mutex<OwnFailures>,
     unrecorded: Unrecorded,
     /// Whether the log's records were read since the start.
@@ -96,6 +107,10 @@
             checks: Mutex::default(),
             doubted: Mutex::default(),
             checked: Notify::new(),
+            departures: Mutex::default(),
+            signs_of_life: Mutex::default(),
+            looks: Mutex::default(),
+            last_look: AtomicU64::new(0),
             own_failures: Mutex::default(),
             unrecorded: Unrecorded::default(),
             is_read: watch::Sender::new(false),
@@ -207,7 +222,7 @@
     }
 
     /// Takes a message of another gateway.
-    pub(crate) fn take(&self, message: QuarantineMessage) {
+    pub(crate) fn take(self: &Arc<Self>, message: QuarantineMessage, from: SocketAddr) {
         match message {
             QuarantineMessage::Ended { fingerprint, end } => {
                 self.learn(&fingerprint, end);
@@ -220,6 +235,11 @@
                     self.learn(&fingerprint, end);
                 }
             }
+            QuarantineMessage::Look { ask, address } => self.look_for(from, ask, address),
+            QuarantineMessage::Looked { ask, sight } => self.looked(ask, sight),
+            QuarantineMessage::Refuted { worker } => {
+                lock(&self.table).refute(worker);
+            }
         }
     }
 
--- a/crates/swiftshunt-scheduler/src/listed.rs
+++ b/crates/swiftshunt-scheduler/src/listed.rs
@@ -9,11 +9,20 @@
 use crate::directory::WorkerEntry;
 use crate::selection::Selector;
 
+/// A worker that is gone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Departed {
+    /// Its incarnation.
+    pub incarnation: String,
+    /// Its zone.
+    pub zone: String,
+}
+
 /// What became of workers that the directory no longer lists.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Unlisted {
     /// Those that are gone.
-    pub gone: Vec<String>,
+    pub gone: Vec<Departed>,
     /// Those that serve on until their entries are back or the time for that is over.
     pub lapsed: Vec<String>,
 }
@@ -27,7 +36,7 @@
             } = &known.entry;
             match entry.life.compare(life) {
                 Ordering::Less => return false,
-                Ordering::Greater => self.remove(&incarnation.clone()),
+                Ordering::Greater => drop(self.remove(&incarnation.clone())),
                 Ordering::Equal => {
                     entry.life.clone_from(life);
                     entry.incarnation.clone_from(incarnation);
@@ -62,11 +71,22 @@
         self.incarnations.get(id).map(String::as_str)
     }
 
+    /// How many workers are listed in a zone.
+    pub fn listed_in(&self, zone: &str) -> usize {
+        let listed = self.candidates.values();
+        listed
+            .filter(|candidate| candidate.entry.zone == zone && candidate.lapsed_until.is_none())
+            .count()
+    }
+
     /// Removes a worker, and all that is believed of it.
-    fn remove(&mut self, incarnation: &str) {
-        if let Some(candidate) = self.candidates.remove(incarnation) {
-            self.incarnations.remove(&candidate.entry.life.id);
-        }
+    fn remove(&mut self, incarnation: &str) -> Option<Departed> {
+        let candidate = self.candidates.remove(incarnation)?;
+        self.incarnations.remove(&candidate.entry.life.id);
+        Some(Departed {
+            incarnation: candidate.entry.incarnation,
+            zone: candidate.entry.zone,
+        })
     }
 
     /// Whether an entry says something that matters for a choice and is not known; entries are written
@@ -112,24 +132,23 @@
                 candidate.lapsed_until = lapses_until;
                 unlisted.lapsed.push(incarnation);
             } else {
-                self.remove(&incarnation);
-                unlisted.gone.push(incarnation);
+                unlisted.gone.extend(self.remove(&incarnation));
             }
         }
         unlisted
     }
 
-    /// Removes workers whose entries lapsed and are not back in time; gives their incarnations.
-    pub fn remove_lapsed(&mut self, now: Duration) -> Vec<String> {
+    /// Removes workers whose entries lapsed and are not back in time; gives them.
+    pub fn remove_lapsed(&mut self, now: Duration) -> Vec<Departed> {
         let over = self.candidates.iter().filter(|(_, candidate)| {
             let until = candidate.lapsed_until;
             until.is_some_and(|until| until <= now)
         });
         let removed: Vec<String> = over.map(|(incarnation, _)| incarnation.clone()).collect();
-        for incarnation in &removed {
-            self.remove(incarnation);
-        }
         removed
+            .iter()
+            .filter_map(|incarnation| self.remove(incarnation))
+            .collect()
     }
 
     /// Services of which more than half of the workers are among these.
--- /dev/null
+++ b/crates/swiftshunt-scheduler/src/quarantine/departures.rs
@@ -0,0 +1,83 @@
+//! Workers whose entries lapsed. One that lapses while others of its zone renew theirs has ended; where most of
+//! a zone lapse together, the zone is cut off from the log.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::slots::WorkerKey;
+
+/// Time after a lapse in which those that lapse for the same cause have lapsed, too: workers write every second
+/// or so, and changes of the directory are gathered for part of one.
+pub const SETTLES_WITHIN: Duration = Duration::from_secs(2);
+/// How long a lapse is remembered: a zone that is cut off is back within it.
+const REMEMBERED_FOR: Duration = Duration::from_secs(120);
+/// Lapses that are remembered at most.
+const MOST_REMEMBERED: usize = 4_096;
+/// Workers of a zone that may lapse together with as few left before the zone is taken for the cause.
+const FEWEST_TOGETHER: usize = 2;
+
+#[derive(Debug)]
+struct Departure {
+    worker: WorkerKey,
+    zone: String,
+    at: Duration,
+    is_judged: bool,
+}
+
+/// Workers that lapsed of late.
+#[derive(Debug, Default)]
+pub struct Departures {
+    recent: VecDeque<Departure>,
+}
+
+impl Departures {
+    /// The entry of a worker lapsed.
+    pub fn add(&mut self, worker: WorkerKey, zone: &str, now: Duration) {
+        self.recent
+            .retain(|departure| now < departure.at + REMEMBERED_FOR);
+        if self.recent.len() >= MOST_REMEMBERED {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(Departure {
+            worker,
+            zone: zone.to_owned(),
+            at: now,
+            is_judged: false,
+        });
+    }
+
+    /// Workers of which it is certain by now that they have ended, each once. `listed` gives how many workers of
+    /// a zone are listed.
+    pub fn ended(&mut self, listed: impl Fn(&str) -> usize, now: Duration) -> Vec<WorkerKey> {
+        let due: Vec<usize> = (0..self.recent.len())
+            .filter(|index| {
+                let departure = &self.recent[*index];
+                !departure.is_judged && now >= departure.at + SETTLES_WITHIN
+            })
+            .collect();
+        let mut ended = Vec::new();
+        for index in due {
+            if !self.is_of_a_zone(&self.recent[index], &listed) {
+                ended.push(self.recent[index].worker);
+            }
+            self.recent[index].is_judged = true;
+        }
+        ended
+    }
+
+    /// Whether most workers of a zone lapsed at about the moment at which one did.
+    fn is_of_a_zone(&self, departure: &Departure, listed: &impl Fn(&str) -> usize) -> bool {
+        let together = self.recent.iter().filter(|other| {
+            other.zone == departure.zone && other.at.abs_diff(departure.at) <= SETTLES_WITHIN
+        });
+        let together = together.count();
+        together >= FEWEST_TOGETHER && together >= listed(&departure.zone)
+    }
+
+    /// A worker lists itself; gives whether it is back in the life in which it lapsed.
+    pub fn is_back(&mut self, worker: WorkerKey) -> bool {
+        let before = self.recent.len();
+        self.recent.retain(|departure| departure.worker != worker);
+        self.recent.len() < before
+    }
+}
--- /dev/null
+++ b/crates/swiftshunt-scheduler/src/quarantine/evidence.rs
@@ -0,0 +1,27 @@
+//! What says that a worker has ended.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::{KNOWN_FOR, SUSPECTED_FOR};
+
+/// What says that a worker has ended; more is greater.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Evidence {
+    /// Several places found its connections refused. So does a zone that is cut off.
+    #[default]
+    Suspected,
+    /// The worker lists a later life, or its entry lapsed while others of its zone renewed theirs.
+    Proved,
+}
+
+impl Evidence {
+    /// How long an end is remembered on it.
+    pub fn lasts(self) -> Duration {
+        match self {
+            Self::Suspected => SUSPECTED_FOR,
+            Self::Proved => KNOWN_FOR,
+        }
+    }
+}
--- a/crates/swiftshunt-scheduler/src/quarantine/mod.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/mod.rs
@@ -11,8 +11,13 @@
 //!   count.
 //! - A run that ended well clears a request.
 //! - What is known lapses after [`KNOWN_FOR`].
+//! - A refused connection looks like the end of a process, and may be the way to it: it is a suspicion, and
+//!   lapses after [`SUSPECTED_FOR`] unless the end is proved ([`Evidence`]). A sign of life refutes it.
 
+mod departures;
+mod evidence;
 mod fingerprint;
+mod signs_of_life;
 mod table;
 
 use std::time::Duration;
@@ -21,7 +26,10 @@
 
 use crate::slots::WorkerKey;
 
+pub use departures::{Departures, SETTLES_WITHIN};
+pub use evidence::Evidence;
 pub use fingerprint::{Fingerprint, NoFingerprint, Tried};
+pub use signs_of_life::SignsOfLife;
 pub use table::Quarantine;
 
 /// Ends of workers after which a request is not sent any more. Two come together by chance: a request that
@@ -30,6 +38,9 @@
 /// How long an end is remembered: a request is tried again after it, at the risk of as many workers. Callers'
 /// own tries end within minutes, and a worker's software is replaced within an hour.
 pub const KNOWN_FOR: Duration = Duration::from_secs(15 * 60);
+/// How long an end is remembered that is only suspected. The entry of a worker that has ended lapses within
+/// three signs of life, some four seconds, and what lapsed with it is looked at for two more.
+pub const SUSPECTED_FOR: Duration = Duration::from_secs(8);
 /// Ends within this time of each other are one moment, unless the later run began after the earlier end. What
 /// dies together is noticed within a few times the way to and fro within a region.
 pub const ONE_MOMENT: Duration = Duration::from_millis(30);
@@ -43,6 +54,17 @@
     pub sent_unix_ms: u64,
     /// When its end was seen, in milliseconds of Unix time.
     pub ended_unix_ms: u64,
+    /// What says that it has ended. A gateway that does not tell had seen a connection refused.
+    #[serde(default)]
+    pub evidence: Evidence,
+}
+
+impl WorkerEnd {
+    /// Whether both are the same end, on whatever evidence.
+    pub fn is_same(&self, other: &Self) -> bool {
+        (self.worker, self.sent_unix_ms, self.ended_unix_ms)
+            == (other.worker, other.sent_unix_ms, other.ended_unix_ms)
+    }
 }
 
 /// What follows for a request from the ends of workers that ran it.
--- a/crates/swiftshunt-scheduler/src/quarantine/table.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/table.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-use super::{Fingerprint, KNOWN_FOR, MOST_ENDS, ONE_MOMENT, Standing, WorkerEnd};
+use super::{Evidence, Fingerprint, MOST_ENDS, ONE_MOMENT, Standing, WorkerEnd};
 use crate::slots::WorkerKey;
 
 /// Requests that are remembered at most: those of a rack of 40 workers, 30 times over. Some 300 bytes each.
@@ -52,13 +52,22 @@
         now: Duration,
     ) -> bool {
         let age = Duration::from_millis(unix_ms.saturating_sub(end.ended_unix_ms));
-        let left = KNOWN_FOR.saturating_sub(age);
-        let is_known = self.ends(&request).any(|known| known == end);
-        if left.is_zero() || is_known || self.ends(&request).count() >= MOST_REMEMBERED {
+        let left = end.evidence.lasts().saturating_sub(age);
+        let mut ends = self.requests.entry(request).or_default().iter_mut();
+        if let Some(known) = ends.find(|known| known.end.is_same(&end)) {
+            let is_stronger = end.evidence > known.end.evidence;
+            if is_stronger {
+                known.end.evidence = end.evidence;
+                known.lapses_at = now + left;
+            }
+            return is_stronger;
+        }
+        if left.is_zero() || self.ends(&request).count() >= MOST_REMEMBERED {
+            self.forget_if_empty(&request);
             return false;
         }
-        if self.requests.len() >= MOST_REQUESTS && !self.requests.contains_key(&request) {
-            self.forget_next_to_lapse();
+        if self.requests.len() > MOST_REQUESTS {
+            self.forget_next_to_lapse(&request);
         }
         let lapses_at = now + left;
         let known = KnownEnd { end, lapses_at };
@@ -117,10 +126,8 @@
             known.retain(|known| {
                 known.end.worker != worker || known.end.ended_unix_ms != ended_unix_ms
             });
-            if known.is_empty() {
-                self.requests.remove(request);
-            }
         }
+        self.forget_if_empty(request);
         if self.ends(request).any(|end| end.worker == worker) {
             return;
         }
@@ -132,6 +139,54 @@
         }
     }
 
+    fn forget_if_empty(&mut self, request: &Fingerprint) {
+        if self.requests.get(request).is_some_and(Vec::is_empty) {
+            self.requests.remove(request);
+        }
+    }
+
+    /// The workers that are known to have ended.
+    pub fn accusers(&self) -> impl Iterator<Item = WorkerKey> {
+        self.workers.keys().copied()
+    }
+
+    /// The end of a worker is proved: gives its ends that were only suspected, as they are known from now on.
+    pub fn prove(
+        &mut self,
+        worker: WorkerKey,
+        unix_ms: u64,
+        now: Duration,
+    ) -> Vec<(Fingerprint, WorkerEnd)> {
+        let mut proved = self.ends_of(worker);
+        proved.retain(|(_, end)| end.evidence < Evidence::Proved);
+        for (request, end) in &mut proved {
+            end.evidence = Evidence::Proved;
+            self.learn(*request, *end, unix_ms, now);
+        }
+        proved
+    }
+
+    /// A worker gave a sign of life: gives its ends, which are forgotten by that.
+    pub fn refute(&mut self, worker: WorkerKey) -> Vec<(Fingerprint, WorkerEnd)> {
+        let refuted = self.ends_of(worker);
+        for (request, end) in &refuted {
+            self.forget(request, worker, end.ended_unix_ms);
+        }
+        refuted
+    }
+
+    fn ends_of(&self, worker: WorkerKey) -> Vec<(Fingerprint, WorkerEnd)> {
+        let Some(accuser) = self.workers.get(&worker) else {
+            return Vec::new();
+        };
+        let requests = accuser.requests.iter();
+        let ends = requests.flat_map(|request| {
+            let ends = self.ends(request).filter(|end| end.worker == worker);
+            ends.map(|end| (*request, end))
+        });
+        ends.collect()
+    }
+
     /// A run of a request ended well: gives the ends that are forgotten by that.
     pub fn clear(&mut self, request: &Fingerprint) -> Vec<WorkerEnd> {
         let ends: Vec<WorkerEnd> = self.ends(request).collect();
@@ -203,11 +258,12 @@
         together > MOST_AT_A_MOMENT && share < SHARE_OF_A_CAUSE
     }
 
-    fn forget_next_to_lapse(&mut self) {
+    fn forget_next_to_lapse(&mut self, kept: &Fingerprint) {
         let last_lapse = |known: &Vec<KnownEnd>| known.iter().map(|known| known.lapses_at).max();
         let next = self
             .requests
             .iter()
+            .filter(|(request, _)| *request != kept)
             .min_by_key(|(_, known)| last_lapse(known));
         if let Some(request) = next.map(|(request, _)| *request) {
             self.clear(&request);
--- a/crates/swiftshunt-scheduler/tests/listed.rs
+++ b/crates/swiftshunt-scheduler/tests/listed.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use swiftshunt_scheduler::directory::{Availability, WorkerEntry, WorkerLife};
-use swiftshunt_scheduler::listed::Unlisted;
+use swiftshunt_scheduler::listed::Departed;
 use swiftshunt_scheduler::selection::{Class, Demand, Ending, Selector, ToldLoad};
 use swiftshunt_topology::Residency;
 
@@ -47,6 +47,12 @@
     numbers.map(|number| format!("{service}{number}")).collect()
 }
 
+/// The incarnations of workers that are gone.
+fn names(departed: &[Departed]) -> Vec<&str> {
+    let departed = departed.iter();
+    departed.map(|worker| worker.incarnation.as_str()).collect()
+}
+
 #[test]
 fn workers_that_vanish_together_after_an_outage_serve_until_they_may_be_back() {
     let mut selector = selector();
@@ -56,13 +62,13 @@
         unlisted.lapsed,
         vanished.iter().cloned().collect::<Vec<_>>()
     );
-    assert_eq!(unlisted.gone, Vec::<String>::new());
+    assert_eq!(unlisted.gone, []);
     assert_eq!(selector.ready_count("many"), 6);
     selector.apply(entry("many", 0), START);
     let before = BACK_BY - Duration::from_millis(1);
-    assert_eq!(selector.remove_lapsed(before), Vec::<String>::new());
+    assert_eq!(selector.remove_lapsed(before), []);
     let removed = selector.remove_lapsed(BACK_BY);
-    assert_eq!(removed, ["many1", "many2", "many3", "many4"]);
+    assert_eq!(names(&removed), ["many1", "many2", "many3", "many4"]);
     assert!(selector.is_ready("many0"));
 }
 
@@ -70,14 +76,8 @@
 fn a_few_of_many_that_vanish_after_an_outage_are_gone() {
     let mut selector = selector();
     let unlisted = selector.unlist(&named("many", 0..3), Some(BACK_BY));
-    let gone = ["many0", "many1", "many2"].map(str::to_owned).to_vec();
-    assert_eq!(
-        unlisted,
-        Unlisted {
-            gone,
-            lapsed: Vec::new()
-        }
-    );
+    assert_eq!(names(&unlisted.gone), ["many0", "many1", "many2"]);
+    assert_eq!(unlisted.lapsed, Vec::<String>::new());
     assert_eq!(selector.ready_count("many"), 3);
 }
 
@@ -87,7 +87,7 @@
     let mut vanished = named("many", 0..2);
     vanished.extend(named("few", 0..2));
     let unlisted = selector.unlist(&vanished, Some(BACK_BY));
-    assert_eq!(unlisted.gone, ["many0", "many1"]);
+    assert_eq!(names(&unlisted.gone), ["many0", "many1"]);
     assert_eq!(unlisted.lapsed, ["few0", "few1"]);
 }
 
@@ -234,7 +234,7 @@
     selector.apply(started("s", 0, Some(1_000)), START);
     selector.apply(started("s", 0, Some(2_000)), START);
     let unlisted = selector.unlist(&named("s", 0..1), None);
-    assert_eq!(unlisted.gone, ["s0@2000"]);
+    assert_eq!(names(&unlisted.gone), ["s0@2000"]);
     assert!(selector.is_empty());
     assert!(selector.apply(started("s", 0, Some(1_000)), START));
 }
--- a/crates/swiftshunt-scheduler/tests/quarantine.rs
+++ b/crates/swiftshunt-scheduler/tests/quarantine.rs
@@ -4,9 +4,11 @@
 
 use proptest::prelude::*;
 use swiftshunt_scheduler::quarantine::{
-    Fingerprint, KNOWN_FOR, MOST_ENDS, Quarantine, Standing, Tried, WorkerEnd,
+    Departures, Evidence, Fingerprint, KNOWN_FOR, MOST_ENDS, Quarantine, SETTLES_WITHIN,
+    SUSPECTED_FOR, SignsOfLife, Standing, Tried, WorkerEnd,
 };
 use swiftshunt_scheduler::slots::WorkerKey;
+use test_case::test_case;
 
 const NOW: Duration = Duration::from_secs(1_000);
 const UNIX_MS: u64 = 1_700_000_000_000;
@@ -31,6 +33,7 @@
         worker: WorkerKey(worker),
         sent_unix_ms: UNIX_MS + at - 50,
         ended_unix_ms: UNIX_MS + at,
+        evidence: Evidence::Proved,
     }
 }
 
@@ -126,6 +129,7 @@
         worker: WorkerKey(worker),
         sent_unix_ms: UNIX_MS + sent,
         ended_unix_ms: UNIX_MS + ended,
+        evidence: Evidence::Proved,
     };
     learn(
         &mut quarantine,
@@ -276,3 +280,117 @@
         prop_assert!(quarantine.ends(&request("harmful")).count() >= MOST_ENDS);
     }
 }
+
+fn suspected(worker: u64, at: u64) -> WorkerEnd {
+    WorkerEnd {
+        evidence: Evidence::Suspected,
+        ..end(worker, at)
+    }
+}
+
+fn suspect_three(quarantine: &mut Quarantine) {
+    let ends = [suspected(1, 100), suspected(2, 300), suspected(3, 600)];
+    learn(quarantine, "request", ends);
+}
+
+/// A link that refuses is as good as a process that has ended, for a moment; for no longer.
+#[test]
+fn a_suspicion_holds_a_request_for_seconds() {
+    let mut quarantine = Quarantine::default();
+    suspect_three(&mut quarantine);
+    assert!(is_held(&quarantine, "request"));
+    let later = NOW + SUSPECTED_FOR;
+    assert_eq!(
+        quarantine.standing(&request("request"), later),
+        Standing::Free
+    );
+    assert_eq!(quarantine.lapse(later).len(), MOST_ENDS);
+    assert!(quarantine.is_empty());
+}
+
+#[test]
+fn a_suspicion_that_is_proved_holds_for_long() {
+    let mut quarantine = Quarantine::default();
+    suspect_three(&mut quarantine);
+    for worker in 1..=3 {
+        let proved = quarantine.prove(WorkerKey(worker), UNIX_MS + 600, NOW);
+        assert_eq!(proved.len(), 1);
+        assert_eq!(proved[0].1.evidence, Evidence::Proved);
+        assert!(quarantine.prove(WorkerKey(worker), UNIX_MS, NOW).is_empty());
+    }
+    let later = NOW + KNOWN_FOR - Duration::from_secs(1);
+    assert!(quarantine.lapse(NOW + SUSPECTED_FOR).is_empty());
+    assert_ne!(
+        quarantine.standing(&request("request"), later),
+        Standing::Free
+    );
+    // Word of the suspicion that comes late changes nothing.
+    suspect_three(&mut quarantine);
+    assert_ne!(
+        quarantine.standing(&request("request"), later),
+        Standing::Free
+    );
+}
+
+#[test]
+fn a_sign_of_life_refutes_an_end_for_all_its_requests() {
+    let mut quarantine = Quarantine::default();
+    suspect_three(&mut quarantine);
+    learn(&mut quarantine, "other", [end(2, 310)]);
+    assert!(quarantine.accusers().any(|worker| worker == WorkerKey(2)));
+    assert_eq!(quarantine.refute(WorkerKey(2)).len(), 2);
+    assert!(quarantine.accusers().all(|worker| worker != WorkerKey(2)));
+    assert!(!is_held(&quarantine, "request"));
+    assert_eq!(quarantine.ends(&request("other")).count(), 0);
+    assert!(quarantine.refute(WorkerKey(2)).is_empty());
+}
+
+/// Workers of a zone with ten of them lapse a moment after each other.
+#[test_case(1, 9, 1; "one has ended")]
+#[test_case(3, 7, 3; "a rack has ended")]
+#[test_case(6, 4, 0; "most of a zone, which is cut off")]
+#[test_case(1, 0, 1; "the only one has ended")]
+fn what_lapses_while_others_renew_has_ended(lapsed: u64, listed: usize, ended: usize) {
+    let mut departures = Departures::default();
+    for worker in 0..lapsed {
+        let at = NOW + Duration::from_millis(worker * 200);
+        departures.add(WorkerKey(worker), "zone", at);
+    }
+    departures.add(WorkerKey(99), "another zone", NOW);
+    let listed = |zone: &str| if zone == "zone" { listed } else { 5 };
+    assert!(
+        departures
+            .ended(listed, NOW + Duration::from_secs(1))
+            .is_empty()
+    );
+    let later = NOW + SETTLES_WITHIN + Duration::from_secs(2);
+    let found = departures.ended(listed, later);
+    assert_eq!(found.iter().filter(|worker| worker.0 < 99).count(), ended);
+    assert!(found.contains(&WorkerKey(99)));
+    assert!(departures.ended(listed, later).is_empty(), "each once");
+    assert!(departures.is_back(WorkerKey(0)));
+    assert!(!departures.is_back(WorkerKey(0)));
+}
+
+#[test]
+fn an_entry_written_before_the_end_is_no_sign_of_life() {
+    let mut signs = SignsOfLife::default();
+    let worker = WorkerKey(1);
+    let accused = || [worker].into_iter();
+    assert!(
+        signs.read(std::iter::empty(), &[worker]).is_empty(),
+        "nobody is accused"
+    );
+    assert!(
+        signs.read(accused(), &[worker]).is_empty(),
+        "read before, told after"
+    );
+    assert!(
+        signs.read(accused(), &[worker]).is_empty(),
+        "asked before, written after"
+    );
+    assert!(signs.read(accused(), &[]).is_empty(), "it renews nothing");
+    assert_eq!(signs.read(accused(), &[worker]), [worker]);
+    assert!(signs.read(std::iter::empty(), &[worker]).is_empty());
+    assert!(signs.read(accused(), &[worker]).is_empty(), "accused anew");
+}
--- a/crates/swiftshunt/tests/gateway_quarantine.rs
+++ b/crates/swiftshunt/tests/gateway_quarantine.rs
@@ -10,6 +10,7 @@
 
 mod gateway;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use gateway::{ExclusiveFleet, down, start, submit};
@@ -17,8 +18,10 @@
 use swiftshunt_http::{HttpAnswer, HttpError};
 use swiftshunt_lab::platform::caller::{item_body, item_id};
 use swiftshunt_lab::platform::fleet::{
-    ASK, ONCE, PlatformOptions, STREAM, STREAM_ONCE, eventually, first_configuration,
+    ASK, ONCE, PlatformFleet, PlatformOptions, STREAM, STREAM_ONCE, eventually, first_configuration,
 };
+use swiftshunt_lab::platform::worker::Worker;
+use swiftshunt_lab::proxy::{Fault, Link};
 use swiftshunt_platform::words::{topics, values};
 use test_case::test_case;
 
@@ -336,3 +339,80 @@
     }
     assert_eq!(ends, MOST_ENDS);
 }
+
+/// Workers of the service `whole` behind links of their own, which are listed in their place.
+async fn behind_links(fleet: &ExclusiveFleet) -> Vec<Option<Link>> {
+    let mut links = Vec::new();
+    for worker in &fleet.whole {
+        let any = ([127, 0, 0, 1], 0).into();
+        let link = Link::open(any, Some(worker.address)).await.expect("a link");
+        list_at(fleet, worker, link.address);
+        links.push(Some(link));
+    }
+    links
+}
+
+/// Lists a worker at the address of its link, as it does itself every second or so.
+fn list_at(fleet: &ExclusiveFleet, worker: &Worker, address: SocketAddr) {
+    let mut entry = PlatformFleet::entry_of(worker, "whole", values::READY);
+    entry.address = address.to_string();
+    let entry = serde_json::to_vec(&entry).expect("JSON");
+    fleet
+        .store
+        .put(topics::WORKERS, worker.incarnation(), entry);
+}
+
+/// Whatever stands on the way to workers refuses connections for a moment, as it does for a process that has
+/// ended, while one request runs at one after the other. The workers are there all the same and renew their
+/// entries: the request is served again within seconds. It was held for 15 minutes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_link_that_refuses_holds_no_request_for_long() {
+    let fleet = start(PlatformOptions {
+        gateways: GATEWAYS,
+        workers: 5,
+        whole_pause: Duration::from_millis(300),
+        ..PlatformOptions::default()
+    })
+    .await;
+    let mut links = behind_links(&fleet).await;
+    let addresses: Vec<_> = links.iter().flatten().map(|link| link.address).collect();
+    // Until the directory names the links alone.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    for cut in 0..MOST_ENDS {
+        let gateway = fleet.gateways[cut % GATEWAYS].callers;
+        let caller = fleet.caller.clone();
+        let id = format!("innocent-{cut}");
+        let asked =
+            tokio::spawn(async move { caller.ask_with_body(gateway, ONCE, &id, "innocent").await });
+        let running = || fleet.whole.iter().position(|worker| worker.running() > 0);
+        eventually("it runs", || async { running().is_some() }).await;
+        let index = running().expect("a worker");
+        let link = links[index].take().expect("each is cut once");
+        link.set_fault(Fault::Cut);
+        drop(link);
+        let answer = asked.await.expect("a task");
+        assert_ne!(status_of(&answer), Some(StatusCode::OK), "cut {cut}");
+    }
+    for (index, link) in links.iter_mut().enumerate() {
+        if link.is_none() {
+            let target = fleet.whole[index].address;
+            *link = Link::open(addresses[index], Some(target)).await.ok();
+        }
+    }
+    for gateway in &fleet.gateways {
+        let served = || async {
+            for (worker, address) in fleet.whole.iter().zip(&addresses) {
+                list_at(&fleet, worker, *address);
+            }
+            let answer =
+                fleet
+                    .caller
+                    .ask_with_body(gateway.callers, ONCE, "innocent-last", "innocent");
+            let status = status_of(&answer.await);
+            tokio::time::sleep(Duration::from_millis(400)).await;
+            status == Some(StatusCode::OK)
+        };
+        eventually("it is served again", served).await;
+    }
+    assert!(fleet.whole.iter().all(|worker| !worker.has_ended()));
+}
