Bytes of the build in production are read, and written as before

Cause: two builds serve side by side during a release, and nothing showed that they understand each other.

Ruled out: a version number in each message, and a list of builds that senders look at (0008).

--- a/crates/swiftshunt-gateway/src/batch/member.rs
+++ b/crates/swiftshunt-gateway/src/batch/member.rs
@@ -49,3 +49,17 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::earlier_builds::{MEMBER, entry};
+
+    #[test]
+    fn a_name_of_the_build_in_production_is_read() {
+        let name = String::from_utf8(entry("member")).expect("a text");
+        let member = name.parse::<Member>().expect("a member");
+        assert_eq!(member.address, SocketAddr::from(([10, 0, 0, 2], 7_000)));
+        assert_eq!(member.to_string(), MEMBER);
+    }
+}
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -12,6 +12,8 @@
 mod clock;
 mod datagrams;
 mod directory_news;
+#[cfg(test)]
+mod earlier_builds;
 mod entry;
 mod events;
 mod followed;
--- a/crates/swiftshunt-gateway/src/log_relay/mod.rs
+++ b/crates/swiftshunt-gateway/src/log_relay/mod.rs
@@ -5,7 +5,7 @@
 //! make its calls. They are the same calls: what makes them safe (versions, nonces, leases by name of
 //! the member) does not depend on who makes them.
 
-mod message;
+pub(crate) mod message;
 mod standing;
 
 use std::collections::BTreeMap;
--- a/crates/swiftshunt-gateway/src/peers.rs
+++ b/crates/swiftshunt-gateway/src/peers.rs
@@ -321,3 +321,16 @@
         is_news
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::earlier_builds::entry;
+
+    #[test]
+    fn a_gateway_of_the_build_in_production_is_there_and_tells_no_zone() {
+        let value = entry("gateway-record");
+        assert!(!value.is_empty());
+        assert_eq!(GatewayRecord::decoded(&value), None);
+    }
+}
--- a/crates/swiftshunt-gateway/src/quarantine/records.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/records.rs
@@ -214,3 +214,20 @@
     }
     Ok((place.fingerprint, end))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::earlier_builds::entry;
+
+    #[test]
+    fn a_record_of_the_build_in_production_means_the_same() {
+        let (key, value) = (entry("quarantine-key"), entry("quarantine-value"));
+        let (fingerprint, end) = read(&key, &value).expect("a record");
+        assert_eq!(end.worker, WorkerKey(9));
+        assert_eq!(end.sent_unix_ms, 1_700_000_000_000);
+        assert_eq!(end.ended_unix_ms, 1_700_000_000_250);
+        let written = record(&Place::of(fingerprint, &end), Some(&end));
+        assert_eq!(written.0, key);
+    }
+}
--- a/crates/swiftshunt-gateway/src/tails/mod.rs
+++ b/crates/swiftshunt-gateway/src/tails/mod.rs
@@ -9,7 +9,7 @@
 //! whoever waits at it reads the log, at once or after the time that a lost read of its own would cost:
 //! changes are obeyed as soon as where each gateway reads for itself.
 
-mod message;
+pub(crate) mod message;
 mod published;
 mod readers;
 
