Two builds under load; the soak learns regions, cold starts, evacuations and an earlier build

Cause: nothing played a release with both programs, and the soak had one zone.

A gateway whose address another test program took first is started again with others.

--- a/crates/swiftshunt-lab/src/harness/options.rs
+++ b/crates/swiftshunt-lab/src/harness/options.rs
@@ -30,6 +30,8 @@
     pub node: PathBuf,
     /// `swiftshunt-lab`, built beside it.
     pub lab: PathBuf,
+    /// `swiftshunt` of an earlier build; none if there is none.
+    pub earlier: Option<PathBuf>,
 }
 
 impl Binaries {
@@ -41,7 +43,11 @@
             let message = format!("{} is not built", node.display());
             return Err(std::io::Error::other(message));
         }
-        Ok(Self { node, lab })
+        Ok(Self {
+            node,
+            lab,
+            earlier: None,
+        })
     }
 
     /// The programs, given the path of `swiftshunt`.
@@ -53,7 +59,11 @@
             "{} is not built: test the whole workspace",
             lab.display()
         );
-        Self { node, lab }
+        Self {
+            node,
+            lab,
+            earlier: None,
+        }
     }
 }
 
--- a/crates/swiftshunt-lab/src/platform/fleet.rs
+++ b/crates/swiftshunt-lab/src/platform/fleet.rs
@@ -54,6 +54,34 @@
     /// Its door.
     pub door: Door,
     settings: PathBuf,
+    program: PathBuf,
+}
+
+impl RunningGateway {
+    fn new(
+        process: Process,
+        program: PathBuf,
+        settings: PathBuf,
+        metrics: SocketAddr,
+        door: Door,
+    ) -> Result<Self, HarnessError> {
+        let address = |field: &str| {
+            let text = process.announced(field);
+            text.parse().map_err(|_| HarnessError::NotAnnounced {
+                line: text.to_owned(),
+            })
+        };
+        Ok(Self {
+            callers: address("callers")?,
+            ready: address("ready")?,
+            peers: address("peers")?,
+            metrics,
+            process,
+            door,
+            settings,
+            program,
+        })
+    }
 }
 
 /// Gateways, store and workers.
@@ -68,7 +96,8 @@
     pub gateways: Vec<RunningGateway>,
     /// A caller.
     pub caller: PlatformCaller,
-    binary: PathBuf,
+    /// What gateways run, by turns.
+    programs: Vec<PathBuf>,
     scratch: PathBuf,
     version: u64,
     lease: Duration,
@@ -103,6 +132,8 @@
     pub workers_tell_start: bool,
     /// Where gateways and workers stand.
     pub places: Places,
+    /// Programs that gateways run by turns in place of the one that the fleet is started with; none for that alone.
+    pub programs: Vec<PathBuf>,
 }
 
 impl Default for PlatformOptions {
@@ -120,6 +151,7 @@
             workers_ended_by: None,
             workers_tell_start: false,
             places: Places::default(),
+            programs: Vec::new(),
         }
     }
 }
@@ -231,7 +263,7 @@
     pub async fn start(
         binary: &Path,
         scratch: &Path,
-        options: PlatformOptions,
+        mut options: PlatformOptions,
     ) -> Result<Self, HarnessError> {
         let scratch = scratch.join(format!("fleet-{:016x}", rand::random::<u64>()));
         std::fs::create_dir_all(&scratch)?;
@@ -253,13 +285,16 @@
             let engine = settings("engine", Some(options.events), options.event_pause);
             engines.push(Worker::start(engine).await?);
         }
+        if options.programs.is_empty() {
+            options.programs.push(binary.to_owned());
+        }
         let mut fleet = Self {
             store,
             whole,
             engines,
             gateways: Vec::new(),
             caller: PlatformCaller::default(),
-            binary: binary.to_owned(),
+            programs: options.programs,
             scratch,
             version: 0,
             lease: options.lease,
@@ -284,56 +319,58 @@
         let door = self.store.open_door().await?;
         let index = self.gateways.len();
         let settings = self.scratch.join(format!("gateway-{index}.toml"));
-        let peers = free_address()?;
-        let metrics = free_address()?;
-        let text = settings_text(&GatewaySettingsText {
-            index,
-            places: &self.places,
-            peers,
-            metrics,
-            store: door.address,
-            partitions: PARTITIONS,
-            lease: self.lease,
-            directory: &self.directory,
-            more: more_settings,
+        let program = self.programs[index % self.programs.len()].clone();
+        let started = start_gateway_anew(&program, &settings, |addresses| {
+            settings_text(&GatewaySettingsText {
+                index,
+                places: &self.places,
+                peers: addresses.peers,
+                metrics: addresses.metrics,
+                store: door.address,
+                partitions: PARTITIONS,
+                lease: self.lease,
+                directory: &self.directory,
+                more: more_settings,
+            })
         });
-        std::fs::write(&settings, text)?;
-        let gateway = self.run(settings, metrics, door)?;
+        let (process, addresses) = started?;
+        let metrics = addresses.metrics;
+        let gateway = RunningGateway::new(process, program, settings, metrics, door)?;
         self.gateways.push(gateway);
         Ok(())
     }
 
-    fn run(
-        &self,
-        settings: PathBuf,
-        metrics: SocketAddr,
-        door: Door,
-    ) -> Result<RunningGateway, HarnessError> {
-        let process = start_gateway(&self.binary, &settings)?;
-        let address = |field: &str| {
-            let text = process.announced(field);
-            text.parse().map_err(|_| HarnessError::NotAnnounced {
-                line: text.to_owned(),
-            })
-        };
-        Ok(RunningGateway {
-            callers: address("callers")?,
-            ready: address("ready")?,
-            peers: address("peers")?,
-            metrics,
-            process,
-            door,
-            settings,
-        })
-    }
-
     /// Kills a gateway and starts it again, without waiting until it is ready.
     pub fn restart(&mut self, index: usize) -> Result<(), HarnessError> {
         self.gateways[index].process.kill();
-        let settings = self.gateways[index].settings.clone();
-        let metrics = self.gateways[index].metrics;
-        let door = self.gateways[index].door.clone();
-        self.gateways[index] = self.run(settings, metrics, door)?;
+        let program = self.gateways[index].program.clone();
+        self.start_again(index, program)
+    }
+
+    fn start_again(&mut self, index: usize, program: PathBuf) -> Result<(), HarnessError> {
+        let gateway = &self.gateways[index];
+        let settings = gateway.settings.clone();
+        let process = start_gateway(&program, &settings)?;
+        let (metrics, door) = (gateway.metrics, gateway.door.clone());
+        self.gateways[index] = RunningGateway::new(process, program, settings, metrics, door)?;
+        Ok(())
+    }
+
+    /// Stops a gateway as planned, and has another program take its place once it has ended.
+    pub async fn replace(&mut self, index: usize, program: &Path) -> Result<(), HarnessError> {
+        let gateway = &mut self.gateways[index];
+        gateway.process.terminate();
+        let ends = async {
+            while gateway.process.is_running() {
+                tokio::time::sleep(LOOK).await;
+            }
+        };
+        let ended = tokio::time::timeout(PATIENCE, ends).await;
+        assert!(ended.is_ok(), "gateway {index} does not stop");
+        self.start_again(index, program.to_owned())?;
+        let ready = self.gateways[index].ready;
+        let caller = &self.caller;
+        eventually("the gateway is ready", || caller.is_ready(ready)).await;
         Ok(())
     }
 
@@ -467,6 +504,47 @@
     Process::start(binary, &arguments, &settings.with_extension("log"))
 }
 
+/// Addresses that a gateway keeps when it starts again: others know it by them.
+#[derive(Clone, Copy)]
+pub(crate) struct KeptAddresses {
+    /// Where it listens for other gateways.
+    pub(crate) peers: SocketAddr,
+    /// Where it listens for who asks for its figures.
+    pub(crate) metrics: SocketAddr,
+}
+
+/// Times that a gateway is started with other addresses before it is given up.
+const STARTS: usize = 5;
+/// What the log of a gateway says whose address another process took first.
+const ADDRESS_TAKEN: &str = "in use";
+
+/// Starts a gateway for the first time, by the settings that `text` makes of its addresses. Another test program may
+/// take one of them between a look at it and the start: then others are drawn.
+pub(crate) fn start_gateway_anew(
+    program: &Path,
+    settings: &Path,
+    text: impl Fn(KeptAddresses) -> String,
+) -> Result<(Process, KeptAddresses), HarnessError> {
+    for start in 1.. {
+        let addresses = KeptAddresses {
+            peers: free_address()?,
+            metrics: free_address()?,
+        };
+        std::fs::write(settings, text(addresses))?;
+        match start_gateway(program, settings) {
+            Ok(process) => return Ok((process, addresses)),
+            Err(error) if start >= STARTS || !is_address_taken(settings) => return Err(error),
+            Err(_) => eprintln!("an address of {} was taken", settings.display()),
+        }
+    }
+    Err(std::io::Error::from(std::io::ErrorKind::AddrInUse).into())
+}
+
+fn is_address_taken(settings: &Path) -> bool {
+    let log = std::fs::read_to_string(settings.with_extension("log"));
+    log.is_ok_and(|log| log.contains(ADDRESS_TAKEN))
+}
+
 /// Ports that the system gives to nobody by itself.
 const FIXED_PORTS: std::ops::Range<u16> = 20_000..30_000;
 /// Ports that are tried until one is free.
@@ -475,8 +553,8 @@
 /// Ports that were given to gateways of this process.
 static GIVEN_PORTS: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
 
-/// An address that a gateway keeps when it starts again: others know it by this.
-pub(crate) fn free_address() -> std::io::Result<SocketAddr> {
+/// An address that nobody listens at.
+fn free_address() -> std::io::Result<SocketAddr> {
     let mut last = std::io::Error::from(std::io::ErrorKind::AddrInUse);
     for _ in 0..PORT_TRIES {
         let port = rand::random_range(FIXED_PORTS);
--- a/crates/swiftshunt-lab/src/platform/places.rs
+++ b/crates/swiftshunt-lab/src/platform/places.rs
@@ -27,6 +27,11 @@
         self.0[index % self.0.len()].0
     }
 
+    /// The region of the gateway, or of the worker of a service, with this number.
+    pub fn region(&self, index: usize) -> &'static str {
+        self.0[index % self.0.len()].1
+    }
+
     /// Zones and regions as lines of a gateway's settings; none where there is one zone.
     pub(crate) fn settings(&self) -> String {
         if self.0.len() < 2 {
--- a/crates/swiftshunt-lab/src/proxy.rs
+++ b/crates/swiftshunt-lab/src/proxy.rs
@@ -14,6 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use crate::stand_in::lock;
 
@@ -40,9 +41,59 @@
     Truncate,
 }
 
+/// How wide a link is, for all that shares it together.
+#[derive(Debug)]
+pub struct Width {
+    bytes_per_s: f64,
+    /// Until when what was sent so far keeps it busy.
+    busy_until: Mutex<Instant>,
+}
+
+impl Width {
+    /// A width in bytes a second.
+    pub fn new(bytes_per_s: u64) -> Self {
+        Self {
+            bytes_per_s: bytes_per_s as f64,
+            busy_until: Mutex::new(Instant::now()),
+        }
+    }
+
+    /// Waits until these bytes are through, behind all that came before them.
+    async fn pass(&self, bytes: usize) {
+        let until = {
+            let mut busy_until = lock(&self.busy_until);
+            let time = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
+            *busy_until = Instant::now().max(*busy_until) + time;
+            *busy_until
+        };
+        tokio::time::sleep_until(until).await;
+    }
+}
+
+/// What a link is like without any fault.
+#[derive(Clone, Debug, Default)]
+pub struct Way {
+    /// Time from one end to the other.
+    pub delay: Duration,
+    /// Its width; none where it is wide enough for anything.
+    pub width: Option<Arc<Width>>,
+}
+
+impl Way {
+    async fn pass(&self, bytes: usize) {
+        if let Some(width) = &self.width {
+            width.pass(bytes).await;
+        }
+        if !self.delay.is_zero() {
+            tokio::time::sleep(self.delay).await;
+        }
+    }
+}
+
 /// Rules of one link.
 #[derive(Default)]
 struct Rules {
+    way: Way,
     everyone: Fault,
     by_source: HashMap<IpAddr, Fault>,
 }
@@ -102,6 +153,11 @@
         *lock(&self.target) = Some(target);
     }
 
+    /// What the link is like from now on.
+    pub fn set_way(&self, way: Way) {
+        lock(&self.rules).way = way;
+    }
+
     /// What happens to every connection without a rule of its own.
     pub fn set_fault(&self, fault: Fault) {
         lock(&self.rules).everyone = fault;
@@ -147,6 +203,10 @@
         lock(&self.rules).fault_for(self.source)
     }
 
+    fn way(&self) -> Way {
+        lock(&self.rules).way.clone()
+    }
+
     /// Returns once the fault is `Cut`.
     async fn cut(&mut self) {
         while self.current() != Fault::Cut {
@@ -211,6 +271,7 @@
             Fault::Cut => return,
             _ => {}
         }
+        view.way().pass(length).await;
         if to.write_all(&buffer[..length]).await.is_err() {
             break;
         }
--- a/crates/swiftshunt-lab/src/soak/calm.rs
+++ b/crates/swiftshunt-lab/src/soak/calm.rs
@@ -49,6 +49,15 @@
         })
     }
 
+    /// A worker and the way to it were left alone.
+    pub fn worker(&self, incarnation: &str, from: u64, to: u64) -> bool {
+        self.is_free(
+            from,
+            to,
+            |scope| matches!(scope, Scope::Worker(struck) if struck == incarnation),
+        )
+    }
+
     /// All gateways and the store were left alone.
     pub fn all_gateways(&self, from: u64, to: u64) -> bool {
         self.is_free(from, to, |scope| !matches!(scope, Scope::Worker(_)))
--- a/crates/swiftshunt-lab/src/soak/command.rs
+++ b/crates/swiftshunt-lab/src/soak/command.rs
@@ -34,6 +34,12 @@
     /// play a written plan instead
     #[argh(option)]
     replay: Option<PathBuf>,
+    /// two regions with a thin, slow link between them, cold workers, evacuations
+    #[argh(switch)]
+    regions: bool,
+    /// program of an earlier build: every second gateway runs it until its first planned stop
+    #[argh(option)]
+    earlier: Option<PathBuf>,
     /// where plans, histories, logs and plots are written
     #[argh(option, default = "PathBuf::from(\"target/soak\")")]
     output: PathBuf,
@@ -45,7 +51,10 @@
 /// Runs the soak; fails if a promise was broken.
 pub async fn run(arguments: SoakArguments) -> Result<ExitCode, SoakError> {
     let soak = Soak {
-        binaries: Binaries::own()?,
+        binaries: Binaries {
+            earlier: arguments.earlier,
+            ..Binaries::own()?
+        },
         promises: if arguments.only.is_empty() {
             ALL.to_vec()
         } else {
@@ -67,7 +76,10 @@
         .unwrap_or_else(|| u64::from(rand::random::<u32>()));
     let (mut broken, mut played) = (0, 0);
     while played == 0 || std::time::Instant::now() < until {
-        let plan = Plan::draw(first + played as u64, ROUND_MINUTES);
+        let mut plan = Plan::draw(first + played as u64, ROUND_MINUTES);
+        if arguments.regions {
+            plan = plan.in_two_regions();
+        }
         broken += usize::from(!soak.round(plan).await?);
         played += 1;
     }
--- a/crates/swiftshunt-lab/src/soak/history.rs
+++ b/crates/swiftshunt-lab/src/soak/history.rs
@@ -190,6 +190,50 @@
     pub ended: u64,
 }
 
+/// Where a worker stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerPlace {
+    /// The worker.
+    pub incarnation: String,
+    /// Its zone.
+    pub zone: String,
+    /// The region of that zone.
+    pub region: String,
+}
+
+/// A time for which a worker is cold.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ColdSpell {
+    /// The worker.
+    pub incarnation: String,
+    /// Requests that it bears a second.
+    pub per_second: f64,
+    /// From when; its entry has told of it.
+    pub from: u64,
+    /// Until when.
+    pub to: u64,
+}
+
+/// An evacuation of a zone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evacuation {
+    /// The zone.
+    pub zone: String,
+    /// When the store acknowledged it.
+    pub at: u64,
+    /// When its withdrawal was asked for, if it was.
+    pub withdrawn: Option<u64>,
+}
+
+/// A path whose requests may be served in some regions alone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Residence {
+    /// How paths of the route begin.
+    pub path_prefix: String,
+    /// The regions.
+    pub regions: Vec<String>,
+}
+
 /// A round.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct History {
@@ -203,6 +247,18 @@
     pub configurations: Vec<Configured>,
     /// Workers that left.
     pub leaving: Vec<Leaving>,
+    /// Where workers stand; none in a round of one zone.
+    #[serde(default)]
+    pub places: Vec<WorkerPlace>,
+    /// When workers were cold.
+    #[serde(default)]
+    pub cold: Vec<ColdSpell>,
+    /// Evacuations.
+    #[serde(default)]
+    pub evacuations: Vec<Evacuation>,
+    /// Where requests may be served.
+    #[serde(default)]
+    pub residences: Vec<Residence>,
     /// Planned stops.
     pub stops: Vec<PlannedStop>,
     /// Gateways whose process ended without being told to.
--- a/crates/swiftshunt-lab/src/soak/plan.rs
+++ b/crates/swiftshunt-lab/src/soak/plan.rs
@@ -22,6 +22,21 @@
 /// Delay after an acknowledgement of faults that come at the worst moment, in milliseconds.
 const WORST_MOMENT_MS: std::ops::Range<u64> = 0..12;
 
+/// Zones of a round in two regions.
+pub const ZONES: usize = 2;
+/// Keeps what is drawn for two regions apart from the rest of a round.
+const REGIONS_SEED: u64 = 0x7265_6769_6f6e_7321;
+/// Delay of the link between regions, one way, in milliseconds.
+const LINK_DELAY_MS: std::ops::Range<u64> = 5..60;
+/// Its width, in bytes a second.
+const LINK_BYTES_PER_S: std::ops::Range<u64> = 500_000..8_000_000;
+/// How long a worker is cold, in milliseconds.
+const COLD_MS: std::ops::Range<u64> = 3_000..8_000;
+/// Evacuations of a round.
+const EVACUATIONS: usize = 2;
+/// How long one lasts, in milliseconds: beyond the time to obey it.
+const EVACUATED_MS: std::ops::Range<u64> = 6_000..12_000;
+
 /// A round.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Plan {
@@ -49,6 +64,34 @@
     pub job_items: usize,
     /// What goes wrong.
     pub faults: Vec<Step>,
+    /// Two regions; all stands in one zone without.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub regions: Option<TwoRegions>,
+    /// How workers begin; at once with all their might without.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<ColdStarts>,
+}
+
+/// Two regions and the link between the store and the gateways of the other region.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TwoRegions {
+    /// Time from one end to the other, in milliseconds.
+    pub delay_ms: u64,
+    /// Bytes a second, for all gateways together.
+    pub bytes_per_s: u64,
+    /// Whether entries of workers tell where they stand; else each names the first zone. Shows that a check looks.
+    pub is_told: bool,
+}
+
+/// Workers that start during the load are cold.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ColdStarts {
+    /// Requests that such a worker bears a second.
+    pub per_second: f64,
+    /// For how long.
+    pub lasts_ms: u64,
+    /// Whether their entries and the configuration tell of it. Shows that a check looks.
+    pub is_told: bool,
 }
 
 /// A fault and its time.
@@ -183,6 +226,11 @@
     },
     /// The operator publishes a configuration.
     Configure,
+    /// The operator evacuates a zone, and withdraws that when the fault ends.
+    Evacuate {
+        /// Its number.
+        zone: usize,
+    },
 }
 
 impl Plan {
@@ -205,6 +253,8 @@
             jobs_per_burst: random.random_range(1..=4),
             job_items: random.random_range(4..=24),
             faults: Vec::new(),
+            regions: None,
+            cold: None,
         };
         let count = f64::from(random.random_range(FAULTS_A_MINUTE)) * minutes;
         plan.faults = (0..count.ceil() as u32)
@@ -214,6 +264,33 @@
         plan
     }
 
+    /// The same round in two regions with a thin, slow link between them, with workers that start cold, and zones
+    /// that are evacuated.
+    pub fn in_two_regions(mut self) -> Self {
+        let mut random = StdRng::seed_from_u64(self.seed ^ REGIONS_SEED);
+        self.regions = Some(TwoRegions {
+            delay_ms: random.random_range(LINK_DELAY_MS),
+            bytes_per_s: random.random_range(LINK_BYTES_PER_S),
+            is_told: true,
+        });
+        self.cold = Some(ColdStarts {
+            per_second: hundredths(200..1_000, &mut random),
+            lasts_ms: random.random_range(COLD_MS),
+            is_told: true,
+        });
+        let evacuations = (0..EVACUATIONS).map(|_| Step {
+            disruption: Disruption::Evacuate {
+                zone: random.random_range(0..ZONES),
+            },
+            for_ms: random.random_range(EVACUATED_MS),
+            after: None,
+            at_ms: random.random_range(WARM_UP.as_millis() as u64..self.load_ms),
+        });
+        self.faults.extend(evacuations);
+        self.faults.sort_by_key(|step| step.at_ms);
+        self
+    }
+
     fn draw_step(&self, random: &mut StdRng) -> Step {
         let first = WARM_UP.as_millis() as u64;
         let last = self
--- a/crates/swiftshunt-lab/src/soak/promises/mod.rs
+++ b/crates/swiftshunt-lab/src/soak/promises/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod batch;
 mod changes;
+mod places;
 mod runs;
 
 use derive_more::{Display, Error};
@@ -55,10 +56,19 @@
     /// No process ends without being told to.
     #[display("stays-up")]
     StaysUp,
+    /// A cold worker gets no more requests in a second than it bears.
+    #[display("cold")]
+    Cold,
+    /// Workers of an evacuated zone get nothing new.
+    #[display("evacuated")]
+    Evacuated,
+    /// What is bound to regions is served there alone.
+    #[display("residency")]
+    Residency,
 }
 
 /// All promises.
-pub const ALL: [Promise; 13] = [
+pub const ALL: [Promise; 16] = [
     Promise::ExactlyOnce,
     Promise::Cancelled,
     Promise::OnlineFirst,
@@ -72,6 +82,9 @@
     Promise::FinalAnswer,
     Promise::CallerLeft,
     Promise::StaysUp,
+    Promise::Cold,
+    Promise::Evacuated,
+    Promise::Residency,
 ];
 
 /// A word that names no promise.
@@ -156,6 +169,9 @@
         Promise::FinalAnswer => answers::final_answer(history, &mut verdict),
         Promise::CallerLeft => runs::caller_left(history, &mut verdict),
         Promise::StaysUp => changes::stays_up(history, &mut verdict),
+        Promise::Cold => places::cold(history, &mut verdict),
+        Promise::Evacuated => places::evacuated(history, &mut verdict),
+        Promise::Residency => places::residency(history, &mut verdict),
     }
     verdict
 }
--- a/crates/swiftshunt-lab/src/soak/promises/runs.rs
+++ b/crates/swiftshunt-lab/src/soak/promises/runs.rs
@@ -13,13 +13,13 @@
 /// Time within which every gateway obeys a worker's leaving, in milliseconds.
 const LEAVES_WITHIN_MS: u64 = 2_000;
 /// A little more, for what is on its way.
-const ON_ITS_WAY_MS: u64 = 400;
+pub(super) const ON_ITS_WAY_MS: u64 = 400;
 /// Time within which a request is gone from its worker once its caller has left, in milliseconds.
 const GONE_WITHIN_MS: u64 = 500;
 /// Wait for a slot from which a stream counts as one that waits behind others, in milliseconds.
 const WAITS_MS: u64 = 1_500;
 
-fn arrivals(history: &History) -> impl Iterator<Item = &RunRecord> {
+pub(super) fn arrivals(history: &History) -> impl Iterator<Item = &RunRecord> {
     let runs = history.runs.iter();
     runs.filter(|run| run.event == RunEvent::Arrived)
 }
--- a/crates/swiftshunt-lab/src/soak/testbed.rs
+++ b/crates/swiftshunt-lab/src/soak/testbed.rs
@@ -5,7 +5,7 @@
 mod workers;
 
 use std::path::PathBuf;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use swiftshunt_http::{HttpClient, HttpRequest};
@@ -18,20 +18,25 @@
 use self::workers::WorkerSlot;
 use super::calm::{Disturbance, Scope};
 use super::history::{History, RunRecord};
-use super::plan::{Disruption, LinkEnd, Moment, Plan, Service, Step};
+use super::plan::{Disruption, LinkEnd, Moment, Plan, Service, Step, ZONES};
 use super::{SoakError, journal};
 use crate::harness::{Binaries, Process};
+use crate::platform::places::{Place, Places};
 use crate::platform::process::time_of_day_ms;
 use crate::platform::store::{
     CONTROL_DEAL_ANEW, CONTROL_DROP_HISTORY, CONTROL_FAULTS, StoreFaults,
 };
-use crate::proxy::Fault;
+use crate::proxy::{Fault, Way, Width};
 use crate::stand_in::lock;
 
 /// Partitions of the store's topics.
 const PARTITIONS: u32 = 6;
 /// Time that a call to a stand-in may take.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The zones of a round in two regions.
+const TWO_REGIONS: [Place; ZONES] = [("zone-a", "region-a"), ("zone-b", "region-b")];
+/// The zone in which the store stands, by its number.
+const STORE_STANDS: usize = 0;
 /// Moments that a slow follower may miss.
 const MOMENTS_KEPT: usize = 256;
 
@@ -51,6 +56,8 @@
     whole: Vec<WorkerSlot>,
     engines: Vec<WorkerSlot>,
     operator: Operator,
+    /// How wide the link between the regions is.
+    width: Option<Arc<Width>>,
     _store: Process,
 }
 
@@ -77,6 +84,9 @@
             whole: Vec::new(),
             engines: Vec::new(),
             operator: Operator::new(*operators_door),
+            width: plan
+                .regions
+                .map(|regions| Arc::new(Width::new(regions.bytes_per_s))),
             _store: store,
             plan,
             scratch,
@@ -99,6 +109,28 @@
         Ok(testbed)
     }
 
+    /// The zones of the round.
+    fn places(&self) -> Places {
+        match self.plan.regions {
+            Some(_) => Places::new(&TWO_REGIONS),
+            None => Places::default(),
+        }
+    }
+
+    /// The way from the store to a gateway: thin and slow to those of the other region.
+    fn way_to_store(&self, gateway: usize) -> Way {
+        let Some(regions) = self.plan.regions else {
+            return Way::default();
+        };
+        if self.places().region(gateway) == self.places().region(STORE_STANDS) {
+            return Way::default();
+        }
+        Way {
+            delay: Duration::from_millis(regions.delay_ms),
+            width: self.width.clone(),
+        }
+    }
+
     /// Milliseconds since the round began.
     pub(super) fn now(&self) -> u64 {
         time_of_day_ms().saturating_sub(self.began)
@@ -218,6 +250,7 @@
             }
             Disruption::Link { link, fault } => self.disturb_link(*link, *fault, time).await,
             Disruption::Configure => self.configure().await,
+            Disruption::Evacuate { zone } => self.evacuate(*zone, time).await,
         }
     }
 
--- a/crates/swiftshunt-lab/src/soak/testbed/gateways.rs
+++ b/crates/swiftshunt-lab/src/soak/testbed/gateways.rs
@@ -12,8 +12,9 @@
 use super::{PARTITIONS, Testbed};
 use crate::harness::Process;
 use crate::platform::caller::PlatformCaller;
-use crate::platform::fleet::{GatewaySettingsText, free_address, settings_text, start_gateway};
-use crate::platform::places::Places;
+use crate::platform::fleet::{
+    GatewaySettingsText, KeptAddresses, settings_text, start_gateway, start_gateway_anew,
+};
 use crate::proxy::Link;
 use crate::soak::SoakError;
 use crate::soak::calm::Scope;
@@ -49,6 +50,7 @@
     peers: SocketAddr,
     ready: StdMutex<SocketAddr>,
     settings: PathBuf,
+    program: StdMutex<PathBuf>,
     /// Starts of the process so far.
     life: AtomicUsize,
     is_in: AtomicBool,
@@ -68,20 +70,24 @@
         let seeds = self.gateways.iter().take(SEEDS);
         let seeds: Vec<String> = seeds.map(|it| format!("\"{}\"", it.peers)).collect();
         let more = format!("[gateways]\nseeds = [{}]\n", seeds.join(", "));
-        let peers = free_address()?;
-        let text = settings_text(&GatewaySettingsText {
-            index,
-            places: &Places::default(),
-            peers,
-            metrics: free_address()?,
-            store: store.address,
-            partitions: PARTITIONS,
-            lease: LEASE,
-            directory: SHARED_READS,
-            more: &more,
-        });
-        std::fs::write(&settings, text)?;
-        let process = self.start_gateway(&settings)?;
+        store.set_way(self.way_to_store(index));
+        let program = self.program(index);
+        let places = self.places();
+        let text = |addresses: KeptAddresses| {
+            settings_text(&GatewaySettingsText {
+                index,
+                places: &places,
+                peers: addresses.peers,
+                metrics: addresses.metrics,
+                store: store.address,
+                partitions: PARTITIONS,
+                lease: LEASE,
+                directory: SHARED_READS,
+                more: &more,
+            })
+        };
+        let start = || start_gateway_anew(&program, &settings, text);
+        let (process, addresses) = tokio::task::block_in_place(start)?;
         let callers = Link::open(
             any,
             Some(super::addresses(process.announced("callers"))?[0]),
@@ -90,9 +96,10 @@
             callers: Arc::new(callers.await?),
             store: Arc::new(store),
             door,
-            peers,
+            peers: addresses.peers,
             ready: StdMutex::new(super::addresses(process.announced("ready"))?[0]),
             settings,
+            program: StdMutex::new(program),
             life: AtomicUsize::new(0),
             is_in: AtomicBool::new(true),
             ended_itself: AtomicBool::new(false),
@@ -100,15 +107,23 @@
         })
     }
 
-    fn start_gateway(&self, settings: &Path) -> Result<Process, SoakError> {
-        let start = || start_gateway(&self.binaries.node, settings);
+    /// The program of a gateway at the beginning: half of them run an earlier build, if there is one.
+    fn program(&self, index: usize) -> PathBuf {
+        let earlier = self.binaries.earlier.as_ref();
+        let earlier = earlier.filter(|_| index % 2 == 1);
+        earlier.unwrap_or(&self.binaries.node).clone()
+    }
+
+    fn start_gateway(&self, program: &Path, settings: &Path) -> Result<Process, SoakError> {
+        let start = || start_gateway(program, settings);
         Ok(tokio::task::block_in_place(start)?)
     }
 
     /// Starts a gateway whose process has ended, and waits until it is ready.
     async fn start_again(&self, index: usize, process: &mut Process) {
         let slot = &self.gateways[index];
-        let started = self.start_gateway(&slot.settings);
+        let program = lock(&slot.program).clone();
+        let started = self.start_gateway(&program, &slot.settings);
         let addresses = started.and_then(|started| {
             let callers = super::addresses(started.announced("callers"))?[0];
             let ready = super::addresses(started.announced("ready"))?[0];
@@ -195,6 +210,8 @@
             ended,
         };
         lock(&self.facts).stops.push(stop);
+        // A planned stop is how a gateway comes to the newest build.
+        lock(&slot.program).clone_from(&self.binaries.node);
         self.start_again(index, &mut process).await;
         self.record(Scope::PlannedStop(index), at);
     }
--- a/crates/swiftshunt-lab/src/soak/testbed/operator.rs
+++ b/crates/swiftshunt-lab/src/soak/testbed/operator.rs
@@ -2,21 +2,25 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
 use swiftshunt_http::HttpRequest;
-use swiftshunt_platform::documents::WorkerDocument;
+use swiftshunt_platform::documents::{ConfigurationDocument, WorkerDocument};
 use swiftshunt_platform::words::{paths, queries, topics, values};
 
 use super::{CONTROL_TIMEOUT, Testbed};
-use crate::platform::fleet::{first_configuration, route};
-use crate::soak::history::Configured;
+use crate::platform::fleet::{STREAM_ONCE, first_configuration, route};
+use crate::soak::history::{Configured, Evacuation, Residence};
 use crate::soak::plan::Moment;
 use crate::stand_in::lock;
 
 /// Routes of earlier versions that a configuration keeps.
 const MARKERS_KEPT: u64 = 4;
 
+/// The zone to whose region a route is bound, by its number.
+const BOUND_TO: usize = 0;
+
 /// The operator.
 pub(super) struct Operator {
     /// A door of the store without faults.
@@ -63,6 +67,7 @@
         let version = self.operator.version.fetch_add(1, Ordering::SeqCst) + 1;
         let mut document = first_configuration();
         document.version = version;
+        self.bind(&mut document);
         let oldest = version.saturating_sub(MARKERS_KEPT).max(1);
         for marked in oldest..=version {
             let marker = route(&marker(marked), values::IDEMPOTENT, "whole");
@@ -80,6 +85,49 @@
         }
     }
 
+    /// Binds a route to one region, and tells how workers start.
+    fn bind(&self, document: &mut ConfigurationDocument) {
+        if self.plan.regions.is_some() {
+            let region = self.places().region(BOUND_TO);
+            let bound = document.routes.iter_mut();
+            for route in bound.filter(|route| route.path_prefix == STREAM_ONCE) {
+                route.allowed_regions = vec![region.to_owned()];
+            }
+            let residence = Residence {
+                path_prefix: STREAM_ONCE.to_owned(),
+                regions: vec![region.to_owned()],
+            };
+            lock(&self.facts).residences = vec![residence];
+        }
+        if let Some(cold) = self.plan.cold.filter(|cold| cold.is_told) {
+            for service in &mut document.services {
+                service.cold_s = cold.lasts_ms as f64 / 1e3;
+                service.cold_per_s = cold.per_second;
+            }
+        }
+    }
+
+    /// Evacuates a zone for a while. Without two regions there is none that could be spared.
+    pub(super) async fn evacuate(&self, zone: usize, time: Duration) {
+        if self.plan.regions.is_none() {
+            return;
+        }
+        let zone = self.places().zone(zone).to_owned();
+        let key = format!("{}{zone}", topics::EVACUATION_KEY);
+        if !self.put(topics::OPERATOR, key.as_bytes(), b"{}").await {
+            return;
+        }
+        let mut evacuation = Evacuation {
+            zone,
+            at: self.now(),
+            withdrawn: None,
+        };
+        tokio::time::sleep(time).await;
+        evacuation.withdrawn = Some(self.now());
+        lock(&self.facts).evacuations.push(evacuation);
+        self.put(topics::OPERATOR, key.as_bytes(), &[]).await;
+    }
+
     /// The newest configuration that was acknowledged.
     pub(in crate::soak) fn configured(&self) -> Option<Configured> {
         let facts = lock(&self.facts);
--- a/crates/swiftshunt-lab/src/soak/testbed/workers.rs
+++ b/crates/swiftshunt-lab/src/soak/testbed/workers.rs
@@ -14,8 +14,8 @@
 use crate::proxy::Link;
 use crate::soak::SoakError;
 use crate::soak::calm::Scope;
-use crate::soak::history::Leaving;
-use crate::soak::plan::Service;
+use crate::soak::history::{ColdSpell, Leaving, WorkerPlace};
+use crate::soak::plan::{ColdStarts, Service};
 use crate::stand_in::lock;
 
 /// Events of a stream.
@@ -39,6 +39,9 @@
     pub(super) incarnation: String,
     pub(super) link: Arc<Link>,
     generation: u32,
+    zone: &'static str,
+    /// When it started.
+    started: u64,
 }
 
 fn name(service: Service) -> &'static str {
@@ -90,24 +93,75 @@
             None => Arc::new(Link::open(([127, 0, 0, 1], 0).into(), Some(target)).await?),
         };
         let state = WorkerState {
+            zone: self.places().zone(index),
+            started: self.now(),
             process,
             incarnation,
             link,
             generation,
         };
+        self.note_start(service, index, &state);
         self.list_worker(service, &state, values::READY).await;
         Ok(state)
     }
 
+    /// The zone that a worker's entry names.
+    fn told_zone(&self, worker: &WorkerState) -> String {
+        let regions = self.plan.regions;
+        let is_told = regions.is_none_or(|regions| regions.is_told);
+        let zone = if is_told {
+            worker.zone
+        } else {
+            self.places().zone(0)
+        };
+        zone.to_owned()
+    }
+
+    /// For how long a worker tells that it is cold.
+    fn cold_left_ms(&self, service: Service, worker: &WorkerState) -> f64 {
+        let cold = self.cold_start(service, worker.generation);
+        let told = cold.filter(|cold| cold.is_told);
+        let until = told.map_or(0, |cold| worker.started + cold.lasts_ms);
+        until.saturating_sub(self.now()) as f64
+    }
+
+    /// What is to be known of a worker that starts.
+    fn note_start(&self, service: Service, index: usize, worker: &WorkerState) {
+        let mut facts = lock(&self.facts);
+        if self.plan.regions.is_some() {
+            let places = self.places();
+            facts.places.push(WorkerPlace {
+                incarnation: worker.incarnation.clone(),
+                zone: places.zone(index).to_owned(),
+                region: places.region(index).to_owned(),
+            });
+        }
+        if let Some(cold) = self.cold_start(service, worker.generation) {
+            let from = self.now();
+            facts.cold.push(ColdSpell {
+                incarnation: worker.incarnation.clone(),
+                per_second: cold.per_second,
+                from,
+                to: from + cold.lasts_ms,
+            });
+        }
+    }
+
+    /// How a worker starts, if it is cold: one that takes the place of another is.
+    fn cold_start(&self, service: Service, generation: u32) -> Option<ColdStarts> {
+        let is_cold = service == Service::Whole && generation > 0;
+        self.plan.cold.filter(|_| is_cold)
+    }
+
     async fn list_worker(&self, service: Service, worker: &WorkerState, state: &str) -> bool {
         let document = WorkerDocument {
             service: name(service).to_owned(),
             address: worker.link.address.to_string(),
-            zone: "zone-a".to_owned(),
+            zone: self.told_zone(worker),
             version: "v1".to_owned(),
             slots: self.plan.slots as u32,
             state: state.to_owned(),
-            cold_left_ms: 0.0,
+            cold_left_ms: self.cold_left_ms(service, worker),
             call_seq: 1,
             born: None,
         };
--- a/crates/swiftshunt-lab/tests/soak_promises.rs
+++ b/crates/swiftshunt-lab/tests/soak_promises.rs
@@ -4,8 +4,8 @@
 use swiftshunt_lab::platform::worker::{RunEvent, event_data};
 use swiftshunt_lab::soak::calm::{Disturbance, Scope};
 use swiftshunt_lab::soak::history::{
-    Configured, Ending, History, JobHistory, Leaving, Listed, OnlineCall, OnlineKind, PlannedStop,
-    Reading, RunRecord, Submission,
+    ColdSpell, Configured, Ending, Evacuation, History, JobHistory, Leaving, Listed, OnlineCall,
+    OnlineKind, PlannedStop, Reading, Residence, RunRecord, Submission, WorkerPlace,
 };
 use swiftshunt_lab::soak::plan::Plan;
 use swiftshunt_lab::soak::promises::{ALL, Promise, judge};
@@ -20,6 +20,10 @@
 /// When the ended job's end is acknowledged.
 const JOB_ENDED: u64 = 12_000;
 
+/// When the zone of the only worker is evacuated, and when that is withdrawn.
+const EVACUATED: u64 = 31_000;
+const WITHDRAWN: u64 = 45_000;
+
 fn answered(status: u16, whole: bool) -> Ending {
     Ending::Answered { status, whole }
 }
@@ -148,6 +152,26 @@
             incarnation: "engine-0-0".to_owned(),
             at: LEAVES,
         }],
+        places: vec![WorkerPlace {
+            incarnation: "engine-0-0".to_owned(),
+            zone: "zone-a".to_owned(),
+            region: "region-a".to_owned(),
+        }],
+        cold: vec![ColdSpell {
+            incarnation: "engine-0-0".to_owned(),
+            per_second: 2.0,
+            from: 4_000,
+            to: 8_000,
+        }],
+        evacuations: vec![Evacuation {
+            zone: "zone-a".to_owned(),
+            at: EVACUATED,
+            withdrawn: Some(WITHDRAWN),
+        }],
+        residences: vec![Residence {
+            path_prefix: "/ask/".to_owned(),
+            regions: vec!["region-a".to_owned()],
+        }],
         stops: vec![PlannedStop {
             gateway: 0,
             at: STOPS,
@@ -215,6 +239,9 @@
 #[test_case(Promise::ExactlyOnce, |history| history.jobs[0].readings[0].status = Some(404); "unknown to a gateway in touch")]
 #[test_case(Promise::ExactlyOnce, |history| history.jobs[0].final_readings[0].status = Some(503); "not readable at the end")]
 #[test_case(Promise::ExactlyOnce, |history| history.jobs[1].final_readings[0].results.clear(); "what was listed of an ended job is gone")]
+#[test_case(Promise::Cold, |history| history.runs.extend(arrivals(9, 7_000)); "more than a cold worker bears")]
+#[test_case(Promise::Evacuated, |history| history.runs.extend(whole_run("ask", "/ask/", EVACUATED + 5_500)); "a run in an evacuated zone")]
+#[test_case(Promise::Residency, |history| history.places[0].region = "region-b".to_owned(); "another region")]
 fn what_breaks_a_promise_is_caught(promise: Promise, spoil: impl Fn(&mut History)) {
     let mut history = good();
     spoil(&mut history);
@@ -223,6 +250,55 @@
     assert!(!verdict.breaks.is_empty(), "{promise} found nothing");
 }
 
+/// Requests that come to a worker within half a second.
+fn arrivals(count: u64, from: u64) -> Vec<RunRecord> {
+    let arrival = |number| {
+        run(
+            RunEvent::Arrived,
+            "ask",
+            "/ask/",
+            from + number * 500 / count,
+        )
+    };
+    (0..count).map(arrival).collect()
+}
+
+#[test_case(8, 7_000, true; "as many as the bound allows")]
+#[test_case(9, 7_000, false; "one more")]
+#[test_case(9, 9_500, true; "no longer cold")]
+fn a_cold_worker_is_held_to_its_bound(count: u64, from: u64, is_kept: bool) {
+    let mut history = good();
+    history.runs.extend(arrivals(count, from));
+    history.runs.sort_by_key(|run| run.at);
+    let verdict = judge(Promise::Cold, &history);
+    assert_eq!(verdict.breaks.is_empty(), is_kept, "{verdict:?}");
+}
+
+/// A fault of a gateway excuses nothing; what came late over a way that was struck may come together.
+#[test_case(Scope::Gateway(0), false; "a gateway was struck")]
+#[test_case(Scope::Store, false; "the store was struck")]
+#[test_case(Scope::Worker("engine-0-0".to_owned()), true; "the way to it was struck")]
+fn a_cold_worker_is_excused_by_its_own_way_alone(scope: Scope, is_excused: bool) {
+    let mut history = good();
+    history.runs.extend(arrivals(20, 7_000));
+    let (from, to) = (6_000, 7_100);
+    history.disturbances.push(Disturbance { scope, from, to });
+    history.runs.sort_by_key(|run| run.at);
+    let verdict = judge(Promise::Cold, &history);
+    assert_eq!(verdict.breaks.is_empty(), is_excused, "{verdict:?}");
+}
+
+#[test_case(EVACUATED + 4_900, true; "in the time to obey")]
+#[test_case(WITHDRAWN + 10, true; "after the withdrawal")]
+#[test_case(WITHDRAWN - 10, false; "just before the withdrawal")]
+fn a_zone_is_free_until_its_evacuation_is_withdrawn(at: u64, is_kept: bool) {
+    let mut history = good();
+    history.runs.extend(whole_run("ask", "/ask/", at));
+    history.runs.sort_by_key(|run| run.at);
+    let verdict = judge(Promise::Evacuated, &history);
+    assert_eq!(verdict.breaks.is_empty(), is_kept, "{verdict:?}");
+}
+
 #[test]
 fn a_stream_behind_an_item_is_caught() {
     let mut history = good();
--- a/crates/swiftshunt/tests/soak.rs
+++ b/crates/swiftshunt/tests/soak.rs
@@ -8,7 +8,7 @@
 use swiftshunt_lab::platform::store::StoreFaults;
 use swiftshunt_lab::platform::worker::Manner;
 use swiftshunt_lab::soak::history::History;
-use swiftshunt_lab::soak::plan::{Disruption, Plan, Service, Step};
+use swiftshunt_lab::soak::plan::{ColdStarts, Disruption, Plan, Service, Step};
 use swiftshunt_lab::soak::promises::{ALL, Promise, judge};
 use test_case::test_case;
 use tokio::sync::Mutex;
@@ -111,3 +111,41 @@
     let verdict = judge(promise, &history);
     assert!(!verdict.breaks.is_empty(), "{} checked", verdict.checked);
 }
+
+/// A zone is evacuated in which workers stand that claim to be in the other one, as do those of the region that a
+/// route is not bound to.
+#[test_case(Promise::Evacuated)]
+#[test_case(Promise::Residency)]
+#[tokio::test(flavor = "multi_thread")]
+async fn workers_that_hide_where_they_stand_are_noticed(promise: Promise) {
+    let alone = alone(Disruption::Evacuate { zone: 1 });
+    let mut plan = alone.clone().in_two_regions();
+    plan.faults = alone.faults;
+    plan.cold = None;
+    if let Some(regions) = &mut plan.regions {
+        regions.is_told = false;
+    }
+    let history = play(plan).await;
+    let verdict = judge(promise, &history);
+    assert!(!verdict.breaks.is_empty(), "{} checked", verdict.checked);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn workers_that_hide_that_they_are_cold_are_noticed() {
+    let mut plan = alone(Disruption::CrashWorker {
+        service: Service::Whole,
+        index: 0,
+        same_address: false,
+    });
+    plan.faults[0].for_ms = 500;
+    plan.workers = 2;
+    plan.requests_per_s = 100.0;
+    plan.cold = Some(ColdStarts {
+        per_second: 1.0,
+        lasts_ms: plan.load_ms,
+        is_told: false,
+    });
+    let history = play(plan).await;
+    let verdict = judge(Promise::Cold, &history);
+    assert!(!verdict.breaks.is_empty(), "{} checked", verdict.checked);
+}
