Starts at cold workers are handed out by each worker's keepers

A request goes to a worker that is cold, or may be, with a start alone: asked for before each send of any kind (stream, item, retry, resumption, last resort), at the worker's two keepers, the first gateways in an order that depends on nothing but which are listed. Each keeper has a part of the bound for itself, a steady rate with a small burst; a start lapses 150 ms after it was asked for. A gateway that reaches no keeper sends nothing there.

Ruled out: the owner of the cell as the place. Cells are counted by the workers that are known, and workers are cold when they come and go, so that two owners with different counts hand out the same worker's starts; and an owner that others believe gone would need a wait of a second to be followed. The owner still spares requests the way to a worker without starts.

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -20,6 +20,7 @@
 use crate::protocol::{AnswerFacts, Protocol, SendFacts};
 use crate::quarantine::{Quarantine, Subject};
 use crate::slots::Slots;
+use crate::starts::{Start, Starts};
 use crate::upstream::{Sender, Upstream};
 
 /// What every send needs.
@@ -30,6 +31,7 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) peers: Arc<Peers>,
     pub(crate) slots: Arc<Slots>,
+    pub(crate) starts: Arc<Starts>,
     pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) clock: Clock,
 }
@@ -259,6 +261,7 @@
         last_event: Option<u64>,
         patience: Patience,
     ) -> Result<(hyper::Response<Incoming>, Sender), SendFailure> {
+        let start = Some(self.start(chosen, outgoing, None).await?);
         let resting = self
             .upstream
             .take_resting(&chosen.incarnation, self.clock.now());
@@ -283,7 +286,7 @@
                 reason: "the time was over before it was sent".to_owned(),
             });
         }
-        self.may_offer(chosen, outgoing)?;
+        self.start(chosen, outgoing, start).await?;
         let request = self.request(chosen, outgoing, last_event, patience);
         match sender.try_send_request(request).await {
             Ok(response) => Ok((response, sender)),
@@ -298,6 +301,25 @@
         }
     }
 
+    /// Whether the request may be sent now: the worker may be offered it, and if it is cold, there is a start
+    /// there, `held` from before or a new one.
+    async fn start(
+        &self,
+        chosen: &Chosen,
+        outgoing: &Outgoing,
+        held: Option<Start>,
+    ) -> Result<Start, SendFailure> {
+        let start = self.starts.take_or_keep(chosen, held).await;
+        self.may_offer(chosen, outgoing)?;
+        start.ok_or_else(|| {
+            log::info!(request = outgoing.id.as_deref().unwrap_or(""),
+                worker = chosen.incarnation.as_str(), why:% = Withheld::Cold; "a send is withheld");
+            SendFailure::Withheld {
+                why: Withheld::Cold,
+            }
+        })
+    }
+
     /// Whether the worker may still be offered the request: it was chosen a moment ago.
     fn may_offer(&self, chosen: &Chosen, outgoing: &Outgoing) -> Result<(), SendFailure> {
         let selector = self.beliefs.selector();
--- a/crates/swiftshunt-gateway/src/beliefs.rs
+++ b/crates/swiftshunt-gateway/src/beliefs.rs
@@ -3,12 +3,16 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use swiftshunt_routing::{Configuration, Installed, Route, SplitState, Versioned};
+use swiftshunt_routing::{ColdSpec, Configuration, Installed, Route, SplitState, Versioned};
+use swiftshunt_scheduler::cold::ColdBound;
 use swiftshunt_scheduler::selection::Selector;
 use tokio::sync::{Notify, watch};
 
+use crate::settings::ColdSettings;
+
 /// Shared beliefs.
 pub(crate) struct Beliefs {
+    cold: ColdSettings,
     versioned: Mutex<Versioned>,
     current: watch::Sender<Option<Arc<Configuration>>>,
     selector: Mutex<Selector>,
@@ -20,8 +24,9 @@
 }
 
 impl Beliefs {
-    pub(crate) fn new(selector: Selector) -> Self {
+    pub(crate) fn new(selector: Selector, cold: ColdSettings) -> Self {
         Self {
+            cold,
             versioned: Mutex::default(),
             current: watch::Sender::new(None),
             selector: Mutex::new(selector),
@@ -61,16 +66,26 @@
         if installed == Installed::Taken {
             let current = versioned.current();
             if let Some(current) = &current {
-                self.learn_memories(current);
+                self.learn_services(current);
             }
             self.current.send_replace(current);
         }
         installed
     }
 
-    fn learn_memories(&self, configuration: &Configuration) {
+    /// What the cold workers of a service may get, by the settings.
+    fn cold_bound(&self, cold: &ColdSpec) -> ColdBound {
+        let ColdSettings { share, requests } = self.cold;
+        ColdBound::new(cold.lasts, cold.per_second, share, requests)
+    }
+
+    fn learn_services(&self, configuration: &Configuration) {
         let mut selector = self.selector();
         for (name, service) in &configuration.services {
+            selector.set_cold(
+                name,
+                service.cold.as_ref().map(|cold| self.cold_bound(cold)),
+            );
             if let Some(engine) = service.engine {
                 selector.set_memory(name, engine.memory_tokens);
             }
--- a/crates/swiftshunt-gateway/src/followers.rs
+++ b/crates/swiftshunt-gateway/src/followers.rs
@@ -140,7 +140,10 @@
     /// Whether a record of the directory says something that is not known here.
     fn is_news(&self, record: &KeyedRecord) -> bool {
         match self.protocol.worker(&record.key, &record.value) {
-            Ok(entry) => self.beliefs.selector().is_news(&entry),
+            Ok(entry) => {
+                let selector = self.beliefs.selector();
+                selector.is_news(&entry) || selector.is_colder(&entry, self.clock.now())
+            }
             // Each gateway that takes it has to know once that it names no worker.
             Err(_) => !self.unreadable.is_known(Topic::Workers, &record.key),
         }
--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -29,6 +29,7 @@
 use crate::server::{Stop, listen, serve_callers, serve_metrics, serve_peers, serve_ready};
 use crate::settings::{GatewaySettings, StopSettings};
 use crate::slots::Slots;
+use crate::starts::Starts;
 use crate::tails::Tails;
 use crate::unreadable::UnreadableRecords;
 use crate::upstream::Upstream;
@@ -102,7 +103,7 @@
         let metrics = Arc::new(Metrics::new());
         let topology = settings.topology().map_err(StartError::Topology)?;
         let selector = Selector::at(topology.clone());
-        let beliefs = Arc::new(Beliefs::new(selector));
+        let beliefs = Arc::new(Beliefs::new(selector, settings.cold));
         let notices = bind_datagrams(peers_address).map_err(|source| StartError::Listen {
             field: "listen.peers",
             address: peers_address,
@@ -157,6 +158,13 @@
             Arc::clone(&unreadable),
             clock,
         ));
+        let starts = Arc::new(Starts::new(
+            Arc::clone(&members),
+            Arc::clone(&datagrams),
+            Arc::clone(&beliefs),
+            Arc::clone(&metrics),
+            clock,
+        ));
         let slots = Arc::new(Slots::new(
             members,
             datagrams,
@@ -173,6 +181,7 @@
             metrics: Arc::clone(&metrics),
             peers: Arc::clone(&others),
             slots: Arc::clone(&slots),
+            starts: Arc::clone(&starts),
             quarantine: Arc::clone(&quarantine),
             clock,
         });
@@ -229,6 +238,7 @@
                 waiting_limits,
                 rates: Arc::clone(&rates),
                 quarantine: Arc::clone(&quarantine),
+                starts,
             })),
             tokio::spawn(Arc::clone(&quarantine).follow(tails)),
             tokio::spawn(Arc::clone(&quarantine).keep_recording()),
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod server;
 pub mod settings;
 mod slots;
+mod starts;
 mod tails;
 mod unreadable;
 mod upstream;
--- a/crates/swiftshunt-gateway/src/members.rs
+++ b/crates/swiftshunt-gateway/src/members.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use swiftshunt_scheduler::cold::keeper::{REMEMBERED, keepers};
 use swiftshunt_scheduler::readers::first_ranked;
 use swiftshunt_scheduler::slots::cell::{Cell, owner};
 use swiftshunt_topology::{Distance, Topology};
@@ -61,6 +62,8 @@
 #[derive(Default)]
 struct Known {
     listed: HashMap<SocketAddr, Listed>,
+    /// Gateways that are not listed any more since a moment ago; the time is when that was seen.
+    unlisted: HashMap<SocketAddr, Listed>,
     doubts: HashMap<SocketAddr, Doubt>,
     heard_at: HashMap<SocketAddr, Duration>,
     /// Whether the list was read.
@@ -69,7 +72,11 @@
 
 impl Known {
     fn zone_of(&self, gateway: &SocketAddr) -> Option<&str> {
-        self.listed.get(gateway)?.zone.as_deref()
+        let listed = self.listed.get(gateway);
+        listed
+            .or_else(|| self.unlisted.get(gateway))?
+            .zone
+            .as_deref()
     }
 }
 
@@ -125,11 +132,18 @@
                 Some(listed) => listed.at = at,
                 None => drop(known.listed.insert(gateway, Listed { at, zone: None })),
             }
+            known.unlisted.remove(&gateway);
             return is_new;
         }
         known.doubts.remove(&gateway);
         known.heard_at.remove(&gateway);
-        known.listed.remove(&gateway).is_some()
+        let before = known.listed.remove(&gateway);
+        let was_listed = before.is_some();
+        if let Some(before) = before {
+            let at = self.clock.now();
+            known.unlisted.insert(gateway, Listed { at, ..before });
+        }
+        was_listed
     }
 
     /// A listed gateway tells its zone.
@@ -162,9 +176,14 @@
     pub(crate) fn forget_old(&self) {
         let now = self.clock.now();
         let mut known = lock(&self.known);
-        known
+        let silent = known
             .listed
-            .retain(|_, listed| now < listed.at + FORGOTTEN_AFTER);
+            .extract_if(|_, listed| now >= listed.at + FORGOTTEN_AFTER);
+        let silent: Vec<(SocketAddr, Listed)> = silent.collect();
+        let silent = silent
+            .into_iter()
+            .map(|(gateway, listed)| (gateway, Listed { at: now, ..listed }));
+        known.unlisted.extend(silent);
     }
 
     /// The gateway that owns a cell, among this one and the others that answer: one of its region, as long as
@@ -211,6 +230,26 @@
         first_ranked(subject, all, count)
     }
 
+    /// The keepers of the starts at a worker, by their rank: the first in the order that is the worker's own,
+    /// among those of its region, whether they answer or not. None for a rank whose gateway is not listed any
+    /// more; it is taken over when that gateway is forgotten.
+    pub(crate) fn keepers(&self, worker: &str, zone: &str) -> Vec<Option<SocketAddr>> {
+        let region = self.topology.dividing_region_of(zone);
+        let remembered_from = self.clock.now().saturating_sub(REMEMBERED);
+        let mut known = lock(&self.known);
+        known.unlisted.retain(|_, gone| gone.at >= remembered_from);
+        let listed = known.listed.keys().chain(known.unlisted.keys()).copied();
+        let all = listed.chain([self.own]);
+        let near = all.filter(|gateway| self.is_in(&known, *gateway, region));
+        let keepers = keepers(worker, near);
+        let is_listed =
+            |keeper: &SocketAddr| *keeper == self.own || known.listed.contains_key(keeper);
+        let keepers = keepers
+            .into_iter()
+            .map(|keeper| Some(keeper).filter(is_listed));
+        keepers.collect()
+    }
+
     /// Whether a gateway counts as gone.
     pub(crate) fn is_in_doubt(&self, gateway: SocketAddr) -> bool {
         let now = self.clock.now();
--- a/crates/swiftshunt-gateway/src/messages/mod.rs
+++ b/crates/swiftshunt-gateway/src/messages/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod quarantine;
 pub(crate) mod rates;
 pub(crate) mod slots;
+pub(crate) mod starts;
 pub(crate) mod waiting;
 
 use std::net::SocketAddr;
@@ -17,6 +18,7 @@
 use quarantine::QuarantineMessage;
 use rates::RateMessage;
 use slots::SlotMessage;
+use starts::StartMessage;
 use waiting::WaitingMessage;
 
 /// What one gateway tells another: the envelope of each part's own messages.
@@ -47,4 +49,6 @@
     Rate(RateMessage),
     /// About requests that end their workers.
     Quarantine(QuarantineMessage),
+    /// About starts at cold workers.
+    Start(StartMessage),
 }
--- a/crates/swiftshunt-gateway/src/metrics/mod.rs
+++ b/crates/swiftshunt-gateway/src/metrics/mod.rs
@@ -48,6 +48,8 @@
     pub(crate) items_stepped_aside: Counter,
     pub(crate) workers_relieved: Counter,
     pub(crate) workers_failing: Counter,
+    pub(crate) starts_handed_out: Counter,
+    pub(crate) starts_missing: Counter,
     pub(crate) workers_ended: Counter,
     pub(crate) requests_held: Counter,
     pub(crate) records_unreadable: Counter,
@@ -184,6 +186,14 @@
             "workers_failing",
             "Times that requests began to keep clear of a worker whose sends failed",
         );
+        let starts_handed_out = counter(
+            "starts_handed_out",
+            "Requests that this gateway, as a keeper, let go to a cold worker",
+        );
+        let starts_missing = counter(
+            "starts_missing",
+            "Requests that went elsewhere, since no start at a cold worker was to be had",
+        );
         let workers_ended = counter(
             "workers_ended",
             "Workers that were found to have ended while they ran requests of this gateway",
@@ -227,6 +237,8 @@
             items_stepped_aside,
             workers_relieved,
             workers_failing,
+            starts_handed_out,
+            starts_missing,
             workers_ended,
             requests_held,
             records_unreadable,
--- a/crates/swiftshunt-gateway/src/peers.rs
+++ b/crates/swiftshunt-gateway/src/peers.rs
@@ -27,6 +27,7 @@
 use crate::quarantine::Quarantine;
 use crate::rates::Rates;
 use crate::slots::Slots;
+use crate::starts::Starts as ColdStarts;
 use crate::unreadable::UnreadableRecords;
 use crate::waiting_limits::WaitingLimits;
 
@@ -66,6 +67,7 @@
     pub(crate) waiting_limits: Arc<WaitingLimits>,
     pub(crate) rates: Arc<Rates>,
     pub(crate) quarantine: Arc<Quarantine>,
+    pub(crate) starts: Arc<ColdStarts>,
 }
 
 /// What a gateway lists of itself.
@@ -230,6 +232,7 @@
             Notice::Waiting(message) => receivers.waiting_limits.take(message, from),
             Notice::Rate(message) => receivers.rates.take(message, from),
             Notice::Quarantine(message) => receivers.quarantine.take(message),
+            Notice::Start(message) => receivers.starts.take(message, from),
         }
     }
 
--- a/crates/swiftshunt-gateway/src/slots/owner.rs
+++ b/crates/swiftshunt-gateway/src/slots/owner.rs
@@ -2,10 +2,11 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use swiftshunt_scheduler::slots::book::{Book, Grant, Use};
 use swiftshunt_scheduler::slots::cell::Cell;
-use swiftshunt_scheduler::slots::{Report, WorkerKey};
+use swiftshunt_scheduler::slots::{CellWorker, Report, WorkerKey};
 
 use super::Slots;
 use super::queue::Granted;
@@ -23,6 +24,7 @@
             let book = self.book(&mut books, cell);
             book.take(from, report, now);
             let orders = book.relieve(&workers, now);
+            let workers = self.assignable(&workers, cell, now);
             (orders, book.grant(&workers, self.headroom, now))
         };
         for (gateway, worker) in orders {
@@ -54,8 +56,10 @@
             let mut books = lock(&self.books);
             let book = self.book(&mut books, cell);
             book.take(from, report, now);
+            let workers = self.assignable(&workers, cell, now);
             book.place(from, &request.question(), &workers, &rates, now)?
         };
+        self.assigned_one(placement.worker, cell, now);
         if let Some(gateway) = placement.steps_aside {
             self.order_aside(gateway, placement.worker);
         }
@@ -99,8 +103,23 @@
         }
     }
 
+    /// The workers to which something may go now: warm ones, and cold ones with starts left.
+    fn assignable(&self, workers: &[CellWorker], cell: &Cell, now: Duration) -> Vec<CellWorker> {
+        let selector = self.beliefs.selector();
+        let workers = workers.iter().copied();
+        let assignable =
+            workers.filter(|worker| selector.is_assignable(worker.key, &cell.service, now));
+        assignable.collect()
+    }
+
+    fn assigned_one(&self, worker: WorkerKey, cell: &Cell, now: Duration) {
+        let mut selector = self.beliefs.selector();
+        selector.assigned_one(worker, &cell.service, now);
+    }
+
     fn hand_out(&self, cell: &Cell, grant: Grant) {
         let Grant { number, to, worker } = grant;
+        self.assigned_one(worker, cell, self.clock.now());
         let cell = cell.clone();
         if to == self.members.own() {
             self.granted(Granted {
--- /dev/null
+++ b/crates/swiftshunt-gateway/src/starts.rs
@@ -0,0 +1,197 @@
+//! Starts at cold workers: asked for at the worker's keepers before each send, handed out by this gateway where
+//! it is a keeper. A gateway that reaches no keeper sends nothing to a cold worker.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use swiftshunt_scheduler::cold::keeper::{Starts as HandedOut, asks_second_first};
+use swiftshunt_scheduler::cold::{ColdBound, START_LIFE};
+use swiftshunt_scheduler::selection::Chosen;
+use swiftshunt_topology::Distance;
+use tokio::sync::oneshot;
+
+use crate::beliefs::{Beliefs, lock};
+use crate::clock::Clock;
+use crate::datagrams::Datagrams;
+use crate::members::Members;
+use crate::messages::Notice;
+use crate::messages::starts::StartMessage as Message;
+use crate::metrics::Metrics;
+
+/// How long a keeper's answer is waited for: a few times the way to and fro within a region.
+const ASK_PATIENCE: Duration = Duration::from_millis(14);
+/// The same for a keeper in another region; a start that comes as late as this has still a part of its life.
+const FAR_ASK_PATIENCE: Duration = Duration::from_millis(120);
+/// Time for which a worker is passed over whose keepers did not answer.
+const SILENT_FOR: Duration = Duration::from_millis(200);
+/// Shortest time for which a worker without a start is passed over.
+const NONE_FOR: Duration = Duration::from_millis(20);
+
+/// A start, or the time until there may be one.
+type Verdict = Result<(), Duration>;
+
+/// The right to send one request to a cold worker, until it lapses.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Start {
+    /// None where the worker is warm and none is needed.
+    lapses_at: Option<Duration>,
+}
+
+/// The starts that this gateway asks for and hands out.
+pub(crate) struct Starts {
+    members: Arc<Members>,
+    datagrams: Arc<Datagrams>,
+    beliefs: Arc<Beliefs>,
+    metrics: Arc<Metrics>,
+    clock: Clock,
+    handed_out: Mutex<HandedOut>,
+    asks: Mutex<HashMap<u64, oneshot::Sender<Verdict>>>,
+    last_ask: AtomicU64,
+}
+
+impl Starts {
+    pub(crate) fn new(
+        members: Arc<Members>,
+        datagrams: Arc<Datagrams>,
+        beliefs: Arc<Beliefs>,
+        metrics: Arc<Metrics>,
+        clock: Clock,
+    ) -> Self {
+        Self {
+            members,
+            datagrams,
+            beliefs,
+            metrics,
+            clock,
+            handed_out: Mutex::new(HandedOut::new(clock.now())),
+            asks: Mutex::default(),
+            last_ask: AtomicU64::new(0),
+        }
+    }
+
+    /// The start for a send now: `held` if it has not lapsed, none needed at a warm worker, or a new one; none
+    /// if there is none to be had.
+    pub(crate) async fn take_or_keep(&self, chosen: &Chosen, held: Option<Start>) -> Option<Start> {
+        let now = self.clock.now();
+        let lapses_at = held.and_then(|held| held.lapses_at);
+        if lapses_at.is_some_and(|lapses_at| now < lapses_at) {
+            return held;
+        }
+        let bound = self.beliefs.selector().needs_start(chosen, now);
+        let Some(bound) = bound else {
+            return Some(Start { lapses_at: None });
+        };
+        let lapses_at = now + START_LIFE;
+        let verdict = self.ask_keepers(chosen, &bound).await;
+        let now = self.clock.now();
+        match verdict {
+            Ok(()) if now < lapses_at => Some(Start {
+                lapses_at: Some(lapses_at),
+            }),
+            Ok(()) => None,
+            Err(again_in) => {
+                let until = now + again_in.max(NONE_FOR);
+                let mut selector = self.beliefs.selector();
+                selector.no_start_until(&chosen.incarnation, until);
+                self.metrics.starts_missing.inc();
+                None
+            }
+        }
+    }
+
+    /// Asks the keepers of a worker one after the other.
+    async fn ask_keepers(&self, chosen: &Chosen, bound: &ColdBound) -> Verdict {
+        let mut keepers = self.members.keepers(&chosen.id, &chosen.zone);
+        if asks_second_first(bound, rand::random()) {
+            keepers.reverse();
+        }
+        let mut again_in = SILENT_FOR;
+        for keeper in keepers.into_iter().flatten() {
+            let verdict = self.ask(keeper, chosen).await;
+            match verdict {
+                Some(Ok(())) => return Ok(()),
+                Some(Err(its)) => again_in = again_in.min(its),
+                None => {}
+            }
+        }
+        Err(again_in)
+    }
+
+    /// Asks one keeper; no verdict if it does not answer in time.
+    async fn ask(&self, keeper: SocketAddr, chosen: &Chosen) -> Option<Verdict> {
+        if keeper == self.members.own() {
+            return Some(self.hand_out(&chosen.service, &chosen.id, &chosen.zone));
+        }
+        if self.members.is_in_doubt(keeper) {
+            return None;
+        }
+        let ask = self.last_ask.fetch_add(1, Ordering::Relaxed) + 1;
+        let (sender, receiver) = oneshot::channel();
+        lock(&self.asks).insert(ask, sender);
+        let message = Message::Ask {
+            ask,
+            service: chosen.service.clone(),
+            worker: chosen.id.clone(),
+            zone: chosen.zone.clone(),
+        };
+        self.datagrams.send(&Notice::Start(message), [keeper]);
+        let patience = match self.members.distance_to(keeper) {
+            Distance::SameZone | Distance::SameRegion => ASK_PATIENCE,
+            Distance::OtherRegion => FAR_ASK_PATIENCE,
+        };
+        let answered = tokio::time::timeout(patience, receiver).await;
+        lock(&self.asks).remove(&ask);
+        match answered {
+            Ok(Ok(verdict)) => Some(verdict),
+            Ok(Err(_)) | Err(_) => {
+                self.members.missed(keeper);
+                None
+            }
+        }
+    }
+
+    /// Hands out a start if this gateway is a keeper of the worker.
+    fn hand_out(&self, service: &str, worker: &str, zone: &str) -> Verdict {
+        let own = Some(self.members.own());
+        let keepers = self.members.keepers(worker, zone);
+        let rank = keepers.iter().position(|keeper| *keeper == own);
+        let bound = self.beliefs.selector().cold_bound(service).copied();
+        let (Some(rank), Some(bound)) = (rank, bound) else {
+            return Err(SILENT_FOR);
+        };
+        if !self.members.is_known() {
+            return Err(SILENT_FOR);
+        }
+        let now = self.clock.now();
+        let verdict = lock(&self.handed_out).hand_out(worker, &bound, rank, now);
+        if verdict.is_ok() {
+            self.metrics.starts_handed_out.inc();
+        }
+        verdict
+    }
+
+    /// Takes a message of another gateway.
+    pub(crate) fn take(&self, message: Message, from: SocketAddr) {
+        match message {
+            Message::Ask {
+                ask,
+                service,
+                worker,
+                zone,
+            } => {
+                let verdict = self.hand_out(&service, &worker, &zone);
+                let answer = Message::Answer { ask, verdict };
+                self.datagrams.send(&Notice::Start(answer), [from]);
+            }
+            Message::Answer { ask, verdict } => {
+                let asked = lock(&self.asks).remove(&ask);
+                if asked.is_some_and(|asked| asked.send(verdict).is_err()) {
+                    log::debug!(ask; "a start came for a request that is gone");
+                }
+            }
+        }
+    }
+}
--- a/crates/swiftshunt-scheduler/src/candidate.rs
+++ b/crates/swiftshunt-scheduler/src/candidate.rs
@@ -4,6 +4,7 @@
 
 use swiftshunt_types::RegionName;
 
+use crate::cold::known::{ColdDoubt, KnownStarts};
 use crate::directory::WorkerEntry;
 use crate::prompt_memory::PromptMemory;
 use crate::selection::{Chosen, ToldLoad};
@@ -35,6 +36,9 @@
     pub(crate) region: Option<RegionName>,
     /// When it is warm, by its entry.
     pub(crate) cold_until: Duration,
+    pub(crate) doubt: ColdDoubt,
+    /// Until when its keepers have no start left, and what an owner of its slots may still assign.
+    pub(crate) starts: KnownStarts,
     pub(crate) own_online: u32,
     pub(crate) own_batch: u32,
     pub(crate) pending_tokens: u64,
@@ -65,6 +69,8 @@
             key: WorkerKey::of(&entry.incarnation),
             region,
             cold_until: now + entry.cold_left,
+            doubt: ColdDoubt::listed(now),
+            starts: KnownStarts::default(),
             entry,
             lapsed_until: None,
             own_online: 0,
--- a/crates/swiftshunt-scheduler/src/cells.rs
+++ b/crates/swiftshunt-scheduler/src/cells.rs
@@ -105,7 +105,8 @@
             return None;
         }
         let is_open = |candidate: &Candidate| {
-            candidate.ejected_until <= now && is_left(candidate, tried, full)
+            let is_sound = candidate.ejected_until <= now && !self.lacks_starts(candidate, now);
+            is_sound && is_left(candidate, tried, full)
         };
         let home = self.home_among(service, demand, is_open)?;
         let missing = missing_tokens(home, demand);
@@ -124,6 +125,7 @@
             .members(cell)
             .filter(|candidate| self.withheld(candidate, &demand.residency).is_none())
             .filter(|candidate| !tried.contains(&candidate.entry.incarnation))
+            .filter(|candidate| !self.lacks_starts(candidate, now))
             .collect();
         let any_sound = open.iter().any(|candidate| candidate.ejected_until <= now);
         let home = self.home(&cell.service, demand);
--- a/crates/swiftshunt-scheduler/src/lib.rs
+++ b/crates/swiftshunt-scheduler/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod batch;
 mod candidate;
 mod cells;
+pub mod cold;
 mod config;
 mod cost;
 pub mod directory;
--- a/crates/swiftshunt-scheduler/src/listed.rs
+++ b/crates/swiftshunt-scheduler/src/listed.rs
@@ -6,9 +6,13 @@
 use std::time::Duration;
 
 use crate::candidate::Candidate;
+use crate::cold::known::ColdDoubt;
 use crate::directory::WorkerEntry;
 use crate::selection::Selector;
 
+/// Difference between what entries tell of the same cold time, by their ways.
+const COLDER_BY: Duration = Duration::from_millis(400);
+
 /// What became of workers that the directory no longer lists.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Unlisted {
@@ -40,6 +44,9 @@
                 || known.entry.address != entry.address
                 || known.lapsed_until.is_some();
             known.cold_until = now + entry.cold_left;
+            if known.lapsed_until.is_some() {
+                known.doubt = ColdDoubt::listed(now);
+            }
             known.entry = entry;
             known.lapsed_until = None;
             return changed;
@@ -90,6 +97,12 @@
         known.lapsed_until.is_some() || before != *entry || !is_cold_as_before
     }
 
+    /// Whether an entry says that a worker is cold for longer than is known: it has turned cold again.
+    pub fn is_colder(&self, entry: &WorkerEntry, now: Duration) -> bool {
+        let known = self.known(&entry.life.id);
+        known.is_some_and(|known| now + entry.cold_left > known.cold_until + COLDER_BY)
+    }
+
     /// Removes workers, by their identifiers, that one reading of the directory no longer lists.
     ///
     /// A log that was away has dropped the entries of workers that could not renew them, and they
--- a/crates/swiftshunt-scheduler/src/observed.rs
+++ b/crates/swiftshunt-scheduler/src/observed.rs
@@ -109,6 +109,7 @@
             candidate.no_longer_pending(sent_at, chosen.missing_tokens);
         }
         let was_hanging = !had_first_event && held >= HANGING && candidate.has_overtaken(sent_at);
+        candidate.doubt.observe(ending, now);
         match ending {
             Ending::Answered => {
                 candidate.observe_failure(false, now);
--- a/crates/swiftshunt-scheduler/src/offers.rs
+++ b/crates/swiftshunt-scheduler/src/offers.rs
@@ -34,6 +34,9 @@
         /// Its region, if it is known.
         region: Option<RegionName>,
     },
+    /// It is cold, or may be, and this request has no start there.
+    #[display("it is cold, and no start there is to be had")]
+    Cold,
 }
 
 impl Selector {
@@ -85,7 +88,7 @@
     /// Whether a worker bears its usual load.
     pub fn warmth(&self, incarnation: &str, now: Duration) -> Warmth {
         let candidate = self.candidates.get(incarnation);
-        candidate.map_or(Warmth::Unknown, |candidate| candidate.warmth(now))
+        candidate.map_or(Warmth::Unknown, |candidate| self.warmth_of(candidate, now))
     }
 
     /// A zone's workers are to get nothing; gives whether that is new.
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -9,6 +9,7 @@
 use swiftshunt_topology::{Distance, Residency, Topology};
 
 use crate::candidate::Candidate;
+use crate::cold::ColdBound;
 use crate::cost::{ServiceTimes, expected_reading, expected_wait, reading_ms};
 use crate::directory::Availability;
 use crate::evacuations::Evacuations;
@@ -110,6 +111,8 @@
     /// The incarnation of each worker that is listed, by its identifier.
     pub(crate) incarnations: BTreeMap<String, String>,
     pub(crate) services: BTreeMap<String, ServiceTimes>,
+    /// Services whose workers bear less after a start.
+    pub(crate) cold: BTreeMap<String, ColdBound>,
 }
 
 impl Selector {
@@ -126,6 +129,7 @@
             candidates: BTreeMap::new(),
             incarnations: BTreeMap::new(),
             services: BTreeMap::new(),
+            cold: BTreeMap::new(),
         }
     }
 
@@ -209,7 +213,7 @@
     ) -> Option<Chosen> {
         let home = self.home(service, demand);
         let open = self.open(service, &demand.residency);
-        let open = open.filter(|candidate| may(candidate));
+        let open = open.filter(|candidate| may(candidate) && !self.lacks_starts(candidate, now));
         let times = self.services.get(service);
         let usual_others = self.usual_others(service, now);
         let away_from_home = self.away_from_home_cost(service, demand);
