--- a/crates/swiftshunt-gateway/src/earlier_builds.rs
+++ b/crates/swiftshunt-gateway/src/earlier_builds.rs
@@ -17,7 +17,7 @@
     Topic, frames,
 };
 use swiftshunt_scheduler::prompt_memory::PromptPart;
-use swiftshunt_scheduler::quarantine::{Fingerprint, Tried, WorkerEnd};
+use swiftshunt_scheduler::quarantine::{Evidence, Fingerprint, Tried, WorkerEnd};
 use swiftshunt_scheduler::rates::bucket::{self, Left};
 use swiftshunt_scheduler::slots::book::NotPlaced;
 use swiftshunt_scheduler::slots::cell::Cell;
@@ -559,6 +559,7 @@
         worker: WorkerKey(worker),
         sent_unix_ms,
         ended_unix_ms,
+        evidence: Evidence::Suspected,
     }
 }
 
--- a/crates/swiftshunt-scheduler/src/quarantine/evidence.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/evidence.rs
@@ -17,6 +17,11 @@
 }
 
 impl Evidence {
+    /// Whether it is a suspicion alone.
+    pub fn is_suspicion(&self) -> bool {
+        *self == Self::Suspected
+    }
+
     /// How long an end is remembered on it.
     pub fn lasts(self) -> Duration {
         match self {
--- a/crates/swiftshunt-scheduler/src/quarantine/mod.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/mod.rs
@@ -55,7 +55,7 @@
     /// When its end was seen, in milliseconds of Unix time.
     pub ended_unix_ms: u64,
     /// What says that it has ended. A gateway that does not tell had seen a connection refused.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Evidence::is_suspicion")]
     pub evidence: Evidence,
 }
 
