The upgrade's test cuts streams where a gateway is killed in place of a planned stop

Cause: with streams of 80 ms a program that dies at SIGTERM passed once of two runs: nothing was on its way at that moment.

Change: streams of 320 ms, four callers of each route.

--- a/crates/swiftshunt/tests/gateway_upgrade.rs
+++ b/crates/swiftshunt/tests/gateway_upgrade.rs
@@ -24,7 +24,7 @@
 /// Gateways: half of each build at the beginning.
 const GATEWAYS: usize = 4;
 /// Callers of each route.
-const CALLERS: usize = 2;
+const CALLERS: usize = 4;
 /// Time that a request has.
 const DEADLINE: Duration = Duration::from_secs(6);
 /// Pause of a caller between two requests.
@@ -33,6 +33,8 @@
 const SIDE_BY_SIDE: Duration = Duration::from_millis(700);
 /// Time from which callers are sent to a gateway no more until it is told to stop.
 const TAKEN_OUT: Duration = Duration::from_millis(50);
+/// Pause between the events of a stream: so long that some are on their way whenever a gateway is told to stop.
+const EVENT_PAUSE: Duration = Duration::from_millis(40);
 /// Items of a job.
 const ITEMS: usize = 12;
 
@@ -128,6 +130,7 @@
     let options = PlatformOptions {
         gateways: GATEWAYS,
         programs: vec![before, after.clone()],
+        event_pause: EVENT_PAUSE,
         ..PlatformOptions::default()
     };
     let mut fleet = start(options).await;
