--- a/crates/swiftshunt-lab/src/soak/plan.rs
+++ b/crates/swiftshunt-lab/src/soak/plan.rs
@@ -287,6 +287,18 @@
             at_ms: random.random_range(WARM_UP.as_millis() as u64..self.load_ms),
         });
         self.faults.extend(evacuations);
+        for service in [Service::Whole, Service::Engine] {
+            self.faults.push(Step {
+                disruption: Disruption::CrashWorker {
+                    service,
+                    index: random.random_range(0..self.workers),
+                    same_address: false,
+                },
+                for_ms: random.random_range(FAULT_MS),
+                after: None,
+                at_ms: random.random_range(WARM_UP.as_millis() as u64..self.load_ms / 2),
+            });
+        }
         self.faults.sort_by_key(|step| step.at_ms);
         self
     }
--- a/crates/swiftshunt-lab/src/soak/testbed/workers.rs
+++ b/crates/swiftshunt-lab/src/soak/testbed/workers.rs
@@ -100,7 +100,7 @@
             link,
             generation,
         };
-        self.note_start(service, index, &state);
+        self.note_start(index, &state);
         self.list_worker(service, &state, values::READY).await;
         Ok(state)
     }
@@ -118,15 +118,15 @@
     }
 
     /// For how long a worker tells that it is cold.
-    fn cold_left_ms(&self, service: Service, worker: &WorkerState) -> f64 {
-        let cold = self.cold_start(service, worker.generation);
+    fn cold_left_ms(&self, worker: &WorkerState) -> f64 {
+        let cold = self.cold_start(worker.generation);
         let told = cold.filter(|cold| cold.is_told);
         let until = told.map_or(0, |cold| worker.started + cold.lasts_ms);
         until.saturating_sub(self.now()) as f64
     }
 
     /// What is to be known of a worker that starts.
-    fn note_start(&self, service: Service, index: usize, worker: &WorkerState) {
+    fn note_start(&self, index: usize, worker: &WorkerState) {
         let mut facts = lock(&self.facts);
         if self.plan.regions.is_some() {
             let places = self.places();
@@ -136,7 +136,7 @@
                 region: places.region(index).to_owned(),
             });
         }
-        if let Some(cold) = self.cold_start(service, worker.generation) {
+        if let Some(cold) = self.cold_start(worker.generation) {
             let from = self.now();
             facts.cold.push(ColdSpell {
                 incarnation: worker.incarnation.clone(),
@@ -148,9 +148,8 @@
     }
 
     /// How a worker starts, if it is cold: one that takes the place of another is.
-    fn cold_start(&self, service: Service, generation: u32) -> Option<ColdStarts> {
-        let is_cold = service == Service::Whole && generation > 0;
-        self.plan.cold.filter(|_| is_cold)
+    fn cold_start(&self, generation: u32) -> Option<ColdStarts> {
+        self.plan.cold.filter(|_| generation > 0)
     }
 
     async fn list_worker(&self, service: Service, worker: &WorkerState, state: &str) -> bool {
@@ -161,7 +160,7 @@
             version: "v1".to_owned(),
             slots: self.plan.slots as u32,
             state: state.to_owned(),
-            cold_left_ms: self.cold_left_ms(service, worker),
+            cold_left_ms: self.cold_left_ms(worker),
             call_seq: 1,
             born: None,
         };
