--- a/crates/swiftshunt-gateway/src/slots/owner.rs
+++ b/crates/swiftshunt-gateway/src/slots/owner.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use swiftshunt_scheduler::slots::book::{Book, Grant, Use};
+use swiftshunt_scheduler::slots::book::{Book, Grant, NotPlaced, Use};
 use swiftshunt_scheduler::slots::cell::Cell;
 use swiftshunt_scheduler::slots::{CellWorker, Report, WorkerKey};
 
@@ -56,8 +56,10 @@
             let mut books = lock(&self.books);
             let book = self.book(&mut books, cell);
             book.take(from, report, now);
-            let workers = self.assignable(&workers, cell, now);
-            book.place(from, &request.question(), &workers, &rates, now)?
+            let assignable = self.assignable(&workers, cell, now);
+            let are_spared = assignable.len() < workers.len();
+            let placed = book.place(from, &request.question(), &assignable, &rates, now);
+            placed.map_err(|why| if are_spared { NotPlaced::Full } else { why })?
         };
         self.assigned_one(placement.worker, cell, now);
         if let Some(gateway) = placement.steps_aside {
