--- a/crates/swiftshunt-scheduler/tests/cold_simulation.rs
+++ b/crates/swiftshunt-scheduler/tests/cold_simulation.rs
@@ -321,3 +321,36 @@
         "{sent} starts in three seconds, {bears} borne"
     );
 }
+
+/// All that is handed out within a second and the life of a start may be sent within one second.
+#[test]
+fn no_more_than_the_bound_is_handed_out_for_any_one_second() {
+    let window = Duration::from_secs(1) + START_LIFE;
+    for bears in [1.0, 5.5, 20.0, 60.0] {
+        for requests in [0.0, 2.0, 5.0, 12.0] {
+            let bound = ColdBound::new(Duration::from_secs(3), bears, 1.5, requests);
+            let mut keepers = [Starts::new(Duration::ZERO), Starts::new(Duration::ZERO)];
+            let mut handed_out = Vec::new();
+            for step in 0..6_000 {
+                let now = Duration::from_secs(10) + Duration::from_millis(step);
+                for (rank, keeper) in keepers.iter_mut().enumerate() {
+                    while keeper.hand_out(WORKER, &bound, rank, now).is_ok() {
+                        handed_out.push(now);
+                    }
+                }
+            }
+            let within = |from: &Duration| {
+                let times = handed_out.iter();
+                times
+                    .filter(|at| (*from..=*from + window).contains(at))
+                    .count()
+            };
+            let most = handed_out.iter().map(within).max().unwrap_or_default();
+            let allowed = bound.in_a_second;
+            assert!(
+                most as f64 <= allowed,
+                "{most} within {window:?}, {allowed} allowed"
+            );
+        }
+    }
+}
