--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -109,7 +109,7 @@
             }
             output.is_held = false;
             let residency = self.residency(&route, spec);
-            let service = self.dispatcher.beliefs.next_service(&route);
+            let service = self.dispatcher.beliefs.next_service(&route, &residency);
             let needs = self.item_time.expected().saturating_sub(output.ran);
             self.running.needs(id, needs);
             let times = ItemTimes { needs, ..times };
--- a/crates/swiftshunt-gateway/src/beliefs.rs
+++ b/crates/swiftshunt-gateway/src/beliefs.rs
@@ -5,6 +5,7 @@
 
 use swiftshunt_routing::{Configuration, Installed, Route, SplitState, Versioned};
 use swiftshunt_scheduler::selection::Selector;
+use swiftshunt_topology::Residency;
 use tokio::sync::{Notify, watch};
 
 /// Shared beliefs.
@@ -82,12 +83,13 @@
         lock(&self.selector)
     }
 
-    /// The service of the next request of a route, by the shares of its split.
-    pub(crate) fn next_service(&self, route: &Route) -> String {
+    /// The service of the next request of a route that may be handled in these regions, by the shares of its
+    /// split among those that are open.
+    pub(crate) fn next_service(&self, route: &Route, residency: &Residency) -> String {
         let selector = self.selector();
         let mut split = lock(&self.split);
         split
-            .next(route, |service| selector.is_served(service))
+            .next(route, |service| selector.is_open(service, residency))
             .to_owned()
     }
 
--- a/crates/swiftshunt-gateway/src/entry.rs
+++ b/crates/swiftshunt-gateway/src/entry.rs
@@ -247,7 +247,8 @@
             facts,
             arrived,
         } = entered;
-        let service = self.dispatcher.beliefs.next_service(&route);
+        let residency = Configuration::residency(&route, &caller);
+        let service = self.dispatcher.beliefs.next_service(&route, &residency);
         let mut headers = end_to_end(&head.headers);
         headers.remove(CONTENT_LENGTH);
         headers.remove("expect");
@@ -255,7 +256,7 @@
             class: Class::Online,
             prompt: facts.prompt.clone(),
             prompt_tokens: facts.prompt_tokens,
-            residency: Configuration::residency(&route, &caller),
+            residency,
             salt: rand::rng().next_u64(),
         };
         let identity = Identity::from(&caller);
--- a/crates/swiftshunt-gateway/src/followers.rs
+++ b/crates/swiftshunt-gateway/src/followers.rs
@@ -44,11 +44,11 @@
 
 impl Followers {
     /// Follows the configuration for as long as the process lives.
-    pub(crate) async fn follow_configuration(self: Arc<Self>, settings: DirectorySettings) {
+    pub(crate) async fn follow_configuration(self: Arc<Self>, obey_within: Duration) {
         let shared = self.tails.shared(Topic::Configuration, |_| true);
         let mut followed = Followed::new(Topic::Configuration, self.clock).sharing(shared);
         let mut away = Away::new("configuration", 0);
-        let pace = Pace::obeying(settings.obey_within);
+        let pace = Pace::obeying(obey_within);
         loop {
             let changes = followed.changes(self.log.as_ref(), pace).await;
             self.count(&changes);
@@ -56,12 +56,26 @@
             if changes.is_ok() {
                 self.beliefs.confirm(self.clock.now());
             }
-            for change in changes.unwrap_or_default() {
+            let mut changes = changes.unwrap_or_default();
+            // A gateway that starts serves from its first configuration on: by then it knows what is evacuated.
+            changes.sort_by_key(|change| !self.is_about_evacuation(change));
+            for change in changes {
                 self.take_operator_record(&change);
             }
         }
     }
 
+    fn is_about_evacuation(&self, change: &Change) -> bool {
+        let key = match change {
+            Change::Set(record) => &record.key,
+            Change::Dropped(key) => key,
+        };
+        matches!(
+            self.protocol.operator_record(key),
+            OperatorRecord::Evacuation { .. }
+        )
+    }
+
     /// Takes a change of what operators have written.
     fn take_operator_record(&self, change: &Change) {
         let (key, value) = match change {
--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use crate::beliefs::Beliefs;
 use crate::clock::Clock;
 use crate::datagrams::Datagrams;
+use crate::emptying::Emptying;
 use crate::followers::Followers;
 use crate::log_relay::RelayedLog;
 use crate::members::Members;
@@ -181,7 +182,7 @@
             Arc::clone(&settings),
             Arc::clone(&log),
             peers_address,
-            running,
+            Arc::clone(&running),
             Arc::clone(&waiting_limits),
             Arc::clone(&unreadable),
         ));
@@ -206,8 +207,16 @@
         let callers_address = callers.local_addr().unwrap_or(settings.listen.callers);
         let ready_address = ready.local_addr().unwrap_or(settings.listen.ready);
         let directory = settings.directory.clone();
+        let obey_operators = directory.obey_within.min(settings.evacuation.obey_within);
+        let emptying = Emptying {
+            beliefs: Arc::clone(&beliefs),
+            running: Arc::clone(&running),
+            metrics: Arc::clone(&metrics),
+            clock,
+            items_leave_after: settings.evacuation.items_leave_after,
+        };
         let mut tasks = vec![
-            tokio::spawn(Arc::clone(&followers).follow_configuration(directory.clone())),
+            tokio::spawn(Arc::clone(&followers).follow_configuration(obey_operators)),
             tokio::spawn(followers.follow_directory(directory)),
             tokio::spawn(serve_callers(
                 callers,
@@ -238,6 +247,7 @@
             tokio::spawn(Arc::clone(&others).keep_listed(Arc::clone(&log))),
             tokio::spawn(Arc::clone(&others).follow(Arc::clone(&log))),
             tokio::spawn(sweep(dispatcher)),
+            tokio::spawn(emptying.keep()),
         ];
         if let Some(listener) = metrics_listener {
             tasks.push(tokio::spawn(serve_metrics(listener, metrics)));
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod clock;
 mod datagrams;
 mod directory_news;
+mod emptying;
 mod entry;
 mod events;
 mod followed;
--- a/crates/swiftshunt-gateway/src/metrics/labels.rs
+++ b/crates/swiftshunt-gateway/src/metrics/labels.rs
@@ -68,6 +68,10 @@
     Unconfirmed,
     /// Workers ended while they ran the same request.
     Held,
+    /// All zones to which it may go are evacuated.
+    Evacuated,
+    /// Nothing that it needs stands in a region in which it may be handled.
+    OutsideResidency,
 }
 
 impl From<Obstacle> for Refusal {
@@ -76,6 +80,8 @@
             Obstacle::NoWorker => Self::NoWorker,
             Obstacle::Unreachable => Self::Unreachable,
             Obstacle::Full => Self::Full,
+            Obstacle::Evacuated { .. } => Self::Evacuated,
+            Obstacle::OutsideResidency => Self::OutsideResidency,
         }
     }
 }
@@ -126,6 +132,12 @@
     pub(crate) answer: RateAnswer,
 }
 
+/// Labels of what concerns a zone.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ZoneLabels {
+    pub(crate) zone: String,
+}
+
 /// Labels of what concerns a tenant.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct TenantLabels {
--- a/crates/swiftshunt-gateway/src/metrics/mod.rs
+++ b/crates/swiftshunt-gateway/src/metrics/mod.rs
@@ -2,7 +2,7 @@
 
 mod labels;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
 use crate::beliefs::lock;
 use labels::{
     OutcomeLabels, RateLabels, RefusalLabels, RejectedLabels, RequestLabels, SlotLabels, SlotUse,
-    TenantLabels, UseLabels,
+    TenantLabels, UseLabels, ZoneLabels,
 };
 pub(crate) use labels::{RateAnswer, Refusal, RequestEnd, SlotAnswer};
 
@@ -41,6 +41,8 @@
     rate_questions: Family<RateLabels, Counter>,
     rate_refusals: Family<TenantLabels, Counter>,
     tenants_told: Mutex<BTreeSet<String>>,
+    evacuated_zones: Family<ZoneLabels, Gauge>,
+    evacuated_in_progress: Family<ZoneLabels, Gauge>,
     pub(crate) asked_again: Counter,
     pub(crate) late_in_line: Counter,
     pub(crate) streams_paused: Counter,
@@ -113,6 +115,18 @@
             "Requests beyond the limit of their tenant, by tenant",
             rate_refusals.clone(),
         );
+        let evacuated_zones = Family::default();
+        registry.register(
+            "evacuated_zones",
+            "1 for each zone that is evacuated",
+            evacuated_zones.clone(),
+        );
+        let evacuated_in_progress = Family::default();
+        registry.register(
+            "evacuated_in_progress",
+            "Requests and items of this gateway in progress at workers of evacuated zones, by zone",
+            evacuated_in_progress.clone(),
+        );
         let first_event_seconds = Histogram::new(exponential_buckets(0.005, 2.0, 12));
         registry.register(
             "first_event_seconds",
@@ -220,6 +234,8 @@
             rate_questions,
             rate_refusals,
             tenants_told: Mutex::default(),
+            evacuated_zones,
+            evacuated_in_progress,
             asked_again,
             late_in_line,
             streams_paused,
@@ -302,6 +318,18 @@
             .inc();
     }
 
+    /// Tells which zones are evacuated, and what is in progress in each.
+    pub(crate) fn tell_evacuated(&self, zones: &BTreeMap<String, u32>) {
+        self.evacuated_zones.clear();
+        self.evacuated_in_progress.clear();
+        for (zone, in_progress) in zones {
+            let labels = ZoneLabels { zone: zone.clone() };
+            self.evacuated_zones.get_or_create(&labels).set(1);
+            let gauge = self.evacuated_in_progress.get_or_create(&labels);
+            gauge.set(i64::from(*in_progress));
+        }
+    }
+
     pub(crate) fn slots_used(&self, usage: Use) {
         let uses = [
             (SlotUse::Online, usage.online),
--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -157,7 +157,11 @@
         let now = self.dispatcher.clock.now();
         let selector = self.dispatcher.beliefs.selector();
         let reaches_workers = selector.has_heard_since(now.saturating_sub(HEARD_LATELY));
-        let obstacle = if journey.was_declined {
+        let residency = &journey.outgoing.demand.residency;
+        let closed = selector.closed(&journey.service, residency, now);
+        let obstacle = if let Some(closed) = closed {
+            closed
+        } else if journey.was_declined {
             Obstacle::Full
         } else if journey.tried.is_empty() || reaches_workers {
             Obstacle::NoWorker
--- a/crates/swiftshunt-gateway/src/settings.rs
+++ b/crates/swiftshunt-gateway/src/settings.rs
@@ -207,12 +207,16 @@
     /// How soon an evacuation must be in force here.
     #[serde(with = "duration_text")]
     pub obey_within: Duration,
+    /// How long batch items run on in an evacuated zone before they step aside.
+    #[serde(with = "duration_text")]
+    pub items_leave_after: Duration,
 }
 
 impl Default for EvacuationSettings {
     fn default() -> Self {
         Self {
             obey_within: Duration::from_secs(5),
+            items_leave_after: Duration::from_secs(10),
         }
     }
 }
--- a/crates/swiftshunt-scheduler/src/admission.rs
+++ b/crates/swiftshunt-scheduler/src/admission.rs
@@ -17,6 +17,13 @@
     Unreachable,
     /// Those that answered have no room.
     Full,
+    /// All zones of the service's workers to which it may go are evacuated.
+    Evacuated {
+        /// For how long.
+        lasted: Duration,
+    },
+    /// No worker of the service stands in a region in which it may be handled.
+    OutsideResidency,
 }
 
 /// What is known of a request that found no worker.
@@ -68,7 +75,8 @@
 pub fn decide(situation: &Situation, draw: f64) -> Decision {
     let refuse = |come_back| Decision::Refuse(spread(come_back, situation.time_left, draw));
     match situation.obstacle {
-        Obstacle::NoWorker => refuse(COME_BACK_FOR_WORKERS),
+        Obstacle::NoWorker | Obstacle::OutsideResidency => refuse(COME_BACK_FOR_WORKERS),
+        Obstacle::Evacuated { lasted } => refuse(come_back_to_zones(lasted)),
         Obstacle::Unreachable => refuse(COME_BACK_ELSEWHERE),
         Obstacle::Full => {
             let next_slot = situation.slot_time / situation.slots.max(1);
@@ -84,6 +92,12 @@
     }
 }
 
+/// When a caller comes back to a service whose zones have been evacuated for `lasted`: nobody here knows when an
+/// operator withdraws it, so after as long again.
+fn come_back_to_zones(lasted: Duration) -> Duration {
+    lasted.max(COME_BACK_FOR_WORKERS)
+}
+
 /// When a caller comes back that a gateway refuses which knows no configuration, `age` after its
 /// start.
 pub fn come_back_to_start(age: Duration, draw: f64) -> Duration {
--- a/crates/swiftshunt-scheduler/src/offers.rs
+++ b/crates/swiftshunt-scheduler/src/offers.rs
@@ -1,11 +1,13 @@
 //! May this worker be offered this request now? All placement asks it, whatever is placed, and so does each send.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use derive_more::Display;
 use swiftshunt_topology::Residency;
 use swiftshunt_types::RegionName;
 
+use crate::admission::Obstacle;
 use crate::candidate::Candidate;
 use crate::directory::Availability;
 use crate::selection::Selector;
@@ -82,6 +84,32 @@
         self.open(service, residency).next().is_some()
     }
 
+    /// Why no worker of a service may be offered a request though some take new work; none where one may be.
+    pub fn closed(&self, service: &str, residency: &Residency, now: Duration) -> Option<Obstacle> {
+        let mut is_elsewhere = false;
+        let mut evacuated_since = None;
+        for candidate in self.ready(service) {
+            match self.withheld(candidate, residency) {
+                None => return None,
+                // Closed since the last of its zones was.
+                Some(Withheld::Evacuated { since, .. })
+                    if self.stands_within(candidate, residency) =>
+                {
+                    evacuated_since = evacuated_since.max(Some(since));
+                }
+                Some(_) => is_elsewhere = true,
+            }
+        }
+        let evacuated = evacuated_since.map(|since| Obstacle::Evacuated {
+            lasted: now.saturating_sub(since),
+        });
+        evacuated.or(is_elsewhere.then_some(Obstacle::OutsideResidency))
+    }
+
+    fn stands_within(&self, candidate: &Candidate, residency: &Residency) -> bool {
+        residency.allows(self.topology.region_of(&candidate.entry.zone))
+    }
+
     /// Whether a worker bears its usual load.
     pub fn warmth(&self, incarnation: &str, now: Duration) -> Warmth {
         let candidate = self.candidates.get(incarnation);
@@ -98,6 +126,33 @@
         self.evacuations.withdraw(zone, now)
     }
 
+    /// The zones that are evacuated, and what this gateway has in progress at the workers of each.
+    pub fn evacuated_zones(&self) -> BTreeMap<String, u32> {
+        let zones = self.evacuations.zones().map(|zone| (zone.to_owned(), 0));
+        let mut zones: BTreeMap<String, u32> = zones.collect();
+        for candidate in self.candidates.values() {
+            if let Some(in_progress) = zones.get_mut(&candidate.entry.zone) {
+                *in_progress += candidate.own();
+            }
+        }
+        zones
+    }
+
+    /// Workers that long items are to leave: their zones have been evacuated for `after` or longer, and others of
+    /// their service and region are open.
+    pub fn left_by_items(&self, after: Duration, now: Duration) -> BTreeSet<String> {
+        let due = self.candidates.values().filter(|candidate| {
+            let since = self.evacuations.since(&candidate.entry.zone);
+            candidate.own_batch > 0 && since.is_some_and(|since| now >= since + after)
+        });
+        let due = due.filter(|candidate| {
+            let mut open = self.open(&candidate.entry.service, &Residency::anywhere());
+            open.any(|other| other.region == candidate.region)
+        });
+        due.map(|candidate| candidate.entry.incarnation.clone())
+            .collect()
+    }
+
     /// Whether a worker's zone is evacuated.
     pub fn is_evacuated(&self, incarnation: &str) -> bool {
         let candidate = self.candidates.get(incarnation);
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -148,7 +148,7 @@
 
     /// Whether a service has a worker that takes new work.
     pub fn is_served(&self, service: &str) -> bool {
-        self.ready(service).next().is_some()
+        self.is_open(service, &Residency::anywhere())
     }
 
     pub(crate) fn ready<'s>(
@@ -180,9 +180,10 @@
         self.ready(service).count()
     }
 
-    /// Slots of a service's ready workers together.
+    /// Slots together of a service's workers that may be offered something.
     pub fn slots(&self, service: &str) -> u32 {
-        self.ready(service).map(Candidate::slots).sum()
+        let open = self.open(service, &Residency::anywhere());
+        open.map(Candidate::slots).sum()
     }
 
     /// Chooses the worker with the shortest expected time to the first event. Workers in `tried`
--- a/crates/swiftshunt/src/main.rs
+++ b/crates/swiftshunt/src/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod control;
+mod evacuation;
 mod explain;
 mod gateway;
 mod logging;
--- a/crates/swiftshunt/src/publish.rs
+++ b/crates/swiftshunt/src/publish.rs
@@ -1,4 +1,4 @@
-//! `swiftshunt publish`: a fleet configuration from a file into force.
+//! `swiftshunt publish`: a fleet configuration from a file into force, or the evacuation of a zone.
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -10,20 +10,32 @@
 use swiftshunt_http::{HttpClient, HttpError, HttpRequest, JSON};
 
 use crate::control::{TOKEN_VARIABLE, message_of, token};
+use crate::evacuation::{self, Order};
 use crate::{EXIT_REFUSED, EXIT_UNREACHABLE, EXIT_USAGE, fail, runtime};
 
-/// publish a fleet configuration
+/// publish a fleet configuration, or write or withdraw the evacuation of a zone
 #[derive(FromArgs)]
 #[argh(
     subcommand,
     name = "publish",
     example = "{command_name} --node 127.0.0.1:8080 --base 0 examples/stolnica-fleet.toml",
+    example = "{command_name} --log 127.0.0.1:7000 --evacuate suva-a",
+    example = "{command_name} --log 127.0.0.1:7000 --withdraw suva-a",
     note = "Without --base the change is based on the version now in force. If somebody else publishes first, the change is refused and nothing of it takes effect."
 )]
 pub(crate) struct PublishArguments {
     /// address of a node's caller interface
     #[argh(option)]
-    node: SocketAddr,
+    node: Option<SocketAddr>,
+    /// address of the platform's log, for the evacuation of a zone
+    #[argh(option)]
+    log: Option<SocketAddr>,
+    /// the zone whose workers are to get nothing from now on
+    #[argh(option)]
+    evacuate: Option<String>,
+    /// the zone whose evacuation is withdrawn
+    #[argh(option)]
+    withdraw: Option<String>,
     /// the operator's bearer token
     #[argh(option)]
     token: Option<String>,
@@ -32,14 +44,39 @@
     base: Option<u64>,
     /// the configuration file
     #[argh(positional)]
-    file: String,
+    file: Option<String>,
 }
 
 const CONFIGURATION_PATH: &str = "/v1/operator/configuration";
 const TIMEOUT: Duration = Duration::from_secs(15);
 
 pub(crate) fn run(arguments: &PublishArguments) -> ExitCode {
-    let file = arguments.file.as_str();
+    let PublishArguments {
+        node,
+        log,
+        evacuate,
+        withdraw,
+        base,
+        file,
+        ..
+    } = arguments;
+    let names_configuration = base.is_some() || arguments.token.is_some();
+    match (node, file, log, evacuate, withdraw) {
+        (Some(node), Some(file), None, None, None) => publish_file(arguments, *node, file),
+        (None, None, Some(log), Some(zone), None) if !names_configuration => {
+            evacuation::run(*log, Order::Evacuate, zone)
+        }
+        (None, None, Some(log), None, Some(zone)) if !names_configuration => {
+            evacuation::run(*log, Order::Withdraw, zone)
+        }
+        _ => fail(
+            EXIT_USAGE,
+            "give --node and a file, or --log and either --evacuate or --withdraw with a zone",
+        ),
+    }
+}
+
+fn publish_file(arguments: &PublishArguments, node: SocketAddr, file: &str) -> ExitCode {
     let text = match std::fs::read_to_string(file) {
         Ok(text) => text,
         Err(error) => return fail(EXIT_USAGE, format!("{file}: cannot be read: {error}")),
@@ -57,7 +94,7 @@
         Ok(runtime) => runtime,
         Err(error) => return fail(EXIT_USAGE, error),
     };
-    match runtime.block_on(publish(arguments, &token, &text)) {
+    match runtime.block_on(publish(node, arguments.base, &token, &text)) {
         Ok(version) => {
             println!("version {version} is in force");
             ExitCode::SUCCESS
@@ -67,10 +104,14 @@
     }
 }
 
-async fn publish(arguments: &PublishArguments, token: &str, text: &str) -> Result<u64, HttpError> {
+async fn publish(
+    node: SocketAddr,
+    base: Option<u64>,
+    token: &str,
+    text: &str,
+) -> Result<u64, HttpError> {
     let client = HttpClient::new(None);
-    let node = arguments.node;
-    let base = match arguments.base {
+    let base = match base {
         Some(base) => base,
         None => {
             let request = HttpRequest::get(node, CONFIGURATION_PATH);
