Residency: jobs run, are read and appended for others in the regions that all of them allow

Cause: workers were chosen within the allowed regions, but any gateway ran a partition, read its records (bodies included) to answer a call, or appended a job for another gateway that the log turned away. A request that waited kept the regions of the configuration that it came under, and a job that nobody may run was taken.

Ruled out: runners that pass over items (they have read the bodies by then), sealed bodies (keys), a topic and a group for each region (a call names no region; the way to go where routes share none).

Change: `Configuration::regions_of_jobs` (pure, the same everywhere) narrows the deployment's regions by each batch route and each tenant on it, as long as one is left. Gateways elsewhere join no group, read no record, pass calls on or refuse them at once, and append only by themselves or through gateways of these regions. A job that may not be handled in all of them is refused at once. A request is bound anew before it is placed and before it is sent. Where there is one region, or nothing binds, everything is as before.

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -15,6 +15,7 @@
 use crate::beliefs::Beliefs;
 use crate::clock::Clock;
 use crate::in_flight::InFlight;
+use crate::job_regions::JobRegions;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::protocol::{AnswerFacts, Protocol, SendFacts};
@@ -31,6 +32,7 @@
     pub(crate) peers: Arc<Peers>,
     pub(crate) slots: Arc<Slots>,
     pub(crate) quarantine: Arc<Quarantine>,
+    pub(crate) job_regions: Arc<JobRegions>,
     pub(crate) clock: Clock,
 }
 
--- a/crates/swiftshunt-gateway/src/batch/admission.rs
+++ b/crates/swiftshunt-gateway/src/batch/admission.rs
@@ -11,7 +11,7 @@
 use swiftshunt_types::total_tokens;
 
 use super::Batch;
-use crate::answers::{CallerAnswer, not_run, too_many};
+use crate::answers::{CallerAnswer, not_run, plain, too_many};
 use crate::messages::waiting::Allowance;
 use crate::metrics::Refusal;
 use crate::waiting_limits::REPORT_EVERY;
@@ -53,6 +53,10 @@
         if limits.fits(&allowance, &spec.id, tokens, limit).await {
             return Ok(());
         }
+        if !self.dispatcher.job_regions.include_this() {
+            let reason = "whether this job was taken before is not known here";
+            return Err(plain(StatusCode::GATEWAY_TIMEOUT, reason));
+        }
         // A job that was taken before is no new load, however much waits.
         match self.find(partition, &spec.id).await {
             Ok(()) => Ok(()),
--- a/crates/swiftshunt-gateway/src/batch/intake.rs
+++ b/crates/swiftshunt-gateway/src/batch/intake.rs
@@ -49,6 +49,11 @@
         if self.replay.state(partition).fold.job(id).is_some() {
             return accepted();
         }
+        let residency = self.residency_of(route, tenant);
+        let time_left = until.saturating_sub(self.dispatcher.clock.now());
+        if let Some(refusal) = self.refuse_unbound(route, &residency, time_left) {
+            return refusal;
+        }
         let spec = match self.dispatcher.protocol.job(id, &route.host, path, body) {
             Ok(spec) => JobSpec {
                 taken_unix_ms: Clock::unix_ms(),
--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -13,6 +13,7 @@
 use swiftshunt_scheduler::selection::{Chosen, Class, Demand, Ending};
 use swiftshunt_scheduler::slots::ItemTimes;
 use swiftshunt_topology::Residency;
+use swiftshunt_types::TenantName;
 
 use super::Batch;
 use crate::attempt::{Answer, Outgoing, Patience, SendFailure};
@@ -108,7 +109,13 @@
                 continue;
             }
             output.is_held = false;
-            let residency = self.residency(&route, spec);
+            let residency = self.residency_of(&route, spec.tenant.as_ref());
+            if !self.dispatcher.job_regions.may_send(&residency) {
+                log::debug!(job = id.job.as_str(), item = item.id.as_str();
+                    "an item may not be sent from here");
+                tokio::time::sleep(HELD_PAUSE).await;
+                continue;
+            }
             let service = self.dispatcher.beliefs.next_service(&route, &residency);
             let needs = self.item_time.expected().saturating_sub(output.ran);
             self.running.needs(id, needs);
@@ -263,11 +270,11 @@
         attempt
     }
 
-    /// Where the items of a job may be handled, by the configuration in force.
-    fn residency(&self, route: &Route, spec: &JobSpec) -> Residency {
+    /// Where the jobs of a tenant on a route may be handled, by the configuration in force.
+    pub(super) fn residency_of(&self, route: &Route, tenant: Option<&TenantName>) -> Residency {
         let configuration = self.dispatcher.beliefs.configuration();
         configuration.map_or_else(Residency::anywhere, |configuration| {
-            configuration.residency_of(route, spec.tenant.as_ref())
+            configuration.residency_of(route, tenant)
         })
     }
 
--- a/crates/swiftshunt-gateway/src/batch/leases.rs
+++ b/crates/swiftshunt-gateway/src/batch/leases.rs
@@ -17,6 +17,7 @@
 use crate::beliefs::lock;
 use crate::clock::Clock;
 use crate::followed::Away;
+use crate::job_regions::JobRegions;
 use crate::metrics::Metrics;
 use crate::settings::GatewaySettings;
 
@@ -105,9 +106,16 @@
     }
 
     /// Renews for as long as the process takes work, and has what is held followed.
-    pub(crate) async fn keep(&self, replay: &Replay, metrics: &Metrics) {
+    pub(crate) async fn keep(&self, replay: &Replay, regions: &JobRegions, metrics: &Metrics) {
         let mut away = Away::new("leases", 0);
         while !self.left.is_cancelled() {
+            if !regions.include_this() {
+                self.stand_aside().await;
+                metrics.leased_partitions.set(0);
+                replay.hold(&BTreeSet::new());
+                tokio::time::sleep(self.time / RENEWALS).await;
+                continue;
+            }
             let renewed = self.renew().await;
             self.note_log(renewed.is_err());
             let held = self.partitions();
@@ -174,6 +182,23 @@
         Ok(())
     }
 
+    /// Gives up the leases of a gateway that may not handle jobs, until it may.
+    async fn stand_aside(&self) {
+        let was_member = {
+            let mut held = lock(&self.held);
+            let was_member = held.generation > 0 || !held.partitions.is_empty();
+            *held = Held::default();
+            was_member
+        };
+        if !was_member {
+            return;
+        }
+        log::info!("jobs may not be handled here: the leases are given up");
+        if let Err(error) = self.log.leave(Topic::Jobs, &self.member).await {
+            log::info!("leases run out by themselves: {error}");
+        }
+    }
+
     /// Gives up all leases.
     pub(crate) async fn leave(&self) {
         self.left.cancel();
--- a/crates/swiftshunt-gateway/src/batch/mod.rs
+++ b/crates/swiftshunt-gateway/src/batch/mod.rs
@@ -6,6 +6,7 @@
 mod item;
 mod leases;
 mod member;
+mod outside;
 mod owners;
 mod reads;
 mod replay;
@@ -96,7 +97,11 @@
         tokio::spawn(async move {
             batch
                 .leases
-                .keep(&batch.replay, &batch.dispatcher.metrics)
+                .keep(
+                    &batch.replay,
+                    &batch.dispatcher.job_regions,
+                    &batch.dispatcher.metrics,
+                )
                 .await
         });
         tokio::spawn(Arc::clone(self).run_items());
@@ -145,6 +150,9 @@
             Call::JobEnd { .. } => intake::APPEND_TIME,
             _ => wait,
         };
+        if !self.dispatcher.job_regions.include_this() {
+            return self.answer_outside(partition, head, tenant, wait).await;
+        }
         if !self.leases.holds(partition) && !self.replay.is_followed(partition) {
             let passed_on = self.owners.pass_on(partition, head, tenant, wait).await;
             if let Some(answer) = passed_on {
--- /dev/null
+++ b/crates/swiftshunt-gateway/src/batch/outside.rs
@@ -0,0 +1,78 @@
+//! Jobs at a gateway outside of the regions in which they may be handled: it takes them in for its own callers and
+//! passes their calls on, and reads no record of them.
+
+use std::time::Duration;
+
+use hyper::http::request;
+use swiftshunt_routing::Route;
+use swiftshunt_scheduler::admission::{Decision, Obstacle, Situation, decide};
+use swiftshunt_topology::Residency;
+use swiftshunt_types::TenantName;
+
+use super::{Batch, CALL_PATIENCE};
+use crate::answers::{CallerAnswer, not_run};
+use crate::metrics::Refusal;
+
+/// Times that a gateway which may answer is looked for, and the pause between them: the owners are read anew.
+const TRIES: u32 = 3;
+const TRY_PAUSE: Duration = Duration::from_millis(300);
+
+impl Batch {
+    /// Passes a call on to a gateway that may answer it; refused where none is reached.
+    pub(super) async fn answer_outside(
+        &self,
+        partition: u32,
+        head: &request::Parts,
+        tenant: Option<&TenantName>,
+        wait: Duration,
+    ) -> CallerAnswer {
+        for attempt in 0..TRIES {
+            if attempt > 0 {
+                tokio::time::sleep(TRY_PAUSE).await;
+            }
+            let passed_on = self.owners.pass_on(partition, head, tenant, wait).await;
+            if let Some(answer) = passed_on {
+                return answer;
+            }
+        }
+        self.refuse_outside(
+            "no gateway where this job may be handled is reached",
+            CALL_PATIENCE,
+        )
+    }
+
+    /// The refusal of a job that nobody may run: its regions are not those in which all jobs may be handled.
+    pub(super) fn refuse_unbound(
+        &self,
+        route: &Route,
+        residency: &Residency,
+        time_left: Duration,
+    ) -> Option<CallerAnswer> {
+        if self.dispatcher.job_regions.may_take(residency) {
+            return None;
+        }
+        log::warn!(route = route.name.as_str(), residency:? = residency;
+            "no gateway runs jobs where this one may be handled");
+        Some(self.refuse_outside(
+            "no gateway runs jobs where this one may be handled",
+            time_left,
+        ))
+    }
+
+    fn refuse_outside(&self, reason: &'static str, time_left: Duration) -> CallerAnswer {
+        let situation = Situation {
+            obstacle: Obstacle::OutsideResidency,
+            waited: Duration::ZERO,
+            time_left,
+            slot_time: Duration::ZERO,
+            slots: 0,
+        };
+        let come_back = match decide(&situation, rand::random()) {
+            Decision::Refuse(come_back) | Decision::AskAgain(come_back) => come_back,
+        };
+        log::info!(reason, come_back_ms = come_back.as_millis() as u64; "refused outside of the regions of jobs");
+        let metrics = &self.dispatcher.metrics;
+        metrics.refused(Refusal::OutsideResidency, come_back, Duration::ZERO);
+        not_run(reason, come_back)
+    }
+}
--- a/crates/swiftshunt-gateway/src/entry.rs
+++ b/crates/swiftshunt-gateway/src/entry.rs
@@ -79,7 +79,7 @@
             return self.refuse_by_limit(&entered, tenant, refused);
         }
         let tenant = entered.caller.tenant().cloned();
-        let journey = self.journey(entered, body);
+        let journey = self.journey(entered, body, configuration.version);
         self.dispatcher.metrics.in_flight.inc();
         let guard = Abandoned::new(&self.dispatcher, &journey);
         let (answer, ran) = self.travel(journey).await;
@@ -238,7 +238,7 @@
         self.batch.submit(submission).await
     }
 
-    fn journey(&self, entered: Entered, body: Bytes) -> Journey {
+    fn journey(&self, entered: Entered, body: Bytes, bound_by: u64) -> Journey {
         let until = entered.until();
         let Entered {
             route,
@@ -270,6 +270,7 @@
         Journey {
             route,
             service,
+            bound_by,
             outgoing,
             facts,
             arrived,
--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 use crate::datagrams::Datagrams;
 use crate::emptying::Emptying;
 use crate::followers::Followers;
+use crate::job_regions::JobRegions;
 use crate::log_relay::RelayedLog;
 use crate::members::Members;
 use crate::metrics::Metrics;
@@ -121,9 +122,11 @@
             Arc::clone(&unreadable),
             clock,
         ));
+        let job_regions = Arc::new(JobRegions::new(Arc::clone(&beliefs), Arc::clone(&members)));
         let relayed = Arc::new(RelayedLog::new(
             log,
             Arc::clone(&others),
+            Arc::clone(&job_regions),
             Arc::clone(&metrics),
             clock,
             settings.log.call_timeout,
@@ -175,6 +178,7 @@
             peers: Arc::clone(&others),
             slots: Arc::clone(&slots),
             quarantine: Arc::clone(&quarantine),
+            job_regions,
             clock,
         });
         let batch = Arc::new(Batch::new(
--- a/crates/swiftshunt-gateway/src/journey.rs
+++ b/crates/swiftshunt-gateway/src/journey.rs
@@ -28,6 +28,8 @@
 pub(crate) struct Journey {
     pub(crate) route: Arc<Route>,
     pub(crate) service: String,
+    /// The version of the configuration by which it may be handled where it may.
+    pub(crate) bound_by: u64,
     pub(crate) outgoing: Outgoing,
     pub(crate) facts: RequestFacts,
     pub(crate) arrived: Duration,
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod followers;
 mod gateway;
 mod in_flight;
+mod job_regions;
 mod journey;
 mod listing;
 mod log_relay;
--- a/crates/swiftshunt-gateway/src/log_relay/message.rs
+++ b/crates/swiftshunt-gateway/src/log_relay/message.rs
@@ -68,6 +68,16 @@
         }
     }
 
+    /// Whether it or its answer has batch jobs in it.
+    pub(crate) fn carries_jobs(&self) -> bool {
+        match self {
+            Self::Append { topic, .. } | Self::Read { topic, .. } | Self::Newest { topic, .. } => {
+                *topic == Topic::Jobs
+            }
+            Self::Renew { .. } | Self::Owners { .. } | Self::Leave { .. } => false,
+        }
+    }
+
     /// Makes the call.
     pub(crate) async fn make(self, log: &dyn Log) -> LogAnswer {
         match self {
--- a/crates/swiftshunt-gateway/src/log_relay/mod.rs
+++ b/crates/swiftshunt-gateway/src/log_relay/mod.rs
@@ -27,6 +27,7 @@
 use crate::answers::{CallerAnswer, plain};
 use crate::beliefs::lock;
 use crate::clock::Clock;
+use crate::job_regions::JobRegions;
 use crate::metrics::Metrics;
 use crate::peer_http::{self, PeerClient, answer_with, encoded, read_call};
 use crate::peers::Peers;
@@ -60,6 +61,7 @@
 pub(crate) struct RelayedLog {
     direct: Arc<dyn Log>,
     peers: Arc<Peers>,
+    job_regions: Arc<JobRegions>,
     metrics: Arc<Metrics>,
     clock: Clock,
     call_timeout: Duration,
@@ -74,6 +76,7 @@
     pub(crate) fn new(
         direct: Arc<dyn Log>,
         peers: Arc<Peers>,
+        job_regions: Arc<JobRegions>,
         metrics: Arc<Metrics>,
         clock: Clock,
         call_timeout: Duration,
@@ -81,6 +84,7 @@
         Self {
             direct,
             peers,
+            job_regions,
             metrics,
             clock,
             call_timeout,
@@ -176,9 +180,12 @@
         let body = encoded(call)?;
         for _ in 0..HELPERS {
             let mut others = self.peers.reachable();
+            if call.carries_jobs() {
+                others = self.job_regions.among(others);
+            }
             others.shuffle(&mut rand::rng());
             let now = self.clock.now();
-            let other = lock(&self.standing).helper(others, now)?;
+            let other = lock(&self.standing).helper(&others, now)?;
             let limit = call.wait() + self.call_timeout + RELAY_MARGIN;
             let relayed = tokio::time::timeout(limit, self.ask(other, body.clone())).await;
             match relayed.unwrap_or(Relayed::Unknown) {
--- a/crates/swiftshunt-gateway/src/log_relay/standing.rs
+++ b/crates/swiftshunt-gateway/src/log_relay/standing.rs
@@ -51,12 +51,8 @@
         was_away != self.is_away
     }
 
-    /// Who is asked next: the last one that helped, else the first of `others` that may be asked.
-    pub(crate) fn helper(
-        &self,
-        others: impl IntoIterator<Item = SocketAddr>,
-        now: Duration,
-    ) -> Option<SocketAddr> {
+    /// Who of `others` is asked next: the last one that helped, else the first that may be asked.
+    pub(crate) fn helper(&self, others: &[SocketAddr], now: Duration) -> Option<SocketAddr> {
         if now < self.rests_until {
             return None;
         }
@@ -64,8 +60,9 @@
             let until = self.doubted_until.get(other);
             until.is_some_and(|until| now < *until)
         };
-        let last = self.helper.filter(|helper| !is_doubted(helper));
-        last.or_else(|| others.into_iter().find(|other| !is_doubted(other)))
+        let last = self.helper.filter(|helper| others.contains(helper));
+        let last = last.filter(|helper| !is_doubted(helper));
+        last.or_else(|| others.iter().copied().find(|other| !is_doubted(other)))
     }
 
     /// Another gateway made a call for this one.
--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -15,6 +15,7 @@
 use crate::batch::Batch;
 use crate::journey::Journey;
 use crate::metrics::{Refusal, RequestEnd};
+use crate::protocol::Identity;
 use crate::quarantine::Held;
 use crate::rates::Rates;
 use crate::relay;
@@ -60,7 +61,11 @@
             if let Some(held) = self.dispatcher.quarantine.holds(subject).await {
                 return self.hold_back(journey, held);
             }
-            let Some(chosen) = self.place(journey).await else {
+            self.bind(journey);
+            let chosen = self.place(journey).await;
+            // The configuration may have changed while it waited.
+            self.bind(journey);
+            let Some(chosen) = chosen else {
                 let (obstacle, decision) = self.admit(journey);
                 match decision {
                     Decision::AskAgain(pause) => {
@@ -98,6 +103,27 @@
         }
     }
 
+    /// Binds a request to the regions of the configuration in force.
+    fn bind(&self, journey: &mut Journey) {
+        let Some(configuration) = self.dispatcher.beliefs.configuration() else {
+            return;
+        };
+        if configuration.version == journey.bound_by {
+            return;
+        }
+        journey.bound_by = configuration.version;
+        let subject = &journey.outgoing.subject;
+        let path = subject.target().path();
+        let Some(route) = configuration.route(&journey.route.host, path) else {
+            return;
+        };
+        let tenant = match subject.identity() {
+            Identity::Tenant(name) => Some(name),
+            _ => None,
+        };
+        journey.outgoing.demand.residency = configuration.residency_of(route, tenant);
+    }
+
     /// The worker for a request. One that would be late wherever it goes waits behind those that can be in
     /// time.
     async fn place(&self, journey: &Journey) -> Option<Chosen> {
--- a/crates/swiftshunt-routing/src/configuration.rs
+++ b/crates/swiftshunt-routing/src/configuration.rs
@@ -6,7 +6,7 @@
 
 use derive_more::{Display, Error, From};
 use swiftshunt_topology::Residency;
-use swiftshunt_types::TenantName;
+use swiftshunt_types::{RegionName, TenantName};
 
 use crate::tenants::{Caller, Credentials, Rejected, TenantError, Tenants};
 
@@ -218,6 +218,31 @@
         }
     }
 
+    /// The regions of a deployment whose gateways run batch jobs and read their records: all of them, narrowed by
+    /// each batch route, and by each tenant on it, as long as a region is left. Every gateway finds the same. A
+    /// job that may not be handled in all of them is not taken.
+    pub fn regions_of_jobs(&self, deployment: &[RegionName]) -> BTreeSet<RegionName> {
+        let mut regions: BTreeSet<RegionName> = deployment.iter().cloned().collect();
+        for residency in self.residencies_of_jobs() {
+            let mut narrowed = regions.clone();
+            narrowed.retain(|region| residency.allows(Some(region)));
+            if !narrowed.is_empty() {
+                regions = narrowed;
+            }
+        }
+        regions
+    }
+
+    fn residencies_of_jobs(&self) -> impl Iterator<Item = Residency> {
+        let routes = self.routes.iter();
+        let routes = routes.filter(|route| route.kind == RouteKind::Batch);
+        routes.flat_map(|route| {
+            let tenants = self.tenants.iter().flat_map(Tenants::all);
+            let of_tenants = tenants.map(|tenant| route.residency.and(&tenant.residency));
+            std::iter::once(route.residency.clone()).chain(of_tenants)
+        })
+    }
+
     /// Who makes a call about a batch job, which names no route: where jobs may be handed in without a
     /// key, they may be asked for without one.
     pub fn job_caller(&self, credentials: &Credentials) -> Result<Caller, Rejected> {
--- a/crates/swiftshunt-routing/src/tenants.rs
+++ b/crates/swiftshunt-routing/src/tenants.rs
@@ -165,6 +165,11 @@
         }
     }
 
+    /// All tenants.
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Arc<Tenant>> {
+        self.all.iter()
+    }
+
     /// The tenant of a name.
     pub(crate) fn named(&self, name: &TenantName) -> Option<&Arc<Tenant>> {
         self.all.iter().find(|tenant| tenant.name == *name)
--- a/crates/swiftshunt-routing/tests/routing.rs
+++ b/crates/swiftshunt-routing/tests/routing.rs
@@ -9,6 +9,7 @@
     SplitState, Versioned,
 };
 use swiftshunt_topology::Residency;
+use swiftshunt_types::RegionName;
 
 fn route(name: &str, host: &str, prefix: &str, shares: &[(&str, u32)]) -> Arc<Route> {
     let shares = shares.iter().map(|(service, weight)| Share {
@@ -114,3 +115,32 @@
     let all_gone = split.next(&route, |_| false);
     assert!(["a", "b"].contains(&all_gone));
 }
+
+/// Jobs share partitions: they run where all of them may, as long as there is such a region.
+#[test]
+fn jobs_run_where_all_of_them_may() {
+    let region = |name: &str| RegionName(name.to_owned());
+    let deployment = ["east", "north", "south"].map(region);
+    let batch = |name: &str, regions: &[&str]| {
+        let any = route(name, "a.example", &format!("/{name}/"), &[("s", 1)]);
+        let regions = regions.iter().map(|name| region(name));
+        Arc::new(Route {
+            kind: RouteKind::Batch,
+            residency: Residency::within(regions),
+            ..Route::clone(&any)
+        })
+    };
+    let regions = |routes| {
+        let regions = configuration(1, routes).regions_of_jobs(&deployment);
+        let names = regions.into_iter().map(|region| region.0);
+        names.collect::<Vec<_>>().join(" ")
+    };
+    assert_eq!(regions(vec![batch("any", &[])]), "east north south");
+    let two = batch("two", &["north", "south"]);
+    assert_eq!(regions(vec![Arc::clone(&two)]), "north south");
+    let one = batch("one", &["south"]);
+    assert_eq!(regions(vec![Arc::clone(&two), one]), "south");
+    // It shares none with those before it: theirs go on.
+    let apart = batch("apart", &["east"]);
+    assert_eq!(regions(vec![two, apart]), "north south");
+}
--- a/crates/swiftshunt-scheduler/tests/offers.rs
+++ b/crates/swiftshunt-scheduler/tests/offers.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use swiftshunt_scheduler::admission::Obstacle;
 use swiftshunt_scheduler::directory::{Availability, WorkerEntry, WorkerLife};
 use swiftshunt_scheduler::offers::Withheld;
 use swiftshunt_scheduler::selection::{Class, Demand, Selector};
@@ -155,3 +156,31 @@
     assert_eq!(selector.warmth("in-a", until), Warmth::Warm);
     assert_eq!(selector.warmth("nobody", START), Warmth::Unknown);
 }
+
+/// Why a service is closed to a request decides what its caller is told.
+#[test]
+fn a_service_is_closed_for_a_reason() {
+    let mut selector = selector();
+    let anywhere = Residency::anywhere();
+    let later = START + Duration::from_secs(9);
+    assert_eq!(selector.closed("s", &anywhere, START), None);
+    assert_eq!(selector.closed("unknown", &anywhere, START), None);
+    let east = Residency::within([region("east")]);
+    let outside = Some(Obstacle::OutsideResidency);
+    assert_eq!(selector.closed("s", &east, START), outside);
+    selector.evacuate("c", START);
+    assert_eq!(selector.closed("s", &anywhere, later), None);
+    let lasted = later - START;
+    let evacuated = Some(Obstacle::Evacuated { lasted });
+    assert_eq!(selector.closed("s", &south(), later), evacuated);
+    assert_eq!(selector.slots("s"), 8);
+    // The last of the zones closed it.
+    let last = START + Duration::from_secs(4);
+    selector.evacuate("a", last);
+    selector.evacuate("b", last);
+    let lasted = later - last;
+    let evacuated = Some(Obstacle::Evacuated { lasted });
+    assert_eq!(selector.closed("s", &anywhere, later), evacuated);
+    selector.withdraw_evacuation("b", later);
+    assert_eq!(selector.closed("s", &anywhere, later), None);
+}
--- a/crates/swiftshunt-topology/src/residency.rs
+++ b/crates/swiftshunt-topology/src/residency.rs
@@ -39,6 +39,11 @@
         self.allowed.is_none()
     }
 
+    /// Whether all of these regions are allowed.
+    pub fn allows_all<'r>(&self, regions: impl IntoIterator<Item = &'r RegionName>) -> bool {
+        regions.into_iter().all(|region| self.allows(Some(region)))
+    }
+
     /// Whether a region is allowed. One that is not known is allowed only where nothing binds.
     pub fn allows(&self, region: Option<&RegionName>) -> bool {
         match &self.allowed {
