--- a/crates/swiftshunt-gateway/src/entry.rs
+++ b/crates/swiftshunt-gateway/src/entry.rs
@@ -79,7 +79,7 @@
             return self.refuse_by_limit(&entered, tenant, refused);
         }
         let tenant = entered.caller.tenant().cloned();
-        let journey = self.journey(entered, body);
+        let journey = self.journey(entered, body, configuration.version);
         self.dispatcher.metrics.in_flight.inc();
         let guard = Abandoned::new(&self.dispatcher, &journey);
         let (answer, ran) = self.travel(journey).await;
@@ -238,7 +238,7 @@
         self.batch.submit(submission).await
     }
 
-    fn journey(&self, entered: Entered, body: Bytes) -> Journey {
+    fn journey(&self, entered: Entered, body: Bytes, bound_by: u64) -> Journey {
         let until = entered.until();
         let Entered {
             route,
@@ -247,7 +247,8 @@
             facts,
             arrived,
         } = entered;
-        let service = self.dispatcher.beliefs.next_service(&route);
+        let residency = Configuration::residency(&route, &caller);
+        let service = self.dispatcher.beliefs.next_service(&route, &residency);
         let mut headers = end_to_end(&head.headers);
         headers.remove(CONTENT_LENGTH);
         headers.remove("expect");
@@ -255,7 +256,7 @@
             class: Class::Online,
             prompt: facts.prompt.clone(),
             prompt_tokens: facts.prompt_tokens,
-            residency: Configuration::residency(&route, &caller),
+            residency,
             salt: rand::rng().next_u64(),
         };
         let identity = Identity::from(&caller);
@@ -269,6 +270,7 @@
         Journey {
             route,
             service,
+            bound_by,
             outgoing,
             facts,
             arrived,
--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -16,7 +16,9 @@
 use crate::beliefs::Beliefs;
 use crate::clock::Clock;
 use crate::datagrams::Datagrams;
+use crate::emptying::Emptying;
 use crate::followers::Followers;
+use crate::job_regions::JobRegions;
 use crate::log_relay::RelayedLog;
 use crate::members::Members;
 use crate::metrics::Metrics;
@@ -121,9 +123,11 @@
             Arc::clone(&unreadable),
             clock,
         ));
+        let job_regions = Arc::new(JobRegions::new(Arc::clone(&beliefs), Arc::clone(&members)));
         let relayed = Arc::new(RelayedLog::new(
             log,
             Arc::clone(&others),
+            Arc::clone(&job_regions),
             Arc::clone(&metrics),
             clock,
             settings.log.call_timeout,
@@ -183,6 +187,7 @@
             slots: Arc::clone(&slots),
             starts: Arc::clone(&starts),
             quarantine: Arc::clone(&quarantine),
+            job_regions,
             clock,
         });
         let batch = Arc::new(Batch::new(
@@ -190,7 +195,7 @@
             Arc::clone(&settings),
             Arc::clone(&log),
             peers_address,
-            running,
+            Arc::clone(&running),
             Arc::clone(&waiting_limits),
             Arc::clone(&unreadable),
         ));
@@ -215,8 +220,16 @@
         let callers_address = callers.local_addr().unwrap_or(settings.listen.callers);
         let ready_address = ready.local_addr().unwrap_or(settings.listen.ready);
         let directory = settings.directory.clone();
+        let obey_operators = directory.obey_within.min(settings.evacuation.obey_within);
+        let emptying = Emptying {
+            beliefs: Arc::clone(&beliefs),
+            running: Arc::clone(&running),
+            metrics: Arc::clone(&metrics),
+            clock,
+            items_leave_after: settings.evacuation.items_leave_after,
+        };
         let mut tasks = vec![
-            tokio::spawn(Arc::clone(&followers).follow_configuration(directory.clone())),
+            tokio::spawn(Arc::clone(&followers).follow_configuration(obey_operators)),
             tokio::spawn(followers.follow_directory(directory)),
             tokio::spawn(serve_callers(
                 callers,
@@ -248,6 +261,7 @@
             tokio::spawn(Arc::clone(&others).keep_listed(Arc::clone(&log))),
             tokio::spawn(Arc::clone(&others).follow(Arc::clone(&log))),
             tokio::spawn(sweep(dispatcher)),
+            tokio::spawn(emptying.keep()),
         ];
         if let Some(listener) = metrics_listener {
             tasks.push(tokio::spawn(serve_metrics(listener, metrics)));
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -14,12 +14,14 @@
 mod directory_news;
 #[cfg(test)]
 mod earlier_builds;
+mod emptying;
 mod entry;
 mod events;
 mod followed;
 mod followers;
 mod gateway;
 mod in_flight;
+mod job_regions;
 mod journey;
 mod listing;
 mod log_relay;
