Regions: ways between gateways by observed round trips, readers and notices by region, crossing by told room

Time-outs toward other gateways assumed one region: a counter of waiting tokens in another region never answered within 60 ms, and one of tenants counted as gone after 45. The way to another region is now added to each of them (mean and deviation of observed round trips between zones, doubled after an answer that did not come); within a region they are as before. Readers of shared tails, homes of shared beginnings and notices are a region's own. A request stays in its region until the owner of its cell finds no slot in time, and then goes where an owner of another region told of free slots. Bytes are counted by content and way.

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -157,6 +157,7 @@
                 continue;
             };
             self.in_flight.heard();
+            self.in_flight.received(data.len());
             if whole.len() + data.len() > limit {
                 return Err("the answer is too long".to_owned());
             }
--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -359,6 +359,7 @@
                 Some(Ok(event)) => event,
             };
             in_flight.heard();
+            in_flight.received(event.data.len());
             output.take(&event)?;
         }
     }
--- a/crates/swiftshunt-gateway/src/datagrams.rs
+++ b/crates/swiftshunt-gateway/src/datagrams.rs
@@ -4,9 +4,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use serde::Serialize;
 use tokio::net::UdpSocket;
 
+use crate::members::Members;
+use crate::messages::Notice;
 use crate::metrics::Metrics;
 
 /// Largest datagram.
@@ -15,26 +16,36 @@
 /// The socket.
 pub(crate) struct Datagrams {
     socket: UdpSocket,
+    members: Arc<Members>,
     metrics: Arc<Metrics>,
 }
 
 impl Datagrams {
-    pub(crate) fn new(socket: UdpSocket, metrics: Arc<Metrics>) -> Self {
-        Self { socket, metrics }
+    pub(crate) fn new(socket: UdpSocket, members: Arc<Members>, metrics: Arc<Metrics>) -> Self {
+        Self {
+            socket,
+            members,
+            metrics,
+        }
     }
 
     /// Sends a message to each of `to`.
-    pub(crate) fn send(&self, message: &impl Serialize, to: impl IntoIterator<Item = SocketAddr>) {
+    pub(crate) fn send(&self, message: &Notice, to: impl IntoIterator<Item = SocketAddr>) {
         let mut datagram = Vec::new();
         if let Err(error) = ciborium::into_writer(message, &mut datagram) {
             log::error!("a message has no form: {error}");
             return;
         }
+        let content = message.into();
         for gateway in to {
             match self.socket.try_send_to(&datagram, gateway) {
-                Ok(_) => self.metrics.notices_sent.inc(),
-                Err(_) => self.metrics.notices_dropped.inc(),
-            };
+                Ok(bytes) => {
+                    self.metrics.notices_sent.inc();
+                    let distance = self.members.distance_to(gateway);
+                    self.metrics.traffic.carried(content, distance, bytes);
+                }
+                Err(_) => drop(self.metrics.notices_dropped.inc()),
+            }
         }
     }
 
--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -30,6 +30,7 @@
 use crate::settings::{GatewaySettings, StopSettings};
 use crate::slots::Slots;
 use crate::tails::Tails;
+use crate::traffic::CountedLog;
 use crate::unreadable::UnreadableRecords;
 use crate::upstream::Upstream;
 use crate::waiting_limits::WaitingLimits;
@@ -109,7 +110,11 @@
             source,
         })?;
         let members = Arc::new(Members::new(peers_address, topology, clock));
-        let datagrams = Arc::new(Datagrams::new(notices, Arc::clone(&metrics)));
+        let datagrams = Arc::new(Datagrams::new(
+            notices,
+            Arc::clone(&members),
+            Arc::clone(&metrics),
+        ));
         let unreadable = Arc::new(UnreadableRecords::new(Arc::clone(&metrics), clock));
         let others = Arc::new(Peers::new(
             Arc::clone(&datagrams),
@@ -120,8 +125,9 @@
             Arc::clone(&unreadable),
             clock,
         ));
+        let log = CountedLog::new(log, metrics.traffic.clone());
         let relayed = Arc::new(RelayedLog::new(
-            log,
+            Arc::new(log),
             Arc::clone(&others),
             Arc::clone(&metrics),
             clock,
--- a/crates/swiftshunt-gateway/src/in_flight.rs
+++ b/crates/swiftshunt-gateway/src/in_flight.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use swiftshunt_scheduler::selection::{Chosen, Class, Ending};
+use swiftshunt_topology::Distance;
 
 use crate::attempt::{Dispatcher, Outgoing};
 use crate::beliefs::Beliefs;
 use crate::clock::Clock;
 use crate::quarantine::{Quarantine, Subject};
 use crate::slots::Slots;
+use crate::traffic::{Content, Traffic};
 
 /// A request at a worker. Dropping it tells the view of the workers.
 pub(crate) struct InFlight {
@@ -19,6 +21,8 @@
     pub(crate) subject: Subject,
     clock: Clock,
     pub(crate) chosen: Chosen,
+    distance: Distance,
+    traffic: Traffic,
     class: Class,
     sent_at: Duration,
     had_first_event: bool,
@@ -29,7 +33,14 @@
     pub(crate) fn new(dispatcher: &Dispatcher, chosen: &Chosen, outgoing: &Outgoing) -> Self {
         let now = dispatcher.clock.now();
         let demand = &outgoing.demand;
-        dispatcher.beliefs.selector().sent(chosen, demand, now);
+        let distance = {
+            let mut selector = dispatcher.beliefs.selector();
+            selector.sent(chosen, demand, now);
+            selector.distance_to(&chosen.zone)
+        };
+        let traffic = dispatcher.metrics.traffic.clone();
+        let body = outgoing.subject.body().len();
+        traffic.carried(Content::Requests, distance, body);
         dispatcher.beliefs.load_changed.notify_one();
         Self {
             beliefs: Arc::clone(&dispatcher.beliefs),
@@ -38,6 +49,8 @@
             subject: outgoing.subject.clone(),
             clock: dispatcher.clock,
             chosen: chosen.clone(),
+            distance,
+            traffic,
             class: demand.class,
             sent_at: now,
             had_first_event: false,
@@ -57,6 +70,11 @@
         selector.first_event(&self.chosen, now - self.sent_at, now);
     }
 
+    /// So many bytes of the answer came.
+    pub(crate) fn received(&self, bytes: usize) {
+        self.traffic.carried(Content::Answers, self.distance, bytes);
+    }
+
     /// How the request leaves the worker, unless it is dropped before this.
     pub(crate) fn ends(&mut self, ending: Ending) {
         self.ending = ending;
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -38,9 +38,11 @@
 pub mod settings;
 mod slots;
 mod tails;
+mod traffic;
 mod unreadable;
 mod upstream;
 mod waiting_limits;
+mod ways;
 
 pub use gateway::{Gateway, StartError};
 pub use settings::{GatewaySettings, SettingsError};
--- a/crates/swiftshunt-gateway/src/members.rs
+++ b/crates/swiftshunt-gateway/src/members.rs
@@ -13,6 +13,7 @@
 
 use crate::beliefs::lock;
 use crate::clock::Clock;
+use crate::ways::Ways;
 
 /// Time after which a gateway that no longer lists itself is forgotten: three times the pause
 /// between two listings, and some.
@@ -78,6 +79,7 @@
     own: SocketAddr,
     topology: Topology,
     clock: Clock,
+    ways: Ways,
     known: Mutex<Known>,
 }
 
@@ -87,6 +89,7 @@
             own,
             topology,
             clock,
+            ways: Ways::default(),
             known: Mutex::default(),
         }
     }
@@ -167,6 +170,40 @@
             .retain(|_, listed| now < listed.at + FORGOTTEN_AFTER);
     }
 
+    /// The others of the own region; all where there is one region. One whose zone is not known yet is left out.
+    pub(crate) fn others_near(&self) -> Vec<SocketAddr> {
+        let known = lock(&self.known);
+        let others = known.listed.keys().copied();
+        let own_region = self.topology.dividing_region_of(self.topology.own_zone());
+        others
+            .filter(|gateway| self.is_in(&known, *gateway, own_region))
+            .collect()
+    }
+
+    /// How long an answer of a gateway is waited for that within a region is waited for `within_region`.
+    pub(crate) fn patience(&self, gateway: SocketAddr, within_region: Duration) -> Duration {
+        let zone = self.zone_of(gateway).unwrap_or_default();
+        self.ways.patience(&self.topology, &zone, within_region)
+    }
+
+    /// The same for answers of any gateway.
+    pub(crate) fn patience_with_all(&self, within_region: Duration) -> Duration {
+        self.ways.patience_with_all(&self.topology, within_region)
+    }
+
+    /// The round trip to a gateway of another region.
+    pub(crate) fn round_trip(&self, gateway: SocketAddr) -> Duration {
+        let zone = self.zone_of(gateway).unwrap_or_default();
+        self.ways.round_trip(&self.topology, &zone)
+    }
+
+    /// A gateway answered `took` after it was asked.
+    pub(crate) fn answered(&self, gateway: SocketAddr, took: Duration) {
+        if let Some(zone) = self.zone_of(gateway) {
+            self.ways.answered(&zone, took);
+        }
+    }
+
     /// The gateway that owns a cell, among this one and the others that answer: one of its region, as long as
     /// one is known there.
     pub(crate) fn owner(&self, cell: &Cell) -> SocketAddr {
@@ -264,6 +301,9 @@
     pub(crate) fn missed(&self, gateway: SocketAddr) -> bool {
         let now = self.clock.now();
         let mut known = lock(&self.known);
+        if let Some(zone) = known.zone_of(&gateway) {
+            self.ways.missed(zone);
+        }
         let doubt = known.doubts.entry(gateway).or_default();
         doubt.misses += 1;
         if doubt.misses < MISSES || now < doubt.until {
--- a/crates/swiftshunt-gateway/src/messages/slots.rs
+++ b/crates/swiftshunt-gateway/src/messages/slots.rs
@@ -40,6 +40,16 @@
         ask: u64,
         /// The worker, or why there is none.
         verdict: Verdict,
+        /// A cell of another region that has room, where this one has none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        elsewhere: Option<Cell>,
+    },
+    /// Tells the owner of a cell of another region how many slots are free.
+    Room {
+        /// The cell that has them.
+        cell: Cell,
+        /// How many.
+        free: u32,
     },
     /// A slot for a batch item.
     Grant {
--- a/crates/swiftshunt-gateway/src/metrics/mod.rs
+++ b/crates/swiftshunt-gateway/src/metrics/mod.rs
@@ -16,6 +16,7 @@
 use swiftshunt_scheduler::slots::book::Use;
 
 use crate::beliefs::lock;
+use crate::traffic::Traffic;
 use labels::{
     OutcomeLabels, RateLabels, RefusalLabels, RejectedLabels, RequestLabels, SlotLabels, SlotUse,
     TenantLabels, UseLabels,
@@ -30,6 +31,7 @@
 /// The figures.
 pub(crate) struct Metrics {
     registry: Registry,
+    pub(crate) traffic: Traffic,
     pub(crate) requests: Family<RequestLabels, Counter>,
     pub(crate) attempts: Family<OutcomeLabels, Counter>,
     pub(crate) appends: Family<OutcomeLabels, Counter>,
@@ -45,6 +47,7 @@
     pub(crate) late_in_line: Counter,
     pub(crate) streams_paused: Counter,
     pub(crate) slot_owners_lost: Counter,
+    pub(crate) requests_crossed: Counter,
     pub(crate) items_stepped_aside: Counter,
     pub(crate) workers_relieved: Counter,
     pub(crate) workers_failing: Counter,
@@ -69,6 +72,8 @@
 impl Metrics {
     pub(crate) fn new() -> Self {
         let mut registry = Registry::with_prefix("swiftshunt");
+        let traffic = Traffic::default();
+        traffic.register(&mut registry);
         let requests = Family::default();
         registry.register("requests", "Requests by route and end", requests.clone());
         let attempts = Family::default();
@@ -172,6 +177,10 @@
             "slot_owners_lost",
             "Times that an owner of slots did not answer any more",
         );
+        let requests_crossed = counter(
+            "requests_crossed",
+            "Requests that went to another region, since their own would have made them late",
+        );
         let items_stepped_aside = counter(
             "items_stepped_aside",
             "Batch items that left a slot to a request",
@@ -211,6 +220,7 @@
         );
         Self {
             registry,
+            traffic,
             come_back_seconds,
             refused_after_seconds,
             slot_questions,
@@ -224,6 +234,7 @@
             late_in_line,
             streams_paused,
             slot_owners_lost,
+            requests_crossed,
             items_stepped_aside,
             workers_relieved,
             workers_failing,
--- a/crates/swiftshunt-gateway/src/peers.rs
+++ b/crates/swiftshunt-gateway/src/peers.rs
@@ -172,9 +172,10 @@
         }
     }
 
-    /// As many of the others as the budget allows.
+    /// As many of the others of the own region as the budget allows: what gateways choose alone, they choose
+    /// there, and gateways of another region learn from the list who has started.
     fn recipients(&self) -> Vec<SocketAddr> {
-        let mut peers = self.members.others();
+        let mut peers = self.members.others_near();
         let now = self.clock.now();
         let mut budget = lock(&self.budget);
         let allowed = peers
--- a/crates/swiftshunt-gateway/src/rates/counters.rs
+++ b/crates/swiftshunt-gateway/src/rates/counters.rs
@@ -184,8 +184,9 @@
             self.ping([gateway]);
             return Precedent::Asked;
         };
+        let gone_after = self.members.patience(gateway, GONE_AFTER);
         let was_heard = self.members.heard_at(gateway) >= probe.first;
-        let is_gone = !was_heard && now >= probe.first + GONE_AFTER;
+        let is_gone = !was_heard && now >= probe.first + gone_after;
         let pause = if was_heard || is_gone {
             PING_LATER
         } else {
--- a/crates/swiftshunt-gateway/src/rates/mod.rs
+++ b/crates/swiftshunt-gateway/src/rates/mod.rs
@@ -119,7 +119,7 @@
         }
         let versioned = VersionedLimit::new(limit, version);
         let name = &tenant.name;
-        let patience = self.clock.now() + LONGEST_WAIT;
+        let patience = self.clock.now() + self.members.patience_with_all(LONGEST_WAIT);
         while self.clock.now() < patience {
             match self.decide(name, limit) {
                 Step::Admitted => {
--- a/crates/swiftshunt-gateway/src/rates/questions.rs
+++ b/crates/swiftshunt-gateway/src/rates/questions.rs
@@ -52,13 +52,17 @@
 impl Rates {
     /// Asks the counter, or waits for the answer to a question under way.
     pub(super) async fn word_of_counter(&self, tenant: &TenantName, limit: VersionedLimit) -> Word {
+        let within_region = ASK_PATIENCE;
+        let patience = self.counter(tenant).map_or(within_region, |counter| {
+            self.members.patience(counter, within_region)
+        });
         let (answered, is_to_ask) = {
             let now = self.clock.now();
             let mut state = lock(&self.tenants);
             let state = state.entry(tenant.clone()).or_default();
             state.waiting += 1;
             let asked = state.asked_for_them;
-            let is_to_ask = asked.is_none_or(|at| now >= at + ASK_PATIENCE);
+            let is_to_ask = asked.is_none_or(|at| now >= at + patience);
             if is_to_ask {
                 state.asked_for_them = Some(now);
             }
@@ -80,7 +84,7 @@
                 Asking::Nobody => return Word::Nobody,
             }
         }
-        let is_answered = tokio::time::timeout(ASK_PATIENCE, word).await.is_ok();
+        let is_answered = tokio::time::timeout(patience, word).await.is_ok();
         match counter {
             Some((counter, heard_at)) if !is_answered => {
                 if self.members.heard_at(counter) > heard_at {
@@ -183,6 +187,8 @@
     }
 
     fn take_answer(&self, asked: Asked, answer: CounterAnswer, from: SocketAddr) {
+        let took = self.clock.now().saturating_sub(asked.at);
+        self.members.answered(from, took);
         match answer {
             CounterAnswer::Counted(verdict) => {
                 self.metrics.rate_asked(answer_of(verdict));
--- a/crates/swiftshunt-gateway/src/rates/surroundings.rs
+++ b/crates/swiftshunt-gateway/src/rates/surroundings.rs
@@ -59,7 +59,8 @@
         must_be_known: bool,
         now: Duration,
     ) -> Vec<SocketAddr> {
-        if let Some(look) = self.under_way.take_if(|look| now >= look.at + WAIT) {
+        let wait = members.patience_with_all(WAIT);
+        if let Some(look) = self.under_way.take_if(|look| now >= look.at + wait) {
             self.end(look, members, now);
         }
         if self.under_way.is_some() {
--- a/crates/swiftshunt-gateway/src/relay.rs
+++ b/crates/swiftshunt-gateway/src/relay.rs
@@ -87,6 +87,7 @@
             Some(Ok(frame)) => {
                 answer.in_flight.heard();
                 if let Ok(bytes) = frame.into_data() {
+                    answer.in_flight.received(bytes.len());
                     return Ok(Next::Bytes(bytes));
                 }
             }
--- a/crates/swiftshunt-gateway/src/slots/mod.rs
+++ b/crates/swiftshunt-gateway/src/slots/mod.rs
@@ -1,6 +1,7 @@
 //! Slots that callers' requests and batch items share: asked for at the owner of their cell, granted
 //! and taken back by it.
 
+mod elsewhere;
 mod failures;
 mod owner;
 mod queue;
@@ -16,8 +17,9 @@
 use swiftshunt_scheduler::selection::{Chosen, Demand};
 use swiftshunt_scheduler::slots::book::{Book, NotPlaced};
 use swiftshunt_scheduler::slots::cell::Cell;
+use swiftshunt_scheduler::slots::elsewhere::Elsewhere;
 use swiftshunt_scheduler::slots::{Bid, ItemTimes, WorkerKey};
-use swiftshunt_topology::{Distance, Residency};
+use swiftshunt_topology::Residency;
 use tokio::sync::oneshot;
 
 use crate::beliefs::{Beliefs, lock};
@@ -34,8 +36,6 @@
 
 /// How long the answer of an owner is waited for: a few times the way to and fro within a region.
 const ASK_PATIENCE: Duration = Duration::from_millis(14);
-/// The same for an owner in another region.
-const FAR_ASK_PATIENCE: Duration = Duration::from_millis(150);
 /// Other cells that are asked where a cell has no slot.
 const MOST_OTHER_CELLS: u32 = 2;
 /// Time for which a cell that had no slot is passed over: some tens of requests of a busy cell end in
@@ -52,6 +52,32 @@
     shared: Option<(Cell, Vec<Bid>)>,
 }
 
+/// What an owner answered.
+struct Answered {
+    verdict: Verdict,
+    /// A cell of another region that has room, where this one has none.
+    elsewhere: Option<Cell>,
+}
+
+/// What became of a question.
+struct Asked {
+    answer: SlotAnswer,
+    /// None if the owner did not answer in time.
+    answered: Option<Answered>,
+}
+
+impl Asked {
+    fn undecided(answer: SlotAnswer) -> Self {
+        let answered = None;
+        Self { answer, answered }
+    }
+
+    fn decided(self) -> (SlotAnswer, Option<Verdict>) {
+        let verdict = self.answered.map(|answered| answered.verdict);
+        (self.answer, verdict)
+    }
+}
+
 /// The slots of the services that have batch items.
 pub(crate) struct Slots {
     life: u64,
@@ -67,7 +93,8 @@
     told: Mutex<BTreeMap<Cell, Told>>,
     /// Cells that had no slot for a request, and when.
     full: Mutex<BTreeMap<Cell, Duration>>,
-    asks: Mutex<HashMap<u64, oneshot::Sender<Verdict>>>,
+    asks: Mutex<HashMap<u64, oneshot::Sender<Answered>>>,
+    elsewhere: Mutex<Elsewhere>,
     last_ask: AtomicU64,
     last_report: AtomicU64,
     queue: Queue,
@@ -123,6 +150,7 @@
             told: Mutex::default(),
             full: Mutex::default(),
             asks: Mutex::default(),
+            elsewhere: Mutex::default(),
             last_ask: AtomicU64::new(0),
             last_report: AtomicU64::new(0),
             queue: Queue::default(),
@@ -160,7 +188,10 @@
                 in_time: placing.in_time,
                 may_repeat: placing.may_repeat,
             };
-            let (answer, verdict) = self.ask(owner, &cell, request).await;
+            let mut asked = self.ask(owner, &cell, request).await;
+            let answered = asked.answered.as_mut();
+            let elsewhere = answered.and_then(|answered| answered.elsewhere.take());
+            let (answer, verdict) = asked.decided();
             self.metrics.slot_asked(answer);
             match verdict {
                 Some(Ok(assigned)) => {
@@ -168,6 +199,11 @@
                 }
                 Some(Err(NotPlaced::Full)) if is_last => {
                     self.mark_full(&cell);
+                    if let Some(elsewhere) = elsewhere
+                        && let Some(chosen) = self.cross(&placing, elsewhere).await
+                    {
+                        return Place::At(chosen);
+                    }
                     return if placing.in_time.is_some() {
                         Place::Late
                     } else {
@@ -213,7 +249,7 @@
         let outside = home.or_else(|| selector.choose_outside(service, demand, tried, full, now));
         let chosen = match outside {
             Some(chosen) => chosen,
-            None => selector.choose(service, demand, tried, now)?,
+            None => selector.choose_in_reach(service, demand, tried, now)?,
         };
         let cell = selector.cell_of(&chosen);
         let bids = selector.bids(&cell, demand, tried, now);
@@ -274,19 +310,16 @@
     }
 
     /// Asks the owner of a cell; no verdict if it does not answer in time.
-    async fn ask(
-        &self,
-        owner: SocketAddr,
-        cell: &Cell,
-        request: SlotRequest,
-    ) -> (SlotAnswer, Option<Verdict>) {
+    async fn ask(&self, owner: SocketAddr, cell: &Cell, request: SlotRequest) -> Asked {
         let report = self.report(cell, owner, self.holding(cell));
         if owner == self.members.own() {
             if self.knows_only_itself(cell) {
-                return (SlotAnswer::Alone, None);
+                return Asked::undecided(SlotAnswer::Alone);
             }
             let verdict = self.assign(cell, owner, report, &request);
-            return (SlotAnswer::Own, Some(verdict));
+            let answered = Some(self.answered(cell, verdict));
+            let answer = SlotAnswer::Own;
+            return Asked { answer, answered };
         }
         let ask = self.last_ask.fetch_add(1, Ordering::Relaxed) + 1;
         let (sender, receiver) = oneshot::channel();
@@ -298,29 +331,37 @@
             request,
         };
         self.send(message, owner);
-        let patience = match self.members.distance_to(owner) {
-            Distance::SameZone | Distance::SameRegion => ASK_PATIENCE,
-            Distance::OtherRegion => FAR_ASK_PATIENCE,
-        };
+        let asked_at = self.clock.now();
+        let patience = self.members.patience(owner, ASK_PATIENCE);
         match tokio::time::timeout(patience, receiver).await {
-            Ok(Ok(verdict)) => {
-                let answer = match verdict {
+            Ok(Ok(answered)) => {
+                let took = self.clock.now().saturating_sub(asked_at);
+                self.members.answered(owner, took);
+                let answer = match answered.verdict {
                     Ok(_) => SlotAnswer::Assigned,
                     Err(NotPlaced::Full) => SlotAnswer::Full,
                     Err(NotPlaced::NoWorker) => SlotAnswer::Unknown,
                 };
-                (answer, Some(verdict))
+                let answered = Some(answered);
+                Asked { answer, answered }
             }
             _ => {
                 lock(&self.asks).remove(&ask);
                 if self.members.missed(owner) {
                     self.metrics.slot_owners_lost.inc();
                 }
-                (SlotAnswer::Late, None)
+                Asked::undecided(SlotAnswer::Late)
             }
         }
     }
 
+    /// An owner's answer to a question about its cell.
+    fn answered(&self, cell: &Cell, verdict: Verdict) -> Answered {
+        let is_full = verdict == Err(NotPlaced::Full);
+        let elsewhere = is_full.then(|| self.send_on(cell)).flatten();
+        Answered { verdict, elsewhere }
+    }
+
     /// Waits until a batch item may run at a worker in one of the regions in which it may be handled.
     pub(crate) async fn wait_for_slot(
         &self,
@@ -381,11 +422,23 @@
                 request,
             } => {
                 let verdict = self.assign(&cell, from, report, &request);
-                self.send(Message::Assigned { ask, verdict }, from);
+                let Answered { verdict, elsewhere } = self.answered(&cell, verdict);
+                let message = Message::Assigned {
+                    ask,
+                    verdict,
+                    elsewhere,
+                };
+                self.send(message, from);
             }
-            Message::Assigned { ask, verdict } => {
+            Message::Room { cell, free } => self.take_room(cell, free),
+            Message::Assigned {
+                ask,
+                verdict,
+                elsewhere,
+            } => {
                 let asked = lock(&self.asks).remove(&ask);
-                if asked.is_some_and(|asked| asked.send(verdict).is_err()) {
+                let answered = Answered { verdict, elsewhere };
+                if asked.is_some_and(|asked| asked.send(answered).is_err()) {
                     log::debug!(ask; "a worker was assigned to a request that is gone");
                 }
             }
--- a/crates/swiftshunt-gateway/src/slots/reporting.rs
+++ b/crates/swiftshunt-gateway/src/slots/reporting.rs
@@ -172,9 +172,11 @@
         }
         let heard_at = self.members.heard_at(owner);
         match told.asked_at.filter(|asked_at| heard_at < *asked_at) {
-            Some(asked_at) if now >= asked_at + OWNER_GONE => Due::Gone,
+            Some(asked_at) if now >= asked_at + self.members.patience(owner, OWNER_GONE) => {
+                Due::Gone
+            }
             Some(_) => Due::Question,
-            None if now >= heard_at + OWNER_QUIET => Due::Question,
+            None if now >= heard_at + self.members.patience(owner, OWNER_QUIET) => Due::Question,
             None => Due::Report,
         }
     }
--- a/crates/swiftshunt-gateway/src/tails/readers.rs
+++ b/crates/swiftshunt-gateway/src/tails/readers.rs
@@ -18,6 +18,7 @@
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::peer_http::{self, PeerClient, encoded};
+use crate::traffic::Content;
 
 /// Connections that rest for one reader: one a topic.
 const MOST_RESTING: usize = 3;
@@ -68,9 +69,10 @@
         self.all().contains(&self.members.own())
     }
 
-    /// The gateways that read for others: none where there are few gateways.
+    /// The gateways that read for others, those of the own region alone: what all need crosses a region once for
+    /// each of them. None where there are few gateways.
     fn all(&self) -> Vec<SocketAddr> {
-        let mut gateways = self.members.others();
+        let mut gateways = self.members.others_near();
         gateways.push(self.members.own());
         readers(gateways, self.gateways_per_reader)
     }
@@ -124,8 +126,11 @@
             return Err(format!("it answered {}", answer.status()));
         }
         let body = Limited::new(answer.into_body(), ANSWER_BYTES).collect();
-        let body = body.await.map_err(|error| error.to_string())?;
-        ciborium::from_reader(body.to_bytes().as_ref()).map_err(|error| error.to_string())
+        let body = body.await.map_err(|error| error.to_string())?.to_bytes();
+        let distance = self.members.distance_to(reader);
+        let traffic = &self.metrics.traffic;
+        traffic.carried(Content::Tails, distance, body.len());
+        ciborium::from_reader(body.as_ref()).map_err(|error| error.to_string())
     }
 
     /// Passes a reader over for a while.
--- /dev/null
+++ b/crates/swiftshunt-gateway/src/traffic.rs
@@ -0,0 +1,228 @@
+//! The bytes that this gateway sends to other machines and takes from them, by what they are and how far
+//! they go: the link between two regions is thin, and what fills it has to be seen.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::registry::Registry;
+use swiftshunt_journal::{
+    AppendOutcome, KeyedRecord, Lease, Log, LogError, NewestPage, ReadOutcome, Topic,
+};
+use swiftshunt_topology::Distance;
+
+use crate::messages::Notice;
+use crate::messages::slots::SlotMessage;
+
+/// What bytes are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum Content {
+    /// Notices of long prompts.
+    Prompts,
+    /// Notices of gateways that have started.
+    Starts,
+    /// Reports to owners of cells, and their signs of life.
+    SlotReports,
+    /// Questions to owners of cells, and their answers.
+    SlotQuestions,
+    /// What owners of cells grant and order, and failures that they are told of.
+    SlotOrders,
+    /// Free slots of other regions.
+    Room,
+    /// What waits on batch routes.
+    WaitingLimits,
+    /// Limits of tenants.
+    Rates,
+    /// Requests that end their workers.
+    Quarantine,
+    /// Tails that one gateway reads for others.
+    Tails,
+    /// Requests to workers.
+    Requests,
+    /// Answers of workers.
+    Answers,
+}
+
+impl From<&Notice> for Content {
+    fn from(notice: &Notice) -> Self {
+        match notice {
+            Notice::Reading { .. } => Self::Prompts,
+            Notice::Here { .. } => Self::Starts,
+            Notice::Slots(SlotMessage::Report { .. } | SlotMessage::Noted) => Self::SlotReports,
+            Notice::Slots(SlotMessage::Ask { .. } | SlotMessage::Assigned { .. }) => {
+                Self::SlotQuestions
+            }
+            Notice::Slots(SlotMessage::Room { .. }) => Self::Room,
+            Notice::Slots(_) => Self::SlotOrders,
+            Notice::Waiting(_) => Self::WaitingLimits,
+            Notice::Rate(_) => Self::Rates,
+            Notice::Quarantine(_) => Self::Quarantine,
+        }
+    }
+}
+
+/// How far bytes go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+enum Way {
+    SameZone,
+    SameRegion,
+    OtherRegion,
+}
+
+impl From<Distance> for Way {
+    fn from(distance: Distance) -> Self {
+        match distance {
+            Distance::SameZone => Self::SameZone,
+            Distance::SameRegion => Self::SameRegion,
+            Distance::OtherRegion => Self::OtherRegion,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TrafficLabels {
+    content: Content,
+    way: Way,
+}
+
+/// A kind of call to the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+enum LogCall {
+    Append,
+    Read,
+    List,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LogLabels {
+    topic: String,
+    call: LogCall,
+}
+
+/// The counters; a clone shares them.
+#[derive(Clone, Default)]
+pub(crate) struct Traffic {
+    bytes: Family<TrafficLabels, Counter>,
+    log_bytes: Family<LogLabels, Counter>,
+}
+
+impl Traffic {
+    pub(crate) fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "traffic_bytes",
+            "Bytes to and from gateways and workers, without headers, by content and way",
+            self.bytes.clone(),
+        );
+        registry.register(
+            "log_bytes",
+            "Bytes of records written to the log and read from it, by topic and call",
+            self.log_bytes.clone(),
+        );
+    }
+
+    /// Bytes went to a place at this distance, or came from there.
+    pub(crate) fn carried(&self, content: Content, distance: Distance, bytes: usize) {
+        let way = distance.into();
+        self.bytes
+            .get_or_create(&TrafficLabels { content, way })
+            .inc_by(bytes as u64);
+    }
+
+    fn logged(&self, topic: Topic, call: LogCall, bytes: usize) {
+        let topic = format!("{topic:?}").to_lowercase();
+        self.log_bytes
+            .get_or_create(&LogLabels { topic, call })
+            .inc_by(bytes as u64);
+    }
+}
+
+/// A log whose records are counted on their way.
+pub(crate) struct CountedLog {
+    log: Arc<dyn Log>,
+    traffic: Traffic,
+}
+
+impl CountedLog {
+    pub(crate) fn new(log: Arc<dyn Log>, traffic: Traffic) -> Self {
+        Self { log, traffic }
+    }
+}
+
+fn record_bytes(records: &[KeyedRecord]) -> usize {
+    let bytes = records
+        .iter()
+        .map(|record| record.key.len() + record.value.len());
+    bytes.sum()
+}
+
+impl Log for CountedLog {
+    fn append(
+        &self,
+        topic: Topic,
+        partition: u32,
+        records: Vec<(Vec<u8>, Bytes)>,
+    ) -> BoxFuture<'_, AppendOutcome> {
+        let bytes = records.iter().map(|(key, value)| key.len() + value.len());
+        self.traffic.logged(topic, LogCall::Append, bytes.sum());
+        self.log.append(topic, partition, records)
+    }
+
+    fn read(
+        &self,
+        topic: Topic,
+        partition: u32,
+        from: u64,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<ReadOutcome, LogError>> {
+        async move {
+            let outcome = self.log.read(topic, partition, from, wait).await;
+            if let Ok(ReadOutcome::Records { records, .. }) = &outcome {
+                let bytes = record_bytes(records);
+                self.traffic.logged(topic, LogCall::Read, bytes);
+            }
+            outcome
+        }
+        .boxed()
+    }
+
+    fn newest(
+        &self,
+        topic: Topic,
+        partition: u32,
+        after: Option<Vec<u8>>,
+    ) -> BoxFuture<'_, Result<NewestPage, LogError>> {
+        async move {
+            let outcome = self.log.newest(topic, partition, after).await;
+            if let Ok(page) = &outcome {
+                let bytes = record_bytes(&page.records);
+                self.traffic.logged(topic, LogCall::List, bytes);
+            }
+            outcome
+        }
+        .boxed()
+    }
+
+    fn renew<'a>(
+        &'a self,
+        topic: Topic,
+        member: &'a str,
+        ttl: Duration,
+        generation: u64,
+    ) -> BoxFuture<'a, Result<Lease, LogError>> {
+        self.log.renew(topic, member, ttl, generation)
+    }
+
+    fn owners(&self, topic: Topic) -> BoxFuture<'_, Result<BTreeMap<u32, String>, LogError>> {
+        self.log.owners(topic)
+    }
+
+    fn leave<'a>(&'a self, topic: Topic, member: &'a str) -> BoxFuture<'a, Result<(), LogError>> {
+        self.log.leave(topic, member)
+    }
+}
--- a/crates/swiftshunt-gateway/src/waiting_limits.rs
+++ b/crates/swiftshunt-gateway/src/waiting_limits.rs
@@ -160,10 +160,16 @@
             limit,
         };
         self.send(message, counter);
-        let answer = tokio::time::timeout(ANSWER_PATIENCE, receiver).await;
+        let asked_at = self.clock.now();
+        let patience = self.members.patience(counter, ANSWER_PATIENCE);
+        let answer = tokio::time::timeout(patience, receiver).await;
         lock(&self.asks).remove(&ask);
         match answer {
-            Ok(Ok(answer)) => Some(answer),
+            Ok(Ok(answer)) => {
+                let took = self.clock.now().saturating_sub(asked_at);
+                self.members.answered(counter, took);
+                Some(answer)
+            }
             _ => {
                 self.members.missed(counter);
                 log::info!(job, route = allowance.route.as_str(), counter = counter.to_string().as_str();
--- a/crates/swiftshunt-scheduler/src/cells.rs
+++ b/crates/swiftshunt-scheduler/src/cells.rs
@@ -75,7 +75,8 @@
         }
     }
 
-    /// Chooses as [`Selector::choose`] does, outside of some cells of the service.
+    /// Chooses as [`Selector::choose`] does, outside of some cells of the service, and in the own region as long
+    /// as a worker is left there.
     pub fn choose_outside(
         &self,
         service: &str,
@@ -84,11 +85,37 @@
         full: &[Cell],
         now: Duration,
     ) -> Option<Chosen> {
+        let reach = self.reach(service, demand, tried, now);
         self.choose_among(service, demand, now, |candidate| {
-            is_left(candidate, tried, full)
+            reach.includes(candidate) && is_left(candidate, tried, full)
         })
     }
 
+    /// Chooses as [`Selector::choose`] does, in the own region as long as a sound worker is there.
+    pub fn choose_in_reach(
+        &self,
+        service: &str,
+        demand: &Demand,
+        tried: &[String],
+        now: Duration,
+    ) -> Option<Chosen> {
+        self.choose_outside(service, demand, tried, &[], now)
+    }
+
+    /// Where a request is looked at first: in the own region, as long as a sound worker is there that was not
+    /// tried. That one has no room is for the owners of its cells to say: they know where there is some.
+    fn reach(&self, service: &str, demand: &Demand, tried: &[String], now: Duration) -> Reach<'_> {
+        let own = self.topology.own_region();
+        let own = own.filter(|_| self.topology.spans_regions());
+        let mut open = self.open(service, &demand.residency);
+        let stays = open.any(|candidate| {
+            candidate.region.as_ref() == own
+                && candidate.ejected_until <= now
+                && is_left(candidate, tried, &[])
+        });
+        Reach(own.filter(|_| stays))
+    }
+
     /// Where a request with a long shared beginning is looked for first, outside of some cells of the
     /// service: the worker that weighs most for the beginning, among those that answer. Every gateway
     /// finds the same first, second and third one, so that few cells read the beginning. None where
@@ -104,14 +131,30 @@
         if self.reading_time(service, shared_tokens(demand)) < KEPT_TOGETHER {
             return None;
         }
+        let reach = self.reach(service, demand, tried, now);
         let is_open = |candidate: &Candidate| {
-            candidate.ejected_until <= now && is_left(candidate, tried, full)
+            candidate.ejected_until <= now
+                && reach.includes(candidate)
+                && is_left(candidate, tried, full)
         };
         let home = self.home_among(service, demand, is_open)?;
         let missing = missing_tokens(home, demand);
         Some(self.chosen(home, missing, true, now))
     }
 
+    /// Cells of other regions whose owners are told of one.
+    pub fn counterparts(&self, cell: &Cell) -> Vec<Cell> {
+        let regions = self.topology.regions().into_iter();
+        let others = regions.filter(|region| cell.region.as_ref().is_some_and(|own| own != region));
+        let counterparts = others.filter_map(|region| {
+            let workers = self.ready(&cell.service);
+            let there = workers.filter(|candidate| candidate.region.as_ref() == Some(&region));
+            let workers = there.count();
+            (workers > 0).then(|| cell.counterpart(&region, workers))
+        });
+        counterparts.collect()
+    }
+
     fn members<'s>(&'s self, cell: &'s Cell) -> impl Iterator<Item = &'s Candidate> {
         self.ready(&cell.service)
             .filter(|candidate| candidate.is_in(cell))
@@ -226,6 +269,15 @@
     }
 }
 
+/// A region within which is chosen; any where there is none.
+struct Reach<'s>(Option<&'s RegionName>);
+
+impl Reach<'_> {
+    fn includes(&self, candidate: &Candidate) -> bool {
+        self.0.is_none() || candidate.region.as_ref() == self.0
+    }
+}
+
 /// Whether a worker is neither tried nor in a full cell.
 fn is_left(candidate: &Candidate, tried: &[String], full: &[Cell]) -> bool {
     !tried.contains(&candidate.entry.incarnation) && !full.iter().any(|cell| candidate.is_in(cell))
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -290,6 +290,11 @@
         reading_ms(times, shared_tokens(demand)) * AWAY_FROM_HOME
     }
 
+    /// How far a zone is from this node.
+    pub fn distance_to(&self, zone: &str) -> Distance {
+        self.topology.distance_to(zone)
+    }
+
     pub(crate) fn place_cost(&self, candidate: &Candidate) -> f64 {
         match self.topology.distance_to(&candidate.entry.zone) {
             Distance::SameZone => 0.0,
@@ -298,8 +303,8 @@
         }
     }
 
-    /// The worker at which every node first looks for a shared beginning of a prompt, so that it is
-    /// read at few workers without a word between nodes.
+    /// The worker at which every node of a region first looks for a shared beginning of a prompt, so that it
+    /// is read at few workers without a word between nodes.
     pub(crate) fn home(&self, service: &str, demand: &Demand) -> Option<&str> {
         let home = self.home_among(service, demand, |_| true);
         home.map(|candidate| candidate.entry.incarnation.as_str())
@@ -320,7 +325,8 @@
             let mut hasher = DefaultHasher::new();
             last.id.hash(&mut hasher);
             candidate.entry.incarnation.hash(&mut hasher);
-            (hasher.finish(), candidate)
+            let is_near = self.distance_to(&candidate.entry.zone) != Distance::OtherRegion;
+            ((is_near, hasher.finish()), candidate)
         });
         let best = weighted.max_by_key(|(weight, _)| *weight);
         best.map(|(_, candidate)| candidate)
--- a/crates/swiftshunt-scheduler/src/slots/mod.rs
+++ b/crates/swiftshunt-scheduler/src/slots/mod.rs
@@ -12,6 +12,7 @@
 mod account;
 pub mod book;
 pub mod cell;
+pub mod elsewhere;
 mod openings;
 pub mod prompts;
 pub mod trouble;
--- a/crates/swiftshunt-scheduler/tests/offers.rs
+++ b/crates/swiftshunt-scheduler/tests/offers.rs
@@ -5,6 +5,7 @@
 
 use swiftshunt_scheduler::directory::{Availability, WorkerEntry, WorkerLife};
 use swiftshunt_scheduler::offers::Withheld;
+use swiftshunt_scheduler::prompt_memory::PromptPart;
 use swiftshunt_scheduler::selection::{Class, Demand, Selector};
 use swiftshunt_scheduler::slots::WorkerKey;
 use swiftshunt_scheduler::slots::prompts::Reading;
@@ -155,3 +156,68 @@
     assert_eq!(selector.warmth("in-a", until), Warmth::Warm);
     assert_eq!(selector.warmth("nobody", START), Warmth::Unknown);
 }
+
+/// Where a request goes whose own region has these workers tried and these cells full.
+#[test_case(&[], false, Some("in-a"); "the nearest one")]
+#[test_case(&["in-a"], false, Some("in-b"); "another of the region")]
+#[test_case(&["in-a", "in-b"], false, Some("in-c"); "another region, once none is left")]
+#[test_case(&[], true, None; "no other region, where only the owner knows whether it has room")]
+fn a_request_stays_in_its_region_while_it_can(tried: &[&str], is_full: bool, worker: Option<&str>) {
+    let selector = selector();
+    let tried: Vec<String> = tried.iter().map(|id| (*id).to_owned()).collect();
+    let north = selector.cells("s").next().expect("a cell");
+    let full: Vec<_> = is_full.then_some(north).into_iter().collect();
+    let anywhere = demand(Residency::anywhere());
+    let chosen = selector.choose_outside("s", &anywhere, &tried, &full, START);
+    assert_eq!(chosen.map(|chosen| chosen.incarnation).as_deref(), worker);
+}
+
+/// Each region reads a shared beginning at a worker of its own, and all gateways of a region at the same one.
+#[test]
+fn a_shared_beginning_has_a_home_in_each_region() {
+    let part = |id| PromptPart {
+        id,
+        tokens: 100_000,
+    };
+    let zones = [
+        ("a", "north"),
+        ("b", "north"),
+        ("c", "south"),
+        ("d", "south"),
+    ];
+    let zones = zones.map(|(zone, name)| (zone.to_owned(), region(name)));
+    let home_seen_from = |own: &str, id: u64| {
+        let topology = Topology::new(own, BTreeMap::from(zones.clone())).expect("sound");
+        let mut selector = Selector::at(topology);
+        for zone in ["a", "b", "c", "d"] {
+            selector.apply(entry(zone, Availability::Ready), START);
+        }
+        let demand = Demand {
+            prompt: vec![part(id), part(id + 1_000)],
+            prompt_tokens: 200_000,
+            ..demand(Residency::anywhere())
+        };
+        let home = selector.choose_home("s", &demand, &[], &[], START);
+        home.expect("a home").zone
+    };
+    for id in 0..20 {
+        let north = home_seen_from("a", id);
+        assert!(["a", "b"].contains(&north.as_str()), "{id}: {north}");
+        assert_eq!(north, home_seen_from("b", id));
+        let south = home_seen_from("c", id);
+        assert!(["c", "d"].contains(&south.as_str()), "{id}: {south}");
+        assert_eq!(south, home_seen_from("d", id));
+    }
+}
+
+/// One owner in each other region is told of a cell's room.
+#[test]
+fn a_cell_has_a_counterpart_in_each_other_region() {
+    let selector = selector();
+    let cells: Vec<_> = selector.cells("s").collect();
+    assert_eq!(selector.counterparts(&cells[0]), [cells[1].clone()]);
+    let mut alone = Selector::new("a");
+    alone.apply(entry("a", Availability::Ready), START);
+    let cell = alone.cells("s").next().expect("a cell");
+    assert_eq!(alone.counterparts(&cell), []);
+}
--- a/crates/swiftshunt-scheduler/tests/slots/main.rs
+++ b/crates/swiftshunt-scheduler/tests/slots/main.rs
@@ -3,6 +3,7 @@
 
 mod accounts;
 mod cells;
+mod elsewhere;
 mod failing;
 mod grants;
 mod healing;
--- a/crates/swiftshunt-topology/src/round_trips.rs
+++ b/crates/swiftshunt-topology/src/round_trips.rs
@@ -1,5 +1,6 @@
 //! How long the answers of other processes take, and how long one is waited for: an estimate of the round trip
-//! and of its deviation for each, as TCP keeps them (RFC 6298).
+//! and of its deviation for each, as TCP keeps them (RFC 6298), and twice the time after each answer that did not
+//! come, until one does.
 
 use std::collections::HashMap;
 use std::hash::Hash;
@@ -11,6 +12,8 @@
 const DEVIATION_GAIN: f64 = 1.0 / 4.0;
 /// Deviations beyond the mean for which an answer is waited for.
 const DEVIATIONS: f64 = 4.0;
+/// Doublings at most after answers that did not come.
+const MOST_DOUBLINGS: u32 = 6;
 
 /// Within which bounds an answer is waited for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,6 +28,8 @@
 struct Estimate {
     mean: f64,
     deviation: f64,
+    /// Answers in a row that did not come in time.
+    misses: u32,
 }
 
 impl Estimate {
@@ -32,6 +37,7 @@
         Self {
             mean: seconds,
             deviation: seconds / 2.0,
+            misses: 0,
         }
     }
 
@@ -39,6 +45,7 @@
         let error = (self.mean - seconds).abs();
         self.deviation += DEVIATION_GAIN * (error - self.deviation);
         self.mean += MEAN_GAIN * (seconds - self.mean);
+        self.misses = 0;
     }
 }
 
@@ -66,6 +73,13 @@
             .or_insert_with(|| Estimate::first(seconds));
     }
 
+    /// Records that an answer of `peer` did not come in time.
+    pub fn missed(&mut self, peer: &P) {
+        if let Some(estimate) = self.estimates.get_mut(peer) {
+            estimate.misses = (estimate.misses + 1).min(MOST_DOUBLINGS);
+        }
+    }
+
     /// The round trip to `peer` in the mean, if any was observed.
     pub fn mean(&self, peer: &P) -> Option<Duration> {
         let estimate = self.estimates.get(peer)?;
@@ -75,7 +89,8 @@
     /// How long an answer of `peer` is waited for; `unobserved` where there was none yet.
     pub fn patience(&self, peer: &P, unobserved: Duration, bounds: Bounds) -> Duration {
         let expected = self.estimates.get(peer).map_or(unobserved, |estimate| {
-            Duration::from_secs_f64(estimate.mean + DEVIATIONS * estimate.deviation)
+            let expected = estimate.mean + DEVIATIONS * estimate.deviation;
+            Duration::from_secs_f64(expected) * 2_u32.pow(estimate.misses)
         });
         expected.clamp(bounds.floor, bounds.ceiling)
     }
--- a/crates/swiftshunt-topology/src/topology.rs
+++ b/crates/swiftshunt-topology/src/topology.rs
@@ -92,6 +92,11 @@
         self.regions.get(zone)
     }
 
+    /// The zones that are listed.
+    pub fn zones(&self) -> impl Iterator<Item = &str> {
+        self.regions.keys().map(String::as_str)
+    }
+
     /// Whether there is more than one region.
     pub fn spans_regions(&self) -> bool {
         self.spans_regions
--- a/crates/swiftshunt-topology/tests/topology.rs
+++ b/crates/swiftshunt-topology/tests/topology.rs
@@ -78,3 +78,26 @@
     assert!(Residency::anywhere().allows(None));
     assert!(!north.allows(None), "where it is is not known");
 }
+
+/// A way that has become longer than answers are waited for is found out by waiting longer.
+#[test]
+fn an_answer_that_did_not_come_is_waited_for_longer_until_one_comes() {
+    let bounds = Bounds {
+        floor: Duration::from_millis(14),
+        ceiling: Duration::from_millis(500),
+    };
+    let mut trips = RoundTrips::default();
+    let unobserved = Duration::from_millis(100);
+    for _ in 0..50 {
+        trips.observe(1, Duration::from_millis(60));
+    }
+    let before = trips.patience(&1, unobserved, bounds);
+    trips.missed(&1);
+    assert_eq!(trips.patience(&1, unobserved, bounds), before * 2);
+    for _ in 0..100 {
+        trips.missed(&1);
+    }
+    assert_eq!(trips.patience(&1, unobserved, bounds), bounds.ceiling);
+    trips.observe(1, Duration::from_millis(60));
+    assert!(trips.patience(&1, unobserved, bounds) <= before);
+}
