--- a/crates/swiftshunt-gateway/src/peers.rs
+++ b/crates/swiftshunt-gateway/src/peers.rs
@@ -151,15 +151,24 @@
         if reading < WORTH_TELLING {
             return;
         }
-        self.send(&Notice::Reading {
+        let notice = Notice::Reading {
             worker: worker.to_owned(),
             missing: missing_tokens,
             parts: prompt.iter().take(MOST_PARTS).copied().collect(),
-        });
+        };
+        // Each gateway chooses alone only within its region.
+        let near = self.recipients(self.members.others_near());
+        self.datagrams.send(&notice, near);
     }
 
-    fn send(&self, notice: &Notice) {
-        self.datagrams.send(notice, self.recipients());
+    /// Tells the others that this gateway has started: who owns what is to be known everywhere.
+    fn tell_start(&self) {
+        let notice = Notice::Here {
+            from: self.members.own(),
+            zone: Some(self.members.topology().own_zone().to_owned()),
+        };
+        let others = self.recipients(self.members.others());
+        self.datagrams.send(&notice, others);
     }
 
     /// Those of the others that may be asked for something.
@@ -172,10 +181,8 @@
         }
     }
 
-    /// As many of the others of the own region as the budget allows: what gateways choose alone, they choose
-    /// there, and gateways of another region learn from the list who has started.
-    fn recipients(&self) -> Vec<SocketAddr> {
-        let mut peers = self.members.others_near();
+    /// As many of some others as the budget allows.
+    fn recipients(&self, mut peers: Vec<SocketAddr>) -> Vec<SocketAddr> {
         let now = self.clock.now();
         let mut budget = lock(&self.budget);
         let allowed = peers
@@ -289,10 +296,7 @@
                 let is_news = self.apply(changes);
                 self.members.list_is_read();
                 if !is_known {
-                    self.send(&Notice::Here {
-                        from: self.members.own(),
-                        zone: Some(self.members.topology().own_zone().to_owned()),
-                    });
+                    self.tell_start();
                     is_known = true;
                 }
                 tokio::time::sleep(if is_news { GATHER } else { CALM_GATHER }).await;
--- a/crates/swiftshunt-gateway/src/slots/elsewhere.rs
+++ b/crates/swiftshunt-gateway/src/slots/elsewhere.rs
@@ -1,38 +1,114 @@
 //! Requests that cross to another region: where their own one would make them late, and the other has room.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use swiftshunt_scheduler::slots::book::Use;
+use swiftshunt_scheduler::selection::Chosen;
+use swiftshunt_scheduler::slots::CellWorker;
 use swiftshunt_scheduler::slots::cell::Cell;
 
 use super::{MOST_PARTS, Placing, Slots};
 use crate::beliefs::lock;
 use crate::messages::slots::{SlotMessage as Message, SlotRequest};
-use swiftshunt_scheduler::selection::Chosen;
 
 /// Ways to and fro that a request which crosses takes more: that of the question and its own.
 const WAYS: u32 = 2;
+/// Pause between two looks at what is free.
+const LOOK_EVERY: Duration = Duration::from_millis(200);
+
+/// Whether a request may cross to another region, and to which cell: once at most.
+#[derive(Default)]
+pub(super) struct Crossing {
+    to: Option<Cell>,
+    is_over: bool,
+}
+
+impl Crossing {
+    /// An owner told of a cell that has room.
+    pub(super) fn hear(&mut self, elsewhere: Option<Cell>) {
+        self.to = elsewhere.or(self.to.take()).filter(|_| !self.is_over);
+    }
+
+    /// Where the request crosses to now, if it may.
+    pub(super) fn begin(&mut self) -> Option<Cell> {
+        let to = self.to.take()?;
+        self.is_over = true;
+        Some(to)
+    }
+}
 
 impl Slots {
-    /// Tells owners in other regions how many slots are free in cells that this gateway owns.
-    pub(super) fn tell_elsewhere(&self, usages: &[(Cell, Use)]) {
-        let now = self.clock.now();
-        for (cell, usage) in usages {
-            let is_owner = self.members.owner(cell) == self.members.own();
-            let free = usage.free;
-            if !is_owner || !lock(&self.elsewhere).is_to_tell(cell, free, now) {
-                continue;
-            }
-            let counterparts = self.beliefs.selector().counterparts(cell);
-            for counterpart in counterparts {
-                let owner = self.members.owner(&counterpart);
-                let cell = cell.clone();
-                self.send(Message::Room { cell, free }, owner);
+    /// Time within which a request must get a slot of its own region's: where another one has room, it waits no
+    /// longer than the way there takes.
+    pub(super) fn in_time_here(
+        &self,
+        placing: &Placing<'_>,
+        crossing: &Crossing,
+        is_last: bool,
+    ) -> Option<Duration> {
+        let in_time = placing.in_time?;
+        let Some(cell) = crossing.to.as_ref().filter(|_| is_last) else {
+            return Some(in_time);
+        };
+        let owner = self.members.owner(cell);
+        Some(in_time.min(self.longer_way(owner)))
+    }
+
+    /// Tells owners in other regions how many slots are free in cells that this gateway owns, for as long as the
+    /// process lives; nobody where there is one region.
+    pub(crate) async fn keep_telling_room(self: Arc<Self>) {
+        if !self.members.topology().spans_regions() {
+            return;
+        }
+        loop {
+            tokio::time::sleep(LOOK_EVERY).await;
+            for cell in self.own_cells() {
+                self.tell_room(&cell);
             }
         }
     }
 
+    /// The cells that this gateway owns, also those of which nobody has reported anything.
+    fn own_cells(&self) -> Vec<Cell> {
+        let Some(configuration) = self.beliefs.configuration() else {
+            return Vec::new();
+        };
+        let services = configuration.batch_services();
+        let selector = self.beliefs.selector();
+        let cells = services
+            .into_iter()
+            .flat_map(|service| selector.cells(service));
+        let own = self.members.own();
+        cells
+            .filter(|cell| self.members.owner(cell) == own)
+            .collect()
+    }
+
+    fn tell_room(&self, cell: &Cell) {
+        let now = self.clock.now();
+        let (workers, counterparts) = {
+            let selector = self.beliefs.selector();
+            (
+                selector.cell_workers(cell, now),
+                selector.counterparts(cell),
+            )
+        };
+        let sound: Vec<CellWorker> = workers.into_iter().filter(|it| it.is_sound).collect();
+        let free = match lock(&self.books).get(cell) {
+            Some(book) => book.usage(&sound).free,
+            None => sound.iter().map(|worker| worker.slots).sum(),
+        };
+        if !lock(&self.elsewhere).is_to_tell(cell, free, now) {
+            return;
+        }
+        for counterpart in counterparts {
+            let owner = self.members.owner(&counterpart);
+            let cell = cell.clone();
+            self.send(Message::Room { cell, free }, owner);
+        }
+    }
+
     /// The owner of a cell of another region tells of its room.
     pub(super) fn take_room(&self, cell: Cell, free: u32) {
         let now = self.clock.now();
--- a/crates/swiftshunt-gateway/src/slots/mod.rs
+++ b/crates/swiftshunt-gateway/src/slots/mod.rs
@@ -31,6 +31,7 @@
 use crate::metrics::{Metrics, SlotAnswer};
 use crate::own_failures::OwnFailures;
 use crate::running::Running;
+use elsewhere::Crossing;
 use queue::{Granted, Queue};
 use reporting::Told;
 
@@ -170,6 +171,9 @@
         let mut full = self.full_cells(service);
         let mut others = MOST_OTHER_CELLS;
         let mut next_owner_left = true;
+        let mut crossing = Crossing::default();
+        // Where there are other regions, an owner that is full tells which of them has room.
+        let mut has_asked = !self.members.topology().spans_regions();
         loop {
             let Some(offer) = self.offer(service, demand, tried, &full) else {
                 return Place::Nowhere;
@@ -178,14 +182,14 @@
             let Some((cell, bids)) = shared else {
                 return Place::At(chosen);
             };
-            let is_last = others == 0 || full.contains(&cell);
+            let is_last = others == 0 || has_asked && full.contains(&cell);
             let owner = self.members.owner(&cell);
             let request = SlotRequest {
                 bids,
                 parts: demand.prompt.iter().take(MOST_PARTS).copied().collect(),
                 tokens: demand.prompt_tokens,
                 may_wait: is_last,
-                in_time: placing.in_time,
+                in_time: self.in_time_here(&placing, &crossing, is_last),
                 may_repeat: placing.may_repeat,
             };
             let mut asked = self.ask(owner, &cell, request).await;
@@ -199,10 +203,12 @@
                 }
                 Some(Err(NotPlaced::Full)) if is_last => {
                     self.mark_full(&cell);
-                    if let Some(elsewhere) = elsewhere
-                        && let Some(chosen) = self.cross(&placing, elsewhere).await
-                    {
-                        return Place::At(chosen);
+                    crossing.hear(elsewhere);
+                    if let Some(elsewhere) = crossing.begin() {
+                        if let Some(chosen) = self.cross(&placing, elsewhere).await {
+                            return Place::At(chosen);
+                        }
+                        continue;
                     }
                     return if placing.in_time.is_some() {
                         Place::Late
@@ -211,8 +217,10 @@
                     };
                 }
                 Some(Err(NotPlaced::Full)) => {
+                    crossing.hear(elsewhere);
                     self.mark_full(&cell);
                     full.push(cell);
+                    has_asked = true;
                     others -= 1;
                 }
                 // It counts as gone by this, and the cell has another owner.
--- a/crates/swiftshunt-gateway/src/slots/owner.rs
+++ b/crates/swiftshunt-gateway/src/slots/owner.rs
@@ -132,7 +132,6 @@
             is_open
         });
         let selector = self.beliefs.selector();
-        let mut usages = Vec::new();
         let mut usage = Use::default();
         for (cell, book) in books.iter_mut() {
             book.expire(now);
@@ -142,11 +141,7 @@
             usage.online += of_cell.online;
             usage.batch += of_cell.batch;
             usage.free += of_cell.free;
-            usages.push((cell.clone(), of_cell));
         }
-        drop(selector);
-        drop(books);
         self.metrics.slots_used(usage);
-        self.tell_elsewhere(&usages);
     }
 }
--- a/crates/swiftshunt-gateway/src/ways.rs
+++ b/crates/swiftshunt-gateway/src/ways.rs
@@ -10,7 +10,7 @@
 
 use crate::beliefs::lock;
 
-/// Round trip to another region until one was observed.
+/// How long the way to another region is waited for until one was observed.
 const UNOBSERVED: Duration = Duration::from_millis(150);
 /// What the way to another region adds at least and at most: beyond that, what is asked there is of no use any
 /// more.
@@ -36,13 +36,14 @@
         lock(&self.round_trips).missed(&zone.to_owned());
     }
 
-    /// The round trip to a zone; none that counts where it is in the own region.
+    /// The round trip to a zone; none that counts where it is in the own region, or was not observed yet: the first
+    /// request that goes there finds it out.
     pub(crate) fn round_trip(&self, topology: &Topology, zone: &str) -> Duration {
         if topology.distance_to(zone) < Distance::OtherRegion {
             return Duration::ZERO;
         }
         let mean = lock(&self.round_trips).mean(&zone.to_owned());
-        mean.unwrap_or(UNOBSERVED)
+        mean.unwrap_or_default()
     }
 
     /// How long an answer from a zone is waited for that within a region is waited for `within_region`.
