--- a/crates/swiftshunt-gateway/src/slots/queue.rs
+++ b/crates/swiftshunt-gateway/src/slots/queue.rs
@@ -16,6 +16,10 @@
 /// the way to its owner and back, and short against the time of an item.
 const NEXT_CELL_AFTER: Duration = Duration::from_millis(400);
 
+/// Moves after which an item may wait in another region, too: its prompt and its whole output would cross, and a
+/// short peak at home is over by then.
+const MOVES_AT_HOME: usize = 8;
+
 /// A slot that was granted.
 #[derive(Clone, Debug)]
 pub(crate) struct Granted {
@@ -36,11 +40,11 @@
 }
 
 impl Entry {
-    /// Whether it waits in a cell now: first in one of its first region.
+    /// Whether it waits in a cell now: for a while in those of its first region, and then of each by turns.
     fn waits_in(&self, cell: &Cell, now: Duration) -> bool {
         let waited = now.saturating_sub(self.since).as_millis();
         let moves = (waited / NEXT_CELL_AFTER.as_millis()) as usize;
-        let turn = moves % self.regions.len().max(1);
+        let turn = moves.saturating_sub(MOVES_AT_HOME) % self.regions.len().max(1);
         let index = self.draw.wrapping_add(moves as u64) % u64::from(cell.count.max(1));
         self.regions.get(turn) == Some(&cell.region) && index == u64::from(cell.index)
     }
--- a/crates/swiftshunt/tests/gateway_regions.rs
+++ b/crates/swiftshunt/tests/gateway_regions.rs
@@ -105,7 +105,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_region_serves_its_callers_without_the_other() {
     const FEW: usize = 6;
-    let mut fleet = two_regions().await;
+    let fleet = two_regions().await;
     for south in [1, 3] {
         fleet.gateways[south].process.pause();
     }
