--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -366,6 +366,7 @@
                 Some(Ok(event)) => event,
             };
             in_flight.heard();
+            in_flight.received(event.data.len());
             output.take(&event)?;
         }
     }
--- a/crates/swiftshunt-gateway/src/earlier_builds.rs
+++ b/crates/swiftshunt-gateway/src/earlier_builds.rs
@@ -231,7 +231,11 @@
             time: Duration::from_millis(3),
         },
     };
-    let answer = |verdict| SlotMessage::Assigned { ask: 21, verdict };
+    let answer = |verdict| SlotMessage::Assigned {
+        ask: 21,
+        verdict,
+        elsewhere: None,
+    };
     entry("assigned", answer(Ok(assigned)));
     entry("no-worker", answer(Err(NotPlaced::NoWorker)));
     entry("full", answer(Err(NotPlaced::Full)));
--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -33,6 +33,7 @@
 use crate::slots::Slots;
 use crate::starts::Starts;
 use crate::tails::Tails;
+use crate::traffic::CountedLog;
 use crate::unreadable::UnreadableRecords;
 use crate::upstream::Upstream;
 use crate::waiting_limits::WaitingLimits;
@@ -112,7 +113,11 @@
             source,
         })?;
         let members = Arc::new(Members::new(peers_address, topology, clock));
-        let datagrams = Arc::new(Datagrams::new(notices, Arc::clone(&metrics)));
+        let datagrams = Arc::new(Datagrams::new(
+            notices,
+            Arc::clone(&members),
+            Arc::clone(&metrics),
+        ));
         let unreadable = Arc::new(UnreadableRecords::new(Arc::clone(&metrics), clock));
         let others = Arc::new(Peers::new(
             Arc::clone(&datagrams),
@@ -124,8 +129,9 @@
             clock,
         ));
         let job_regions = Arc::new(JobRegions::new(Arc::clone(&beliefs), Arc::clone(&members)));
+        let log = CountedLog::new(log, metrics.traffic.clone());
         let relayed = Arc::new(RelayedLog::new(
-            log,
+            Arc::new(log),
             Arc::clone(&others),
             Arc::clone(&job_regions),
             Arc::clone(&metrics),
@@ -257,7 +263,8 @@
             tokio::spawn(Arc::clone(&quarantine).keep_recording()),
             tokio::spawn(quarantine.keep_lapsing()),
             tokio::spawn(rates.keep_tidy()),
-            tokio::spawn(slots.keep_reporting()),
+            tokio::spawn(Arc::clone(&slots).keep_reporting()),
+            tokio::spawn(slots.keep_telling_room()),
             tokio::spawn(Arc::clone(&others).keep_listed(Arc::clone(&log))),
             tokio::spawn(Arc::clone(&others).follow(Arc::clone(&log))),
             tokio::spawn(sweep(dispatcher)),
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -43,9 +43,11 @@
 mod slots;
 mod starts;
 mod tails;
+mod traffic;
 mod unreadable;
 mod upstream;
 mod waiting_limits;
+mod ways;
 
 pub use gateway::{Gateway, StartError};
 pub use settings::{GatewaySettings, SettingsError};
