--- a/crates/swiftshunt-gateway/src/members.rs
+++ b/crates/swiftshunt-gateway/src/members.rs
@@ -287,6 +287,13 @@
         keepers.collect()
     }
 
+    /// The gateways of this one's region, this one included; all where there is one region alone.
+    pub(crate) fn of_own_region(&self) -> Vec<SocketAddr> {
+        let mut gateways = self.others_near();
+        gateways.push(self.own);
+        gateways
+    }
+
     /// Whether a gateway counts as gone.
     pub(crate) fn is_in_doubt(&self, gateway: SocketAddr) -> bool {
         let now = self.clock.now();
--- a/crates/swiftshunt-lab/src/platform/fleet.rs
+++ b/crates/swiftshunt-lab/src/platform/fleet.rs
@@ -16,9 +16,11 @@
 use super::caller::{HOST, PlatformCaller};
 use super::places::Places;
 use super::process::time_of_day_ms;
+use super::server::any_port;
 use super::store::{Door, Store};
 use super::worker::{Worker, WorkerSettings};
 use crate::harness::{HarnessError, Process};
+use crate::proxy::{Link, Way, Width};
 use crate::stand_in::lock;
 
 /// Paths of the routes that a fleet begins with.
@@ -53,6 +55,8 @@
     pub metrics: SocketAddr,
     /// Its door.
     pub door: Door,
+    /// Its way to the door, if that leads over a line.
+    link: Option<Link>,
     settings: PathBuf,
     program: PathBuf,
 }
@@ -78,6 +82,7 @@
             metrics,
             process,
             door,
+            link: None,
             settings,
             program,
         })
@@ -103,6 +108,7 @@
     lease: Duration,
     directory: String,
     places: Places,
+    line: Option<Arc<Width>>,
 }
 
 /// How many there are of each, and how they serve.
@@ -134,6 +140,8 @@
     pub places: Places,
     /// Programs that gateways run by turns in place of the one that the fleet is started with; none for that alone.
     pub programs: Vec<PathBuf>,
+    /// The line over which gateways outside the first region reach the store.
+    pub line: Option<Arc<Width>>,
 }
 
 impl Default for PlatformOptions {
@@ -152,6 +160,7 @@
             workers_tell_start: false,
             places: Places::default(),
             programs: Vec::new(),
+            line: None,
         }
     }
 }
@@ -300,6 +309,7 @@
             lease: options.lease,
             directory: options.directory,
             places: options.places,
+            line: options.line,
         };
         fleet.configure(first_configuration());
         fleet.list_all(values::READY);
@@ -318,6 +328,8 @@
     pub async fn add_gateway(&mut self, more_settings: &str) -> Result<(), HarnessError> {
         let door = self.store.open_door().await?;
         let index = self.gateways.len();
+        let link = self.link_to(door.address, index).await?;
+        let store = link.as_ref().map_or(door.address, |link| link.address);
         let settings = self.scratch.join(format!("gateway-{index}.toml"));
         let program = self.programs[index % self.programs.len()].clone();
         let started = start_gateway_anew(&program, &settings, |addresses| {
@@ -326,7 +338,7 @@
                 places: &self.places,
                 peers: addresses.peers,
                 metrics: addresses.metrics,
-                store: door.address,
+                store,
                 partitions: PARTITIONS,
                 lease: self.lease,
                 directory: &self.directory,
@@ -335,11 +347,26 @@
         });
         let (process, addresses) = started?;
         let metrics = addresses.metrics;
-        let gateway = RunningGateway::new(process, program, settings, metrics, door)?;
+        let mut gateway = RunningGateway::new(process, program, settings, metrics, door)?;
+        gateway.link = link;
         self.gateways.push(gateway);
         Ok(())
     }
 
+    /// The way of a gateway to the store, if it leads over a line.
+    async fn link_to(&self, door: SocketAddr, index: usize) -> std::io::Result<Option<Link>> {
+        let line = self.line.as_ref().filter(|_| self.places.is_far(index));
+        let Some(line) = line else {
+            return Ok(None);
+        };
+        let link = Link::open(any_port(), Some(door)).await?;
+        link.set_way(Way {
+            delay: Duration::ZERO,
+            width: Some(Arc::clone(line)),
+        });
+        Ok(Some(link))
+    }
+
     /// Kills a gateway and starts it again, without waiting until it is ready.
     pub fn restart(&mut self, index: usize) -> Result<(), HarnessError> {
         self.gateways[index].process.kill();
@@ -352,7 +379,9 @@
         let settings = gateway.settings.clone();
         let process = start_gateway(&program, &settings)?;
         let (metrics, door) = (gateway.metrics, gateway.door.clone());
+        let link = self.gateways[index].link.take();
         self.gateways[index] = RunningGateway::new(process, program, settings, metrics, door)?;
+        self.gateways[index].link = link;
         Ok(())
     }
 
--- a/crates/swiftshunt-lab/src/proxy.rs
+++ b/crates/swiftshunt-lab/src/proxy.rs
@@ -43,28 +43,58 @@
 
 /// How wide a link is, for all that shares it together.
 #[derive(Debug)]
-pub struct Width {
-    bytes_per_s: f64,
+pub struct Width(Mutex<Occupied>);
+
+#[derive(Debug)]
+struct Occupied {
+    /// None where it is wide enough for anything.
+    bytes_per_s: Option<f64>,
     /// Until when what was sent so far keeps it busy.
-    busy_until: Mutex<Instant>,
+    until: Instant,
+    /// Bytes that have passed.
+    passed: u64,
+}
+
+impl Default for Width {
+    /// Wide enough for anything.
+    fn default() -> Self {
+        Self(Mutex::new(Occupied {
+            bytes_per_s: None,
+            until: Instant::now(),
+            passed: 0,
+        }))
+    }
 }
 
 impl Width {
     /// A width in bytes a second.
     pub fn new(bytes_per_s: u64) -> Self {
-        Self {
-            bytes_per_s: bytes_per_s as f64,
-            busy_until: Mutex::new(Instant::now()),
-        }
+        let width = Self::default();
+        width.limit(bytes_per_s);
+        width
+    }
+
+    /// Limits it from now on, to bytes a second.
+    pub fn limit(&self, bytes_per_s: u64) {
+        lock(&self.0).bytes_per_s = Some(bytes_per_s as f64);
+    }
+
+    /// Bytes that have passed.
+    pub fn passed(&self) -> u64 {
+        lock(&self.0).passed
     }
 
     /// Waits until these bytes are through, behind all that came before them.
     async fn pass(&self, bytes: usize) {
         let until = {
-            let mut busy_until = lock(&self.busy_until);
-            let time = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
-            *busy_until = Instant::now().max(*busy_until) + time;
-            *busy_until
+            let mut occupied = lock(&self.0);
+            occupied.passed += bytes as u64;
+            let Some(bytes_per_s) = occupied.bytes_per_s else {
+                return;
+            };
+            let time = Duration::from_secs_f64(bytes as f64 / bytes_per_s);
+            occupied.until = Instant::now().max(occupied.until) + time;
+            occupied.until
         };
         tokio::time::sleep_until(until).await;
     }
