--- a/crates/swiftshunt-gateway/src/batch/region_pages.rs
+++ b/crates/swiftshunt-gateway/src/batch/region_pages.rs
@@ -193,7 +193,7 @@
         }
         let pages = Arc::clone(self);
         let (partition, after) = key.clone();
-        let reading = async move { pages.from_log(partition, after).await };
+        let reading = async move { pages.read_log(partition, after).await };
         let reading = reading.boxed().shared();
         kept.insert(key.clone(), reading.clone());
         drop(kept);
@@ -212,7 +212,7 @@
         }
     }
 
-    async fn from_log(
+    async fn read_log(
         &self,
         partition: u32,
         after: Option<Vec<u8>>,
