What reviews found in the joined parts

A region whose workers lack starts lets requests cross; a request that waits for a start is asked again instead of refused; a witness that does not answer takes back only the own word, and only the directory takes proof back; nobody accused for a reading is accused anew; questions for starts leave nothing behind; keepers settle from the moment others can know of them, for longer than the list takes; a gateway listed again keeps its zone; a listing made of kept pages is not fresh until the tail was read, and pages older than what is known are not taken; a resumed stream is bound by the configuration in force; a part of a split that was closed is left; readers and relays ask whether they may handle jobs; an end of a job that may have been recorded is not called not run.

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{HeaderMap, Request, StatusCode};
+use swiftshunt_routing::Configuration;
 use swiftshunt_scheduler::offers::Withheld;
 use swiftshunt_scheduler::selection::{Chosen, Demand, Ending};
 
@@ -18,7 +19,7 @@
 use crate::job_regions::JobRegions;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::protocol::{AnswerFacts, Protocol, SendFacts};
+use crate::protocol::{AnswerFacts, Identity, Protocol, SendFacts};
 use crate::quarantine::{Quarantine, Subject};
 use crate::slots::Slots;
 use crate::starts::{Start, Starts};
@@ -48,6 +49,21 @@
     pub(crate) subject: Subject,
 }
 
+impl Outgoing {
+    /// Binds the request to the regions that a configuration allows for it.
+    pub(crate) fn bind(&mut self, configuration: &Configuration) {
+        let path = self.subject.target().path();
+        let Some(route) = configuration.route(self.subject.host(), path) else {
+            return;
+        };
+        let tenant = match self.subject.identity() {
+            Identity::Tenant(name) => Some(name),
+            Identity::Unchecked | Identity::Anyone => None,
+        };
+        self.demand.residency = configuration.residency_of(route, tenant);
+    }
+}
+
 /// How long a send may take.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Patience {
--- a/crates/swiftshunt-gateway/src/batch/mod.rs
+++ b/crates/swiftshunt-gateway/src/batch/mod.rs
@@ -211,6 +211,10 @@
 
     /// Answers a gateway that asks for a page of a partition.
     pub(crate) async fn answer_page(&self, request: Request<Incoming>) -> CallerAnswer {
+        if !self.dispatcher.job_regions.include_this() {
+            let reason = "jobs may not be handled here";
+            return plain(StatusCode::SERVICE_UNAVAILABLE, reason);
+        }
         self.region_pages.answer_peer(request).await
     }
 
@@ -221,7 +225,8 @@
         let held = call
             .job()
             .is_some_and(|(job, _)| self.leases.holds(self.replay.partition_of(job)));
-        if held || owners::asks_a_reader(headers) {
+        let reads = owners::asks_a_reader(headers) && self.dispatcher.job_regions.include_this();
+        if held || reads {
             self.answer_here(call).await
         } else {
             plain(StatusCode::MISDIRECTED_REQUEST, "it does not run here")
--- a/crates/swiftshunt-gateway/src/batch/outside.rs
+++ b/crates/swiftshunt-gateway/src/batch/outside.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use hyper::http::request;
+use hyper::{Method, StatusCode};
 use swiftshunt_routing::Route;
 use swiftshunt_scheduler::admission::{Decision, Obstacle, Situation, decide};
 use swiftshunt_topology::Residency;
 use swiftshunt_types::TenantName;
 
 use super::{Batch, CALL_PATIENCE};
-use crate::answers::{CallerAnswer, not_run};
+use crate::answers::{CallerAnswer, not_run, plain};
 use crate::metrics::Refusal;
 
 /// Times that a gateway which may answer is looked for, and the pause between them: the owners are read anew.
@@ -35,10 +36,13 @@
                 return answer;
             }
         }
-        self.refuse_outside(
-            "no gateway where this job may be handled is reached",
-            CALL_PATIENCE,
-        )
+        let reason = "no gateway where this job may be handled is reached";
+        if head.method == Method::GET {
+            return self.refuse_outside(reason, CALL_PATIENCE);
+        }
+        // Its end may have been recorded, and the answer lost.
+        log::info!(partition, reason; "it is not known whether a job has ended");
+        plain(StatusCode::GATEWAY_TIMEOUT, reason)
     }
 
     /// The refusal of a job that nobody may run: its regions are not those in which all jobs may be handled.
--- a/crates/swiftshunt-gateway/src/batch/replay.rs
+++ b/crates/swiftshunt-gateway/src/batch/replay.rs
@@ -204,9 +204,10 @@
                 }
                 continue;
             }
+            let is_listing = !self.state(partition).is_listed;
             let step = self.step(partition, &mut listing).await;
             away.pause(&step).await;
-            if step.is_ok() {
+            if step.is_ok() && !is_listing {
                 tokio::time::sleep(GATHER).await;
             }
         }
@@ -226,11 +227,13 @@
     }
 
     async fn list(&self, partition: u32, listing: &mut Listing) -> Result<(), LogError> {
-        let page = |after, not_before| {
+        let known = self.state(partition).view.next_offset();
+        let page = |after, not_before: u64| {
             let call = PageCall {
                 partition,
                 after,
-                not_before,
+                // Records that came behind what is known are gone from the tail: older pages lack them.
+                not_before: not_before.max(known),
             };
             self.pages.page(call)
         };
@@ -242,7 +245,8 @@
             changes.extend(state.view.apply_page(page));
         }
         state.is_listed = true;
-        state.read_at = Some(self.clock.now());
+        // Pages may have been kept for others: how new they are, the tail tells.
+        state.read_at = None;
         self.apply(partition, &mut state, changes);
         drop(state);
         self.tell(partition);
--- a/crates/swiftshunt-gateway/src/log_relay/mod.rs
+++ b/crates/swiftshunt-gateway/src/log_relay/mod.rs
@@ -122,6 +122,10 @@
             Ok(call) => call,
             Err(refusal) => return refusal,
         };
+        if call.carries_jobs() && !self.job_regions.include_this() {
+            let reason = "jobs may not be handled here";
+            return plain(StatusCode::SERVICE_UNAVAILABLE, reason);
+        }
         let answer = self.directly(call).await;
         answer_with(&answer)
     }
--- a/crates/swiftshunt-gateway/src/members.rs
+++ b/crates/swiftshunt-gateway/src/members.rs
@@ -67,8 +67,8 @@
     unlisted: HashMap<SocketAddr, Listed>,
     doubts: HashMap<SocketAddr, Doubt>,
     heard_at: HashMap<SocketAddr, Duration>,
-    /// Whether the list was read.
-    is_read: bool,
+    /// When the list was read first.
+    read_at: Option<Duration>,
 }
 
 impl Known {
@@ -108,12 +108,18 @@
 
     /// Whether it is known which gateways there are.
     pub(crate) fn is_known(&self) -> bool {
-        lock(&self.known).is_read
+        lock(&self.known).read_at.is_some()
+    }
+
+    /// Since when it is known which gateways there are.
+    pub(crate) fn known_since(&self) -> Option<Duration> {
+        lock(&self.known).read_at
     }
 
     /// The list of gateways was read.
     pub(crate) fn list_is_read(&self) {
-        lock(&self.known).is_read = true;
+        let now = self.clock.now();
+        lock(&self.known).read_at.get_or_insert(now);
     }
 
     /// The others that are there, as far as known.
@@ -133,9 +139,11 @@
             let is_new = before.is_none();
             match before {
                 Some(listed) => listed.at = at,
-                None => drop(known.listed.insert(gateway, Listed { at, zone: None })),
+                None => {
+                    let zone = known.unlisted.remove(&gateway).and_then(|it| it.zone);
+                    known.listed.insert(gateway, Listed { at, zone });
+                }
             }
-            known.unlisted.remove(&gateway);
             return is_new;
         }
         known.doubts.remove(&gateway);
--- a/crates/swiftshunt-gateway/src/messages/quarantine.rs
+++ b/crates/swiftshunt-gateway/src/messages/quarantine.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
-use swiftshunt_scheduler::quarantine::{Fingerprint, WorkerEnd};
+use swiftshunt_scheduler::quarantine::{Evidence, Fingerprint, WorkerEnd};
 use swiftshunt_scheduler::slots::WorkerKey;
 
 /// A message. Each is one datagram; any may be lost, doubled or late: all of it is recorded in the log, too.
@@ -46,6 +46,9 @@
     Refuted {
         /// The worker.
         worker: WorkerKey,
+        /// Up to what evidence.
+        #[serde(default)]
+        evidence: Evidence,
     },
 }
 
--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -15,7 +15,6 @@
 use crate::batch::Batch;
 use crate::journey::Journey;
 use crate::metrics::{Refusal, RequestEnd};
-use crate::protocol::Identity;
 use crate::quarantine::Held;
 use crate::rates::Rates;
 use crate::relay;
@@ -62,6 +61,7 @@
                 return self.hold_back(journey, held);
             }
             self.bind(journey);
+            self.leave_closed(journey);
             let chosen = self.place(journey).await;
             // The configuration may have changed while it waited.
             self.bind(journey);
@@ -112,16 +112,17 @@
             return;
         }
         journey.bound_by = configuration.version;
-        let subject = &journey.outgoing.subject;
-        let path = subject.target().path();
-        let Some(route) = configuration.route(&journey.route.host, path) else {
-            return;
-        };
-        let tenant = match subject.identity() {
-            Identity::Tenant(name) => Some(name),
-            _ => None,
-        };
-        journey.outgoing.demand.residency = configuration.residency_of(route, tenant);
+        journey.outgoing.bind(&configuration);
+    }
+
+    /// Goes to another part of a split if the one that was drawn is closed by now, and nothing ran there.
+    fn leave_closed(&self, journey: &mut Journey) {
+        let beliefs = &self.dispatcher.beliefs;
+        let residency = &journey.outgoing.demand.residency;
+        let is_open = beliefs.selector().is_open(&journey.service, residency);
+        if journey.runs == 0 && !is_open {
+            journey.service = beliefs.next_service(&journey.route, residency);
+        }
     }
 
     /// The worker for a request. One that would be late wherever it goes waits behind those that can be in
@@ -187,7 +188,7 @@
         let closed = selector.closed(&journey.service, residency, now);
         let obstacle = if let Some(closed) = closed {
             closed
-        } else if journey.was_declined {
+        } else if journey.was_declined || selector.awaits_starts(&journey.service, residency, now) {
             Obstacle::Full
         } else if journey.tried.is_empty() || reaches_workers {
             Obstacle::NoWorker
--- a/crates/swiftshunt-gateway/src/quarantine/directory.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/directory.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use swiftshunt_scheduler::listed::Departed;
-use swiftshunt_scheduler::quarantine::SETTLES_WITHIN;
+use swiftshunt_scheduler::quarantine::{Evidence, SETTLES_WITHIN};
 use swiftshunt_scheduler::slots::WorkerKey;
 
 use super::Quarantine;
@@ -17,7 +17,11 @@
     /// identifier. Another life at its address has ended; a life that had lapsed is there again.
     pub(crate) fn listed(&self, incarnation: &str, address: SocketAddr, before: Option<&str>) {
         if lock(&self.departures).is_back(WorkerKey::of(incarnation)) {
-            self.refute(WorkerKey::of(incarnation), "it is listed again");
+            self.refute(
+                WorkerKey::of(incarnation),
+                Evidence::Proved,
+                "it is listed again",
+            );
         }
         let mut ended = self.doubted_at(address);
         ended.extend(before.map(str::to_owned));
@@ -76,22 +80,19 @@
     /// The tail of the directory was read here, in which these workers renewed their entries.
     pub(crate) fn renewed(&self, incarnations: &[String]) {
         let accused: Vec<WorkerKey> = lock(&self.table).accusers().collect();
-        if accused.is_empty() {
-            return;
-        }
         let renewed: Vec<WorkerKey> = incarnations
             .iter()
             .map(|life| WorkerKey::of(life))
             .collect();
         let alive = lock(&self.signs_of_life).read(accused.into_iter(), &renewed);
         for worker in alive {
-            self.refute(worker, "it renews its entry");
+            self.refute(worker, Evidence::Proved, "it renews its entry");
         }
     }
 
     /// It is refuted that a worker has ended, or nothing says so any more: everybody forgets it.
-    pub(super) fn refute(&self, worker: WorkerKey, reason: &str) {
-        let refuted = lock(&self.table).refute(worker);
+    pub(super) fn refute(&self, worker: WorkerKey, evidence: Evidence, reason: &str) {
+        let refuted = lock(&self.table).refute(worker, evidence);
         if refuted.is_empty() {
             return;
         }
@@ -101,6 +102,9 @@
         for (fingerprint, end) in refuted {
             self.unrecorded.dropped(fingerprint, &end);
         }
-        self.tell(QuarantineMessage::Refuted { worker }, self.members.others());
+        self.tell(
+            QuarantineMessage::Refuted { worker, evidence },
+            self.members.others(),
+        );
     }
 }
--- a/crates/swiftshunt-gateway/src/quarantine/ends.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/ends.rs
@@ -98,16 +98,31 @@
         self.ended(&chosen, &ends);
         self.checked.notify_waiters();
         // The suspicion stands meanwhile: tries of one request follow each other within milliseconds.
-        if self.second_sight_of(&chosen).await == Sight::Refuses {
-            self.metrics.workers_ended.inc();
-            return;
+        match self.second_sight_of(&chosen).await {
+            Sight::Refuses => {
+                self.metrics.workers_ended.inc();
+                return;
+            }
+            Sight::Takes => {
+                let worker = WorkerKey::of(&chosen.incarnation);
+                let reason = "its zone does not see that it refuses connections";
+                self.refute(worker, Evidence::Suspected, reason);
+            }
+            // Others may have seen more.
+            Sight::Nothing => self.take_back(&ends),
         }
-        let worker = WorkerKey::of(&chosen.incarnation);
         lock(&self.checks).remove(&chosen.incarnation);
-        self.refute(worker, "its zone does not see that it refuses connections");
         self.doubt(chosen, ends);
     }
 
+    /// Nobody confirms what this gateway alone has seen: it takes its own word back.
+    fn take_back(&self, ends: &[(Fingerprint, WorkerEnd)]) {
+        for (fingerprint, end) in ends {
+            lock(&self.table).forget(fingerprint, end.worker, end.ended_unix_ms);
+            self.unrecorded.dropped(*fingerprint, end);
+        }
+    }
+
     /// A worker was looked at; gives what has happened there if it has ended.
     fn checked(&self, chosen: &Chosen, refuses: bool) -> Vec<(Fingerprint, WorkerEnd)> {
         let now = self.clock.now();
--- a/crates/swiftshunt-gateway/src/quarantine/mod.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/mod.rs
@@ -237,8 +237,8 @@
             }
             QuarantineMessage::Look { ask, address } => self.look_for(from, ask, address),
             QuarantineMessage::Looked { ask, sight } => self.looked(ask, sight),
-            QuarantineMessage::Refuted { worker } => {
-                lock(&self.table).refute(worker);
+            QuarantineMessage::Refuted { worker, evidence } => {
+                lock(&self.table).refute(worker, evidence);
             }
         }
     }
--- a/crates/swiftshunt-gateway/src/quarantine/subject.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/subject.rs
@@ -46,6 +46,11 @@
         &self.0.identity
     }
 
+    /// The host that it names.
+    pub(crate) fn host(&self) -> &str {
+        &self.0.host
+    }
+
     /// Its method.
     pub(crate) fn method(&self) -> &Method {
         &self.0.method
--- a/crates/swiftshunt-gateway/src/relay.rs
+++ b/crates/swiftshunt-gateway/src/relay.rs
@@ -251,6 +251,9 @@
                     "a stream does not go on, since its request ended its workers");
                 return None;
             }
+            if let Some(configuration) = dispatcher.beliefs.configuration() {
+                self.outgoing.bind(&configuration);
+            }
             let placing = Placing {
                 request: self.outgoing.id.as_deref().unwrap_or(""),
                 service: &self.service,
--- a/crates/swiftshunt-gateway/src/starts.rs
+++ b/crates/swiftshunt-gateway/src/starts.rs
@@ -10,7 +10,6 @@
 use swiftshunt_scheduler::cold::keeper::{Starts as HandedOut, asks_second_first};
 use swiftshunt_scheduler::cold::{ColdBound, START_LIFE};
 use swiftshunt_scheduler::selection::Chosen;
-use swiftshunt_topology::Distance;
 use tokio::sync::oneshot;
 
 use crate::beliefs::{Beliefs, lock};
@@ -23,8 +22,8 @@
 
 /// How long a keeper's answer is waited for: a few times the way to and fro within a region.
 const ASK_PATIENCE: Duration = Duration::from_millis(14);
-/// The same for a keeper in another region; a start that comes as late as this has still a part of its life.
-const FAR_ASK_PATIENCE: Duration = Duration::from_millis(120);
+/// Longest such time: a start that comes as late as this has still a part of its life.
+const MOST_PATIENCE: Duration = Duration::from_millis(120);
 /// Time for which a worker is passed over whose keepers did not answer.
 const SILENT_FOR: Duration = Duration::from_millis(200);
 /// Shortest time for which a worker without a start is passed over.
@@ -52,6 +51,18 @@
     last_ask: AtomicU64,
 }
 
+/// A question that is open until this is dropped, also where whoever asked is gone.
+struct Asked<'s> {
+    starts: &'s Starts,
+    ask: u64,
+}
+
+impl Drop for Asked<'_> {
+    fn drop(&mut self) {
+        lock(&self.starts.asks).remove(&self.ask);
+    }
+}
+
 impl Starts {
     pub(crate) fn new(
         members: Arc<Members>,
@@ -131,6 +142,7 @@
         let ask = self.last_ask.fetch_add(1, Ordering::Relaxed) + 1;
         let (sender, receiver) = oneshot::channel();
         lock(&self.asks).insert(ask, sender);
+        let _asked = Asked { starts: self, ask };
         let message = Message::Ask {
             ask,
             service: chosen.service.clone(),
@@ -138,13 +150,11 @@
             zone: chosen.zone.clone(),
         };
         self.datagrams.send(&Notice::Start(message), [keeper]);
-        let patience = match self.members.distance_to(keeper) {
-            Distance::SameZone | Distance::SameRegion => ASK_PATIENCE,
-            Distance::OtherRegion => FAR_ASK_PATIENCE,
-        };
-        let answered = tokio::time::timeout(patience, receiver).await;
-        lock(&self.asks).remove(&ask);
-        match answered {
+        let patience = self
+            .members
+            .patience(keeper, ASK_PATIENCE)
+            .min(MOST_PATIENCE);
+        match tokio::time::timeout(patience, receiver).await {
             Ok(Ok(verdict)) => Some(verdict),
             Ok(Err(_)) | Err(_) => {
                 self.members.missed(keeper);
@@ -162,11 +172,15 @@
         let (Some(rank), Some(bound)) = (rank, bound) else {
             return Err(SILENT_FOR);
         };
-        if !self.members.is_known() {
+        let Some(known_since) = self.members.known_since() else {
             return Err(SILENT_FOR);
-        }
+        };
         let now = self.clock.now();
-        let verdict = lock(&self.handed_out).hand_out(worker, &bound, rank, now);
+        let verdict = {
+            let mut handed_out = lock(&self.handed_out);
+            handed_out.settles_from(known_since);
+            handed_out.hand_out(worker, &bound, rank, now)
+        };
         if verdict.is_ok() {
             self.metrics.starts_handed_out.inc();
         }
--- a/crates/swiftshunt-lab/src/soak/plan.rs
+++ b/crates/swiftshunt-lab/src/soak/plan.rs
@@ -278,9 +278,11 @@
             lasts_ms: random.random_range(COLD_MS),
             is_told: true,
         });
-        let evacuations = (0..EVACUATIONS).map(|_| Step {
+        let first = random.random_range(0..ZONES);
+        // Of different zones: the withdrawal of one ends all evacuations of its zone.
+        let evacuations = (0..EVACUATIONS.min(ZONES)).map(|number| Step {
             disruption: Disruption::Evacuate {
-                zone: random.random_range(0..ZONES),
+                zone: (first + number) % ZONES,
             },
             for_ms: random.random_range(EVACUATED_MS),
             after: None,
--- a/crates/swiftshunt-scheduler/src/cells.rs
+++ b/crates/swiftshunt-scheduler/src/cells.rs
@@ -111,6 +111,7 @@
         let stays = open.any(|candidate| {
             candidate.region.as_ref() == own
                 && candidate.ejected_until <= now
+                && !self.lacks_starts(candidate, now)
                 && is_left(candidate, tried, &[])
         });
         Reach(own.filter(|_| stays))
--- a/crates/swiftshunt-scheduler/src/cold/keeper.rs
+++ b/crates/swiftshunt-scheduler/src/cold/keeper.rs
@@ -15,8 +15,8 @@
 /// Fewest starts in a second for which a second keeper is worth the parting.
 const FEWEST_FOR_SECOND: u32 = 2;
 /// Time from its start in which a keeper hands out nothing: another life of it may have handed out some a moment
-/// ago, and others have to learn first that it is there.
-pub const SETTLES: Duration = Duration::from_secs(3);
+/// ago, and others have to learn first that it is there, by a list that is read every four seconds.
+pub const SETTLES: Duration = Duration::from_secs(5);
 /// Time for which a node that is no longer listed still counts in the order of keepers: others learn of it by
 /// then, and what it has handed out is over.
 pub const REMEMBERED: Duration = Duration::from_secs(5);
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Others could not know of this keeper before this moment.
+    pub fn settles_from(&mut self, known_since: Duration) {
+        self.began_at = self.began_at.max(known_since);
+    }
+
     /// Hands out a start at a worker as the keeper of this rank; gives the time until there may be one where
     /// there is none.
     pub fn hand_out(
--- a/crates/swiftshunt-scheduler/src/cold/known.rs
+++ b/crates/swiftshunt-scheduler/src/cold/known.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use swiftshunt_topology::Residency;
+
 use super::ColdBound;
 use super::pace::{Left, Pace};
 use crate::candidate::Candidate;
@@ -107,6 +109,12 @@
     }
 
     /// Whether a worker is cold, or may be, and its keepers said that there is no start.
+    /// Whether a cold worker of a service takes a request as soon as there is a start at it again.
+    pub fn awaits_starts(&self, service: &str, residency: &Residency, now: Duration) -> bool {
+        let mut open = self.open(service, residency);
+        open.any(|candidate| self.lacks_starts(candidate, now))
+    }
+
     pub(crate) fn lacks_starts(&self, candidate: &Candidate, now: Duration) -> bool {
         now < candidate.starts.none_until && self.warmth_of(candidate, now) != Warmth::Warm
     }
--- a/crates/swiftshunt-scheduler/src/quarantine/table.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/table.rs
@@ -166,9 +166,15 @@
         proved
     }
 
-    /// A worker gave a sign of life: gives its ends, which are forgotten by that.
-    pub fn refute(&mut self, worker: WorkerKey) -> Vec<(Fingerprint, WorkerEnd)> {
-        let refuted = self.ends_of(worker);
+    /// What says that a worker has ended is no evidence any more, up to `evidence`: gives those of its ends, which
+    /// are forgotten by that.
+    pub fn refute(
+        &mut self,
+        worker: WorkerKey,
+        evidence: Evidence,
+    ) -> Vec<(Fingerprint, WorkerEnd)> {
+        let mut refuted = self.ends_of(worker);
+        refuted.retain(|(_, end)| end.evidence <= evidence);
         for (request, end) in &refuted {
             self.forget(request, worker, end.ended_unix_ms);
         }
