A failed answer goes out once others know on which worker the request ran

Cause (a_request_that_ends_its_workers_is_sent_no_more_after_the_third, 4 workers ended for 3, beside load, traced by logs): the caller had its 502 at 13.410, sent the request to another gateway, and the word of the third end was there at 13.411. Ruled out: the evidence (all three ends were seen and confirmed).

--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -46,6 +46,10 @@
     /// Sends until there is an answer or nothing is left to try; also tells whether it may have run.
     pub(crate) async fn travel(&self, mut journey: Journey) -> (CallerAnswer, bool) {
         let answer = self.send_until_answered(&mut journey).await;
+        if journey.runs > 0 && answer.status().is_server_error() {
+            let quarantine = &self.dispatcher.quarantine;
+            quarantine.until_told(&journey.outgoing.subject).await;
+        }
         let ran = journey.runs > 0 || !promises_not_run(answer.status());
         (answer, ran)
     }
--- a/crates/swiftshunt-gateway/src/quarantine/mod.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/mod.rs
@@ -125,18 +125,30 @@
             return None;
         }
         let fingerprint = subject.fingerprint();
+        self.until_checked(&fingerprint).await;
+        self.held(&fingerprint)
+    }
+
+    /// Waits until others have been told of a worker at which a request broke off: its caller may send it to
+    /// another gateway as soon as it has its answer.
+    pub(crate) async fn until_told(&self, subject: &Subject) {
+        if !lock(&self.checks).is_empty() {
+            self.until_checked(&subject.fingerprint()).await;
+        }
+    }
+
+    /// Waits for the word on a worker at which a request broke off. What is not known in time does not keep it.
+    async fn until_checked(&self, fingerprint: &Fingerprint) {
         let verdict = async {
             loop {
                 let checked = self.checked.notified();
-                if !self.is_being_checked(&fingerprint) {
+                if !self.is_being_checked(fingerprint) {
                     return;
                 }
                 checked.await;
             }
         };
-        // What is not known by then does not keep the request.
         drop(tokio::time::timeout(VERDICT_PATIENCE, verdict).await);
-        self.held(&fingerprint)
     }
 
     /// Waits until the log's records are read, unless that takes too long.
