One place logs a send that is withheld; a question about evacuation that nobody asks is gone

Found by reading the change again: the line "a send is withheld" stood twice in attempt.rs, and Selector::is_evacuated had no caller. Behaviour as before.

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -330,24 +330,14 @@
     ) -> Result<Start, SendFailure> {
         let start = self.starts.take_or_keep(chosen, held).await;
         self.may_offer(chosen, outgoing)?;
-        start.ok_or_else(|| {
-            log::info!(request = outgoing.id.as_deref().unwrap_or(""),
-                worker = chosen.incarnation.as_str(), why:% = Withheld::Cold; "a send is withheld");
-            SendFailure::Withheld {
-                why: Withheld::Cold,
-            }
-        })
+        start.ok_or_else(|| withheld(chosen, outgoing, Withheld::Cold))
     }
 
     /// Whether the worker may still be offered the request: it was chosen a moment ago.
     fn may_offer(&self, chosen: &Chosen, outgoing: &Outgoing) -> Result<(), SendFailure> {
         let selector = self.beliefs.selector();
         let offered = selector.may_offer(&chosen.incarnation, &outgoing.demand.residency);
-        offered.map_err(|why| {
-            log::info!(request = outgoing.id.as_deref().unwrap_or(""),
-                worker = chosen.incarnation.as_str(), why:% = why; "a send is withheld");
-            SendFailure::Withheld { why }
-        })
+        offered.map_err(|why| withheld(chosen, outgoing, why))
     }
 
     fn request(
@@ -409,6 +399,13 @@
     }
 }
 
+/// The failure of a send that the worker may not be offered, logged.
+fn withheld(chosen: &Chosen, outgoing: &Outgoing, why: Withheld) -> SendFailure {
+    log::info!(request = outgoing.id.as_deref().unwrap_or(""),
+        worker = chosen.incarnation.as_str(), why:% = why; "a send is withheld");
+    SendFailure::Withheld { why }
+}
+
 /// What a whole answer says of its worker: errors of its own count against it, also where the
 /// answer is passed on; a worker that errs at once would else look idle and draw requests.
 fn ending_by_status(status: StatusCode) -> Ending {
--- a/crates/swiftshunt-scheduler/src/offers.rs
+++ b/crates/swiftshunt-scheduler/src/offers.rs
@@ -156,12 +156,6 @@
             .collect()
     }
 
-    /// Whether a worker's zone is evacuated.
-    pub fn is_evacuated(&self, incarnation: &str) -> bool {
-        let candidate = self.candidates.get(incarnation);
-        candidate.is_some_and(|candidate| self.is_zone_evacuated(candidate))
-    }
-
     pub(crate) fn is_zone_evacuated(&self, candidate: &Candidate) -> bool {
         self.evacuations.since(&candidate.entry.zone).is_some()
     }
