Limits of waiting tokens: the log tells by what a job was admitted

No line told why a job was let in. Each decision now has a line with its inputs: by the gateway that counts (what is reported, by how many partitions, how old, what is admitted and not reported), by the last total, or by nothing. Figure: limit_decisions by basis. No logic changes.

--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -150,6 +150,7 @@
         let waiting_limits = Arc::new(WaitingLimits::new(
             Arc::clone(&members),
             Arc::clone(&datagrams),
+            Arc::clone(&metrics),
             clock,
         ));
         let rates = Arc::new(Rates::new(
--- a/crates/swiftshunt-gateway/src/metrics/labels.rs
+++ b/crates/swiftshunt-gateway/src/metrics/labels.rs
@@ -132,6 +132,25 @@
     pub(crate) answer: RateAnswer,
 }
 
+/// What a decision about a batch job and its route's limit rests on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum Basis {
+    /// What the gateway that counts knew.
+    Counted,
+    /// The last total that it told.
+    LastTotal,
+    /// Nothing: nobody told what waits.
+    Nothing,
+}
+
+/// Labels of a decision about a batch job and its route's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct LimitLabels {
+    pub(crate) basis: Basis,
+    /// 1 where the job fits, 0 where it does not.
+    pub(crate) fits: u8,
+}
+
 /// Labels of what concerns a zone.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct ZoneLabels {
--- a/crates/swiftshunt-gateway/src/metrics/mod.rs
+++ b/crates/swiftshunt-gateway/src/metrics/mod.rs
@@ -17,11 +17,11 @@
 
 use crate::beliefs::lock;
 use crate::traffic::Traffic;
+pub(crate) use labels::{Basis, RateAnswer, Refusal, RequestEnd, SlotAnswer};
 use labels::{
-    OutcomeLabels, RateLabels, RefusalLabels, RejectedLabels, RequestLabels, SlotLabels, SlotUse,
-    TenantLabels, UseLabels, ZoneLabels,
+    LimitLabels, OutcomeLabels, RateLabels, RefusalLabels, RejectedLabels, RequestLabels,
+    SlotLabels, SlotUse, TenantLabels, UseLabels, ZoneLabels,
 };
-pub(crate) use labels::{RateAnswer, Refusal, RequestEnd, SlotAnswer};
 
 /// Tenants that have figures of their own at a gateway; those that come after share one.
 const TENANTS_TOLD: usize = 64;
@@ -42,6 +42,7 @@
     rejected_keys: Family<RejectedLabels, Counter>,
     rate_questions: Family<RateLabels, Counter>,
     rate_refusals: Family<TenantLabels, Counter>,
+    limit_decisions: Family<LimitLabels, Counter>,
     tenants_told: Mutex<BTreeSet<String>>,
     evacuated_zones: Family<ZoneLabels, Gauge>,
     evacuated_in_progress: Family<ZoneLabels, Gauge>,
@@ -123,6 +124,12 @@
             "Requests beyond the limit of their tenant, by tenant",
             rate_refusals.clone(),
         );
+        let limit_decisions = Family::default();
+        registry.register(
+            "limit_decisions",
+            "Decisions whether a batch job fits into its route's limit, by what they rest on",
+            limit_decisions.clone(),
+        );
         let evacuated_zones = Family::default();
         registry.register(
             "evacuated_zones",
@@ -258,6 +265,7 @@
             rejected_keys,
             rate_questions,
             rate_refusals,
+            limit_decisions,
             tenants_told: Mutex::default(),
             evacuated_zones,
             evacuated_in_progress,
@@ -329,6 +337,14 @@
         self.rate_questions.get_or_create(&labels).inc();
     }
 
+    /// It was decided whether a batch job fits into its route's limit.
+    pub(crate) fn limit_decided(&self, basis: Basis, fits: bool) {
+        let fits = u8::from(fits);
+        self.limit_decisions
+            .get_or_create(&LimitLabels { basis, fits })
+            .inc();
+    }
+
     /// A request was beyond its tenant's limit.
     pub(crate) fn beyond_limit(&self, tenant: &str) {
         let mut told = lock(&self.tenants_told);
--- a/crates/swiftshunt-gateway/src/waiting_limits.rs
+++ b/crates/swiftshunt-gateway/src/waiting_limits.rs
@@ -20,6 +20,7 @@
 use crate::members::Members;
 use crate::messages::Notice;
 use crate::messages::waiting::{Allowance, WaitingMessage};
+use crate::metrics::{Basis, Metrics};
 
 /// Pause between two reports.
 pub(crate) const REPORT_EVERY: Duration = Duration::from_millis(400);
@@ -40,6 +41,7 @@
 pub(crate) struct WaitingLimits {
     members: Arc<Members>,
     datagrams: Arc<Datagrams>,
+    metrics: Arc<Metrics>,
     clock: Clock,
     /// What this gateway counts.
     counted: Mutex<HashMap<Allowance, WaitingTokens>>,
@@ -49,10 +51,16 @@
 }
 
 impl WaitingLimits {
-    pub(crate) fn new(members: Arc<Members>, datagrams: Arc<Datagrams>, clock: Clock) -> Self {
+    pub(crate) fn new(
+        members: Arc<Members>,
+        datagrams: Arc<Datagrams>,
+        metrics: Arc<Metrics>,
+        clock: Clock,
+    ) -> Self {
         Self {
             members,
             datagrams,
+            metrics,
             clock,
             counted: Mutex::default(),
             totals: Mutex::default(),
@@ -113,19 +121,39 @@
         } else {
             self.ask(counter, allowance, job, tokens, limit).await
         };
-        let now = self.clock.now();
-        let mut totals = lock(&self.totals);
         if let Some((fits, waiting)) = answer {
-            totals.insert(allowance.clone(), Total { waiting, at: now });
+            let at = self.clock.now();
+            lock(&self.totals).insert(allowance.clone(), Total { waiting, at });
+            self.metrics.limit_decided(Basis::Counted, fits);
             return fits;
         }
+        self.fits_into_last_total(allowance, job, tokens, limit)
+    }
+
+    /// Decides where the gateway that counts does not answer.
+    fn fits_into_last_total(
+        &self,
+        allowance: &Allowance,
+        job: &str,
+        tokens: u64,
+        limit: u64,
+    ) -> bool {
+        let now = self.clock.now();
+        let mut totals = lock(&self.totals);
         let last = totals
             .get_mut(allowance)
             .filter(|it| now < it.at + TOTAL_AGE);
         let Some(total) = last else {
+            log::info!(job, route = allowance.route.as_str(), tokens, limit;
+                "a job is admitted though nobody knows what waits");
+            self.metrics.limit_decided(Basis::Nothing, true);
             return true;
         };
         let fits = total.waiting + tokens <= limit;
+        log::info!(job, route = allowance.route.as_str(), tokens, limit, fits,
+            waiting = total.waiting, age_ms = now.saturating_sub(total.at).as_millis() as u64;
+            "the last total decides about a job");
+        self.metrics.limit_decided(Basis::LastTotal, fits);
         if fits {
             total.waiting += tokens;
         }
@@ -137,8 +165,13 @@
         let now = self.clock.now();
         let mut counted = lock(&self.counted);
         let counted_here = counted.entry(allowance.clone()).or_default();
-        let admission = counted_here.admit(job, tokens, limit, now);
-        (admission == Admission::Admitted, counted_here.waiting(now))
+        let evidence = counted_here.evidence(now);
+        let fits = counted_here.admit(job, tokens, limit, now) == Admission::Admitted;
+        log::info!(job, route = allowance.route.as_str(), tokens, limit, fits,
+            reported = evidence.reported, admitted = evidence.admitted,
+            partitions = evidence.partitions, oldest_ms = evidence.oldest.as_millis() as u64;
+            "what waits was counted for a job");
+        (fits, counted_here.waiting(now))
     }
 
     async fn ask(
--- a/crates/swiftshunt-scheduler/src/waiting_tokens.rs
+++ b/crates/swiftshunt-scheduler/src/waiting_tokens.rs
@@ -27,6 +27,19 @@
     admitted: HashMap<String, Waiting>,
 }
 
+/// What a count rests on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Evidence {
+    /// Partitions of which a report counts.
+    pub partitions: usize,
+    /// Age of the oldest of these reports.
+    pub oldest: Duration,
+    /// Tokens that are reported.
+    pub reported: u64,
+    /// Tokens that are admitted and may not show in a report yet.
+    pub admitted: u64,
+}
+
 /// What is decided about a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -56,6 +69,19 @@
         total_tokens(reported.chain(admitted).map(|waiting| waiting.tokens))
     }
 
+    /// What the count rests on.
+    pub fn evidence(&mut self, now: Duration) -> Evidence {
+        let waiting = self.waiting(now);
+        let reported = total_tokens(self.partitions.values().map(|waiting| waiting.tokens));
+        let ages = self.partitions.values().map(|it| now.saturating_sub(it.at));
+        Evidence {
+            partitions: self.partitions.len(),
+            oldest: ages.max().unwrap_or_default(),
+            reported,
+            admitted: waiting.saturating_sub(reported),
+        }
+    }
+
     /// Admits a job of `tokens`, if they fit into `limit` together with what waits. The same job is
     /// counted once.
     pub fn admit(&mut self, job: &str, tokens: u64, limit: u64, now: Duration) -> Admission {
