--- a/crates/swiftshunt/tests/gateway_limits.rs
+++ b/crates/swiftshunt/tests/gateway_limits.rs
@@ -4,10 +4,14 @@
 
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use gateway::{ExclusiveFleet, start, submit};
 use hyper::StatusCode;
 use swiftshunt_lab::platform::caller::item_id;
 use swiftshunt_lab::platform::fleet::{BATCH, PlatformOptions, eventually, first_configuration};
+use swiftshunt_lab::platform::store::StoreFaults;
+use test_case::test_case;
+use tokio::time::Instant;
 
 /// Tokens of an item of the caller's jobs.
 const ITEM_TOKENS: f64 = 100.0;
@@ -107,3 +111,105 @@
     }
     assert!(!has_run(&fleet, "late"));
 }
+
+/// Pause between two jobs that are handed in at a full route.
+const NEXT_TRY: Duration = Duration::from_millis(50);
+
+/// Hands in jobs beyond the limit, at each gateway in turn, for a while: none may be taken.
+async fn assert_nothing_is_taken(fleet: &ExclusiveFleet, time: Duration) {
+    let until = Instant::now() + time;
+    for number in 0.. {
+        if Instant::now() >= until {
+            break;
+        }
+        let gateway = fleet.gateways[number % 3].callers;
+        let job = format!("beyond-{number}");
+        let status = fleet.caller.submit(gateway, BATCH, &job, ITEMS).await;
+        let taken = status.is_ok_and(|status| status == StatusCode::ACCEPTED);
+        assert!(!taken, "{job} is taken though the route is full");
+        tokio::time::sleep(NEXT_TRY).await;
+    }
+}
+
+/// Gateways that have just started know nothing of what waits.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_job_beyond_the_limit_is_taken_after_all_gateways_were_killed() {
+    let mut fleet = limited_fleet().await;
+    fill(&fleet).await;
+    tokio::time::sleep(SETTLED).await;
+    for gateway in 0..3 {
+        fleet.gateways[gateway].process.kill();
+    }
+    for gateway in 0..3 {
+        fleet.restart(gateway).expect("a gateway starts");
+    }
+    assert_nothing_is_taken(&fleet, Duration::from_secs(8)).await;
+    let shared = &fleet;
+    eventually("a job is ended", || async move {
+        let ended = shared.caller.end(shared.gateways[0].callers, "job-0").await;
+        ended.is_ok_and(|status| status == StatusCode::OK)
+    })
+    .await;
+    eventually("there is room again", || async move {
+        status_of(shared, 1, "late").await == StatusCode::ACCEPTED
+    })
+    .await;
+}
+
+/// The paused gateway may be the one that counts: the others have heard of the same room.
+#[test_case(0)]
+#[test_case(1)]
+#[test_case(2)]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_last_room_is_given_once_while_a_gateway_is_paused(paused: usize) {
+    let fleet = limited_fleet().await;
+    for job in 0..JOBS - 1 {
+        let gateway = fleet.gateways[job % 3].callers;
+        submit(&fleet, gateway, &format!("job-{job}"), ITEMS).await;
+    }
+    tokio::time::sleep(SETTLED).await;
+    for gateway in 0..3 {
+        assert_eq!(
+            status_of(&fleet, gateway, "job-0").await,
+            StatusCode::ACCEPTED
+        );
+    }
+    tokio::time::sleep(SETTLED).await;
+    fleet.gateways[paused].process.pause();
+    let others: Vec<usize> = (0..3).filter(|gateway| *gateway != paused).collect();
+    let tries = others.iter().map(|gateway| {
+        let job = format!("last-{gateway}");
+        let fleet = &fleet;
+        async move { status_of(fleet, *gateway, &job).await }
+    });
+    let statuses = join_all(tries).await;
+    let taken = statuses.iter().filter(|it| **it == StatusCode::ACCEPTED);
+    assert!(taken.count() <= 1, "{statuses:?}");
+    fleet.gateways[paused].process.resume();
+}
+
+/// An append that takes long shows late in what holders report.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_counts_for_as_long_as_its_append_takes() {
+    let fleet = limited_fleet().await;
+    // The gateways know who counts.
+    assert_eq!(status_of(&fleet, 0, "job-0").await, StatusCode::ACCEPTED);
+    tokio::time::sleep(SETTLED).await;
+    for gateway in &fleet.gateways {
+        gateway.door.set(StoreFaults {
+            delay: Duration::from_millis(1_400),
+            ..StoreFaults::default()
+        });
+    }
+    let shared = &fleet;
+    let jobs = (0..12).map(|number| async move {
+        tokio::time::sleep(Duration::from_millis(200) * number).await;
+        let gateway = shared.gateways[number as usize % 3].callers;
+        let job = format!("slow-{number}");
+        let status = shared.caller.submit(gateway, BATCH, &job, ITEMS).await;
+        status.is_ok_and(|status| status == StatusCode::ACCEPTED)
+    });
+    let taken = join_all(jobs).await;
+    let taken = taken.iter().filter(|taken| **taken).count();
+    assert!(taken < JOBS, "{taken} more jobs than one are taken");
+}
