A gateway that cannot read a limit's register stops counting; a register that changed is not taken over

From 4.2 to 8 s no job was admitted: the log turned away the gateway that counts, which answered 'unverified' to all who asked (oldest reports 3.5 s). After the loss of all gateways two took over within 2 ms of each other: the second found a newer register than the one whose counter had not answered, and took over from that one, too.

Now a counter that is asked for half a second and cannot read says that it does not count, and the one that asks takes over by its share; a take-over names the version that it replaces. An earlier build that asks gets a true answer, not a refusal.

--- a/crates/swiftshunt-gateway/src/batch/mod.rs
+++ b/crates/swiftshunt-gateway/src/batch/mod.rs
@@ -44,6 +44,7 @@
 use region_pages::RegionPages;
 use region_readers::RegionReaders;
 use replay::Replay;
+pub(crate) use replay::partition_of;
 use results::Results;
 use tokio_util::sync::CancellationToken;
 
--- a/crates/swiftshunt-gateway/src/batch/replay.rs
+++ b/crates/swiftshunt-gateway/src/batch/replay.rs
@@ -124,9 +124,7 @@
 
     /// The partition of a job: the same at every node and in every life.
     pub(crate) fn partition_of(&self, job: &str) -> u32 {
-        let mut hasher = StableHasher::default();
-        hasher.write(job.as_bytes());
-        (hasher.finish() % self.partitions.len() as u64) as u32
+        partition_of(job, self.count())
     }
 
     pub(crate) fn count(&self) -> u32 {
@@ -353,6 +351,13 @@
     }
 }
 
+/// The partition of a job, of so many.
+pub(crate) fn partition_of(job: &str, partitions: u32) -> u32 {
+    let mut hasher = StableHasher::default();
+    hasher.write(job.as_bytes());
+    (hasher.finish() % u64::from(partitions.max(1))) as u32
+}
+
 /// FNV-1a, for a hash that never changes between builds.
 struct StableHasher(u64);
 
--- a/crates/swiftshunt-gateway/src/waiting_limits/asking.rs
+++ b/crates/swiftshunt-gateway/src/waiting_limits/asking.rs
@@ -109,7 +109,7 @@
             None => self.registers.read(allowance).await?.register,
         };
         let Some(register) = register else {
-            self.take_over(allowance, job.limit).await?;
+            self.take_over(allowance, job.limit, None).await?;
             return Ok(None);
         };
         if register.counter == self.own_life {
@@ -127,10 +127,8 @@
             }
         };
         if is_gone {
-            let newest = self.registers.read(allowance).await?.register;
-            if newest.is_none_or(|newest| newest.version == register.version) {
-                self.take_over(allowance, job.limit).await?;
-            }
+            let version = Some(register.version);
+            self.take_over(allowance, job.limit, version).await?;
         }
         Ok(None)
     }
@@ -173,13 +171,19 @@
         None
     }
 
-    /// Takes over from the gateway that counts, or is the first to count.
+    /// Takes over from the gateway that counts by a version of the register, or is the first to count; not where
+    /// the register has changed meanwhile.
     pub(super) async fn take_over(
         &self,
         allowance: &Allowance,
         limit: u64,
+        version: Option<u64>,
     ) -> Result<(), LogError> {
         let read = self.registers.read(allowance).await?;
+        if read.register.as_ref().map(|register| register.version) != version {
+            self.learn(allowance, read, limit);
+            return Ok(());
+        }
         let proposal = match &read.register {
             None => Register::first(&self.own_life, limit),
             Some(register) if register.counter == self.own_life => {
--- a/crates/swiftshunt-gateway/src/waiting_limits/counting.rs
+++ b/crates/swiftshunt-gateway/src/waiting_limits/counting.rs
@@ -90,6 +90,10 @@
         match decision {
             Decision::Admitted => Verdict::Admitted,
             Decision::Full => Verdict::Full,
+            Decision::Lost => {
+                self.attention.notify_one();
+                Verdict::NotCounter
+            }
             Decision::Settling(within) => {
                 self.attention.notify_one();
                 Verdict::Settling {
@@ -120,7 +124,12 @@
     ) {
         let register = counter.register();
         let holdings = counter.holdings();
-        log::info!(job = job.job.as_str(), route = job.allowance.route.as_str(), tokens = job.tokens,
+        // A job that has to wait asks again every few milliseconds, and its gateway tells how that ended.
+        let level = match decision {
+            Decision::Admitted | Decision::Full | Decision::Lost => log::Level::Info,
+            Decision::Settling(_) | Decision::Unverified => log::Level::Debug,
+        };
+        log::log!(level, job = job.job.as_str(), route = job.allowance.route.as_str(), tokens = job.tokens,
             limit = job.limit, decision:? = decision, settled = counter.is_settled(),
             reported = holdings.reported(), granted = holdings.granted(), partitions = holdings.partitions(),
             oldest_ms = now.saturating_sub(holdings.as_of()).as_millis() as u64, version = register.version,
@@ -298,7 +307,10 @@
             limit: due.limit,
         };
         match self.ask(&register, &question).await {
-            None | Some(Verdict::NotCounter) => self.take_over(&due.allowance, due.limit).await,
+            None | Some(Verdict::NotCounter) => {
+                let version = Some(register.version);
+                self.take_over(&due.allowance, due.limit, version).await
+            }
             Some(_) => {
                 lock(&self.counters).remove(&due.allowance);
                 Ok(())
--- a/crates/swiftshunt-gateway/src/waiting_limits/mod.rs
+++ b/crates/swiftshunt-gateway/src/waiting_limits/mod.rs
@@ -20,13 +20,13 @@
 
 pub(crate) use asking::Fit;
 
-use crate::batch::Member;
+use crate::batch::{Member, partition_of};
 use crate::beliefs::lock;
 use crate::clock::Clock;
 use crate::datagrams::Datagrams;
 use crate::members::Members;
 use crate::messages::Notice;
-use crate::messages::waiting::{Allowance, HeldPartition, Verdict, WaitingMessage};
+use crate::messages::waiting::{Allowance, HeldPartition, LimitedJob, Verdict, WaitingMessage};
 use crate::metrics::Metrics;
 use crate::unreadable::UnreadableRecords;
 use counting::Rounds;
@@ -137,7 +137,7 @@
     }
 
     /// Takes a message of another gateway.
-    pub(crate) fn take(&self, message: WaitingMessage, from: SocketAddr) {
+    pub(crate) fn take(self: &Arc<Self>, message: WaitingMessage, from: SocketAddr) {
         self.members.heard(from);
         match message {
             WaitingMessage::Question { ask, counter, job } => {
@@ -174,15 +174,37 @@
                 allowance,
                 partitions,
             } => self.collected(&allowance, round, partitions),
-            // An earlier build counts by itself, and has its answer from whom it takes for the counter.
-            WaitingMessage::Ask { ask, .. } => {
-                let (fits, waiting) = (false, 0);
-                self.send(WaitingMessage::Answer { ask, fits, waiting }, from);
+            WaitingMessage::Ask {
+                ask,
+                allowance,
+                job,
+                tokens,
+                limit,
+            } => {
+                let job = LimitedJob {
+                    partition: partition_of(&job, self.partitions),
+                    allowance,
+                    job,
+                    tokens,
+                    limit,
+                };
+                tokio::spawn(Arc::clone(self).answer_earlier_build(ask, job, from));
             }
             WaitingMessage::Report { .. } | WaitingMessage::Answer { .. } => {}
         }
     }
 
+    /// Answers an earlier build, which takes this gateway for the one that counts. It is told that all room is
+    /// taken, since it would admit by what is left where it has no answer.
+    async fn answer_earlier_build(self: Arc<Self>, ask: u64, job: LimitedJob, from: SocketAddr) {
+        let answer = WaitingMessage::Answer {
+            ask,
+            fits: self.fits(&job).await == Fit::Fits,
+            waiting: job.limit,
+        };
+        self.send(answer, from);
+    }
+
     /// Hands a call to the one who answers.
     fn call(&self, call: Call) {
         if let Err(error) = self.calls.try_send(call) {
--- a/crates/swiftshunt-scheduler/src/waiting_tokens/counter.rs
+++ b/crates/swiftshunt-scheduler/src/waiting_tokens/counter.rs
@@ -4,7 +4,7 @@
 
 use super::holdings::{Holding, Holdings};
 use super::register::{FIRST_TERM, Register};
-use super::{GRANT_LIFETIME, VERIFIED_FOR};
+use super::{GRANT_LIFETIME, UNREAD_FOR, VERIFIED_FOR};
 
 /// A job that asks for room.
 #[derive(Clone, Copy, Debug)]
@@ -30,6 +30,8 @@
     Settling(Duration),
     /// The register has to be read before: another gateway may count.
     Unverified,
+    /// The register cannot be read here: another gateway is to count.
+    Lost,
 }
 
 /// A change of the register that the gateway that counts wants.
@@ -58,6 +60,8 @@
     register: Register,
     /// When the read began that showed the register.
     verified_at: Duration,
+    /// When it was first asked since the register is too old to count by.
+    unverified_since: Option<Duration>,
     /// Reports as of this moment show what every gateway that counted before has admitted.
     settles_from: Duration,
     /// Whether reports have shown all that stands.
@@ -91,6 +95,7 @@
         Self {
             register,
             verified_at,
+            unverified_since: None,
             settles_from,
             is_shown: false,
             spent: 0,
@@ -146,6 +151,7 @@
     /// given stays set aside until reports show what became of it.
     pub fn verified(&mut self, register: Register, read_at: Duration, now: Duration) {
         self.verified_at = self.verified_at.max(read_at);
+        self.unverified_since = None;
         if register.version <= self.register.version {
             return;
         }
@@ -184,7 +190,12 @@
         self.limit = request.limit;
         self.asked_at = now;
         if now >= self.verified_at + VERIFIED_FOR {
-            return Decision::Unverified;
+            let since = *self.unverified_since.get_or_insert(now);
+            return if now < since + UNREAD_FOR {
+                Decision::Unverified
+            } else {
+                Decision::Lost
+            };
         }
         if self.holdings.grant_again(request.job, now) {
             return Decision::Admitted;
--- a/crates/swiftshunt-scheduler/src/waiting_tokens/mod.rs
+++ b/crates/swiftshunt-scheduler/src/waiting_tokens/mod.rs
@@ -17,9 +17,12 @@
 /// How long a gateway counts by a register that it has read: whoever takes over waits as long before it
 /// believes that no other gateway counts.
 pub const VERIFIED_FOR: Duration = Duration::from_millis(2_500);
+/// Time for which a gateway that counts may fail to read the register while it is asked, before another one is to
+/// take over: a slow log answers within it.
+pub const UNREAD_FOR: Duration = Duration::from_millis(500);
 /// Time within which the record of an admitted job stands, if its caller is told that it was taken: the longest
 /// append and the way of the counter's answer.
 pub const GRANT_LIFETIME: Duration = Duration::from_secs(3);
 /// Time for which a job counts of which nobody told whether it was recorded: an append without an answer may be
-/// done seconds later.
-pub const UNRESOLVED_FOR: Duration = Duration::from_secs(8);
+/// done seconds after its last try.
+pub const UNRESOLVED_FOR: Duration = Duration::from_secs(10);
--- a/crates/swiftshunt-scheduler/tests/waiting_tokens.rs
+++ b/crates/swiftshunt-scheduler/tests/waiting_tokens.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use swiftshunt_scheduler::waiting_tokens::{
-    Change, Counter, Decision, GRANT_LIFETIME, Holding, Register, Request, UNRESOLVED_FOR,
-    VERIFIED_FOR,
+    Change, Counter, Decision, GRANT_LIFETIME, Holding, Register, Request, UNREAD_FOR,
+    UNRESOLVED_FOR, VERIFIED_FOR,
 };
 
 const LIMIT: u64 = 1_000;
@@ -167,6 +167,12 @@
     let mut counter = settled();
     let late = NOW + VERIFIED_FOR;
     assert_eq!(ask(&mut counter, "one", 1, late), Decision::Unverified);
+    // Where it cannot be read at all, others need not wait for it.
+    assert_eq!(
+        ask(&mut counter, "one", 1, late + UNREAD_FOR),
+        Decision::Lost
+    );
+    let late = late + UNREAD_FOR;
     counter.verified(counter.register().clone(), late, late);
     assert_eq!(ask(&mut counter, "one", 1, late), Decision::Admitted);
 }
--- a/crates/swiftshunt-scheduler/tests/waiting_tokens_simulation.rs
+++ b/crates/swiftshunt-scheduler/tests/waiting_tokens_simulation.rs
@@ -180,6 +180,7 @@
         match self.decide(counting, &job, partition, tokens) {
             Some(Decision::Admitted) => self.record_later(job, partition, tokens, counting),
             Some(Decision::Unverified) => self.read(counting),
+            Some(Decision::Lost) => self.take_over(gateway),
             Some(Decision::Full | Decision::Settling(_)) => {}
             None => self.read(gateway),
         }
