--- a/crates/swiftshunt-lab/src/platform/fleet.rs
+++ b/crates/swiftshunt-lab/src/platform/fleet.rs
@@ -1,19 +1,17 @@
 //! Real gateways before stand-ins of the platform.
 
-use std::collections::BTreeSet;
+mod configuration;
+mod start;
+
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
-use serde::Serialize;
-use swiftshunt_platform::documents::{
-    BackendDocument, ConfigurationDocument, LimitsDocument, RouteDocument, ServiceDocument,
-    WorkerDocument,
-};
+use swiftshunt_platform::documents::{ConfigurationDocument, WorkerDocument};
 use swiftshunt_platform::words::{topics, values};
 
-use super::caller::{HOST, PlatformCaller};
+use super::caller::PlatformCaller;
 use super::places::Places;
 use super::process::time_of_day_ms;
 use super::server::any_port;
@@ -21,19 +19,16 @@
 use super::worker::{Worker, WorkerSettings};
 use crate::harness::{HarnessError, Process};
 use crate::proxy::{Link, Way, Width};
-use crate::stand_in::lock;
-
-/// Paths of the routes that a fleet begins with.
-pub const ASK: &str = "/ask/";
-/// A route whose requests may not be repeated.
-pub const ONCE: &str = "/once/";
-/// Streams that may be resumed.
-pub const STREAM: &str = "/stream/";
-/// Streams that may not.
-pub const STREAM_ONCE: &str = "/stream-once/";
-/// Batch jobs.
-pub const BATCH: &str = "/batch/";
+use configuration::PublishedConfiguration;
+pub use configuration::{
+    ASK, BATCH, ONCE, STREAM, STREAM_ONCE, TenantText, first_configuration, route, split,
+};
+pub(crate) use start::{
+    GatewaySettingsText, KeptAddresses, settings_text, start_gateway, start_gateway_anew,
+};
 
+/// Ports that are tried until one is free.
+const PORT_TRIES: usize = 100;
 /// Partitions of the store's topics.
 const PARTITIONS: u32 = 4;
 /// Time within which what is waited for must come about.
@@ -165,108 +160,6 @@
     }
 }
 
-/// A route of the callers' host.
-pub fn route(path: &str, kind: &str, service: &str) -> RouteDocument {
-    RouteDocument {
-        name: path.trim_matches('/').to_owned(),
-        host: HOST.to_owned(),
-        path_prefix: path.to_owned(),
-        kind: kind.to_owned(),
-        timeout_ms: 8_000.0,
-        slo_ms: 300.0,
-        service: Some(service.to_owned()),
-        max_attempts: 3,
-        ..RouteDocument::default()
-    }
-}
-
-/// The configuration that a fleet begins with.
-pub fn first_configuration() -> ConfigurationDocument {
-    let mut streams = route(STREAM, values::STREAMING, "engine");
-    streams.can_resume = true;
-    streams.gap_target_ms = Some(500.0);
-    let mut batch = route(BATCH, values::BATCH, "engine");
-    batch.completion_target_ms = Some(20_000.0);
-    batch.max_wait_s = Some(60.0);
-    let service = |name: &str| ServiceDocument {
-        name: name.to_owned(),
-        max_conns: 200,
-        ..ServiceDocument::default()
-    };
-    ConfigurationDocument {
-        version: 1,
-        routes: vec![
-            route(ASK, values::IDEMPOTENT, "whole"),
-            route(ONCE, values::NON_IDEMPOTENT, "whole"),
-            streams,
-            route(STREAM_ONCE, values::STREAMING, "engine"),
-            batch,
-        ],
-        services: vec![service("whole"), service("engine")],
-        limits: LimitsDocument {
-            max_header_bytes: 16_384,
-            max_body_bytes: 65_536,
-            header_timeout_ms: 3_000.0,
-            idle_timeout_ms: 15_000.0,
-        },
-        tenants: None,
-    }
-}
-
-/// A tenant as operators publish it.
-#[derive(Clone, Debug, Default, Serialize)]
-#[serde(rename_all = "camelCase")]
-pub struct TenantText {
-    /// Name.
-    pub name: String,
-    /// Keys.
-    pub api_keys: Vec<String>,
-    /// Rank.
-    pub priority: u32,
-    /// Requests a second; 0 is no limit.
-    pub rate_per_s: f64,
-    /// Requests on top of that.
-    pub burst: f64,
-}
-
-impl TenantText {
-    /// A tenant without a limit.
-    pub fn new(name: &str, keys: &[&str]) -> Self {
-        Self {
-            name: name.to_owned(),
-            api_keys: keys.iter().map(|key| (*key).to_owned()).collect(),
-            ..Self::default()
-        }
-    }
-
-    /// The same tenant with a limit.
-    pub fn limited(self, rate_per_s: f64, burst: f64) -> Self {
-        Self {
-            rate_per_s,
-            burst,
-            ..self
-        }
-    }
-}
-
-/// A configuration as operators publish it.
-#[derive(Serialize)]
-struct PublishedConfiguration<'t> {
-    #[serde(flatten)]
-    document: ConfigurationDocument,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    tenants: Option<&'t [TenantText]>,
-}
-
-/// A split of a route.
-pub fn split(parts: &[(&str, u32)]) -> Option<Vec<BackendDocument>> {
-    let parts = parts.iter().map(|(service, weight)| BackendDocument {
-        service: (*service).to_owned(),
-        weight: *weight,
-    });
-    Some(parts.collect())
-}
-
 impl PlatformFleet {
     /// Starts a fleet and waits until every gateway is ready.
     pub async fn start(
@@ -521,147 +414,6 @@
     Err(std::io::Error::from(std::io::ErrorKind::AddrInUse))
 }
 
-/// Starts a gateway by a settings file; its log lies beside that.
-pub(crate) fn start_gateway(binary: &Path, settings: &Path) -> Result<Process, HarnessError> {
-    let arguments = [
-        "gateway".to_owned(),
-        "--config".to_owned(),
-        settings.display().to_string(),
-        "--log-level".to_owned(),
-        "debug".to_owned(),
-    ];
-    Process::start(binary, &arguments, &settings.with_extension("log"))
-}
-
-/// Addresses that a gateway keeps when it starts again: others know it by them.
-#[derive(Clone, Copy)]
-pub(crate) struct KeptAddresses {
-    /// Where it listens for other gateways.
-    pub(crate) peers: SocketAddr,
-    /// Where it listens for who asks for its figures.
-    pub(crate) metrics: SocketAddr,
-}
-
-/// Times that a gateway is started with other addresses before it is given up.
-const STARTS: usize = 5;
-/// What the log of a gateway says whose address another process took first.
-const ADDRESS_TAKEN: &str = "in use";
-
-/// Starts a gateway for the first time, by the settings that `text` makes of its addresses. Another test program may
-/// take one of them between a look at it and the start: then others are drawn.
-pub(crate) fn start_gateway_anew(
-    program: &Path,
-    settings: &Path,
-    text: impl Fn(KeptAddresses) -> String,
-) -> Result<(Process, KeptAddresses), HarnessError> {
-    for start in 1.. {
-        let addresses = KeptAddresses {
-            peers: free_address()?,
-            metrics: free_address()?,
-        };
-        std::fs::write(settings, text(addresses))?;
-        match start_gateway(program, settings) {
-            Ok(process) => return Ok((process, addresses)),
-            Err(error) if start >= STARTS || !is_address_taken(settings) => return Err(error),
-            Err(_) => eprintln!("an address of {} was taken", settings.display()),
-        }
-    }
-    Err(std::io::Error::from(std::io::ErrorKind::AddrInUse).into())
-}
-
-fn is_address_taken(settings: &Path) -> bool {
-    let log = std::fs::read_to_string(settings.with_extension("log"));
-    log.is_ok_and(|log| log.contains(ADDRESS_TAKEN))
-}
-
-/// Ports that the system gives to nobody by itself.
-const FIXED_PORTS: std::ops::Range<u16> = 20_000..30_000;
-/// Ports that are tried until one is free.
-const PORT_TRIES: usize = 100;
-
-/// Ports that were given to gateways of this process.
-static GIVEN_PORTS: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
-
-/// An address that nobody listens at.
-fn free_address() -> std::io::Result<SocketAddr> {
-    let mut last = std::io::Error::from(std::io::ErrorKind::AddrInUse);
-    for _ in 0..PORT_TRIES {
-        let port = rand::random_range(FIXED_PORTS);
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        let stream = std::net::TcpListener::bind(address);
-        match stream.and_then(|_| std::net::UdpSocket::bind(address)) {
-            // Another fleet of this process may hold it for a gateway that does not listen yet.
-            Ok(_) if lock(&GIVEN_PORTS).insert(port) => return Ok(address),
-            Ok(_) => {}
-            Err(error) => last = error,
-        }
-    }
-    Err(last)
-}
-
-/// What a gateway's settings file says.
-pub(crate) struct GatewaySettingsText<'t> {
-    pub(crate) index: usize,
-    pub(crate) places: &'t Places,
-    /// Where it listens for other gateways.
-    pub(crate) peers: SocketAddr,
-    /// Where it listens for who asks for its figures.
-    pub(crate) metrics: SocketAddr,
-    pub(crate) store: SocketAddr,
-    pub(crate) partitions: u32,
-    pub(crate) lease: Duration,
-    /// More lines of its part on the directory.
-    pub(crate) directory: &'t str,
-    /// More lines.
-    pub(crate) more: &'t str,
-}
-
-/// The settings file of a gateway.
-pub(crate) fn settings_text(settings: &GatewaySettingsText<'_>) -> String {
-    let GatewaySettingsText {
-        index,
-        places,
-        peers,
-        metrics,
-        store,
-        partitions,
-        directory,
-        more,
-        ..
-    } = settings;
-    let lease = settings.lease.as_millis();
-    let zone = places.zone(*index);
-    let zones = places.settings();
-    format!(
-        r#"name = "gateway-{index}"
-zone = "{zone}"
-
-{zones}
-[listen]
-callers = "127.0.0.1:0"
-ready = "127.0.0.1:0"
-peers = "{peers}"
-metrics = "{metrics}"
-
-[log]
-address = "{store}"
-partitions = {partitions}
-record_bytes = 262144
-append_bytes = 2097152
-shortest_lease = "{lease}ms"
-
-[directory]
-obey_within = "2s"
-{directory}
-
-[batch]
-lease = "{lease}ms"
-
-{more}
-"#
-    )
-}
-
 /// Waits until a condition holds; panics if it does not within 20 s.
 pub async fn eventually<F, Holds>(what: &str, condition: F)
 where
