Soak: a limit of waiting tokens near the load, and a promise that it is kept

Half of the rounds limit the batch route to one to two bursts of jobs. Judged from outside: at each 202 the items of accepted jobs of which no run has ended, of jobs whose end nobody asked for, hold no more than the limit. A limit that the configuration does not tell of is passed and noticed, as is a history with one token less. What else a seed draws is as before.

--- a/crates/swiftshunt-lab/src/platform/caller.rs
+++ b/crates/swiftshunt-lab/src/platform/caller.rs
@@ -14,6 +14,8 @@
 
 /// The host that callers name.
 pub const HOST: &str = "caller.example";
+/// Tokens of each item of a caller's jobs.
+pub const ITEM_TOKENS: u64 = 100;
 /// Time that one call may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -185,7 +187,7 @@
             path: format!("{path}{item}"),
             headers: BTreeMap::new(),
             body: STANDARD.encode(body),
-            tokens: 100.0,
+            tokens: ITEM_TOKENS as f64,
         });
         let document = JobDocument {
             requests: items.collect(),
--- a/crates/swiftshunt-lab/src/soak/history.rs
+++ b/crates/swiftshunt-lab/src/soak/history.rs
@@ -259,6 +259,9 @@
     /// Where requests may be served.
     #[serde(default)]
     pub residences: Vec<Residence>,
+    /// Tokens of unfinished items that may wait on the batch route, if there is a limit.
+    #[serde(default)]
+    pub waiting_limit: Option<u64>,
     /// Planned stops.
     pub stops: Vec<PlannedStop>,
     /// Gateways whose process ended without being told to.
--- a/crates/swiftshunt-lab/src/soak/plan.rs
+++ b/crates/swiftshunt-lab/src/soak/plan.rs
@@ -7,6 +7,7 @@
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
 
+use crate::platform::caller::ITEM_TOKENS;
 use crate::platform::store::{Down, StoreFaults};
 use crate::platform::worker::Manner;
 use crate::proxy::Fault;
@@ -26,6 +27,8 @@
 pub const ZONES: usize = 2;
 /// Keeps what is drawn for two regions apart from the rest of a round.
 const REGIONS_SEED: u64 = 0x7265_6769_6f6e_7321;
+/// The same for limits, which do not change what else is drawn from a seed.
+const LIMIT_SEED: u64 = 0x6c69_6d69_7473;
 /// Delay of the link between regions, one way, in milliseconds.
 const LINK_DELAY_MS: std::ops::Range<u64> = 5..60;
 /// Its width, in bytes a second.
@@ -70,6 +73,18 @@
     /// How workers begin; at once with all their might without.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cold: Option<ColdStarts>,
+    /// The limit of what may wait on the batch route; none without.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub waiting_limit: Option<WaitingLimit>,
+}
+
+/// A limit of what may wait on the batch route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaitingLimit {
+    /// Tokens of unfinished items.
+    pub tokens: u64,
+    /// Whether the configuration tells of it. Shows that a check looks.
+    pub is_told: bool,
 }
 
 /// Two regions and the link between the store and the gateways of the other region.
@@ -255,7 +270,9 @@
             faults: Vec::new(),
             regions: None,
             cold: None,
+            waiting_limit: None,
         };
+        plan.waiting_limit = plan.draw_limit();
         let count = f64::from(random.random_range(FAULTS_A_MINUTE)) * minutes;
         plan.faults = (0..count.ceil() as u32)
             .map(|_| plan.draw_step(&mut random))
@@ -305,6 +322,16 @@
         self
     }
 
+    /// In half of the rounds a limit near the load: of a job up to two bursts.
+    fn draw_limit(&self) -> Option<WaitingLimit> {
+        let mut random = StdRng::seed_from_u64(self.seed ^ LIMIT_SEED);
+        let jobs = random.random_range(1..=2 * self.jobs_per_burst);
+        random.random_bool(0.5).then(|| WaitingLimit {
+            tokens: ITEM_TOKENS * (self.job_items * jobs) as u64,
+            is_told: true,
+        })
+    }
+
     fn draw_step(&self, random: &mut StdRng) -> Step {
         let first = WARM_UP.as_millis() as u64;
         let last = self
--- /dev/null
+++ b/crates/swiftshunt-lab/src/soak/promises/limits.rs
@@ -0,0 +1,42 @@
+//! What waits on a batch route.
+
+use std::collections::HashMap;
+
+use super::Verdict;
+use crate::platform::caller::ITEM_TOKENS;
+use crate::platform::worker::RunEvent;
+use crate::soak::history::{History, JobHistory};
+
+/// At each 202 the items of accepted jobs that surely wait hold no more tokens than the limit: those of which no
+/// run has ended, of jobs whose end nobody asked for.
+pub(super) fn waiting_limit(history: &History, verdict: &mut Verdict) {
+    let Some(limit) = history.waiting_limit else {
+        return;
+    };
+    let first_ends = first_ends(history);
+    let jobs = history.jobs.iter().filter(|job| !job.end_asked);
+    let accepted = jobs.filter_map(|job| Some((job, job.accepted()?)));
+    let accepted: Vec<(&JobHistory, u64)> = accepted.collect();
+    for (job, at) in &accepted {
+        let before = accepted.iter().filter(|(_, accepted)| accepted <= at);
+        let items = before.flat_map(|(job, _)| &job.items);
+        let waits = |item: &&String| first_ends.get(item.as_str()).is_none_or(|end| end > at);
+        let tokens = items.filter(waits).count() as u64 * ITEM_TOKENS;
+        let seen = (tokens > limit).then(|| format!("{tokens} tokens wait, {limit} may"));
+        verdict.check(*at, &job.id, seen);
+    }
+}
+
+/// When a run of each item ended first.
+fn first_ends(history: &History) -> HashMap<&str, u64> {
+    let mut first = HashMap::new();
+    let ended = history
+        .runs
+        .iter()
+        .filter(|run| run.event == RunEvent::Ended);
+    for run in ended {
+        let at = first.entry(run.id.as_str()).or_insert(run.at);
+        *at = run.at.min(*at);
+    }
+    first
+}
--- a/crates/swiftshunt-lab/src/soak/promises/mod.rs
+++ b/crates/swiftshunt-lab/src/soak/promises/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod batch;
 mod changes;
+mod limits;
 mod places;
 mod runs;
 
@@ -65,10 +66,13 @@
     /// What is bound to regions is served there alone.
     #[display("residency")]
     Residency,
+    /// No more waits on a batch route than its limit allows.
+    #[display("waiting-limit")]
+    WaitingLimit,
 }
 
 /// All promises.
-pub const ALL: [Promise; 16] = [
+pub const ALL: [Promise; 17] = [
     Promise::ExactlyOnce,
     Promise::Cancelled,
     Promise::OnlineFirst,
@@ -85,6 +89,7 @@
     Promise::Cold,
     Promise::Evacuated,
     Promise::Residency,
+    Promise::WaitingLimit,
 ];
 
 /// A word that names no promise.
@@ -172,6 +177,7 @@
         Promise::Cold => places::cold(history, &mut verdict),
         Promise::Evacuated => places::evacuated(history, &mut verdict),
         Promise::Residency => places::residency(history, &mut verdict),
+        Promise::WaitingLimit => limits::waiting_limit(history, &mut verdict),
     }
     verdict
 }
--- a/crates/swiftshunt-lab/src/soak/testbed/operator.rs
+++ b/crates/swiftshunt-lab/src/soak/testbed/operator.rs
@@ -10,7 +10,7 @@
 use swiftshunt_platform::words::{paths, queries, topics, values};
 
 use super::{CONTROL_TIMEOUT, Testbed};
-use crate::platform::fleet::{STREAM_ONCE, first_configuration, route};
+use crate::platform::fleet::{BATCH, STREAM_ONCE, first_configuration, route};
 use crate::soak::history::{Configured, Evacuation, Residence};
 use crate::soak::plan::Moment;
 use crate::stand_in::lock;
@@ -68,6 +68,7 @@
         let mut document = first_configuration();
         document.version = version;
         self.bind(&mut document);
+        self.limit(&mut document);
         let oldest = version.saturating_sub(MARKERS_KEPT).max(1);
         for marked in oldest..=version {
             let marker = route(&marker(marked), values::IDEMPOTENT, "whole");
@@ -85,6 +86,18 @@
         }
     }
 
+    /// Limits what may wait on the batch route.
+    fn limit(&self, document: &mut ConfigurationDocument) {
+        let Some(limit) = self.plan.waiting_limit else {
+            return;
+        };
+        lock(&self.facts).waiting_limit = Some(limit.tokens);
+        let batch = document.routes.iter_mut();
+        for route in batch.filter(|route| route.path_prefix == BATCH && limit.is_told) {
+            route.max_queued_tokens = Some(limit.tokens as f64);
+        }
+    }
+
     /// Binds a route to one region, and tells how workers start.
     fn bind(&self, document: &mut ConfigurationDocument) {
         if self.plan.regions.is_some() {
--- a/crates/swiftshunt-lab/tests/soak_promises.rs
+++ b/crates/swiftshunt-lab/tests/soak_promises.rs
@@ -172,6 +172,7 @@
             path_prefix: "/ask/".to_owned(),
             regions: vec!["region-a".to_owned()],
         }],
+        waiting_limit: Some(200),
         stops: vec![PlannedStop {
             gateway: 0,
             at: STOPS,
@@ -241,6 +242,7 @@
 #[test_case(Promise::ExactlyOnce, |history| history.jobs[1].final_readings[0].results.clear(); "what was listed of an ended job is gone")]
 #[test_case(Promise::Cold, |history| history.runs.extend(arrivals(9, 7_000)); "more than a cold worker bears")]
 #[test_case(Promise::Evacuated, |history| history.runs.extend(whole_run("ask", "/ask/", EVACUATED + 5_500)); "a run in an evacuated zone")]
+#[test_case(Promise::WaitingLimit, |history| history.waiting_limit = Some(199); "more waits than may")]
 #[test_case(Promise::Residency, |history| history.places[0].region = "region-b".to_owned(); "another region")]
 fn what_breaks_a_promise_is_caught(promise: Promise, spoil: impl Fn(&mut History)) {
     let mut history = good();
--- a/crates/swiftshunt/tests/soak.rs
+++ b/crates/swiftshunt/tests/soak.rs
@@ -8,7 +8,7 @@
 use swiftshunt_lab::platform::store::StoreFaults;
 use swiftshunt_lab::platform::worker::Manner;
 use swiftshunt_lab::soak::history::History;
-use swiftshunt_lab::soak::plan::{ColdStarts, Disruption, Plan, Service, Step};
+use swiftshunt_lab::soak::plan::{ColdStarts, Disruption, Plan, Service, Step, WaitingLimit};
 use swiftshunt_lab::soak::promises::{ALL, Promise, judge};
 use test_case::test_case;
 use tokio::sync::Mutex;
@@ -130,6 +130,18 @@
     assert!(!verdict.breaks.is_empty(), "{} checked", verdict.checked);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_that_nobody_tells_of_is_passed_and_noticed() {
+    let mut plan = alone(Disruption::Configure);
+    plan.waiting_limit = Some(WaitingLimit {
+        tokens: 1,
+        is_told: false,
+    });
+    let history = play(plan).await;
+    let verdict = judge(Promise::WaitingLimit, &history);
+    assert!(!verdict.breaks.is_empty(), "{} checked", verdict.checked);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn workers_that_hide_that_they_are_cold_are_noticed() {
     let mut plan = alone(Disruption::CrashWorker {
