A limit that no job came for is counted anew; its holders are asked less

While no job comes, the gateway that counts went on calling for reports each two seconds, for each limit of which anything waits: with jobs of hours that is every limit of every tenant. It now calls each 30 s, and the first job after 10 s waits for reports as of that moment: jobs may have been taken while the route had no limit, and a false refusal by an old count is spared. Tests: what stands is asked for anew; of two registers of one version the first counts, a late one changes nothing, a proposal drops only what it replaces (pure; not seen failing first: the functions are new).

--- a/crates/swiftshunt-gateway/src/waiting_limits/counting.rs
+++ b/crates/swiftshunt-gateway/src/waiting_limits/counting.rs
@@ -14,13 +14,12 @@
 use crate::messages::waiting::{Allowance, HeldPartition, LimitedJob, Verdict, WaitingMessage};
 use crate::metrics::Basis;
 
-/// Pause between two calls for what stands: near the limit, and far from it.
+/// Pause between two calls for what stands: near the limit, far from it, and while no job comes.
 const COLLECT_EVERY: Duration = Duration::from_millis(400);
 const COLLECT_FAR_EVERY: Duration = Duration::from_secs(2);
+const COLLECT_IDLE_EVERY: Duration = Duration::from_secs(30);
 /// Part of the limit up to which what stands is far from it.
 const FAR_PART: u64 = 4;
-/// Time without a question after which a limit of which nothing stands is left alone.
-const IDLE_AFTER: Duration = Duration::from_secs(10);
 /// Part of the time for which a register counts after which it is read again.
 const VERIFICATIONS: u32 = 2;
 /// Calls of one limit that may be answered at a time.
@@ -211,11 +210,13 @@
         let rounds = lock(&self.rounds);
         let counters = lock(&self.counters);
         let due = counters.iter().map(|(allowance, counter)| {
-            let is_asked = now < counter.asked_at() + IDLE_AFTER;
+            let is_asked = counter.is_asked(now);
             let most = counter.holdings().most();
             let is_exact = counter.needs_exact_reports(now);
             let is_far = counter.is_settled() && most < counter.limit() / FAR_PART;
-            let pause = if is_far && !is_exact {
+            let pause = if !is_asked {
+                COLLECT_IDLE_EVERY
+            } else if is_far && !is_exact {
                 COLLECT_FAR_EVERY
             } else {
                 COLLECT_EVERY
--- a/crates/swiftshunt-gateway/src/waiting_limits/registers.rs
+++ b/crates/swiftshunt-gateway/src/waiting_limits/registers.rs
@@ -281,3 +281,59 @@
     }
     Ok((name, register))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn name() -> LimitName {
+        LimitName::of(&Allowance {
+            route: "batch".to_owned(),
+            tenant: None,
+        })
+    }
+
+    /// Reads a record as the log gives it.
+    fn take(partition: &mut Partition, register: &Register) -> Vec<u8> {
+        let (key, value) = record(&name(), register);
+        let (name, register) = read_record(&key, &value).expect("a register");
+        partition.stands(name, register, key.clone());
+        key
+    }
+
+    #[test]
+    fn of_two_that_take_over_at_once_the_first_counts_and_a_late_one_changes_nothing() {
+        let mut partition = Partition::default();
+        let first = Register::first("life-1", 1_000);
+        take(&mut partition, &first);
+        let winner = first.taken_over("life-2", 1_000);
+        take(&mut partition, &winner);
+        take(&mut partition, &first.taken_over("life-3", 1_000));
+        assert_eq!(partition.newest(&name()), Some(winner.clone()));
+        let newest = winner.taken_over("life-4", 1_000);
+        take(&mut partition, &newest);
+        take(&mut partition, &first.taken_over("life-5", 1_000));
+        assert_eq!(partition.newest(&name()), Some(newest));
+    }
+
+    #[test]
+    fn a_proposal_drops_the_versions_before_it_and_never_one_that_may_stand() {
+        let mut partition = Partition::default();
+        let first = Register::first("life-1", 1_000);
+        let superseded = take(&mut partition, &first);
+        take(&mut partition, &first.taken_over("life-2", 1_000));
+        let own = first.taken_over("life-3", 1_000);
+        let dropped = partition.keys_before(&name(), own.version);
+        assert_eq!(dropped, std::slice::from_ref(&superseded));
+        partition.is_dropped(&superseded);
+        assert!(partition.keys_before(&name(), own.version).is_empty());
+    }
+
+    #[test]
+    fn a_record_that_names_another_version_is_passed_over() {
+        let (key, _) = record(&name(), &Register::first("life-1", 1_000));
+        let next = Register::first("life-1", 1_000).taken_over("life-2", 1_000);
+        let (_, value) = record(&name(), &next);
+        assert!(read_record(&key, &value).is_err());
+    }
+}
--- a/crates/swiftshunt-scheduler/src/waiting_tokens/counter.rs
+++ b/crates/swiftshunt-scheduler/src/waiting_tokens/counter.rs
@@ -4,7 +4,7 @@
 
 use super::holdings::{Holding, Holdings};
 use super::register::{FIRST_TERM, Register};
-use super::{GRANT_LIFETIME, UNREAD_FOR, VERIFIED_FOR};
+use super::{GRANT_LIFETIME, IDLE_AFTER, UNREAD_FOR, VERIFIED_FOR};
 
 /// A job that asks for room.
 #[derive(Clone, Copy, Debug)]
@@ -64,6 +64,8 @@
     unverified_since: Option<Duration>,
     /// Reports as of this moment show what every gateway that counted before has admitted.
     settles_from: Duration,
+    /// Reports have to be as of this moment: when it was asked first after a time without jobs.
+    needed_from: Duration,
     /// Whether reports have shown all that stands.
     is_shown: bool,
     /// Tokens of the share that are spent.
@@ -97,6 +99,7 @@
             verified_at,
             unverified_since: None,
             settles_from,
+            needed_from: Duration::ZERO,
             is_shown: false,
             spent: 0,
             holdings: Holdings::default(),
@@ -131,11 +134,6 @@
         self.limit
     }
 
-    /// When it was asked last.
-    pub fn asked_at(&self) -> Duration {
-        self.asked_at
-    }
-
     /// When the read began by which it counts.
     pub fn verified_at(&self) -> Duration {
         self.verified_at
@@ -144,7 +142,18 @@
     /// Whether reports have to show what stands as of now.
     pub fn needs_exact_reports(&self, now: Duration) -> bool {
         let has_shares = !self.is_settled() || self.register.shares() > 0;
-        has_shares && now >= self.settles_from
+        (has_shares && now >= self.settles_from) || !self.is_current()
+    }
+
+    /// Whether reports are as new as they have to be.
+    fn is_current(&self) -> bool {
+        self.holdings
+            .are_known_since(self.needed_from, self.partitions)
+    }
+
+    /// Whether it was asked of late.
+    pub fn is_asked(&self, now: Duration) -> bool {
+        now < self.asked_at + IDLE_AFTER
     }
 
     /// A read that began at `read_at` shows that it still counts. Where others counted meanwhile, what they were
@@ -188,6 +197,9 @@
     /// Decides about a job. The same job is counted once.
     pub fn decide(&mut self, request: &Request<'_>, now: Duration) -> Decision {
         self.limit = request.limit;
+        if !self.is_asked(now) {
+            self.needed_from = now;
+        }
         self.asked_at = now;
         if now >= self.verified_at + VERIFIED_FOR {
             let since = *self.unverified_since.get_or_insert(now);
@@ -213,6 +225,9 @@
     }
 
     fn decide_by_what_stands(&mut self, request: &Request<'_>, now: Duration) -> Decision {
+        if !self.is_current() {
+            return Decision::Settling(Duration::ZERO);
+        }
         // Callers name the tokens, and may name any number.
         let most = self.holdings.most().saturating_add(request.tokens);
         if most <= self.register.counted.min(request.limit) {
--- a/crates/swiftshunt-scheduler/src/waiting_tokens/mod.rs
+++ b/crates/swiftshunt-scheduler/src/waiting_tokens/mod.rs
@@ -20,6 +20,9 @@
 /// Time for which a gateway that counts may fail to read the register while it is asked, before another one is to
 /// take over: a slow log answers within it.
 pub const UNREAD_FOR: Duration = Duration::from_millis(500);
+/// Time without a job after which what stands is asked for anew before one is admitted: jobs may have been taken
+/// while the route had no limit, and others are over.
+pub const IDLE_AFTER: Duration = Duration::from_secs(10);
 /// Time within which the record of an admitted job stands, if its caller is told that it was taken: the longest
 /// append and the way of the counter's answer.
 pub const GRANT_LIFETIME: Duration = Duration::from_secs(3);
--- a/crates/swiftshunt-scheduler/tests/waiting_tokens.rs
+++ b/crates/swiftshunt-scheduler/tests/waiting_tokens.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use swiftshunt_scheduler::waiting_tokens::{
-    Change, Counter, Decision, GRANT_LIFETIME, Holding, Register, Request, UNREAD_FOR,
+    Change, Counter, Decision, GRANT_LIFETIME, Holding, IDLE_AFTER, Register, Request, UNREAD_FOR,
     UNRESOLVED_FOR, VERIFIED_FOR,
 };
 
@@ -177,6 +177,23 @@
     assert_eq!(ask(&mut counter, "one", 1, late), Decision::Admitted);
 }
 
+/// The route may have had no limit meanwhile.
+#[test]
+fn after_a_time_without_jobs_what_stands_is_asked_for_anew() {
+    let mut counter = settled();
+    let later = NOW + IDLE_AFTER;
+    counter.verified(counter.register().clone(), later, later);
+    assert_eq!(
+        ask(&mut counter, "one", 600, later),
+        Decision::Settling(Duration::ZERO)
+    );
+    assert!(counter.needs_exact_reports(later));
+    counter.report(holding(0, 700, 9, later));
+    counter.report(holding(1, 0, 9, later));
+    assert_eq!(ask(&mut counter, "one", 600, later), Decision::Full);
+    assert_eq!(ask(&mut counter, "two", 300, later), Decision::Admitted);
+}
+
 /// What is given back may be in other hands as soon as the change is on its way.
 #[test]
 fn room_that_is_given_back_is_not_used_while_that_is_under_way() {
