A job with a long identifier is no longer lost after its 202

Callers saw: nothing; a job whose identifier has some 230 bytes or more was answered 202, and never listed. Found by the test of limits that used one.

Cause: the identifier stands in the keys of the job's records. A key's length is told in one byte, and a longer one was cut to its rest by 256, so that the log took other bytes for the record. An identifier with a character that has a meaning in an address could besides keep a partition from being listed.

Fix: names in keys are plain and at most 128 bytes long, or a digest; keys are opaque but for the nonce, so builds before and after read each other's.

Test: a_job_with_a_long_identifier_is_kept failed before ('not within 20s: every item has a result'), passes in 1.5 s; keys of five kinds of names.

--- a/crates/swiftshunt-journal/src/assembly.rs
+++ b/crates/swiftshunt-journal/src/assembly.rs
@@ -4,6 +4,7 @@
 //! frames change nothing: the first copy of each stands. A logical record takes effect at the
 //! offset of the frame that completed it.
 
+use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
@@ -45,9 +46,22 @@
 /// Bytes of a frame beside its content: CBOR heads, names, numbers and the key.
 const FRAME_OVERHEAD: usize = 512;
 
-/// Cuts a logical record into keyed frames of at most `limit` bytes each.
+/// Longest name that stands in keys as it is, in bytes: a log's keys may be no longer than 255.
+const LONGEST_NAME: usize = 128;
+
+/// A name as it stands in keys, which logs list in text and in addresses: others than short and plain ones are
+/// told by a digest.
+fn key_name(name: &str) -> Cow<'_, str> {
+    let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~:".contains(&byte);
+    if name.len() <= LONGEST_NAME && name.bytes().all(is_plain) {
+        return Cow::Borrowed(name);
+    }
+    Cow::Owned(blake3::hash(name.as_bytes()).to_hex().to_string())
+}
+
+/// Cuts a logical record about what has a name into keyed frames of at most `limit` bytes each.
 pub fn frames(
-    key_prefix: &str,
+    name: &str,
     nonce: u64,
     record: &impl Serialize,
     limit: usize,
@@ -61,6 +75,7 @@
     let size = limit.saturating_sub(FRAME_OVERHEAD).max(1);
     let count = whole.len().div_ceil(size).max(1);
     let mut framed = Vec::with_capacity(count);
+    let name = key_name(name);
     for index in 0..count {
         let end = ((index + 1) * size).min(whole.len());
         let frame = Frame {
@@ -71,7 +86,7 @@
         };
         let mut value = Vec::with_capacity(end - index * size + FRAME_OVERHEAD);
         ciborium::into_writer(&frame, &mut value).map_err(failed)?;
-        let key = format!("{key_prefix}:{nonce:016x}:{index}").into_bytes();
+        let key = format!("{name}:{nonce:016x}:{index}").into_bytes();
         framed.push((key, Bytes::from(value)));
     }
     Ok(framed)
--- a/crates/swiftshunt-journal/tests/journal.rs
+++ b/crates/swiftshunt-journal/tests/journal.rs
@@ -122,3 +122,24 @@
             .contains("not readable")
     );
 }
+
+/// Callers choose the names of jobs.
+#[test_case("job-1.a~b:c", true; "a plain one stands in the key")]
+#[test_case("a&b", false; "one that has a meaning in addresses")]
+#[test_case("a b#c%", false; "one that addresses cannot hold")]
+#[test_case("\u{e9}", false; "one beyond ascii")]
+#[test_case(&"long".repeat(500), false; "a long one")]
+fn keys_fit_into_the_log_whatever_a_record_is_about(name: &str, stands: bool) {
+    let framed = frames(name, 7, &"text", 1_024).expect("frames");
+    let (key, value) = framed.into_iter().next().expect("a frame");
+    assert!(key.len() <= 255);
+    assert!(
+        key.iter()
+            .all(|byte| byte.is_ascii_graphic() && !b"&#%+".contains(byte))
+    );
+    let text = String::from_utf8(key.clone()).expect("a text");
+    assert_eq!(text.starts_with(&format!("{name}:")), stands);
+    let mut assembly = Assembly::default();
+    let taken = assembly.take::<String>(key, &value).expect("readable");
+    assert_eq!(taken.expect("whole").record, "text");
+}
--- a/crates/swiftshunt/tests/gateway_batch.rs
+++ b/crates/swiftshunt/tests/gateway_batch.rs
@@ -33,6 +33,17 @@
     assert_eq!(body, item_body("job-1", 3));
 }
 
+/// Keys of the log are short; a record under one that was cut would be lost after its 202.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_with_a_long_identifier_is_kept() {
+    let fleet = start(PlatformOptions::default()).await;
+    let [one, two] = [fleet.gateways[0].callers, fleet.gateways[1].callers];
+    let job = "long".repeat(100);
+    submit(&fleet, one, &job, 2).await;
+    whole_job(&fleet, two, &job, 2).await;
+    assert_completed(&listed(&fleet, one, &job).await, &job, 2);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_job_stays_readable_when_its_host_has_no_route_any_more() {
     let mut fleet = start(PlatformOptions::default()).await;
