Messages about limits fit into datagrams whatever they tell of

Reports of a gateway that holds more than some 24 partitions, as after the loss of most others, were larger than a datagram that is read (1,400 bytes): a gateway that counts would never have settled. Now 16 partitions a datagram. A question about a job with a long identifier did not fit either: each made the gateway that asked take over. It names the job by a digest. A read of the registers goes on with a listing where records are gone, not at the next try.

The size of reports is reckoned, not played.

--- a/crates/swiftshunt-gateway/src/messages/waiting.rs
+++ b/crates/swiftshunt-gateway/src/messages/waiting.rs
@@ -17,7 +17,7 @@
 pub(crate) struct LimitedJob {
     /// What is limited.
     pub(crate) allowance: Allowance,
-    /// The job.
+    /// Names the job: by its identifier, or by a digest of one that is too long for a datagram.
     pub(crate) job: String,
     /// The partition that it lies in.
     pub(crate) partition: u32,
@@ -27,6 +27,19 @@
     pub(crate) limit: u64,
 }
 
+/// Longest identifier of a job that is told as it is, in bytes.
+const LONGEST_TOLD: usize = 200;
+
+impl LimitedJob {
+    /// Names a job that has an identifier: callers may choose one of any length.
+    pub(crate) fn name(identifier: &str) -> String {
+        if identifier.len() <= LONGEST_TOLD {
+            return identifier.to_owned();
+        }
+        blake3::hash(identifier.as_bytes()).to_hex().to_string()
+    }
+}
+
 /// What the gateway that counts says about a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Verdict {
--- a/crates/swiftshunt-gateway/src/waiting_limits/mod.rs
+++ b/crates/swiftshunt-gateway/src/waiting_limits/mod.rs
@@ -35,6 +35,9 @@
 /// Calls for reports that wait to be answered; what comes beyond is called for again.
 const MOST_CALLS: usize = 256;
 
+/// Partitions of which one datagram tells: some 50 bytes each.
+const PARTITIONS_TOLD: usize = 16;
+
 /// A call for what stands in the partitions that this gateway holds.
 pub(crate) struct Call {
     pub(crate) from: SocketAddr,
@@ -128,12 +131,14 @@
             self.collected(&allowance, round, partitions);
             return;
         }
-        let message = WaitingMessage::Collected {
-            round,
-            allowance,
-            partitions,
-        };
-        self.send(message, from);
+        for partitions in partitions.chunks(PARTITIONS_TOLD) {
+            let message = WaitingMessage::Collected {
+                round,
+                allowance: allowance.clone(),
+                partitions: partitions.to_vec(),
+            };
+            self.send(message, from);
+        }
     }
 
     /// Takes a message of another gateway.
--- a/crates/swiftshunt-gateway/src/waiting_limits/registers.rs
+++ b/crates/swiftshunt-gateway/src/waiting_limits/registers.rs
@@ -161,19 +161,18 @@
         number: u32,
         partition: &mut Partition,
     ) -> Result<Duration, LogError> {
-        if !partition.is_listed {
-            self.list(number, partition).await?;
-        }
         let read_at = self.clock.now();
         let mut goal = None;
         loop {
+            if !partition.is_listed {
+                self.list(number, partition).await?;
+            }
             let from = partition.view.next_offset();
             let read = self.log.read(Topic::Limits, number, from, Duration::ZERO);
             let ReadOutcome::Records { records, end } = read.await? else {
+                // What came since the last read is gone from the tail.
                 partition.is_listed = false;
-                return Err(LogError::Unanswered {
-                    reason: "records of limits are gone, and are to be listed".to_owned(),
-                });
+                continue;
             };
             let goal = *goal.get_or_insert(end);
             let changes = partition.view.apply_tail(records);
--- a/crates/swiftshunt/tests/gateway_limits.rs
+++ b/crates/swiftshunt/tests/gateway_limits.rs
@@ -188,6 +188,21 @@
     fleet.gateways[paused].process.resume();
 }
 
+/// A caller chooses the identifier, and no message between gateways may grow with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_with_a_long_identifier_counts_as_any_other() {
+    let fleet = limited_fleet().await;
+    let job = |number: usize| format!("{number}-{}", "long".repeat(500));
+    for number in 0..JOBS {
+        let gateway = fleet.gateways[number % 3].callers;
+        submit(&fleet, gateway, &job(number), ITEMS).await;
+    }
+    for gateway in 0..3 {
+        let status = status_of(&fleet, gateway, &job(JOBS + gateway)).await;
+        assert_eq!(status, StatusCode::TOO_MANY_REQUESTS, "{gateway}");
+    }
+}
+
 /// An append that takes long shows late in what holders report.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_job_counts_for_as_long_as_its_append_takes() {
