The answer about a limit is not waited for beyond the lifetime of a grant

An admitted job is recorded within 2.5 s after the answer; where the gateway that counts stands in another region the answer was waited for as long as the way may take, so that both together could pass the 3 s for which a successor waits. Bounded at 0.45 s, and checked when the program is built. Found by reading; not played.

--- a/crates/swiftshunt-gateway/src/batch/intake.rs
+++ b/crates/swiftshunt-gateway/src/batch/intake.rs
@@ -13,11 +13,12 @@
 use crate::answers::{CallerAnswer, plain, whole};
 use crate::clock::Clock;
 use crate::messages::waiting::LimitedJob;
+use crate::waiting_limits::LONGEST_PATIENCE;
 
 /// How long an append is tried before the caller is answered, at most.
 pub(super) const APPEND_TIME: Duration = Duration::from_millis(2_500);
 const _: () = assert!(
-    APPEND_TIME.as_millis() < GRANT_LIFETIME.as_millis(),
+    LONGEST_PATIENCE.as_millis() + APPEND_TIME.as_millis() < GRANT_LIFETIME.as_millis(),
     "an admitted job is recorded for as long as its room is set aside"
 );
 /// Time kept back for the answer's way to the caller.
--- a/crates/swiftshunt-gateway/src/waiting_limits/asking.rs
+++ b/crates/swiftshunt-gateway/src/waiting_limits/asking.rs
@@ -18,6 +18,8 @@
 /// How long the answer of the gateway that counts is waited for: a caller waits for its 202 meanwhile, for
 /// hundreds of milliseconds at least.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(60);
+/// The same where the gateway that counts is far: the job is recorded after it, within the lifetime of a grant.
+pub(crate) const LONGEST_PATIENCE: Duration = Duration::from_millis(450);
 /// Questions in a row that are not answered after which a gateway takes over: one may be lost.
 const MISSES: u32 = 2;
 /// Pause before a question is asked again.
@@ -157,6 +159,7 @@
         let asked_at = self.clock.now();
         self.send(question, counter);
         let patience = self.members.patience(counter, ANSWER_PATIENCE);
+        let patience = patience.min(LONGEST_PATIENCE);
         let answer = tokio::time::timeout(patience, receiver).await;
         lock(&self.asks).remove(&ask);
         if let Ok(Ok(verdict)) = answer {
--- a/crates/swiftshunt-gateway/src/waiting_limits/mod.rs
+++ b/crates/swiftshunt-gateway/src/waiting_limits/mod.rs
@@ -18,7 +18,7 @@
 use swiftshunt_scheduler::waiting_tokens::Counter;
 use tokio::sync::{Notify, mpsc, oneshot};
 
-pub(crate) use asking::Fit;
+pub(crate) use asking::{Fit, LONGEST_PATIENCE};
 
 use crate::batch::{Member, partition_of};
 use crate::beliefs::lock;
