Owners are read in one place; one name for when a predecessor's jobs are shown

Read again, behaviour as before: the look before and after waiting for the turn to read the owners stood twice, and the time after which reports show what a predecessor admitted was added up twice.

--- a/crates/swiftshunt-gateway/src/batch/owners.rs
+++ b/crates/swiftshunt-gateway/src/batch/owners.rs
@@ -129,25 +129,15 @@
 
     /// Where the gateways are reached that hold partitions.
     pub(super) async fn holders(&self, partitions: u32) -> BTreeSet<SocketAddr> {
-        let is_due = || (0..partitions).any(|partition| self.is_due(partition));
-        if is_due() {
-            let _turn = self.reading.lock().await;
-            if is_due() {
-                self.read().await;
-            }
-        }
+        self.read_if(|| (0..partitions).any(|partition| self.is_due(partition)))
+            .await;
         let known = lock(&self.known);
         known.by_partition.values().copied().collect()
     }
 
     /// Where the gateway that holds a partition is reached, unless it is this one or in doubt.
     async fn owner(&self, partition: u32) -> Option<SocketAddr> {
-        if self.is_due(partition) {
-            let _turn = self.reading.lock().await;
-            if self.is_due(partition) {
-                self.read().await;
-            }
-        }
+        self.read_if(|| self.is_due(partition)).await;
         let now = self.clock.now();
         let known = lock(&self.known);
         let owner = known.by_partition.get(&partition).copied();
@@ -157,6 +147,17 @@
         })
     }
 
+    /// Reads the owners if that is due, and was not done while this waited for its turn.
+    async fn read_if(&self, is_due: impl Fn() -> bool) {
+        if !is_due() {
+            return;
+        }
+        let _turn = self.reading.lock().await;
+        if is_due() {
+            self.read().await;
+        }
+    }
+
     /// Whether the owners are to be read.
     fn is_due(&self, partition: u32) -> bool {
         let now = self.clock.now();
--- a/crates/swiftshunt-scheduler/src/waiting_tokens/counter.rs
+++ b/crates/swiftshunt-scheduler/src/waiting_tokens/counter.rs
@@ -19,6 +19,11 @@
     pub limit: u64,
 }
 
+/// The moment as of which reports show all that gateways have admitted that count no more since `now` at the latest.
+fn surely_shown_from(now: Duration) -> Duration {
+    now + VERIFIED_FOR + GRANT_LIFETIME
+}
+
 /// What is decided about a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -92,7 +97,7 @@
         let settles_from = if register.term == FIRST_TERM {
             now
         } else {
-            now + VERIFIED_FOR + GRANT_LIFETIME
+            surely_shown_from(now)
         };
         Self {
             register,
@@ -165,7 +170,7 @@
             return;
         }
         if register.term > self.register.term {
-            self.settles_from = now + VERIFIED_FOR + GRANT_LIFETIME;
+            self.settles_from = surely_shown_from(now);
         }
         self.register = register;
     }
