A request whose permit ends on its way to the engine is not written

Cause: lease and cancellation were looked at before the call to the HTTP client. Between that look and the first byte lie the choice or making of a connection and the turn of the connection's task; a process that is stopped there writes the request when it goes on, whoever leads by then. The busier the machine, the longer that way.

Change: a request carries a permit, asked when the body is handed out, right before the write of head and body. What is withheld is an outcome of its own, and "not sent" is true of it.

Left is a stop between the look and the write within one poll, some microseconds.

--- a/crates/swiftshunt-backends/src/engine.rs
+++ b/crates/swiftshunt-backends/src/engine.rs
@@ -12,7 +12,7 @@
 use swiftshunt_types::{ModelName, Priority, RequestId};
 
 use crate::BoxFuture;
-use swiftshunt_http::{HttpClient, HttpError, HttpRequest, JSON};
+use swiftshunt_http::{HttpClient, HttpError, HttpRequest, JSON, SendPermit};
 
 /// Path at which tokens are generated.
 pub const GENERATE_PATH: &str = "/v1/generate";
@@ -132,11 +132,12 @@
 
 /// The protocol of engines.
 pub trait Engine: Send + Sync {
-    /// Starts or resumes an answer.
+    /// Starts or resumes an answer, if the permit still holds when the request is written.
     fn generate<'a>(
         &'a self,
         engine: SocketAddr,
         request: &'a GenerateRequest,
+        permit: SendPermit,
         timeout: Duration,
     ) -> BoxFuture<'a, Result<TokenStream, EngineError>>;
 
@@ -182,13 +183,14 @@
         &'a self,
         engine: SocketAddr,
         request: &'a GenerateRequest,
+        permit: SendPermit,
         timeout: Duration,
     ) -> BoxFuture<'a, Result<TokenStream, EngineError>> {
         Box::pin(async move {
             let body = serde_json::to_vec(request).map_err(|error| EngineError::Refused {
                 reason: error.to_string(),
             })?;
-            let request = HttpRequest::post(engine, GENERATE_PATH, JSON, body);
+            let request = HttpRequest::post(engine, GENERATE_PATH, JSON, body).with_permit(permit);
             let opened = self.client.open(request, timeout).await;
             let response = opened.map_err(start_error)?;
             let status = response.status();
--- a/crates/swiftshunt-http/src/client.rs
+++ b/crates/swiftshunt-http/src/client.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use hyper_util::client::legacy::Client;
@@ -14,6 +14,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::send_permit::{PermitOver, PermittedBody, SendPermit};
+
 /// Content type of JSON.
 pub const JSON: &str = "application/json";
 /// Content type of CBOR.
@@ -28,6 +30,12 @@
         /// To whom.
         address: SocketAddr,
     },
+    /// The permit to send was over before the body was written.
+    #[display("the request to {address} was withheld")]
+    Withheld {
+        /// To whom.
+        address: SocketAddr,
+    },
     /// The connection broke after bytes may have been written.
     #[display("exchange with {address} broke off: {reason}")]
     BrokenOff {
@@ -65,9 +73,9 @@
 }
 
 impl HttpError {
-    /// Whether it is certain that no byte of the request was written.
+    /// Whether it is certain that the request was not written.
     pub fn was_not_sent(&self) -> bool {
-        matches!(self, Self::NotConnected { .. })
+        matches!(self, Self::NotConnected { .. } | Self::Withheld { .. })
     }
 }
 
@@ -84,6 +92,8 @@
     pub headers: Vec<(&'static str, String)>,
     /// The body.
     pub body: Bytes,
+    /// Asked right before the body is written.
+    pub permit: SendPermit,
 }
 
 impl HttpRequest {
@@ -95,6 +105,7 @@
             path: path.into(),
             headers: Vec::new(),
             body: Bytes::new(),
+            permit: SendPermit::always(),
         }
     }
 
@@ -111,6 +122,7 @@
             path: path.into(),
             headers: vec![("content-type", content_type.to_owned())],
             body: body.into(),
+            permit: SendPermit::always(),
         }
     }
 
@@ -119,6 +131,12 @@
         self.headers.push((name, value.into()));
         self
     }
+
+    /// Sends only while `permit` holds. A request without a body is not withheld.
+    pub fn with_permit(mut self, permit: SendPermit) -> Self {
+        self.permit = permit;
+        self
+    }
 }
 
 /// A whole answer.
@@ -142,7 +160,7 @@
 /// The client. Cheap to clone.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    inner: Client<HttpConnector, Full<Bytes>>,
+    inner: Client<HttpConnector, PermittedBody>,
 }
 
 impl HttpClient {
@@ -172,6 +190,7 @@
         match answer {
             Err(_) => Err(HttpError::TimedOut { address }),
             Ok(Err(error)) if error.is_connect() => Err(HttpError::NotConnected { address }),
+            Ok(Err(error)) if PermitOver::caused(&error) => Err(HttpError::Withheld { address }),
             Ok(Err(error)) => Err(HttpError::BrokenOff {
                 address,
                 reason: describe(&error),
@@ -263,13 +282,14 @@
     headers.get("retry-after")?.to_str().ok()?.parse().ok()
 }
 
-fn build(request: HttpRequest) -> Result<Request<Full<Bytes>>, HttpError> {
+fn build(request: HttpRequest) -> Result<Request<PermittedBody>, HttpError> {
     let HttpRequest {
         address,
         method,
         path,
         headers,
         body,
+        permit,
     } = request;
     let unreadable = |error: hyper::http::Error| HttpError::Unreadable {
         address,
@@ -285,7 +305,9 @@
     for (name, value) in headers {
         builder = builder.header(name, value);
     }
-    builder.body(Full::new(body)).map_err(unreadable)
+    builder
+        .body(PermittedBody::new(body, permit))
+        .map_err(unreadable)
 }
 
 /// An error with its causes.
--- a/crates/swiftshunt-http/src/lib.rs
+++ b/crates/swiftshunt-http/src/lib.rs
@@ -5,10 +5,12 @@
 mod cbor;
 mod client;
 mod endpoint;
+mod send_permit;
 mod serve;
 
 pub use cbor::{decode_cbor, encode_cbor};
 pub use client::{CBOR, HttpAnswer, HttpClient, HttpError, HttpRequest, JSON, retry_after};
 pub use endpoint::{Call, Endpoint, ObserveFailure, Reply, endpoint};
 pub use salvo::Router;
+pub use send_permit::{PermitOver, PermittedBody, SendPermit};
 pub use serve::{BindError, ServeHandle, bind, serve};
--- a/crates/swiftshunt-lab/tests/engine.rs
+++ b/crates/swiftshunt-lab/tests/engine.rs
@@ -7,7 +7,7 @@
 use swiftshunt_backends::engine::{
     Engine, Fence, FinishReason, GenerateRequest, HttpEngine, LoadOrder, TokenEvent,
 };
-use swiftshunt_http::HttpClient;
+use swiftshunt_http::{HttpClient, SendPermit};
 use swiftshunt_lab::engine::{EngineSettings, expected_answer, natural_length, start};
 use swiftshunt_types::Priority;
 use test_case::test_case;
@@ -37,7 +37,7 @@
     request: &GenerateRequest,
 ) -> Vec<TokenEvent> {
     let stream = engine
-        .generate(address, request, TIMEOUT)
+        .generate(address, request, SendPermit::always(), TIMEOUT)
         .await
         .expect("a stream");
     let events: Vec<_> = stream.collect().await;
@@ -74,7 +74,7 @@
     let (engine, address) = engine(settings).await;
     let batch = request("batch", Priority::Batch, 0);
     let mut running = engine
-        .generate(address, &batch, TIMEOUT)
+        .generate(address, &batch, SendPermit::always(), TIMEOUT)
         .await
         .expect("a stream");
     running.next().await.expect("a token").expect("whole");
--- a/crates/swiftshunt-node/src/batch/item.rs
+++ b/crates/swiftshunt-node/src/batch/item.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 use swiftshunt_backends::engine::{EngineError, FinishReason, GenerateRequest, TokenEvent};
+use swiftshunt_http::SendPermit;
 use swiftshunt_types::{ErrorKind, Failure, PoolName, Priority, RequestId};
 use tokio_util::sync::CancellationToken;
 
@@ -165,8 +166,6 @@
             resume_from: so_far.tokens,
             ..item.request.clone()
         };
-        // Looked at last before the send: a job that was cancelled, or a leader that was replaced
-        // while this process was stopped, starts nothing more.
         if self.stopped.is_cancelled() {
             return Stay::Over;
         }
@@ -176,7 +175,9 @@
             return Stay::Interrupted;
         }
         let engines = &self.context.engines;
-        let opened = engines.generate(slot.address, &request, HEAD_TIMEOUT).await;
+        let opened = engines
+            .generate(slot.address, &request, self.permit(), HEAD_TIMEOUT)
+            .await;
         let mut stream = match opened {
             Ok(stream) => stream,
             Err(EngineError::Refused { reason }) => return Stay::Refused(reason),
@@ -208,6 +209,15 @@
         }
     }
 
+    /// Holds as long as the job and the lease do: a process that was stopped on the way to the engine, and
+    /// replaced or told of a cancellation meanwhile, starts nothing more.
+    fn permit(&self) -> SendPermit {
+        let clock = self.context.clock;
+        let lease = self.lease.clone();
+        let stopped = self.stopped.clone();
+        SendPermit::while_true(move || !stopped.is_cancelled() && lease.is_valid(clock.now()))
+    }
+
     async fn cancel(&self, slot: &Slot, request: &RequestId) {
         let engines = &self.context.engines;
         drop(engines.cancel(slot.address, request, CANCEL_TIMEOUT).await);
--- a/crates/swiftshunt-node/src/online/answer.rs
+++ b/crates/swiftshunt-node/src/online/answer.rs
@@ -11,6 +11,7 @@
 use swiftshunt_backends::engine::{
     EngineError, FinishReason, GenerateRequest, TokenEvent, TokenStream,
 };
+use swiftshunt_http::SendPermit;
 use swiftshunt_scheduler::placement::{NoWorker, PlacementRequest, choose};
 use swiftshunt_types::{
     ErrorKind, Failure, ModelName, Monotonic, PoolName, Priority, RequestId, WorkerId,
@@ -206,7 +207,10 @@
             ),
         );
         let engines = &self.context.engines;
-        let stream = engines.generate(address, &request, HEAD_TIMEOUT).await?;
+        let permit = SendPermit::always();
+        let stream = engines
+            .generate(address, &request, permit, HEAD_TIMEOUT)
+            .await?;
         Ok(OpenEngine {
             worker,
             address,
