An item is withheld from a worker once its job, its lease or its news is over

The permit of an item (its lease holds, its partition is read up to date, its job and itself are open) is now asked when its body is handed out. A withheld item counts as not sent and is looked at again. Whether an item is open is read in one place instead of three.

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -5,10 +5,11 @@
 
 use bytes::Bytes;
 use derive_more::Display;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{HeaderMap, Request, StatusCode};
+use swiftshunt_http::{PermitOver, PermittedBody, SendPermit};
 use swiftshunt_routing::Configuration;
 use swiftshunt_scheduler::offers::Withheld;
 use swiftshunt_scheduler::selection::{Chosen, Demand, Ending};
@@ -47,6 +48,8 @@
     pub(crate) demand: Demand,
     /// What it is, however often it is sent.
     pub(crate) subject: Subject,
+    /// Until when it may be sent: a process that stood still on the way to a worker may have lost the right.
+    pub(crate) permit: SendPermit,
 }
 
 impl Outgoing {
@@ -291,7 +294,7 @@
                 // If nothing of it was sent, a new connection serves as well.
                 Err(mut error) => {
                     if error.take_message().is_none() {
-                        return Err(broken(error.error()));
+                        return Err(send_failure(error.error()));
                     }
                 }
             }
@@ -311,7 +314,7 @@
             Ok(response) => Ok((response, sender)),
             Err(mut error) => {
                 if error.take_message().is_none() {
-                    return Err(broken(error.error()));
+                    return Err(send_failure(error.error()));
                 }
                 Err(SendFailure::NotSent {
                     reason: error.error().to_string(),
@@ -346,7 +349,7 @@
         outgoing: &Outgoing,
         last_event: Option<u64>,
         patience: Patience,
-    ) -> Request<Full<Bytes>> {
+    ) -> Request<PermittedBody> {
         let mut headers = outgoing.headers.clone();
         let now = self.clock.now();
         let facts = SendFacts {
@@ -356,7 +359,8 @@
             identity: outgoing.subject.identity(),
         };
         self.protocol.address_worker(&mut headers, &facts);
-        let mut request = Request::new(Full::new(outgoing.subject.body().clone()));
+        let body = PermittedBody::new(outgoing.subject.body().clone(), outgoing.permit.clone());
+        let mut request = Request::new(body);
         *request.method_mut() = outgoing.subject.method().clone();
         *request.uri_mut() = outgoing.subject.target().clone();
         *request.headers_mut() = headers;
@@ -416,6 +420,15 @@
     }
 }
 
+/// The failure of a request that was handed to a connection.
+fn send_failure(error: &hyper::Error) -> SendFailure {
+    if PermitOver::caused(error) {
+        let reason = PermitOver.to_string();
+        return SendFailure::NotSent { reason };
+    }
+    broken(error)
+}
+
 fn broken(error: &hyper::Error) -> SendFailure {
     SendFailure::Broken {
         reason: error.to_string(),
--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -1,6 +1,6 @@
 //! One item: sent, resumed, counted, settled.
 
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use eventsource_stream::Eventsource;
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::{Method, Uri};
 use rand::RngCore;
+use swiftshunt_http::SendPermit;
 use swiftshunt_jobs::{ItemOutcome, ItemSpec, JobSpec, Progress, Settled};
 use swiftshunt_routing::Route;
 use swiftshunt_scheduler::selection::{Chosen, Class, Demand, Ending};
@@ -69,7 +70,7 @@
 impl Batch {
     /// Runs an item until it is settled.
     pub(crate) async fn run_item(
-        &self,
+        self: &Arc<Self>,
         id: &ItemId,
         spec: &JobSpec,
         first_seen: Duration,
@@ -130,7 +131,7 @@
                 continue;
             }
             let began = self.dispatcher.clock.now();
-            let Some(outgoing) = self.outgoing(spec, item, subject, residency) else {
+            let Some(outgoing) = self.outgoing(id, spec, item, subject, residency) else {
                 let reason = "it has no form as a request";
                 return self.settle(id, item, ItemOutcome::GivenUp, String::new(), reason);
             };
@@ -186,13 +187,7 @@
         let Some(last_event) = output.last_event else {
             return;
         };
-        let is_open = self
-            .replay
-            .state(id.partition)
-            .fold
-            .job(&id.job)
-            .is_some_and(|job| !job.ended && !job.is_settled(id.index as usize));
-        if !is_open {
+        if !self.is_open(id) {
             return;
         }
         let progress = Progress {
@@ -279,7 +274,8 @@
     }
 
     fn outgoing(
-        &self,
+        self: &Arc<Self>,
+        id: &ItemId,
         spec: &JobSpec,
         item: &ItemSpec,
         subject: &Subject,
@@ -300,6 +296,16 @@
                 salt: rand::rng().next_u64(),
             },
             subject: subject.clone(),
+            permit: self.send_permit(id),
+        })
+    }
+
+    /// Holds as long as the item is to run here by what is known and new.
+    fn send_permit(self: &Arc<Self>, id: &ItemId) -> SendPermit {
+        let batch = Arc::clone(self);
+        let id = id.clone();
+        SendPermit::while_true(move || {
+            batch.leases.holds(id.partition) && batch.may_send(id.partition) && batch.is_open(&id)
         })
     }
 
--- a/crates/swiftshunt-gateway/src/batch/runner.rs
+++ b/crates/swiftshunt-gateway/src/batch/runner.rs
@@ -54,14 +54,8 @@
     /// Stops what is not to run here any more and starts what may; tells whether items wait.
     fn look(self: &Arc<Self>) -> bool {
         let held = self.leases.partitions();
-        self.running.retain(|id| {
-            if !held.contains(&id.partition) {
-                return false;
-            }
-            let state = self.replay.state(id.partition);
-            let job = state.fold.job(&id.job);
-            job.is_some_and(|job| !job.ended && !job.is_settled(id.index as usize))
-        });
+        self.running
+            .retain(|id| held.contains(&id.partition) && self.is_open(id));
         if held.is_empty() || self.stops.is_cancelled() {
             return false;
         }
@@ -127,6 +121,13 @@
         waiting
     }
 
+    /// Whether an item's job is known and has not ended, nor has the item.
+    pub(crate) fn is_open(&self, id: &ItemId) -> bool {
+        let state = self.replay.state(id.partition);
+        let job = state.fold.job(&id.job);
+        job.is_some_and(|job| !job.ended && !job.is_settled(id.index as usize))
+    }
+
     /// Whether items of a partition may go to workers by what is known of it.
     pub(crate) fn may_send(&self, partition: u32) -> bool {
         self.replay.is_fresh(partition) || self.leases.log_is_away()
--- a/crates/swiftshunt-gateway/src/entry.rs
+++ b/crates/swiftshunt-gateway/src/entry.rs
@@ -14,6 +14,7 @@
 use hyper::http::request;
 use hyper::{Request, StatusCode};
 use rand::RngCore;
+use swiftshunt_http::SendPermit;
 use swiftshunt_routing::{Caller, Configuration, Rejected, Route, RouteKind, Tenant};
 use swiftshunt_scheduler::admission::{
     come_back_elsewhere, come_back_to_start, come_back_within_limit,
@@ -266,6 +267,7 @@
             headers,
             demand,
             subject: Subject::new(identity, &route.host, head.method, target, body),
+            permit: SendPermit::always(),
         };
         Journey {
             route,
--- a/crates/swiftshunt-gateway/src/upstream.rs
+++ b/crates/swiftshunt-gateway/src/upstream.rs
@@ -5,18 +5,17 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use bytes::Bytes;
 use derive_more::{Display, Error};
-use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
+use swiftshunt_http::PermittedBody;
 use tokio::net::TcpStream;
 
 use crate::beliefs::lock;
 
 /// A connection that is ready for a request.
-pub(crate) type Sender = SendRequest<Full<Bytes>>;
+pub(crate) type Sender = SendRequest<PermittedBody>;
 
 /// Time within which a connection is made or given up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -128,7 +127,7 @@
         };
         guard(&stream);
         let handshake = http1::Builder::new()
-            .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
+            .handshake::<_, PermittedBody>(TokioIo::new(stream))
             .await;
         let (sender, connection) = handshake.map_err(|error| failed(error.to_string()))?;
         // Errors of the connection show at the request that uses it.
