A tenant is let in by no more than its limit when a cut heals

Causes, each traced in a seed: - Gateways that were cut off let in alone what their shares had saved, while the counter, not near the limit and so with nothing set aside, was full as well. When they came back, the tenant got both (1048). - A counter that took over took the share of gateways it never heard for one in so many; in fact they had what the others had not (7476, 1839). - What a silent gateway may have saved was taken off once in ten seconds, though it saved again while nothing was set aside (4280). - Shares went on saving while the counter had nothing left (2857).

Change: a question names what the gateway let in alone and has not got back, and its share. A counter takes the first off unless it was set aside, and gives unknown silent gateways what is missing to one in the shares that the others bring. What was allowed for is kept by gateway and moment. An exhausted answer empties the own share. Shares are kept for ten minutes instead of 20 s: a cut may last longer.

--- a/crates/swiftshunt-gateway/src/earlier_builds.rs
+++ b/crates/swiftshunt-gateway/src/earlier_builds.rs
@@ -304,6 +304,8 @@
             held: 3,
             unused: 4,
             recent: 5,
+            spent_alone: 0,
+            share: None,
             by_all: 6,
             left_elsewhere,
         },
--- a/crates/swiftshunt-scheduler/src/rates/account.rs
+++ b/crates/swiftshunt-scheduler/src/rates/account.rs
@@ -45,6 +45,8 @@
 struct OwnShare {
     share: f64,
     level: f64,
+    /// Most that it may have saved up.
+    most: f64,
     refilled_at: Duration,
 }
 
@@ -79,6 +81,9 @@
     peak: Option<Told>,
     alone_until: Duration,
     own: Option<OwnShare>,
+    /// Requests let in alone that no counter has answered for, and how many of them the last question named.
+    alone: u32,
+    alone_reported: u32,
 }
 
 impl Account {
@@ -111,6 +116,7 @@
             return false;
         }
         own.level -= 1.0;
+        self.alone += 1;
         self.usage.add(now);
         true
     }
@@ -121,11 +127,13 @@
         let own = self.own.get_or_insert(OwnShare {
             share: share_of(0, 0, gateways),
             level: 0.0,
+            most: 0.0,
             refilled_at: now,
         });
         let elapsed = now.saturating_sub(own.refilled_at).as_secs_f64();
         let come = elapsed * limit.per_second * own.share;
-        own.level = (own.level + come).min(saved_at_most(limit, own.share));
+        own.most = saved_at_most(limit, own.share);
+        own.level = (own.level + come).min(own.most);
         own.refilled_at = now;
         own
     }
@@ -159,12 +167,15 @@
         let told = self.told.filter(|told| told.counter != counter);
         let told = told.filter(|told| now < told.at + USAGE_WINDOW);
         self.asked_at = Some(now);
+        self.alone_reported = self.alone;
         Question {
             need,
             ahead: self.wanted(now).saturating_sub(self.held()),
             held: self.held(),
             unused: std::mem::take(&mut self.unused),
             recent: self.usage.total(now),
+            spent_alone: self.spent_alone(),
+            share: self.own.map(|own| own.share),
             by_all: self.peak(now),
             left_elsewhere: told.map(|told| Left {
                 requests: told.left,
@@ -173,6 +184,12 @@
         }
     }
 
+    /// What was let in alone and has not come back since: a counter that did not know of it has saved as much.
+    fn spent_alone(&self) -> u32 {
+        let missing = self.own.map_or(0.0, |own| own.most - own.level);
+        self.alone.min(missing.max(0.0).ceil() as u32)
+    }
+
     /// Whether the counter is to be asked though no request waits.
     pub fn is_due(&mut self, now: Duration) -> bool {
         let was_asked = self.asked_at.is_some_and(|at| now < at + ASK_AGAIN);
@@ -213,6 +230,7 @@
                 recent,
             } => {
                 self.exhausted_until = now + again_after;
+                self.nothing_is_saved(now);
                 (recent, 0)
             }
             Verdict::DecideAlone => {
@@ -227,6 +245,8 @@
             at: now,
         };
         self.told = Some(told);
+        self.alone = self.alone.saturating_sub(self.alone_reported);
+        self.alone_reported = 0;
         if recent >= self.peak(now) {
             self.peak = Some(told);
         }
@@ -244,6 +264,14 @@
         }
     }
 
+    /// Where the counter has nothing left, no gateway has saved anything.
+    fn nothing_is_saved(&mut self, now: Duration) {
+        if let Some(own) = &mut self.own {
+            own.level = 0.0;
+            own.refilled_at = now;
+        }
+    }
+
     /// The most that was told of late: a counter that has just begun knows of few requests.
     fn peak(&self, now: Duration) -> u32 {
         let peak = self.peak.filter(|peak| now < peak.at + PEAK_AGE);
--- a/crates/swiftshunt-scheduler/src/rates/bucket.rs
+++ b/crates/swiftshunt-scheduler/src/rates/bucket.rs
@@ -15,10 +15,8 @@
 /// Part of the capacity below which a tenant counts as near its limit: the steps of load of a tenant that
 /// keeps its limit seldom take a bucket below it.
 const NEAR_LIMIT: f64 = 0.35;
-/// Time after which what a gateway may have saved up is taken off again, if it is silent still or again.
-const SAVED_AGAIN_AFTER: Duration = Duration::from_secs(10);
-/// Time after which a gateway that no longer asks is forgotten.
-const ASKER_AGE: Duration = Duration::from_secs(20);
+/// Time after which a gateway that no longer asks is forgotten: its share, if it is cut off, lasts as long.
+const ASKER_AGE: Duration = Duration::from_secs(600);
 /// Gateways that asked within this time share what comes next.
 const ACTIVE_WITHIN: Duration = Duration::from_secs(1);
 /// Shortest and longest time that a gateway is told to wait before it asks again.
@@ -26,7 +24,7 @@
 const LONGEST_AGAIN: Duration = Duration::from_millis(500);
 
 /// A gateway's question.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Question {
     /// Requests that wait for a credit.
     pub need: u32,
@@ -38,12 +36,22 @@
     pub unused: u32,
     /// Requests that it let in within the last [`USAGE_WINDOW`].
     pub recent: u32,
-    /// The same of all gateways, the most that it was told of late.
+    /// Requests that it let in alone, as far as they were saved up and have not come again.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub spent_alone: u32,
+    /// Its share of the rate, if it has one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub share: Option<f64>,
+    /// Requests of all gateways within that window, the most that it was told of late.
     pub by_all: u32,
     /// What another counter said of late that it had left.
     pub left_elsewhere: Option<Left>,
 }
 
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
+
 /// What a counter had left.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Left {
@@ -87,13 +95,16 @@
     /// The most that it was told of the requests of all gateways, this answer included: its share of the
     /// limit follows from that and its own.
     by_all: u32,
+    /// Its share when it asked here first, as another counter or a start gave it.
+    first_share: Option<f64>,
 }
 
-/// What was taken off for a silent gateway.
-#[derive(Clone, Copy, Debug, Default)]
-struct TakenOff {
-    requests: f64,
-    at: Duration,
+/// Until when what a gateway lets in alone is allowed for.
+#[derive(Clone, Copy, Debug)]
+struct AllowedFor {
+    until: Duration,
+    /// Whether its share is set aside now.
+    is_set_aside: bool,
 }
 
 /// What is left of a tenant's limit.
@@ -107,8 +118,8 @@
     askers: HashMap<G, Asker>,
     /// Share of the rate that is set aside for gateways that are silent.
     set_aside: f64,
-    /// What silent gateways may have saved up, and that was taken off.
-    taken_off: HashMap<G, TakenOff>,
+    /// For which gateways their share was set aside, or what they spent of it taken off.
+    allowed_for: HashMap<G, AllowedFor>,
 }
 
 impl<G: Copy + Eq + Hash> Bucket<G> {
@@ -122,7 +133,7 @@
             began: now,
             askers: HashMap::new(),
             set_aside: 0.0,
-            taken_off: HashMap::new(),
+            allowed_for: HashMap::new(),
         }
     }
 
@@ -164,6 +175,7 @@
         if let Some(left) = question.left_elsewhere {
             self.succeed(left);
         }
+        self.take_off_spent(from, question.spent_alone, now);
         let recent = self.recent(now);
         if let Some(asker) = self.askers.get_mut(&from) {
             asker.by_all = asker.by_all.max(recent);
@@ -198,12 +210,15 @@
     }
 
     fn heard(&mut self, from: G, question: &Question, now: Duration) {
+        let before = self.askers.get(&from);
+        let first_share = before.map_or(question.share, |before| before.first_share);
         let asker = Asker {
             heard_at: now,
             held: question.held,
             held_until: now + CREDIT_LIFE,
             recent: question.recent,
             by_all: question.by_all,
+            first_share,
         };
         self.askers.insert(from, asker);
         self.askers
@@ -225,34 +240,86 @@
         now: Duration,
     ) {
         self.refill(tolerance, now);
-        let mut share = 0.0;
+        let unknown = self.share_of_unknown(silent, gateways);
+        let mut set_aside = 0.0;
         for gateway in silent {
             let asker = self.askers.get(gateway);
-            let (here, by_all) = asker.map_or((0, 0), |asker| (asker.recent, asker.by_all));
-            let own = share_of(here, by_all, gateways);
-            share += own;
-            // After a start of all gateways those that are silent have saved nothing before it.
-            let come = (now - self.began).as_secs_f64() * self.limit.per_second * own;
-            let saved = come.min(saved_at_most(self.limit, own));
-            let before = self.taken_off.get(gateway).copied().unwrap_or_default();
-            let is_same_time = now < before.at + SAVED_AGAIN_AFTER;
-            let taken = if is_same_time { before.requests } else { 0.0 };
-            if saved > taken {
-                self.level -= saved - taken;
-                let taken_off = TakenOff {
-                    requests: saved,
-                    at: now,
-                };
-                self.taken_off.insert(*gateway, taken_off);
-            }
+            let own = asker.map_or(unknown, |asker| {
+                share_of(asker.recent, asker.by_all, gateways)
+            });
+            set_aside += own;
+            self.take_off_saved(*gateway, own, now);
+        }
+        for (gateway, allowed) in &mut self.allowed_for {
+            allowed.is_set_aside = silent.contains(gateway);
+        }
+        self.set_aside = set_aside.min(1.0);
+    }
+
+    /// The share of each silent gateway that never asked here: together they may have all that those which
+    /// did had not when they came.
+    fn share_of_unknown(&self, silent: &[G], gateways: usize) -> f64 {
+        let unknown = silent.iter();
+        let unknown = unknown.filter(|gateway| !self.askers.contains_key(gateway));
+        let unknown = unknown.count();
+        let by_all = self.askers.values().map(|asker| asker.by_all).max();
+        let idle = share_of(0, by_all.unwrap_or(0), gateways);
+        let asked = self.askers.values();
+        let brought: f64 = asked.map(|asker| asker.first_share.unwrap_or(idle)).sum();
+        let never_asked = gateways.saturating_sub(unknown + self.askers.len());
+        let left = 1.0 - brought - idle * never_asked as f64;
+        (left / unknown.max(1) as f64).max(share_of(0, 0, gateways))
+    }
+
+    /// Takes off what a gateway may have saved up of its share since that was last allowed for.
+    fn take_off_saved(&mut self, gateway: G, share: f64, now: Duration) {
+        let allowed = self.allowed_for.get(&gateway);
+        if allowed.is_none_or(|allowed| !allowed.is_set_aside) {
+            self.level -= self.come_since_allowed_for(gateway, share, now);
         }
-        self.set_aside = share.min(1.0);
+        self.allow_for(gateway, true, now);
+    }
+
+    /// Takes off what a gateway spent of its share, unless that was set aside for it.
+    fn take_off_spent(&mut self, gateway: G, spent: u32, now: Duration) {
+        let allowed = self.allowed_for.get(&gateway);
+        let is_set_aside = allowed.is_some_and(|allowed| allowed.is_set_aside);
+        if spent > 0 && !is_set_aside {
+            let come = self.come_since_allowed_for(gateway, 1.0, now);
+            self.level -= f64::from(spent).min(come);
+            self.allow_for(gateway, false, now);
+        }
+    }
+
+    /// Most that a gateway with a share may have saved up since that was last allowed for. After a start of
+    /// all gateways it has saved nothing before it.
+    fn come_since_allowed_for(&self, gateway: G, share: f64, now: Duration) -> f64 {
+        let allowed = self.allowed_for.get(&gateway);
+        let since = allowed.map_or(self.began, |allowed| allowed.until);
+        let come = now.saturating_sub(since).as_secs_f64() * self.limit.per_second * share;
+        come.min(saved_at_most(self.limit, share))
+    }
+
+    fn allow_for(&mut self, gateway: G, is_set_aside: bool, now: Duration) {
+        let allowed = AllowedFor {
+            until: now,
+            is_set_aside,
+        };
+        self.allowed_for.insert(gateway, allowed);
     }
 
     /// Nothing is to be set aside any more.
     pub fn set_nothing_aside(&mut self, tolerance: &Tolerance, now: Duration) {
         self.refill(tolerance, now);
         self.set_aside = 0.0;
+        for allowed in self
+            .allowed_for
+            .values_mut()
+            .filter(|allowed| allowed.is_set_aside)
+        {
+            allowed.until = now;
+            allowed.is_set_aside = false;
+        }
     }
 
     /// Credits that a gateway gets ahead of need.
--- a/crates/swiftshunt-scheduler/src/rates/mod.rs
+++ b/crates/swiftshunt-scheduler/src/rates/mod.rs
@@ -12,7 +12,11 @@
 //!   loss no more can have been let in than the capacity and the rate allow;
 //! - a gateway that no counter answers lets in its own share of the rate and no more ([`share_of`]); shares
 //!   of all gateways make one. A counter near the limit finds out which gateways are silent and sets their
-//!   shares aside.
+//!   shares aside, with what they may have saved up while nothing was set aside;
+//! - a counter that takes over does not know the shares of those that it never heard: together they have what
+//!   is missing to one in the shares that the others bring;
+//! - a gateway that comes back says what it let in alone: a counter that set nothing aside for it takes that
+//!   off.
 
 pub mod account;
 pub mod bucket;
--- a/crates/swiftshunt-scheduler/tests/rates.rs
+++ b/crates/swiftshunt-scheduler/tests/rates.rs
@@ -251,3 +251,78 @@
     assert_eq!(usage.total(at(12_100)), 5);
     assert_eq!(usage.total(at(60_000)), 0);
 }
+
+/// A bucket of a counter that takes over, which begins with nothing.
+fn empty_bucket() -> Bucket<u32> {
+    Bucket::new(LIMIT, 1, 0.0, START)
+}
+
+fn given_within(bucket: &mut Bucket<u32>, from: u64, until: u64) -> u32 {
+    (from / 100..until / 100)
+        .map(|step| credits(bucket.ask(1, needs(5), &TOLERANCE, at(step * 100))))
+        .sum()
+}
+
+#[test]
+fn what_a_gateway_let_in_alone_is_not_given_once_more_by_a_counter_that_was_full() {
+    let mut bucket = full_bucket();
+    bucket.ask(1, needs(0), &TOLERANCE, at(6_000));
+    let back = Question {
+        spent_alone: 12,
+        ..needs(0)
+    };
+    // The answer to the first question is lost.
+    bucket.ask(2, back, &TOLERANCE, at(6_000));
+    bucket.ask(2, back, &TOLERANCE, at(6_020));
+    let given = credits(bucket.ask(1, needs(40), &TOLERANCE, at(6_020)));
+    let capacity = TOLERANCE.capacity(LIMIT) as u32;
+    assert!((capacity - 13..=capacity - 12).contains(&given), "{given}");
+}
+
+#[test]
+fn a_counter_that_takes_over_leaves_silent_gateways_the_share_that_nobody_else_has() {
+    let mut bucket = empty_bucket();
+    for gateway in 0..4 {
+        let question = Question {
+            share: Some(0.1),
+            ..needs(1)
+        };
+        bucket.ask(gateway, question, &TOLERANCE, START);
+    }
+    bucket.set_aside(&[4], 5, &TOLERANCE, START);
+    let given = given_within(&mut bucket, 0, 10_000);
+    // Four tenths of the rate: the gateway that never asked here may have the rest.
+    assert!((30..=41).contains(&given), "{given}");
+}
+
+#[test]
+fn what_a_silent_gateway_saved_while_nothing_was_set_aside_is_taken_off_again() {
+    let mut bucket = full_bucket();
+    for gateway in 0..2 {
+        let question = Question {
+            recent: 25,
+            by_all: 50,
+            ..needs(11)
+        };
+        bucket.ask(gateway, question, &TOLERANCE, at(6_000));
+    }
+    bucket.set_aside(&[0], 2, &TOLERANCE, at(6_000));
+    bucket.set_nothing_aside(&TOLERANCE, at(6_100));
+    let near_limit = bucket.ask(1, needs(20), &TOLERANCE, at(9_000));
+    assert!(credits(near_limit) >= 15, "{near_limit:?}");
+    bucket.set_aside(&[0], 2, &TOLERANCE, at(9_000));
+    // Half of the burst is what the other one may have saved again.
+    assert_eq!(given_within(&mut bucket, 9_000, 10_000), 0);
+}
+
+#[test]
+fn alone_a_gateway_has_saved_nothing_of_what_the_counter_has_not() {
+    let mut account = Account::default();
+    assert!(!account.admit_alone(LIMIT, 1, START));
+    let refused = Verdict::Exhausted {
+        again_after: Duration::from_millis(50),
+        recent: 0,
+    };
+    account.answered(refused, COUNTER, 1, at(5_000), at(5_000));
+    assert!(!account.admit_alone(LIMIT, 1, at(5_000)));
+}
--- a/crates/swiftshunt-scheduler/tests/rates_simulation.rs
+++ b/crates/swiftshunt-scheduler/tests/rates_simulation.rs
@@ -27,6 +27,8 @@
 /// Share of questions that are lost with their answers.
 const LOST: f64 = 0.01;
 const SEEDS: u64 = 1_000;
+/// Seeds of days with several troubles.
+const SEVERAL_SEEDS: u64 = 300;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Health {
@@ -326,13 +328,26 @@
 }
 
 /// Seeds beyond those that are played one after the other in which the bound was passed once.
-const PASSED_ONCE: [u64; 8] = [1_069, 1_839, 1_908, 2_190, 2_277, 2_357, 2_603, 2_998];
+const PASSED_ONCE: [u64; 15] = [
+    1_048, 1_069, 1_762, 1_839, 1_908, 2_190, 2_277, 2_357, 2_603, 2_998, 4_280, 6_235, 7_476,
+    7_597, 7_702,
+];
+/// The same, by the number of troubles in a day.
+const PASSED_ONCE_BY_TROUBLES: [(usize, &[u64]); 2] = [
+    (
+        2,
+        &[
+            87, 110, 311, 433, 877, 1_374, 2_508, 2_705, 3_218, 3_236, 3_283, 3_629, 3_784,
+        ],
+    ),
+    (3, &[459, 738, 1_069, 1_839, 1_937, 2_550, 2_754, 2_857]),
+];
 
-fn keeps_the_bound(seed: u64) {
-    let outcome = play(seed, true, 1);
+fn keeps_the_bound(seed: u64, troubles: usize) {
+    let outcome = play(seed, true, troubles);
     assert!(
         outcome.most as f64 <= outcome.bound,
-        "seed {seed}: {} in a window, {} may be",
+        "seed {seed}, {troubles} troubles: {} in a window, {} may be",
         outcome.most,
         outcome.bound
     );
@@ -342,13 +357,17 @@
 /// part, losses, machines that stand still.
 #[test]
 fn never_more_than_the_bound_whatever_happens() {
-    (0..SEEDS).chain(PASSED_ONCE).for_each(keeps_the_bound);
+    let seeds = (0..SEEDS).chain(PASSED_ONCE);
+    seeds.for_each(|seed| keeps_the_bound(seed, 1));
 }
 
-/// By 1 in 416 and 32 in 1,366 these seeds pass it.
+/// Troubles that come one after the other, or overlap.
 #[test]
-fn never_more_than_the_bound_in_two_seeds_that_pass_it_by_a_little() {
-    [1_048, 1_762].into_iter().for_each(keeps_the_bound);
+fn never_more_than_the_bound_when_troubles_overlap() {
+    for (troubles, passed_once) in PASSED_ONCE_BY_TROUBLES {
+        let seeds = (0..SEVERAL_SEEDS).chain(passed_once.iter().copied());
+        seeds.for_each(|seed| keeps_the_bound(seed, troubles));
+    }
 }
 
 /// Without troubles a tenant that keeps its limit is hardly ever refused, though its load comes in steps.
