Lab: ports of gateways belong to one test program while it runs

A program now takes blocks of fifty by a lock on a file, which the system frees when the program ends however it ends.

--- a/crates/swiftshunt-lab/src/platform/fleet/start.rs
+++ b/crates/swiftshunt-lab/src/platform/fleet/start.rs
@@ -1,11 +1,14 @@
 //! Gateway processes of a fleet: their addresses, their settings files, their start.
 
-use std::collections::BTreeSet;
+use std::fs::{File, TryLockError};
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::path::Path;
 use std::sync::Mutex;
 use std::time::Duration;
 
+use rand::seq::SliceRandom;
+
 use super::PORT_TRIES;
 use crate::harness::{HarnessError, Process};
 use crate::platform::places::Places;
@@ -65,22 +68,67 @@
 }
 
 /// Ports that the system gives to nobody by itself.
-const FIXED_PORTS: std::ops::Range<u16> = 20_000..30_000;
+const FIXED_PORTS: Range<u16> = 20_000..30_000;
+
+/// Ports of a block.
+const BLOCK: u16 = 50;
+/// Directory, beside other temporary files, of a file for each block: who holds its lock has the block's ports, also
+/// for gateways that do not listen yet, or are to start again.
+const PORT_LOCKS: &str = "swiftshunt-lab-ports";
+
+/// The ports of this process, among other test programs that run beside it.
+struct OwnPorts {
+    /// Those of the newest block that were not given to a gateway yet.
+    left: Range<u16>,
+    locks: Vec<File>,
+}
+
+static OWN_PORTS: Mutex<OwnPorts> = Mutex::new(OwnPorts {
+    left: 0..0,
+    locks: Vec::new(),
+});
+
+impl OwnPorts {
+    fn next(&mut self) -> std::io::Result<u16> {
+        loop {
+            if let Some(port) = self.left.next() {
+                return Ok(port);
+            }
+            self.take_block()?;
+        }
+    }
 
-/// Ports that were given to gateways of this process.
-static GIVEN_PORTS: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+    /// Takes a block that no other process has, until this process ends.
+    fn take_block(&mut self) -> std::io::Result<()> {
+        let directory = std::env::temp_dir().join(PORT_LOCKS);
+        std::fs::create_dir_all(&directory)?;
+        let mut firsts: Vec<u16> = FIXED_PORTS.step_by(BLOCK.into()).collect();
+        firsts.shuffle(&mut rand::rng());
+        for first in firsts {
+            let file = File::create(directory.join(first.to_string()))?;
+            match file.try_lock() {
+                Ok(()) => {
+                    self.left = first..first + BLOCK;
+                    self.locks.push(file);
+                    return Ok(());
+                }
+                Err(TryLockError::WouldBlock) => {}
+                Err(TryLockError::Error(error)) => return Err(error),
+            }
+        }
+        Err(std::io::Error::from(std::io::ErrorKind::AddrInUse))
+    }
+}
 
-/// An address that nobody listens at.
+/// An address that nobody listens at, and that no other test program takes.
 fn free_address() -> std::io::Result<SocketAddr> {
     let mut last = std::io::Error::from(std::io::ErrorKind::AddrInUse);
     for _ in 0..PORT_TRIES {
-        let port = rand::random_range(FIXED_PORTS);
+        let port = lock(&OWN_PORTS).next()?;
         let address = SocketAddr::from(([127, 0, 0, 1], port));
         let stream = std::net::TcpListener::bind(address);
         match stream.and_then(|_| std::net::UdpSocket::bind(address)) {
-            // Another fleet of this process may hold it for a gateway that does not listen yet.
-            Ok(_) if lock(&GIVEN_PORTS).insert(port) => return Ok(address),
-            Ok(_) => {}
+            Ok(_) => return Ok(address),
             Err(error) => last = error,
         }
     }
