A planned stop of the gateway that counts a limit keeps nobody waiting for room

Cause: whoever takes over has to wait for what its predecessor may still do: 2.5 s for which that may go on counting, 3 s in which a job that it admitted is recorded. A gateway that stops by plan knows better, and said nothing.

Change: a counter that stops admits nothing more, waits until each job that it admitted is told to be recorded or has had its 3 s, and writes a version of the register that says so, if it knows what stands and nothing is in the hands of others. Who takes over from that register counts as soon as the holders have reported as of then. It cannot be said within a second: as a loss, as before. Registers of earlier builds have neither field, and they pass over them.

--- a/crates/swiftshunt-gateway/src/batch/mod.rs
+++ b/crates/swiftshunt-gateway/src/batch/mod.rs
@@ -131,10 +131,14 @@
     }
 
     /// Stops running items here and hands the partitions over: first word of how far the items
-    /// came, then the leases.
+    /// came, then the leases. Meanwhile others take over the limits that this gateway counts.
     pub(crate) async fn stop(&self) {
         self.stops.cancel();
         self.running.stop_all();
+        tokio::join!(self.hand_partitions_over(), self.waiting_limits.stop());
+    }
+
+    async fn hand_partitions_over(&self) {
         let written = async {
             while !self.running.is_empty() || !self.results.is_handed_over() {
                 tokio::time::sleep(HAND_OVER_POLL).await;
--- a/crates/swiftshunt-gateway/src/waiting_limits/asking.rs
+++ b/crates/swiftshunt-gateway/src/waiting_limits/asking.rs
@@ -114,6 +114,11 @@
             self.take_over(allowance, job.limit, None).await?;
             return Ok(None);
         };
+        if register.is_stopped {
+            let version = Some(register.version);
+            self.take_over(allowance, job.limit, version).await?;
+            return Ok(None);
+        }
         if register.counter == self.own_life {
             return self.ask_itself(job).await.map(Some);
         }
@@ -182,6 +187,9 @@
         limit: u64,
         version: Option<u64>,
     ) -> Result<(), LogError> {
+        if self.is_stopping() {
+            return Ok(());
+        }
         let read = self.registers.read(allowance).await?;
         if read.register.as_ref().map(|register| register.version) != version {
             self.learn(allowance, read, limit);
@@ -227,6 +235,7 @@
         }
         let now = self.clock.now();
         match counters.get_mut(allowance) {
+            None if self.is_stopping() => {}
             Some(counter) => counter.verified(register, reading.read_at, now),
             None => {
                 let counter =
--- a/crates/swiftshunt-gateway/src/waiting_limits/counting.rs
+++ b/crates/swiftshunt-gateway/src/waiting_limits/counting.rs
@@ -109,9 +109,9 @@
     }
 
     /// Whether this gateway counts for a limit, as far as it has read.
-    fn is_counter(&self, allowance: &Allowance) -> bool {
+    pub(super) fn is_counter(&self, allowance: &Allowance) -> bool {
         let register = self.registers.known(allowance);
-        register.is_some_and(|register| register.counter == self.own_life)
+        register.is_some_and(|register| register.counter == self.own_life && !register.is_stopped)
     }
 
     fn tell_decision(
--- a/crates/swiftshunt-gateway/src/waiting_limits/mod.rs
+++ b/crates/swiftshunt-gateway/src/waiting_limits/mod.rs
@@ -3,15 +3,17 @@
 //! For each limit one gateway counts what stands. Which one, and how much of the limit is in whose hands, stands
 //! in the log ([`registers`]). A gateway that takes a job asks the one that counts ([`asking`]), and takes over
 //! from it where it does not answer; holders of the journal's partitions tell the one that counts what stands
-//! ([`counting`]).
+//! ([`counting`]). A gateway that stops by plan says so in the log, and the next one need not wait for what it may
+//! still do ([`stopping`]).
 
 mod asking;
 mod counting;
 mod registers;
+mod stopping;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, Mutex};
 
 use swiftshunt_journal::Log;
@@ -78,6 +80,8 @@
     last_ask: AtomicU64,
     calls: mpsc::Sender<Call>,
     calls_to_answer: Mutex<Option<mpsc::Receiver<Call>>>,
+    /// Whether this gateway stops: it begins to count for no limit.
+    is_stopping: AtomicBool,
 }
 
 impl WaitingLimits {
@@ -107,6 +111,7 @@
             last_ask: AtomicU64::new(0),
             calls,
             calls_to_answer: Mutex::new(Some(calls_to_answer)),
+            is_stopping: AtomicBool::new(false),
         }
     }
 
--- a/crates/swiftshunt-scheduler/src/waiting_tokens/counter.rs
+++ b/crates/swiftshunt-scheduler/src/waiting_tokens/counter.rs
@@ -82,6 +82,8 @@
     asked_at: Duration,
     /// Tokens for which there must be room so that the last job that found none fits; 0 if there is none.
     needed: u64,
+    /// Whether it admits nothing more, since its process stops.
+    is_stopping: bool,
 }
 
 impl Counter {
@@ -94,7 +96,7 @@
         now: Duration,
         partitions: u32,
     ) -> Self {
-        let settles_from = if register.term == FIRST_TERM {
+        let settles_from = if register.term == FIRST_TERM || register.follows_stopped {
             now
         } else {
             surely_shown_from(now)
@@ -112,9 +114,27 @@
             limit,
             asked_at: now,
             needed: 0,
+            is_stopping: false,
         }
     }
 
+    /// Admits nothing more, so that another gateway can take over without waiting for what this one may do.
+    pub fn stop(&mut self) {
+        self.is_stopping = true;
+    }
+
+    /// The register that says that it has stopped; none as long as what it admitted may still be recorded, or
+    /// something may be in the hands of others.
+    pub fn stopped(&self, now: Duration) -> Option<Register> {
+        let is_resolved = self.is_stopping && self.holdings.are_resolved(now);
+        (is_resolved && self.has_all_room()).then(|| self.register.stopped())
+    }
+
+    /// Whether it knows what stands, and no room is in the hands of others.
+    pub fn has_all_room(&self) -> bool {
+        self.is_settled() && self.register.shares() == 0
+    }
+
     /// The register that it counts by.
     pub fn register(&self) -> &Register {
         &self.register
@@ -206,6 +226,9 @@
             self.needed_from = now;
         }
         self.asked_at = now;
+        if self.is_stopping {
+            return Decision::Unverified;
+        }
         if now >= self.verified_at + VERIFIED_FOR {
             let since = *self.unverified_since.get_or_insert(now);
             return if now < since + UNREAD_FOR {
@@ -260,7 +283,7 @@
 
     /// A change of the register that is due.
     pub fn wanted(&mut self) -> Option<Change> {
-        if !self.is_shown || self.limit == 0 {
+        if !self.is_shown || self.limit == 0 || self.is_stopping {
             return None;
         }
         let most = self.holdings.most();
--- a/crates/swiftshunt-scheduler/src/waiting_tokens/holdings.rs
+++ b/crates/swiftshunt-scheduler/src/waiting_tokens/holdings.rs
@@ -6,7 +6,7 @@
 
 use swiftshunt_types::total_tokens;
 
-use super::UNRESOLVED_FOR;
+use super::{GRANT_LIFETIME, UNRESOLVED_FOR};
 
 /// What stands in a partition, as its holder has read it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -103,6 +103,13 @@
         self.grants.remove(job).map_or(0, |grant| grant.tokens)
     }
 
+    /// Whether of every admitted job it is known that its record stands, or its caller was not told that it was
+    /// taken.
+    pub fn are_resolved(&self, now: Duration) -> bool {
+        let mut grants = self.grants.values();
+        grants.all(|grant| grant.recorded_at.is_some() || now >= grant.at + GRANT_LIFETIME)
+    }
+
     /// Tokens that stand as reported.
     pub fn reported(&self) -> u64 {
         total_tokens(self.reported.values().map(|holding| holding.tokens))
--- a/crates/swiftshunt-scheduler/src/waiting_tokens/register.rs
+++ b/crates/swiftshunt-scheduler/src/waiting_tokens/register.rs
@@ -32,6 +32,17 @@
     pub share: u64,
     /// Shares of gateways that counted before, of which it is not known what became.
     pub earlier_shares: u64,
+    /// Whether the gateway that counts has stopped by plan: it admits nothing more, and what it admitted is
+    /// recorded. Another one is to take over.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_stopped: bool,
+    /// Whether it took over from one that had stopped by plan, and nothing was in the hands of others.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub follows_stopped: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 impl Register {
@@ -46,6 +57,8 @@
             counted,
             share: (limit - counted) / USUAL_PART,
             earlier_shares: 0,
+            is_stopped: false,
+            follows_stopped: false,
         }
     }
 
@@ -77,6 +90,17 @@
             counter: counter.to_owned(),
             share,
             earlier_shares: self.shares(),
+            is_stopped: false,
+            follows_stopped: self.is_stopped && self.shares() == 0,
+            ..self.clone()
+        }
+    }
+
+    /// The register after the gateway that counts has stopped by plan.
+    pub fn stopped(&self) -> Self {
+        Self {
+            version: self.version + 1,
+            is_stopped: true,
             ..self.clone()
         }
     }
@@ -91,6 +115,7 @@
             counted: if needed <= usual { usual } else { limit },
             share: 0,
             earlier_shares: 0,
+            follows_stopped: false,
             ..self.clone()
         }
     }
--- a/crates/swiftshunt-scheduler/tests/waiting_tokens.rs
+++ b/crates/swiftshunt-scheduler/tests/waiting_tokens.rs
@@ -232,3 +232,45 @@
     };
     assert_eq!(counter.decide(&request, NOW), Decision::Full);
 }
+
+#[test]
+fn a_counter_that_stops_says_so_only_once_what_it_admitted_is_recorded() {
+    let mut counter = settled();
+    ask(&mut counter, "told", 300, NOW);
+    ask(&mut counter, "untold", 300, NOW);
+    counter.stop();
+    assert_eq!(ask(&mut counter, "late", 1, NOW), Decision::Unverified);
+    assert_eq!(counter.stopped(NOW), None);
+    counter.recorded("told", NOW);
+    let lifetime_over = NOW + GRANT_LIFETIME;
+    assert_eq!(
+        counter.stopped(lifetime_over - Duration::from_millis(1)),
+        None
+    );
+    let stopped = counter.stopped(lifetime_over).expect("a register");
+    assert!(stopped.is_stopped && stopped.version == counter.register().version + 1);
+}
+
+#[test]
+fn a_counter_that_does_not_know_what_stands_cannot_say_that_it_stopped() {
+    let register = settled().register().taken_over(OTHER, LIMIT);
+    let mut counter = Counter::begin(register, LIMIT, NOW, NOW, PARTITIONS);
+    counter.stop();
+    assert_eq!(counter.stopped(NOW + GRANT_LIFETIME), None);
+}
+
+#[test]
+fn who_takes_over_from_one_that_stopped_waits_for_reports_alone() {
+    let follower = settled().register().stopped().taken_over(OTHER, LIMIT);
+    let mut counter = Counter::begin(follower.clone(), LIMIT, NOW, NOW, PARTITIONS);
+    assert_eq!(
+        ask(&mut counter, "early", 100, NOW),
+        Decision::Settling(Duration::ZERO)
+    );
+    report_nothing(&mut counter, NOW);
+    assert!(matches!(make_change(&mut counter, NOW), Change::Settle(_)));
+    assert_eq!(ask(&mut counter, "early", 100, NOW), Decision::Admitted);
+    // The one after it knows of no stop.
+    let next = follower.taken_over(OWN, LIMIT);
+    assert!(!next.follows_stopped && !next.is_stopped);
+}
--- a/crates/swiftshunt-scheduler/tests/waiting_tokens_simulation.rs
+++ b/crates/swiftshunt-scheduler/tests/waiting_tokens_simulation.rs
@@ -1,4 +1,4 @@
-//! Gateways that count for one limit, seeded: kills of some or all, pauses, gateways that do not reach each other,
+//! Gateways that count for one limit, seeded: kills of some or all, planned stops, pauses, gateways that do not reach each other,
 //! records that land late, slow reports. At every moment the jobs whose callers were told that they were taken hold
 //! no more than the limit.
 
@@ -27,6 +27,8 @@
     /// The register that it has read last, and when that read began.
     read: Option<(Register, Duration)>,
     paused_until: Duration,
+    /// When a planned stop ends it, whatever it has reached.
+    stops_at: Option<Duration>,
 }
 
 /// A job that was admitted and is not recorded yet.
@@ -59,10 +61,17 @@
     jobs: u64,
     lives: u64,
     taken: u64,
+    /// Registers that were to say that a gateway had stopped by plan.
+    stops_seen: u64,
+    /// How likely a step begins a planned stop, and that nothing else befalls the gateways in it: troubles that
+    /// follow each other leave no gateway that knows what stands.
+    planned_stops: f64,
+    quiet_steps: f64,
 }
 
 impl Day {
     fn new(seed: u64) -> Self {
+        let has_planned_stops = seed.is_multiple_of(2);
         let mut day = Self {
             random: StdRng::seed_from_u64(seed),
             now: Duration::from_secs(1_000),
@@ -75,6 +84,9 @@
             jobs: 0,
             lives: 0,
             taken: 0,
+            stops_seen: 0,
+            planned_stops: if has_planned_stops { 0.01 } else { 0.0 },
+            quiet_steps: if has_planned_stops { 0.8 } else { 0.0 },
         };
         for _ in 0..GATEWAYS {
             let gateway = day.new_life();
@@ -90,6 +102,7 @@
             counter: None,
             read: None,
             paused_until: Duration::ZERO,
+            stops_at: None,
         }
     }
 
@@ -111,6 +124,10 @@
         let gateway = &mut self.gateways[gateway];
         gateway.read = Some((register.clone(), now));
         if register.counter == gateway.life {
+            if register.is_stopped {
+                gateway.counter = None;
+                return;
+            }
             match &mut gateway.counter {
                 Some(counter) => counter.verified(register, now, now),
                 None => {
@@ -131,6 +148,9 @@
     }
 
     fn take_over(&mut self, gateway: usize) {
+        if self.gateways[gateway].stops_at.is_some() {
+            return;
+        }
         self.read(gateway);
         let life = self.gateways[gateway].life.clone();
         let is_settled = self.gateways[gateway]
@@ -161,6 +181,10 @@
             self.take_over(gateway);
             return;
         };
+        if register.is_stopped {
+            self.take_over(gateway);
+            return;
+        }
         let counter = (0..GATEWAYS).find(|other| {
             let reached = self.is_awake(*other) && self.reach(gateway, *other);
             reached && self.gateways[*other].life == register.counter
@@ -300,12 +324,18 @@
                 }
                 continue;
             }
-            let Some(change) = counter.and_then(Counter::wanted) else {
+            let now = self.now;
+            let proposal = counter.and_then(|counter| {
+                let wanted = counter.wanted().map(|change| change.register().clone());
+                wanted.or_else(|| counter.stopped(now))
+            });
+            let Some(proposal) = proposal else {
                 continue;
             };
+            self.stops_seen += u64::from(proposal.is_stopped);
             // A proposal is lost at times, or its answer is.
             if self.random.random_bool(0.9) {
-                self.propose(change.register().clone());
+                self.propose(proposal);
             }
             if self.random.random_bool(0.9) {
                 self.read(gateway);
@@ -313,6 +343,31 @@
         }
     }
 
+    /// Planned stops begin, and end with a new life.
+    fn stop_by_plan(&mut self) {
+        for gateway in 0..GATEWAYS {
+            if self.is_awake(gateway)
+                && self.gateways[gateway]
+                    .stops_at
+                    .is_some_and(|at| self.now >= at)
+            {
+                self.gateways[gateway] = self.new_life();
+            }
+        }
+        if self.random.random_bool(self.planned_stops) {
+            let counts = self.register.as_ref().map(|register| &register.counter);
+            let counting = (0..GATEWAYS).find(|it| Some(&self.gateways[*it].life) == counts);
+            let any = self.random.random_range(0..GATEWAYS);
+            let gateway = counting.filter(|_| any % 2 == 0).unwrap_or(any);
+            let time = Duration::from_millis(self.random.random_range(50..2_000));
+            let gateway = &mut self.gateways[gateway];
+            gateway.stops_at.get_or_insert(self.now + time);
+            if let Some(counter) = &mut gateway.counter {
+                counter.stop();
+            }
+        }
+    }
+
     fn trouble(&mut self) {
         if self.random.random_bool(0.01) {
             let gateway = self.random.random_range(0..GATEWAYS);
@@ -340,7 +395,10 @@
         let end = self.now + DAY;
         while self.now < end {
             self.now += STEP;
-            self.trouble();
+            if !self.random.random_bool(self.quiet_steps) {
+                self.trouble();
+            }
+            self.stop_by_plan();
             self.land();
             let stands: u64 = self.standing.values().map(|job| job.tokens).sum();
             assert!(stands <= LIMIT, "seed {seed}: {stands} at {:?}", self.now);
@@ -358,13 +416,15 @@
 
 #[test]
 fn no_more_stands_than_the_limit_whoever_dies_sleeps_or_comes_back() {
-    let mut taken = 0;
+    let (mut taken, mut stops_seen) = (0, 0);
     for seed in 0..SEEDS {
         let mut day = Day::new(seed);
         day.play(seed);
         taken += day.taken;
+        stops_seen += day.stops_seen;
     }
     // A day whose load never comes near the limit proves nothing.
     assert!(taken / SEEDS > 20, "{taken} jobs taken in all");
-    println!("{} jobs a day", taken / SEEDS);
+    assert!(stops_seen > SEEDS / 2, "{stops_seen} planned stops");
+    println!("{} jobs a day, {stops_seen} planned stops", taken / SEEDS);
 }
--- a/crates/swiftshunt/tests/gateway_limits.rs
+++ b/crates/swiftshunt/tests/gateway_limits.rs
@@ -228,3 +228,34 @@
     let taken = taken.iter().filter(|taken| **taken).count();
     assert!(taken < JOBS, "{taken} more jobs than one are taken");
 }
+
+/// Far less than a gateway waits that takes over from one that may still be counting.
+const HANDED_OVER_WITHIN: Duration = Duration::from_secs(2);
+
+/// Three of four jobs wait: no gateway has room before it knows that.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_of_the_gateway_that_counts_keeps_nobody_waiting_for_room() {
+    let mut fleet = limited_fleet().await;
+    for job in 0..JOBS - 1 {
+        let counting = fleet.gateways[0].callers;
+        submit(&fleet, counting, &format!("job-{job}"), ITEMS).await;
+    }
+    tokio::time::sleep(SETTLED).await;
+    fleet.gateways[0].process.terminate();
+    while fleet.gateways[0].process.is_running() {
+        tokio::time::sleep(NEXT_TRY).await;
+    }
+    let stopped_at = Instant::now();
+    let shared = &fleet;
+    eventually("the last job is taken", || async move {
+        status_of(shared, 1, "last").await == StatusCode::ACCEPTED
+    })
+    .await;
+    let took = stopped_at.elapsed();
+    println!("room was given {took:?} after the stop");
+    assert!(took < HANDED_OVER_WITHIN, "{took:?}");
+    for gateway in 1..3 {
+        let status = status_of(&fleet, gateway, "beyond").await;
+        assert_ne!(status, StatusCode::ACCEPTED, "{gateway}");
+    }
+}
