--- a/crates/swiftshunt-scheduler/tests/quarantine.rs
+++ b/crates/swiftshunt-scheduler/tests/quarantine.rs
@@ -404,3 +404,13 @@
     assert!(signs.read(accused(), &[worker]).is_empty(), "and anew");
     assert!(signs.read(accused(), &[worker]).is_empty());
 }
+
+/// A way that takes connections for a worker that has ended lets each send break off there.
+#[test]
+fn sends_to_a_life_that_has_ended_already_are_one_end_once_it_is_proved() {
+    let mut quarantine = Quarantine::default();
+    let ends = [suspected(1, 100), suspected(1, 600), suspected(1, 1_100)];
+    learn(&mut quarantine, "request", ends);
+    quarantine.prove(WorkerKey(1), UNIX_MS + 3_000, NOW);
+    assert!(!is_held(&quarantine, "request"));
+}
