Gateways for which shares are set aside are one set, not a flag on each

`Bucket` kept, for each gateway, until when what it lets in alone is allowed for and whether its share is set aside now. The flag of every gateway that was ever silent was set again by a search of the silent ones at each question near the limit: with half of 350 cut off some 30,000 comparisons a question.

The silent gateways are a set now, and the moments a map: three functions and a type are one insertion each.

--- a/crates/swiftshunt-scheduler/src/rates/bucket.rs
+++ b/crates/swiftshunt-scheduler/src/rates/bucket.rs
@@ -1,6 +1,6 @@
 //! The counter's side: a token bucket that hands out credits to gateways.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::hash::Hash;
 use std::time::Duration;
 
@@ -99,14 +99,6 @@
     first_share: Option<f64>,
 }
 
-/// Until when what a gateway lets in alone is allowed for.
-#[derive(Clone, Copy, Debug)]
-struct AllowedFor {
-    until: Duration,
-    /// Whether its share is set aside now.
-    is_set_aside: bool,
-}
-
 /// What is left of a tenant's limit.
 #[derive(Debug)]
 pub struct Bucket<G> {
@@ -118,8 +110,10 @@
     askers: HashMap<G, Asker>,
     /// Share of the rate that is set aside for gateways that are silent.
     set_aside: f64,
-    /// For which gateways their share was set aside, or what they spent of it taken off.
-    allowed_for: HashMap<G, AllowedFor>,
+    /// The gateways whose shares these are.
+    set_aside_for: HashSet<G>,
+    /// Until when what a gateway lets in alone was set aside or taken off.
+    allowed_until: HashMap<G, Duration>,
 }
 
 impl<G: Copy + Eq + Hash> Bucket<G> {
@@ -133,7 +127,8 @@
             began: now,
             askers: HashMap::new(),
             set_aside: 0.0,
-            allowed_for: HashMap::new(),
+            set_aside_for: HashSet::new(),
+            allowed_until: HashMap::new(),
         }
     }
 
@@ -241,6 +236,8 @@
     ) {
         self.refill(tolerance, now);
         let unknown = self.share_of_unknown(silent, gateways);
+        let now_silent = silent.iter().copied().collect();
+        let before = std::mem::replace(&mut self.set_aside_for, now_silent);
         let mut set_aside = 0.0;
         for gateway in silent {
             let asker = self.askers.get(gateway);
@@ -248,10 +245,10 @@
                 share_of(asker.recent, asker.by_all, gateways)
             });
             set_aside += own;
-            self.take_off_saved(*gateway, own, now);
-        }
-        for (gateway, allowed) in &mut self.allowed_for {
-            allowed.is_set_aside = silent.contains(gateway);
+            if !before.contains(gateway) {
+                self.level -= self.come_since_allowed_for(*gateway, own, now);
+            }
+            self.allowed_until.insert(*gateway, now);
         }
         self.set_aside = set_aside.min(1.0);
     }
@@ -271,54 +268,30 @@
         (left / unknown.max(1) as f64).max(share_of(0, 0, gateways))
     }
 
-    /// Takes off what a gateway may have saved up of its share since that was last allowed for.
-    fn take_off_saved(&mut self, gateway: G, share: f64, now: Duration) {
-        let allowed = self.allowed_for.get(&gateway);
-        if allowed.is_none_or(|allowed| !allowed.is_set_aside) {
-            self.level -= self.come_since_allowed_for(gateway, share, now);
-        }
-        self.allow_for(gateway, true, now);
-    }
-
     /// Takes off what a gateway spent of its share, unless that was set aside for it.
     fn take_off_spent(&mut self, gateway: G, spent: u32, now: Duration) {
-        let allowed = self.allowed_for.get(&gateway);
-        let is_set_aside = allowed.is_some_and(|allowed| allowed.is_set_aside);
-        if spent > 0 && !is_set_aside {
+        if spent > 0 && !self.set_aside_for.contains(&gateway) {
             let come = self.come_since_allowed_for(gateway, 1.0, now);
             self.level -= f64::from(spent).min(come);
-            self.allow_for(gateway, false, now);
+            self.allowed_until.insert(gateway, now);
         }
     }
 
     /// Most that a gateway with a share may have saved up since that was last allowed for. After a start of
     /// all gateways it has saved nothing before it.
     fn come_since_allowed_for(&self, gateway: G, share: f64, now: Duration) -> f64 {
-        let allowed = self.allowed_for.get(&gateway);
-        let since = allowed.map_or(self.began, |allowed| allowed.until);
+        let allowed_until = self.allowed_until.get(&gateway).copied();
+        let since = allowed_until.unwrap_or(self.began);
         let come = now.saturating_sub(since).as_secs_f64() * self.limit.per_second * share;
         come.min(saved_at_most(self.limit, share))
     }
 
-    fn allow_for(&mut self, gateway: G, is_set_aside: bool, now: Duration) {
-        let allowed = AllowedFor {
-            until: now,
-            is_set_aside,
-        };
-        self.allowed_for.insert(gateway, allowed);
-    }
-
     /// Nothing is to be set aside any more.
     pub fn set_nothing_aside(&mut self, tolerance: &Tolerance, now: Duration) {
         self.refill(tolerance, now);
         self.set_aside = 0.0;
-        for allowed in self
-            .allowed_for
-            .values_mut()
-            .filter(|allowed| allowed.is_set_aside)
-        {
-            allowed.until = now;
-            allowed.is_set_aside = false;
+        for gateway in self.set_aside_for.drain() {
+            self.allowed_until.insert(gateway, now);
         }
     }
 
