Node: log what is learnt of partitions' leaders, and failed calls to them

A failing play of the paused-leader test could not tell why the resumed node knew no leader for two seconds: nothing said when a node learns a leader hint, from whom, or what its own replica of the partition knew.

Now: one debug line for each hint that changes the table (partition, generation, term, sequence, leader, source), one for each leader that the replica sees in its group, and one info line for each call that no leader confirmed (attempts, deadline, the hint known then). No change of behaviour.

--- a/crates/swiftshunt-node/src/context.rs
+++ b/crates/swiftshunt-node/src/context.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, Mutex};
 
+use derive_more::Display;
 use rand::RngCore;
 use swiftshunt_backends::engine::{Engine, HttpEngine};
 use swiftshunt_backends::log_service::{HttpLogService, LogService};
@@ -71,13 +72,29 @@
     pub(crate) version: u64,
 }
 
+/// Where a node learnt of a leader hint.
+#[derive(Clone, Copy, Debug, Display)]
+pub(crate) enum HintSource {
+    /// This node started or stopped leading the partition.
+    #[display("own leadership")]
+    OwnLeadership,
+    /// A gossip message of another node.
+    #[display("gossip")]
+    Gossip,
+}
+
 impl Routes {
     /// Merges a hint, and disseminates it if it changes the table.
-    pub(crate) fn merge(&mut self, hint: LeaderHint, fleet_size: usize) {
-        if self.table.merge(hint) {
-            self.version += 1;
-            self.updates.announce(hint.partition, fleet_size);
+    pub(crate) fn merge(&mut self, hint: LeaderHint, source: HintSource, fleet_size: usize) {
+        if !self.table.merge(hint) {
+            return;
         }
+        self.version += 1;
+        self.updates.announce(hint.partition, fleet_size);
+        let leader = hint.leader.map(|leader| leader.node.to_string());
+        log::debug!(partition = hint.partition.0, generation = hint.generation, term = hint.term,
+            sequence = hint.sequence, leader:? = leader, source:% = source;
+            "a newer hint on the partition's leader");
     }
 }
 
--- a/crates/swiftshunt-node/src/fleet/gossip.rs
+++ b/crates/swiftshunt-node/src/fleet/gossip.rs
@@ -9,7 +9,7 @@
 use swiftshunt_membership::{Change, MemberState, ProbePlan};
 use swiftshunt_types::Monotonic;
 
-use crate::context::Context;
+use crate::context::{Context, HintSource};
 use crate::lifecycle::Stage;
 use crate::lock;
 use crate::peer::{Gossip, StateVersions};
@@ -203,7 +203,7 @@
     let fleet_size = lock(&context.membership).records().count();
     let mut routes = lock(&context.routes);
     for hint in hints {
-        routes.merge(hint, fleet_size);
+        routes.merge(hint, HintSource::Gossip, fleet_size);
     }
 }
 
--- a/crates/swiftshunt-node/src/ledger/client.rs
+++ b/crates/swiftshunt-node/src/ledger/client.rs
@@ -55,12 +55,25 @@
         attempt += 1;
         let exceeds_deadline = context.clock.now() + delay >= deadline;
         if exceeds_deadline || !may_find_leader(context, partition) {
+            log_failed_call(context, partition, attempt, exceeds_deadline);
             return Err(CallFailure { may_have_executed });
         }
         tokio::time::sleep(delay).await;
     }
 }
 
+/// Logs a failed call with what this node knows of the partition's leader.
+fn log_failed_call(
+    context: &Context,
+    partition: PartitionId,
+    attempts: u32,
+    exceeds_deadline: bool,
+) {
+    let known = lock(&context.routes).table.hint(partition).copied();
+    log::info!(partition = partition.0, attempts, exceeds_deadline, known_hint:? = known;
+        "no leader of the partition confirmed an operation");
+}
+
 /// Whether a leader can be found by waiting: a majority of the partition's zones is reachable, or a
 /// leader is known.
 fn may_find_leader(context: &Context, partition: PartitionId) -> bool {
--- a/crates/swiftshunt-node/src/ledger/driver.rs
+++ b/crates/swiftshunt-node/src/ledger/driver.rs
@@ -132,6 +132,7 @@
         self.tick_replica(now);
         self.apply_committed();
         self.update_leadership(now);
+        self.observe_group_leader();
         self.propose_member_change(now);
         self.write_archive(now);
         self.acknowledge(now);
@@ -326,6 +327,18 @@
         }
     }
 
+    /// Records a leader that the group has shown to this node's replica.
+    fn observe_group_leader(&mut self) {
+        let Some(replica) = self.replica.as_mut() else {
+            return;
+        };
+        if let Some(seen) = replica.take_new_leader() {
+            let leader = seen.node.to_string();
+            log::debug!(partition = self.partition.0, generation = replica.generation, term = seen.term,
+                leader = leader.as_str(); "the replica sees a leader of its group");
+        }
+    }
+
     fn propose_member_change(&mut self, now: Monotonic) {
         let Some(replica) = self.replica.as_mut() else {
             return;
--- a/crates/swiftshunt-node/src/ledger/hints.rs
+++ b/crates/swiftshunt-node/src/ledger/hints.rs
@@ -5,7 +5,7 @@
 use swiftshunt_ledger::routes::{LeaderAddress, LeaderHint};
 use swiftshunt_types::PartitionId;
 
-use crate::context::Context;
+use crate::context::{Context, HintSource};
 use crate::lock;
 
 /// Publishes the leader hints of one partition.
@@ -55,6 +55,6 @@
         };
         let fleet_size = lock(&context.membership).records().count();
         let mut routes = lock(&context.routes);
-        routes.merge(hint, fleet_size);
+        routes.merge(hint, HintSource::OwnLeadership, fleet_size);
     }
 }
--- a/crates/swiftshunt-node/src/ledger/replica.rs
+++ b/crates/swiftshunt-node/src/ledger/replica.rs
@@ -7,7 +7,7 @@
 use swiftshunt_ledger::LedgerConfig;
 use swiftshunt_ledger::archive::{ArchivePosition, Generation, Replay};
 use swiftshunt_ledger::raft::{
-    ArchiveMark, GroupConfiguration, LogPosition, Raft, RaftStart, Role,
+    ArchiveMark, GroupConfiguration, LogPosition, Raft, RaftStart, Role, Term,
 };
 use swiftshunt_ledger::state::LedgerState;
 use swiftshunt_types::{Monotonic, NodeId};
@@ -29,6 +29,15 @@
     pub(super) verified_at: Monotonic,
     /// Time at which this replica last had contact with a leader or held the lease itself.
     pub(super) last_group_contact: Monotonic,
+    /// The newest leader that the consensus group has shown to this replica.
+    seen_leader: Option<SeenLeader>,
+}
+
+/// A leader of the consensus group, as a replica sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct SeenLeader {
+    pub(super) term: Term,
+    pub(super) node: NodeId,
 }
 
 impl Replica {
@@ -91,9 +100,20 @@
             leadership: None,
             verified_at: now,
             last_group_contact: now,
+            seen_leader: None,
         }
     }
 
+    /// The group's leader, if it is another one than at the previous call.
+    pub(super) fn take_new_leader(&mut self) -> Option<SeenLeader> {
+        let node = self.raft.leader()?;
+        let term = self.raft.term();
+        let seen = SeenLeader { term, node };
+        let is_new = self.seen_leader != Some(seen);
+        self.seen_leader = Some(seen);
+        is_new.then_some(seen)
+    }
+
     /// Whether this replica may vote, follow and lead.
     ///
     /// After half the rebuild delay without contact with its group or confirmation from the archive,
