Node: `not_run` is said of a key only when the ledger confirms it

What callers saw: a resend of a submission that had been accepted, dispatched and settled as "may have run" was answered 503 `not_run`. Who believes that sends the request under another key, and books twice.

Cause: the ledger's client calls an operation on which no leader was found `Refused`, and every caller turned that into `not_run`. It knows only of this call, not of earlier requests under the same key. The same word stood wherever a node answers for a key without asking the ledger: a stopping or starting node, a tenant beyond its rate, a pool that is gone; and a job that was created but could not be read back at once was `not_run` as well.

Change: a failed call is `unknown`, except for a job whose identifier was generated for this request. Refusals before the ledger say `unknown` for whatever names a key or identifier.

Ruled out: to answer `not_run` for the first send only; a node cannot tell a first send from a later one.

--- a/crates/swiftshunt-node/src/api/auth.rs
+++ b/crates/swiftshunt-node/src/api/auth.rs
@@ -33,6 +33,19 @@
     })
 }
 
+/// Admits a tenant's request that names, by idempotency key or identifier, what an earlier request may have
+/// created, as [`admit`] does. A refusal because of the node's stage or the tenant's rate does not say that
+/// nothing ran, since the ledger was not asked.
+pub(super) fn admit_with_identifier(
+    context: &Arc<Context>,
+    call: &Call,
+) -> Result<Admitted, Failure> {
+    admit(context, call).map_err(|refusal| match refusal.kind {
+        ErrorKind::Unavailable | ErrorKind::RateLimited => refusal.with_unknown_execution(),
+        _ => refusal,
+    })
+}
+
 /// Counts a request as in progress; fails with `Unavailable` if the node is starting or draining.
 fn start_request(context: &Context) -> Result<InProgress, Failure> {
     // The request is counted before the stage is checked, so that a stop that begins in between waits
@@ -47,7 +60,7 @@
 }
 
 /// Returns the tenant whose token the call carries; `Unauthenticated` if there is none.
-fn tenant(context: &Context, call: &Call) -> Result<Tenant, Failure> {
+pub(super) fn tenant(context: &Context, call: &Call) -> Result<Tenant, Failure> {
     let digest = bearer_digest(call)?;
     let history = context.configuration.borrow();
     let mut tenants = history.configuration.tenants.iter();
--- a/crates/swiftshunt-node/src/api/batches.rs
+++ b/crates/swiftshunt-node/src/api/batches.rs
@@ -11,11 +11,13 @@
 };
 use swiftshunt_types::{ErrorKind, Failure, FileId, JobId, PartitionId, TenantName, partition_of};
 
-use super::auth::admit;
+use super::auth::{admit, admit_with_identifier};
 use super::files::own_file;
+use super::new_job_id::NewJobId;
+use super::submissions::{KEY_HEADER, idempotency_key};
 use crate::clock::unix_seconds;
-use crate::context::{Context, random_u64};
-use crate::ledger;
+use crate::context::Context;
+use crate::ledger::{self, CallFailure};
 use crate::peer::{LedgerAnswer, LedgerOperation, LedgerQuery};
 
 /// Endpoints that a job may name.
@@ -33,11 +35,17 @@
 
 /// Creates a job. Repeated requests of a tenant with one idempotency key create a single job.
 pub(super) async fn create(context: Arc<Context>, mut call: Call) -> Result<Reply, Failure> {
-    let admitted = admit(&context, &call)?;
+    let has_key = call.header(KEY_HEADER).is_some();
+    let admitted = if has_key {
+        admit_with_identifier(&context, &call)?
+    } else {
+        admit(&context, &call)?
+    };
     let tenant = admitted.tenant.name.clone();
-    let id = match call.header("idempotency-key") {
-        Some(_) => JobId::derive(&tenant, &super::submissions::idempotency_key(&call)?),
-        None => JobId(format!("batch_{:016x}{:016x}", random_u64(), random_u64())),
+    let id = if has_key {
+        NewJobId::Derived(JobId::derive(&tenant, &idempotency_key(&call)?))
+    } else {
+        NewJobId::generate()
     };
     let body: BatchBody = call.json(context.settings.limits.body_bytes).await?;
     if !ENDPOINTS.contains(&body.endpoint.as_str()) {
@@ -60,13 +68,15 @@
 /// Fails with `KeyReused` if the identifier belongs to a different job.
 pub(crate) async fn create_job(
     context: &Context,
-    id: JobId,
+    new_id: NewJobId,
     tenant: &TenantName,
     input: &FileId,
     endpoint: &str,
     window: Duration,
 ) -> Result<Job, Failure> {
-    let file = own_file(context, tenant, input).await?;
+    let id = new_id.id();
+    let file = own_file(context, tenant, input).await;
+    let file = file.map_err(|failure| new_id.refuse(failure))?;
     let created = unix_seconds();
     let request = NewJob {
         id: id.clone(),
@@ -79,18 +89,19 @@
         deadline: created + window.as_secs(),
         created,
     };
-    let outcome = propose(context, &id, Command::CreateJob(request)).await?;
+    let created = propose(context, id, Command::CreateJob(request)).await;
+    let outcome = created.map_err(|failed| new_id.to_failure(failed))?;
     if matches!(outcome, Outcome::Job(JobOutcome::KeyReused)) {
         let message = "the idempotency key was used for another job";
         let failure = Failure::not_run(ErrorKind::KeyReused, message);
         return Err(failure.with_param("Idempotency-Key"));
     }
-    find(context, &id).await
+    find(context, id).await
 }
 
 /// Answers with a job of the tenant.
 pub(super) async fn read(context: Arc<Context>, call: Call) -> Result<Reply, Failure> {
-    let admitted = admit(&context, &call)?;
+    let admitted = admit_with_identifier(&context, &call)?;
     let id = JobId(call.path_parameter("id")?);
     let job = find_own(&context, &admitted.tenant.name, &id).await?;
     Ok(Reply::json(&render(&job)))
@@ -111,7 +122,7 @@
 
 /// Cancels a job of the tenant.
 pub(super) async fn cancel(context: Arc<Context>, call: Call) -> Result<Reply, Failure> {
-    let admitted = admit(&context, &call)?;
+    let admitted = admit_with_identifier(&context, &call)?;
     let tenant = &admitted.tenant.name;
     let id = JobId(call.path_parameter("id")?);
     find_own(&context, tenant, &id).await?;
@@ -134,7 +145,8 @@
         job: id.clone(),
         by,
     };
-    match propose(context, id, command).await? {
+    let outcome = propose(context, id, command).await;
+    match outcome.map_err(ledger::to_failure)? {
         Outcome::Cancel(outcome) => Ok(outcome),
         _ => Ok(CancelOutcome::NotFound),
     }
@@ -145,10 +157,9 @@
     context: &Context,
     id: &JobId,
     command: Command,
-) -> Result<Outcome, Failure> {
+) -> Result<Outcome, CallFailure> {
     let deadline = context.clock.now() + context.settings.limits.leader_wait;
-    let outcome = ledger::propose(context, partition(context, id), command, deadline).await;
-    outcome.map_err(ledger::to_failure)
+    ledger::propose(context, partition(context, id), command, deadline).await
 }
 
 /// Reads a job from the leader of its partition, whichever tenant it belongs to; `NotFound` if there is
--- a/crates/swiftshunt-node/src/api/mod.rs
+++ b/crates/swiftshunt-node/src/api/mod.rs
@@ -6,6 +6,7 @@
 mod files;
 mod health;
 mod models;
+mod new_job_id;
 mod operator;
 mod submissions;
 
@@ -14,6 +15,7 @@
 use swiftshunt_http::{Router, endpoint};
 
 pub(crate) use batches::{cancel_job, create_job, propose as propose_on_job};
+pub(crate) use new_job_id::NewJobId;
 
 use crate::context::Context;
 
--- a/crates/swiftshunt-node/src/ledger/client.rs
+++ b/crates/swiftshunt-node/src/ledger/client.rs
@@ -17,6 +17,8 @@
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(1);
 /// `Retry-After` for callers while a partition has no leader.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Message of the failure that callers receive if no leader confirmed an operation.
+const NO_LEADER: &str = "the ledger has no leader for this key at the moment";
 
 /// An operation that no leader confirmed before its deadline.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,8 +57,9 @@
         attempt += 1;
         let exceeds_deadline = context.clock.now() + delay >= deadline;
         if exceeds_deadline || !may_find_leader(context, partition) {
-            log_failed_call(context, partition, attempt, exceeds_deadline);
-            return Err(CallFailure { may_have_executed });
+            let failed = CallFailure { may_have_executed };
+            log_failed_call(context, partition, failed, attempt, exceeds_deadline);
+            return Err(failed);
         }
         tokio::time::sleep(delay).await;
     }
@@ -66,11 +69,13 @@
 fn log_failed_call(
     context: &Context,
     partition: PartitionId,
+    failed: CallFailure,
     attempts: u32,
     exceeds_deadline: bool,
 ) {
     let known = lock(&context.routes).table.hint(partition).copied();
-    log::info!(partition = partition.0, attempts, exceeds_deadline, known_hint:? = known;
+    log::info!(partition = partition.0, attempts, exceeds_deadline, known_hint:? = known,
+        may_have_executed = failed.may_have_executed;
         "no leader of the partition confirmed an operation");
 }
 
@@ -143,13 +148,20 @@
     }
 }
 
-/// Converts a failed call to the failure that the caller receives.
-pub(crate) fn to_failure(failed: CallFailure) -> Failure {
-    let message = "the ledger has no leader for this key at the moment";
-    let failure = if failed.may_have_executed {
-        Failure::unknown(ErrorKind::Unavailable, message)
-    } else {
-        Failure::not_run(ErrorKind::Unavailable, message)
-    };
-    failure.with_retry_after(RETRY_AFTER)
+/// Converts a failed call to the failure that the caller receives, for an operation on an identifier
+/// that earlier requests may have named.
+///
+/// The failure never says that nothing ran: this node found no leader, so it knows nothing of what an
+/// earlier request under the same identifier did.
+pub(crate) fn to_failure(_failed: CallFailure) -> Failure {
+    Failure::unknown(ErrorKind::Unavailable, NO_LEADER).with_retry_after(RETRY_AFTER)
+}
+
+/// Converts a failed call to the failure that the caller receives, for an operation on an identifier
+/// that was generated for this request, so that no earlier request can have named it.
+pub(crate) fn to_failure_of_new(failed: CallFailure) -> Failure {
+    if failed.may_have_executed {
+        return to_failure(failed);
+    }
+    Failure::not_run(ErrorKind::Unavailable, NO_LEADER).with_retry_after(RETRY_AFTER)
 }
--- a/crates/swiftshunt-node/src/ledger/mod.rs
+++ b/crates/swiftshunt-node/src/ledger/mod.rs
@@ -21,7 +21,7 @@
 use swiftshunt_types::PartitionId;
 use tokio::sync::{mpsc, oneshot};
 
-pub(crate) use client::{call, propose, to_failure};
+pub(crate) use client::{CallFailure, call, propose, to_failure, to_failure_of_new};
 pub(crate) use leadership::LeaseClock;
 pub(crate) use supervisor::supervise;
 
--- a/crates/swiftshunt-node/src/operator/commands.rs
+++ b/crates/swiftshunt-node/src/operator/commands.rs
@@ -9,9 +9,10 @@
 use swiftshunt_types::{ErrorKind, Failure, FileId, JobId, TenantName, WorkerId};
 
 use super::declarations;
-use crate::api::{cancel_job, create_job, propose_on_job};
+use crate::api::{NewJobId, cancel_job, create_job, propose_on_job};
 use crate::clock::unix_seconds;
-use crate::context::{Context, random_u64};
+use crate::context::Context;
+use crate::ledger;
 use crate::lock;
 
 /// Endpoint of items whose line names none.
@@ -75,7 +76,8 @@
         deadline: unix_seconds() + within.as_secs(),
         by: format!("operator {author}"),
     };
-    match propose_on_job(context, &job, command).await? {
+    let outcome = propose_on_job(context, &job, command).await;
+    match outcome.map_err(ledger::to_failure)? {
         Outcome::Job(JobOutcome::Done) => {
             Ok(Table::message(format!("job {job} has a new deadline")))
         }
@@ -96,7 +98,7 @@
     input: &FileId,
     within: Duration,
 ) -> Result<Table, Failure> {
-    let id = JobId(format!("batch_{:016x}{:016x}", random_u64(), random_u64()));
+    let id = NewJobId::generate();
     let job = create_job(context, id, tenant, input, DEFAULT_ENDPOINT, within).await?;
     let mut table = Table::new(&["id", "items"]);
     table.push(vec![
--- a/crates/swiftshunt-node/src/submissions/intake.rs
+++ b/crates/swiftshunt-node/src/submissions/intake.rs
@@ -63,13 +63,32 @@
     let outcome = ledger::propose(context, partition, command, deadline).await;
     match outcome.map_err(ledger::to_failure)? {
         Outcome::Accept(AcceptOutcome::New | AcceptOutcome::Existing) => Ok(()),
-        _ => {
-            let message = "the idempotency key was used with another body";
-            Err(Failure::not_run(ErrorKind::KeyReused, message).with_param("Idempotency-Key"))
+        _ => Err(key_reused()),
+    }
+}
+
+/// Returns the submission if an earlier request with the key was accepted, without accepting this one.
+/// Fails with `KeyReused` if that request had different content.
+pub(crate) async fn find_accepted(
+    context: &Context,
+    request: &SubmitRequest,
+) -> Result<Option<Submission>, Failure> {
+    let id = SubmissionId::derive(&request.tenant, &request.key);
+    match read(context, &request.tenant, &id).await {
+        Ok(submission) if submission.request.digest == request_digest(request) => {
+            Ok(Some(submission))
         }
+        Ok(_) => Err(key_reused()),
+        Err(failure) if failure.kind == ErrorKind::NotFound => Ok(None),
+        Err(failure) => Err(failure),
     }
 }
 
+fn key_reused() -> Failure {
+    let message = "the idempotency key was used with another body";
+    Failure::not_run(ErrorKind::KeyReused, message).with_param("Idempotency-Key")
+}
+
 /// Digest of the content. It distinguishes a repeated request from a reuse of its key.
 fn request_digest(request: &SubmitRequest) -> Digest {
     let identity = format!("{}\n{}\n{}", request.pool, request.repeatable, request.body);
--- a/crates/swiftshunt-node/src/submissions/mod.rs
+++ b/crates/swiftshunt-node/src/submissions/mod.rs
@@ -5,4 +5,4 @@
 mod intake;
 
 pub(crate) use execution::run_submission;
-pub(crate) use intake::{SubmitRequest, read, submit};
+pub(crate) use intake::{SubmitRequest, find_accepted, read, submit};
--- a/crates/swiftshunt-types/src/execution.rs
+++ b/crates/swiftshunt-types/src/execution.rs
@@ -135,6 +135,18 @@
         }
     }
 
+    /// Sets that the request had no effect.
+    pub fn with_no_execution(mut self) -> Self {
+        self.execution = Execution::NotRun;
+        self
+    }
+
+    /// Sets that the effect of the request is unknown.
+    pub fn with_unknown_execution(mut self) -> Self {
+        self.execution = Execution::Unknown;
+        self
+    }
+
     /// Sets the name of the invalid field or header.
     pub fn with_param(mut self, param: impl Into<String>) -> Self {
         self.param = Some(param.into());
