Node: an upload whose append got no answer is not called not_run

The same word elsewhere: every failure of the log in a file's upload was answered `not_run`, also an append whose answer was lost and which may have taken effect. It is `unknown` now; a log that was not reached is `not_run` as before.

Found by reading all places that say `not_run`; no play of it. The file of such an upload has an identifier that no caller knows, so nobody was harmed.

--- a/crates/swiftshunt-node/src/api/files.rs
+++ b/crates/swiftshunt-node/src/api/files.rs
@@ -5,6 +5,7 @@
 
 use futures_util::stream;
 use serde_json::{Value, json};
+use swiftshunt_backends::log_service::LogError;
 use swiftshunt_http::{Call, Reply};
 use swiftshunt_types::{ErrorKind, Failure, FileId, TenantName};
 
@@ -100,6 +101,12 @@
 fn failure(error: FileError) -> Failure {
     match error {
         FileError::NotFound => Failure::not_run(ErrorKind::NotFound, "no such file"),
+        FileError::Log {
+            source: source @ LogError::AnswerLost { .. },
+        } => {
+            let message = format!("the log did not answer: {source}");
+            Failure::unknown(ErrorKind::Unavailable, message).with_retry_after(RETRY_AFTER)
+        }
         error => {
             let message = format!("files cannot be read or stored at the moment: {error}");
             Failure::not_run(ErrorKind::Unavailable, message).with_retry_after(RETRY_AFTER)
