Node: a resumed node learns the leaders that were elected meanwhile

What callers saw: for two seconds and more after a node was resumed, requests for partitions that had moved were refused there, although each had a leader in office.

Hints come by gossip, each is sent a fixed number of times (9 in a fleet of three), and these sends were used up on the node while it did not answer. After that only a full exchange helps, and it waits until the view has not changed for 5 s; the node's own return restarts that time. Whether a play passed depended on whether a probe with the hint waited in the node's socket.

Ruled out: election (the new leader was in office for 2 to 4 s), the network (the leader's messages arrived), `may_participate` (the replica took them).

Change: a replica publishes the leader that it sees in its group, as a hint that the leader's own ones replace. A node that was suspected or dead gets the full state with the first exchange, in either direction: it may hold no replica of a partition.

--- a/crates/swiftshunt-ledger/src/routes.rs
+++ b/crates/swiftshunt-ledger/src/routes.rs
@@ -28,8 +28,8 @@
     pub generation: Generation,
     /// The term that the leader leads or led.
     pub term: Term,
-    /// Number of hints that the publishing node has published for the partition, including this one;
-    /// it orders the hints of one term.
+    /// Number of hints that the publishing leader has published for the partition, including this one;
+    /// it orders the hints of one term. 0 for a hint of another replica that has seen the leader.
     pub sequence: u64,
     /// The leader; `None` if it has ended its leadership.
     pub leader: Option<LeaderAddress>,
--- a/crates/swiftshunt-node/src/context.rs
+++ b/crates/swiftshunt-node/src/context.rs
@@ -81,6 +81,9 @@
     /// A gossip message of another node.
     #[display("gossip")]
     Gossip,
+    /// The leader's messages to this node's replica of the partition.
+    #[display("consensus group")]
+    ConsensusGroup,
 }
 
 impl Routes {
--- a/crates/swiftshunt-node/src/fleet/gossip.rs
+++ b/crates/swiftshunt-node/src/fleet/gossip.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use swiftshunt_membership::{Change, MemberState, ProbePlan};
-use swiftshunt_types::Monotonic;
+use swiftshunt_types::{Monotonic, NodeId};
 
 use crate::context::{Context, HintSource};
 use crate::lifecycle::Stage;
@@ -75,7 +75,7 @@
 /// Probes a member directly, and through helpers one after another if it does not answer.
 async fn probe(context: Arc<Context>, plan: ProbePlan) {
     let target = plan.target;
-    let mut message = own_gossip(&context, false);
+    let mut message = own_gossip(&context, may_lack_updates(&context, target.id));
     // This node's record of the target is always included, so that the target can refute a suspicion.
     let target_record = lock(&context.membership).record(target.id).cloned();
     message.members.extend(target_record);
@@ -145,18 +145,26 @@
     }
 }
 
-/// Merges a message and builds the answer. The answer is complete if the sender joins, or if the
-/// digests differ although this node's view has not changed for [`STABLE_DELAY`]: before that, updates
-/// still being disseminated may explain the difference.
+/// Merges a message and builds the answer. The answer is complete if the sender joins or returns, or if
+/// the digests differ although this node's view has not changed for [`STABLE_DELAY`]: before that,
+/// updates still being disseminated may explain the difference.
 pub(crate) fn answer_gossip(context: &Arc<Context>, received: Gossip) -> Gossip {
     let sender = received.from.peer;
-    let sender_joins = received.complete;
+    let sender_joins = received.complete || may_lack_updates(context, received.from.id);
     let digests_differ = received.digest != digest(context);
     let is_stable = context.gossip_stability.is_stable(context);
     merge_gossip(context, received, sender);
     own_gossip(context, sender_joins || (digests_differ && is_stable))
 }
 
+/// Whether a member did not answer probes: updates that were disseminated meanwhile may not have reached
+/// it, and are not sent again.
+fn may_lack_updates(context: &Context, id: NodeId) -> bool {
+    let membership = lock(&context.membership);
+    let record = membership.record(id);
+    record.is_some_and(|record| matches!(record.state, MemberState::Suspect | MemberState::Dead))
+}
+
 /// Tracks when this node's view of members and leaders last changed.
 #[derive(Default)]
 pub(crate) struct GossipStability {
--- a/crates/swiftshunt-node/src/ledger/driver.rs
+++ b/crates/swiftshunt-node/src/ledger/driver.rs
@@ -132,7 +132,7 @@
         self.tick_replica(now);
         self.apply_committed();
         self.update_leadership(now);
-        self.observe_group_leader();
+        self.publish_group_leader();
         self.propose_member_change(now);
         self.write_archive(now);
         self.acknowledge(now);
@@ -327,16 +327,26 @@
         }
     }
 
-    /// Records a leader that the group has shown to this node's replica.
-    fn observe_group_leader(&mut self) {
+    /// Publishes a leader that the group has shown to this node's replica, once its address is known.
+    fn publish_group_leader(&mut self) {
         let Some(replica) = self.replica.as_mut() else {
             return;
         };
-        if let Some(seen) = replica.take_new_leader() {
-            let leader = seen.node.to_string();
-            log::debug!(partition = self.partition.0, generation = replica.generation, term = seen.term,
-                leader = leader.as_str(); "the replica sees a leader of its group");
-        }
+        let own = self.context.own.id;
+        let unpublished = replica.unpublished_leader();
+        let Some(seen) = unpublished.filter(|seen| seen.node != own) else {
+            return;
+        };
+        let Some(address) = address_of(&self.context, replica, seen.node) else {
+            return;
+        };
+        let leader = LeaderAddress {
+            node: seen.node,
+            address,
+        };
+        self.hints
+            .publish_seen(&self.context, replica.generation, seen.term, leader);
+        replica.mark_leader_published(seen);
     }
 
     fn propose_member_change(&mut self, now: Monotonic) {
--- a/crates/swiftshunt-node/src/ledger/hints.rs
+++ b/crates/swiftshunt-node/src/ledger/hints.rs
@@ -1,4 +1,5 @@
-//! Publishes leader hints when this node starts or stops leading a partition.
+//! Publishes leader hints when this node starts or stops leading a partition, and when its replica sees
+//! a leader of the partition's group.
 
 use swiftshunt_ledger::archive::Generation;
 use swiftshunt_ledger::raft::Term;
@@ -29,16 +30,36 @@
             node: context.own.id,
             address: context.own.peer,
         };
-        self.merge_hint(context, generation, term, Some(leader));
+        self.merge_own_hint(context, generation, term, Some(leader));
     }
 
     /// Publishes that this node has stopped leading. `term` is the term that it led, not the newer
     /// one that ended its leadership: a hint of the newer term would hide that of the next leader.
     pub(super) fn withdraw(&mut self, context: &Context, generation: Generation, term: Term) {
-        self.merge_hint(context, generation, term, None);
+        self.merge_own_hint(context, generation, term, None);
     }
 
-    fn merge_hint(
+    /// Publishes that another node leads in `term`, as this node's replica sees it. The leader's own hints
+    /// of the term replace this one. They may not reach a node that was paused or cut off while they were
+    /// disseminated, whereas the leader's messages do.
+    pub(super) fn publish_seen(
+        &self,
+        context: &Context,
+        generation: Generation,
+        term: Term,
+        leader: LeaderAddress,
+    ) {
+        let hint = LeaderHint {
+            partition: self.partition,
+            generation,
+            term,
+            sequence: 0,
+            leader: Some(leader),
+        };
+        merge(context, hint, HintSource::ConsensusGroup);
+    }
+
+    fn merge_own_hint(
         &mut self,
         context: &Context,
         generation: Generation,
@@ -53,8 +74,12 @@
             sequence: self.sequence,
             leader,
         };
-        let fleet_size = lock(&context.membership).records().count();
-        let mut routes = lock(&context.routes);
-        routes.merge(hint, HintSource::OwnLeadership, fleet_size);
+        merge(context, hint, HintSource::OwnLeadership);
     }
 }
+
+fn merge(context: &Context, hint: LeaderHint, source: HintSource) {
+    let fleet_size = lock(&context.membership).records().count();
+    let mut routes = lock(&context.routes);
+    routes.merge(hint, source, fleet_size);
+}
--- a/crates/swiftshunt-node/src/ledger/replica.rs
+++ b/crates/swiftshunt-node/src/ledger/replica.rs
@@ -29,8 +29,8 @@
     pub(super) verified_at: Monotonic,
     /// Time at which this replica last had contact with a leader or held the lease itself.
     pub(super) last_group_contact: Monotonic,
-    /// The newest leader that the consensus group has shown to this replica.
-    seen_leader: Option<SeenLeader>,
+    /// The newest leader that the group has shown to this replica and that this node has published.
+    published_leader: Option<SeenLeader>,
 }
 
 /// A leader of the consensus group, as a replica sees it.
@@ -100,18 +100,21 @@
             leadership: None,
             verified_at: now,
             last_group_contact: now,
-            seen_leader: None,
+            published_leader: None,
         }
     }
 
-    /// The group's leader, if it is another one than at the previous call.
-    pub(super) fn take_new_leader(&mut self) -> Option<SeenLeader> {
+    /// The group's leader, if this node has not published it yet.
+    pub(super) fn unpublished_leader(&self) -> Option<SeenLeader> {
         let node = self.raft.leader()?;
         let term = self.raft.term();
         let seen = SeenLeader { term, node };
-        let is_new = self.seen_leader != Some(seen);
-        self.seen_leader = Some(seen);
-        is_new.then_some(seen)
+        (self.published_leader != Some(seen)).then_some(seen)
+    }
+
+    /// Records that this node has published a leader.
+    pub(super) fn mark_leader_published(&mut self, leader: SeenLeader) {
+        self.published_leader = Some(leader);
     }
 
     /// Whether this replica may vote, follow and lead.
--- a/crates/swiftshunt/tests/resends.rs
+++ b/crates/swiftshunt/tests/resends.rs
@@ -4,17 +4,30 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{ExclusiveFleet, start_fleet};
+use futures_util::future::join_all;
 use serde_json::json;
 use swiftshunt_http::HttpError;
 use swiftshunt_lab::caller::{ApiAnswer, batch_lines};
 use swiftshunt_lab::harness::{
-    FleetOptions, MODEL, POOL_SUBMISSIONS, eventually, fleet_configuration,
+    FleetOptions, MODEL, POOL_SUBMISSIONS, eventually, eventually_within, fleet_configuration,
 };
+use swiftshunt_lab::proxy::Fault;
 use swiftshunt_lab::submission_worker::Behaviour;
 use swiftshunt_types::SubmissionId;
+use test_case::test_case;
 
 const KEY: &str = "desk";
+/// Number of keys that are spread over all partitions.
+const KEYS: usize = 32;
+/// Time within which other nodes elect leaders in place of one that does not answer.
+const TAKEOVER: Duration = Duration::from_secs(3);
+/// Time for which a node looks for a leader before it refuses a request, by default.
+const LEADER_WAIT: Duration = Duration::from_secs(2);
+/// Time after which nodes no longer send updates of their leaders to a node that does not answer.
+const DISSEMINATION: Duration = Duration::from_secs(2);
 
 async fn submit(fleet: &ExclusiveFleet, node: usize, key: &str) -> ApiAnswer {
     let api = fleet.nodes[node].api;
@@ -192,3 +205,40 @@
         (404, Some("not_run"))
     );
 }
+
+/// While a node is paused, other nodes take over its partitions and tell each other, and stop telling the
+/// node that does not answer. The second node of a zone holds no replica of some partitions, so that the
+/// messages of their leaders do not reach it either. After the pause the node must find all leaders within
+/// the time for which it lets a resend wait.
+#[test_case(1; "the only node of a zone")]
+#[test_case(3; "the second node of a zone")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resumed_node_answers_resends_of_all_partitions(resumed: usize) {
+    let (mut fleet, _) = fleet_with_result("resend_resumed").await;
+    if resumed == 3 {
+        fleet.start_node(0).await.expect("the node did not start");
+        fleet.wait_until_node_ready(3).await;
+    }
+    let keys: Vec<String> = (0..KEYS).map(|number| format!("desk-{number}")).collect();
+    let accepted = join_all(keys.iter().map(|key| submit(&fleet, 0, key))).await;
+    // No message waits for the node in its sockets.
+    fleet.set_isolated(resumed, Fault::Cut);
+    fleet.nodes[resumed].process.pause();
+    // Leaders of partitions of which the node holds no replica change as well.
+    fleet.nodes[2].process.pause();
+    tokio::time::sleep(TAKEOVER).await;
+    fleet.nodes[2].process.resume();
+    tokio::time::sleep(TAKEOVER + DISSEMINATION).await;
+    fleet.set_isolated(resumed, Fault::None);
+    fleet.nodes[resumed].process.resume();
+    let api = fleet.nodes[resumed].api;
+    eventually_within(LEADER_WAIT, "the node is ready", || async {
+        let answer = fleet.operator.get(api, "/readyz").await.ok()?;
+        (answer.status == 200).then_some(())
+    })
+    .await;
+    let again = join_all(keys.iter().map(|key| submit(&fleet, resumed, key))).await;
+    for ((key, accepted), again) in keys.iter().zip(accepted).zip(again) {
+        assert_eq!((again.status, again.body), (200, accepted.body), "{key}");
+    }
+}
