Node: readiness counts a partition that the node leads only with its lease

What an operator saw: `/readyz` was 200 at the moment at which a paused node was resumed, although six of its eight partitions had other leaders. A load balancer then sends requests that the node has to refuse.

Cause: readiness counted every hint that names a leader, also the node's own of before the pause, until its drivers had run once.

Change: a partition that this node leads counts while its replica holds a valid lease. The question is answered by the driver itself, on a clock that went on during the pause.

No test of its own: the moment between the resumption and the drivers' first cycle is some milliseconds.

--- a/crates/swiftshunt-node/src/api/health.rs
+++ b/crates/swiftshunt-node/src/api/health.rs
@@ -4,6 +4,7 @@
 
 use serde_json::json;
 use swiftshunt_http::{Call, Reply};
+use swiftshunt_ledger::routes::LeaderHint;
 use swiftshunt_types::Failure;
 
 use crate::context::Context;
@@ -15,13 +16,19 @@
 }
 
 /// Answers 200 if the node is serving, every partition has a known leader and the node's replicas are
-/// settled; otherwise 503.
+/// settled; otherwise 503. A partition that this node led counts only while its lease is valid: a node
+/// that was paused may not have noticed yet that others have replaced it.
 pub(super) async fn readyz(context: Arc<Context>, _call: Call) -> Result<Reply, Failure> {
     let partitions = context.settings.ledger.partitions;
+    let led_here = context.ledger.led_partitions().await;
+    let is_led = |hint: &&LeaderHint| {
+        hint.leader.is_some_and(|leader| {
+            leader.node != context.own.id || led_here.contains(&hint.partition)
+        })
+    };
     let led = {
         let routes = crate::lock(&context.routes);
-        let led = routes.table.hints().filter(|hint| hint.leader.is_some());
-        led.count()
+        routes.table.hints().filter(is_led).count()
     };
     let serving = context.lifecycle.stage() == Stage::Serving;
     let holds_replicas = context.ledger.is_settled().await;
--- a/crates/swiftshunt-node/src/ledger/driver.rs
+++ b/crates/swiftshunt-node/src/ledger/driver.rs
@@ -107,12 +107,13 @@
                 messages,
             } => self.on_messages(from, generation, messages, now),
             DriverInput::Operation { operation, reply } => self.on_operation(operation, reply, now),
-            DriverInput::Status { reply } => drop(reply.send(self.status())),
+            DriverInput::Status { reply } => drop(reply.send(self.status(now))),
             DriverInput::Archive(event) => self.on_archive(event, now),
         }
     }
 
-    fn status(&self) -> ReplicaStatus {
+    fn status(&mut self, now: Monotonic) -> ReplicaStatus {
+        let holds_lease = self.lease_holder(now).is_some();
         let own = self.context.own.id;
         let is_leader = |replica: &Replica| replica.raft.role() == Role::Leader;
         let votes = |replica: &Replica| replica.raft.configuration().voters.contains(&own);
@@ -122,6 +123,8 @@
             .candidates(&self.context, self.partition);
         let needed = candidates.get(&self.context.own.zone) == Some(&own);
         ReplicaStatus {
+            partition: self.partition,
+            holds_lease,
             is_leader: self.replica.as_ref().is_some_and(is_leader),
             is_settled: !needed || self.replica.as_ref().is_some_and(votes),
         }
--- a/crates/swiftshunt-node/src/ledger/input.rs
+++ b/crates/swiftshunt-node/src/ledger/input.rs
@@ -4,7 +4,7 @@
 use swiftshunt_ledger::archive::{ArchivePosition, Generation, Replay};
 use swiftshunt_ledger::raft::{Index, Message};
 use swiftshunt_ledger::state::LedgerState;
-use swiftshunt_types::{Monotonic, NodeId};
+use swiftshunt_types::{Monotonic, NodeId, PartitionId};
 use tokio::sync::oneshot;
 
 use crate::peer::{LedgerAnswer, LedgerOperation, LedgerRefusal};
@@ -56,8 +56,12 @@
 /// The status of this node's replica of a partition.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ReplicaStatus {
+    /// The partition.
+    pub(super) partition: PartitionId,
     /// Whether the replica is the leader.
     pub(super) is_leader: bool,
+    /// Whether the replica is the leader and its lease is valid, so that it executes operations.
+    pub(super) holds_lease: bool,
     /// Whether the replica is a voter or is not needed on this node, because the zone's candidate is
     /// another node or does not exist.
     pub(super) is_settled: bool,
--- a/crates/swiftshunt-node/src/ledger/mod.rs
+++ b/crates/swiftshunt-node/src/ledger/mod.rs
@@ -15,7 +15,7 @@
 mod replica;
 mod supervisor;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
 
 use swiftshunt_types::PartitionId;
@@ -102,6 +102,13 @@
         statuses.iter().any(|status| status.is_leader)
     }
 
+    /// The partitions that this node leads with a valid lease.
+    pub(crate) async fn led_partitions(&self) -> BTreeSet<PartitionId> {
+        let statuses = self.statuses().await;
+        let led = statuses.iter().filter(|status| status.holds_lease);
+        led.map(|status| status.partition).collect()
+    }
+
     /// Whether this node is a voter, and so has caught up once, in every partition of which it should
     /// hold a replica. Only partitions whose driver runs are considered.
     pub(crate) async fn is_settled(&self) -> bool {
