Quarantine: sends to one life of a worker are one end once it is proved

Cause, traced in the process test below: a worker had ended while the path to it still took connections. Each send broke off, and each gateway kept its own as an end, to be proved with the worker. When the directory proved the one end, all became proved, and as each had been sent after the one before they counted as three lives. One proof per send, at one gateway or at three; a gateway that started later read three proved ends from the log.

Ruled out: that only the count at one gateway is wrong (case 2: three gateways, `doubted` 1 at each, `ends` 3 at all, also at the one that started afterwards); that sends to one name are always one life: a restarted worker is sent to under the name of its last life until its entry is read, and each of its lives must count (`each_incarnation_of_a_restarted_worker...`).

Change: the table remembers the lives that are proved and the life that followed. Ends are attributed by the start of the next life, whenever they are noticed and wherever they come from; all ends of a proved life are one. At most six ends of one worker are kept for a request, so that sends to one leave room for the ends of others. Records and datagrams are as before.

New pure tests: noticed after the proof, several gateways, three workers with twenty sends each, the next life before and after its entry is read, a refuted proof.

--- a/crates/swiftshunt-gateway/src/fleet_followers.rs
+++ b/crates/swiftshunt-gateway/src/fleet_followers.rs
@@ -200,18 +200,21 @@
         now: Duration,
         summary: &mut DirectorySummary,
     ) {
-        let id = entry.life.id.clone();
+        let life = entry.life.clone();
         let (address, availability) = (entry.address, entry.availability);
         let (before, listed) = {
             let mut selector = self.fleet_state.selector();
-            let before = selector.incarnation(&id).map(str::to_owned);
+            let before = selector.incarnation(&life.id).map(str::to_owned);
             let has_changed = selector.apply_entry(entry, now);
-            let incarnation = selector.incarnation(&id).filter(|_| has_changed);
+            let incarnation = selector.incarnation(&life.id).filter(|_| has_changed);
             (before, incarnation.map(str::to_owned))
         };
         if let Some(incarnation) = listed {
             let quarantine = &self.quarantine;
-            quarantine.handle_listing(&incarnation, address, before.as_deref());
+            let started_unix_ms = life
+                .started_unix_ms
+                .filter(|_| life.incarnation() == incarnation);
+            quarantine.handle_listing(&incarnation, started_unix_ms, address, before.as_deref());
             summary.add_listed(&incarnation, availability, offset);
         }
     }
--- a/crates/swiftshunt-gateway/src/quarantine/directory.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/directory.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use swiftshunt_scheduler::listed::RemovedWorker;
-use swiftshunt_scheduler::quarantine::{Evidence, LAPSE_SETTLE_DELAY};
+use swiftshunt_scheduler::quarantine::{Evidence, LAPSE_SETTLE_DELAY, NextLife};
 use swiftshunt_scheduler::slots::WorkerKey;
 
 use super::Quarantine;
@@ -14,11 +14,13 @@
 
 impl Quarantine {
     /// Handles a new or changed worker entry in the directory. `before` is the previous incarnation under the worker's
-    /// identifier. The entry proves that other incarnations at the address have ended. If the incarnation's own entry
-    /// had lapsed, it refutes that this incarnation has ended.
+    /// identifier, and `started_unix_ms` the start of the listed one, if its entry tells it. The entry proves that the
+    /// previous incarnation and others at the address have ended. If the incarnation's own entry had lapsed, it refutes
+    /// that this incarnation has ended.
     pub(crate) fn handle_listing(
         &self,
         incarnation: &str,
+        started_unix_ms: Option<u64>,
         address: SocketAddr,
         before: Option<&str>,
     ) {
@@ -29,13 +31,18 @@
                 "it is listed again",
             );
         }
-        let mut ended_incarnations = self.doubted_incarnations_at(address);
-        ended_incarnations.extend(before.map(str::to_owned));
-        for ended in ended_incarnations
-            .iter()
-            .filter(|ended| *ended != incarnation)
-        {
-            self.prove_end(ended);
+        let before = before.filter(|before| *before != incarnation);
+        if let Some(before) = before {
+            let next = started_unix_ms.map(|started_unix_ms| NextLife {
+                worker: WorkerKey::of(incarnation),
+                started_unix_ms,
+            });
+            self.prove_end(before, next);
+        }
+        let mut others = self.doubted_incarnations_at(address);
+        others.retain(|other| other != incarnation && Some(other.as_str()) != before);
+        for other in others {
+            self.prove_end(&other, None);
         }
     }
 
@@ -67,21 +74,33 @@
         };
         let is_ended = |incarnation: &&String| ended.contains(&WorkerKey::of(incarnation));
         for incarnation in incarnations.iter().filter(is_ended) {
-            self.prove_end(incarnation);
+            self.prove_end(incarnation, None);
         }
     }
 
     /// Handles the proof that a worker's incarnation has ended, and publishes the ends of workers that follow from it.
-    fn prove_end(&self, incarnation: &str) {
+    /// `next` is the incarnation that followed it under the worker's identifier: ends of requests that reached it are
+    /// recorded for it instead.
+    fn prove_end(&self, incarnation: &str, next: Option<NextLife>) {
         let doubted = self.take_doubted_ends(incarnation);
         let worker = WorkerKey::of(incarnation);
-        let suspected = lock(&self.table).mark_proved(worker, Clock::unix_ms(), self.clock.now());
-        if doubted.is_empty() && suspected.is_empty() {
+        let now = self.clock.now();
+        let (moved, suspected) = {
+            let mut table = lock(&self.table);
+            let moved = next.map(|next| table.record_next_life(worker, next, now));
+            let suspected = table.mark_proved(worker, Clock::unix_ms(), now);
+            (moved.unwrap_or_default(), suspected)
+        };
+        if doubted.is_empty() && suspected.is_empty() && moved.is_empty() {
             return;
         }
-        log::info!(worker = incarnation, suspected = suspected.len(), doubted = doubted.len();
+        log::info!(worker = incarnation, suspected = suspected.len(), doubted = doubted.len(), moved = moved.len();
             "the directory proves that a worker has ended while it ran requests");
         self.metrics.workers_ended.inc();
+        for (fingerprint, end) in &moved {
+            self.pending_records.add_removal(*fingerprint, end);
+        }
+        self.publish_ends(&moved);
         self.publish_ends(&doubted);
         self.publish_ends(&suspected);
     }
--- a/crates/swiftshunt-gateway/src/quarantine/mod.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/mod.rs
@@ -21,7 +21,8 @@
 
 use swiftshunt_journal::Log;
 use swiftshunt_scheduler::quarantine::{
-    Fingerprint, LapsedWorkers, Quarantine as Table, QuarantineStatus, RenewalTracker, WorkerEnd,
+    Evidence, Fingerprint, LapsedWorkers, Quarantine as Table, QuarantineStatus, RenewalTracker,
+    WorkerEnd,
 };
 use tokio::sync::{Notify, mpsc, watch};
 
@@ -198,6 +199,7 @@
     /// Records the ends of workers seen by this gateway, here and in the log, and reports them to the collectors.
     fn publish_ends(&self, ends: &[(Fingerprint, WorkerEnd)]) {
         for (fingerprint, end) in ends.iter().copied() {
+            let end = lock(&self.table).attribute(end);
             self.pending_records.add_end(fingerprint, end);
             self.record_end(&fingerprint, end);
             self.notify_collectors(fingerprint, QuarantineMessage::Ended { fingerprint, end });
@@ -209,7 +211,14 @@
     fn record_end(&self, fingerprint: &Fingerprint, end: WorkerEnd) {
         let was_held = self.current_hold(fingerprint).is_some();
         let now = self.clock.now();
-        let is_new = lock(&self.table).record_end(*fingerprint, end, Clock::unix_ms(), now);
+        let is_new = {
+            let mut table = lock(&self.table);
+            if end.evidence == Evidence::Proved {
+                // Other gateways prove the same life and publish their own ends of it; all of them are one.
+                table.mark_proved(end.worker, Clock::unix_ms(), now);
+            }
+            table.record_end(*fingerprint, end, Clock::unix_ms(), now)
+        };
         let held = self.current_hold(fingerprint);
         let Some(held) = held.filter(|_| is_new && !was_held) else {
             return;
--- a/crates/swiftshunt-lab/src/platform/fleet.rs
+++ b/crates/swiftshunt-lab/src/platform/fleet.rs
@@ -403,6 +403,23 @@
         Ok(())
     }
 
+    /// Starts one more worker of the service `whole` and lists it as ready.
+    pub async fn add_whole_worker(&mut self, incarnation: &str) -> std::io::Result<()> {
+        let settings = WorkerSettings {
+            incarnation: incarnation.to_owned(),
+            slots: 16,
+            events: None,
+            answer_delay: PlatformOptions::default().answer_delay,
+            crash_on_body: None,
+            started_unix_ms: None,
+            zone: self.zone_layout.zone(0).to_owned(),
+        };
+        let worker = Worker::start(settings).await?;
+        self.list(&worker, "whole", values::READY);
+        self.whole_workers.push(worker);
+        Ok(())
+    }
+
     /// Removes a worker from the directory.
     pub fn unlist(&self, worker: &Worker) {
         let nothing = bytes::Bytes::new();
--- a/crates/swiftshunt-scheduler/src/quarantine/mod.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/mod.rs
@@ -5,7 +5,8 @@
 //! The set does not depend on the order or the source of the facts, and the status of a request is
 //! a function of the set ([`Quarantine`]):
 //!
-//! - Each life of a worker counts once. If many workers end at one moment and not all of them ran
+//! - Each life of a worker counts once. A proof concerns one life: all requests that were sent to
+//!   the worker before its next life started count as one end of it. If many workers end at one moment and not all of them ran
 //!   the request, they count as one: a rack that fails while a popular request runs on half of its
 //!   workers is no more evidence than one worker.
 //! - An end does not count for a request if another request that ran on the worker has ended more
@@ -19,6 +20,7 @@
 mod evidence;
 mod fingerprint;
 mod lapsed_workers;
+mod proved_lives;
 mod renewal_tracker;
 mod table;
 
@@ -31,6 +33,7 @@
 pub use evidence::Evidence;
 pub use fingerprint::{Fingerprint, ParseFingerprintError, RequestIdentity};
 pub use lapsed_workers::{LAPSE_SETTLE_DELAY, LapsedWorkers};
+pub use proved_lives::NextLife;
 pub use renewal_tracker::RenewalTracker;
 pub use table::Quarantine;
 
--- a/crates/swiftshunt-scheduler/src/quarantine/table.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/table.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
+use super::proved_lives::{NextLife, ProvedLives};
 use super::{
     Evidence, Fingerprint, QUARANTINE_THRESHOLD, QuarantineStatus, SIMULTANEITY_WINDOW, WorkerEnd,
 };
@@ -19,6 +20,9 @@
 const MIN_CAUSE_SHARE: f64 = 0.75;
 /// Most worker ends that are remembered for one request.
 const MAX_ENDS_PER_REQUEST: usize = 16;
+/// Most ends of one worker that are remembered for one request. Many sends to a worker that has
+/// ended must leave room for the ends of other workers.
+const MAX_ENDS_PER_WORKER: usize = 6;
 
 /// A recorded end and its expiry.
 #[derive(Clone, Copy, Debug)]
@@ -42,12 +46,14 @@
 pub struct Quarantine {
     requests: HashMap<Fingerprint, Vec<KnownEnd>>,
     workers: HashMap<WorkerKey, EndedWorker>,
+    proved_lives: ProvedLives,
 }
 
 impl Quarantine {
     /// Records the end of a worker while it ran a request. Returns whether the end is new or its
     /// evidence is stronger than before. `unix_ms` is the current Unix time: an end that is learnt
-    /// late, from the log, expires at the same time as elsewhere.
+    /// late, from the log, expires at the same time as elsewhere. The end is recorded for the life
+    /// that the request reached ([`Self::attribute`]).
     pub fn record_end(
         &mut self,
         request: Fingerprint,
@@ -55,6 +61,7 @@
         unix_ms: u64,
         now: Duration,
     ) -> bool {
+        let end = self.attribute(end);
         let age = Duration::from_millis(unix_ms.saturating_sub(end.ended_unix_ms));
         let left = end.evidence.ttl().saturating_sub(age);
         let mut ends = self.requests.entry(request).or_default().iter_mut();
@@ -66,7 +73,7 @@
             }
             return is_stronger;
         }
-        if left.is_zero() || self.ends(&request).count() >= MAX_ENDS_PER_REQUEST {
+        if left.is_zero() || !self.has_room_for(&request, end.worker) {
             self.forget_if_empty(&request);
             return false;
         }
@@ -85,12 +92,22 @@
         true
     }
 
+    fn has_room_for(&self, request: &Fingerprint, worker: WorkerKey) -> bool {
+        let of_worker = self.ends(request).filter(|end| end.worker == worker);
+        self.ends(request).count() < MAX_ENDS_PER_REQUEST && of_worker.count() < MAX_ENDS_PER_WORKER
+    }
+
+    /// Returns the end as that of the life that the request reached, by the proofs that are known.
+    pub fn attribute(&self, end: WorkerEnd) -> WorkerEnd {
+        self.proved_lives.attribute(end)
+    }
+
     /// Returns whether a request may be sent.
     pub fn status(&self, request: &Fingerprint, now: Duration) -> QuarantineStatus {
         let Some(known) = self.requests.get(request) else {
             return QuarantineStatus::Allowed;
         };
-        let known = one_end_per_life(known);
+        let known = self.one_end_per_life(known);
         let ends = known.len();
         let unexplained = known.into_iter().filter(|one| {
             one.expires_at > now && !self.is_explained(request, &one.end.worker, ends)
@@ -149,19 +166,39 @@
         }
     }
 
-    /// Returns the workers that are known to have ended.
+    /// Returns the workers that are known to have ended; a worker may come twice.
     pub fn ended_workers(&self) -> impl Iterator<Item = WorkerKey> {
-        self.workers.keys().copied()
+        let proved = self.proved_lives.workers();
+        self.workers.keys().copied().chain(proved)
     }
 
-    /// Marks all ends of a worker as proved. Returns those that were only suspected, with their new
-    /// evidence.
+    /// Records that a worker's life has ended and that another one followed it. Removes and returns
+    /// the ends of requests that were sent to a later life; they are to be recorded again.
+    pub fn record_next_life(
+        &mut self,
+        worker: WorkerKey,
+        next: NextLife,
+        now: Duration,
+    ) -> Vec<(Fingerprint, WorkerEnd)> {
+        self.proved_lives.record(worker, Some(next), now);
+        let mut ends = self.ends_of(worker);
+        ends.retain(|(_, end)| self.attribute(*end).worker != worker);
+        for (request, end) in &ends {
+            self.forget(request, worker, end.ended_unix_ms);
+        }
+        ends
+    }
+
+    /// Records that a worker's life has ended, and marks all its ends as proved. Returns those that
+    /// were only suspected, with their new evidence. From now on, all ends of a request that are
+    /// recorded for this life count as one.
     pub fn mark_proved(
         &mut self,
         worker: WorkerKey,
         unix_ms: u64,
         now: Duration,
     ) -> Vec<(Fingerprint, WorkerEnd)> {
+        self.proved_lives.record(worker, None, now);
         let mut proved = self.ends_of(worker);
         proved.retain(|(_, end)| end.evidence < Evidence::Proved);
         for (request, end) in &mut proved {
@@ -178,6 +215,9 @@
         worker: WorkerKey,
         evidence: Evidence,
     ) -> Vec<(Fingerprint, WorkerEnd)> {
+        if evidence == Evidence::Proved {
+            self.proved_lives.forget(worker);
+        }
         let mut refuted = self.ends_of(worker);
         refuted.retain(|(_, end)| end.evidence <= evidence);
         for (request, end) in &refuted {
@@ -209,6 +249,7 @@
 
     /// Removes the expired ends and returns them.
     pub fn remove_expired(&mut self, now: Duration) -> Vec<(Fingerprint, WorkerEnd)> {
+        self.proved_lives.remove_expired(now);
         let all = self.requests.iter().flat_map(|(request, known)| {
             let expired = known.iter().filter(|known| known.expires_at <= now);
             expired.map(|known| (*request, known.end))
@@ -235,11 +276,34 @@
             let ends = self
                 .requests
                 .get(other)
-                .map_or(0, |known| one_end_per_life(known).len());
+                .map_or(0, |known| self.one_end_per_life(known).len());
             other != request && ends >= QUARANTINE_THRESHOLD && ends > ends_of_request
         })
     }
 
+    /// Returns the ends in order of time, one for each life of a worker. All ends of a life that is
+    /// proved to have ended are one. Without proof, a later end of a worker counts if the request
+    /// was sent after the previous end, since a worker that has ended runs nothing: it has started
+    /// again, and its next life is not known yet.
+    fn one_end_per_life(&self, known: &[KnownEnd]) -> Vec<KnownEnd> {
+        let mut sorted = known.to_vec();
+        sorted.sort_by_key(|known| (known.end.ended_unix_ms, known.end.worker));
+        let mut lives: Vec<KnownEnd> = Vec::with_capacity(sorted.len());
+        for known in sorted {
+            let end = &known.end;
+            let mut before = lives.iter().rev();
+            let last = before.find(|last| last.end.worker == end.worker);
+            let is_another_life = last.is_none_or(|last| {
+                !self.proved_lives.contains(end.worker)
+                    && end.sent_unix_ms >= last.end.ended_unix_ms
+            });
+            if is_another_life {
+                lives.push(known);
+            }
+        }
+        lives
+    }
+
     /// Returns the expiry times of the ends that count for a request. Of simultaneous ends with
     /// another cause, only the first counts.
     fn counted_expiries(
@@ -290,23 +354,6 @@
     }
 }
 
-/// Returns the ends in order of time, one for each life of a worker. A later end of a worker counts
-/// only if the request was sent after the previous end, since a worker that has ended runs nothing.
-/// A worker may start again under the same name.
-fn one_end_per_life(known: &[KnownEnd]) -> Vec<KnownEnd> {
-    let mut sorted = known.to_vec();
-    sorted.sort_by_key(|known| (known.end.ended_unix_ms, known.end.worker));
-    let mut lives: Vec<KnownEnd> = Vec::with_capacity(sorted.len());
-    for known in sorted {
-        let mut before = lives.iter().rev();
-        let last = before.find(|last| last.end.worker == known.end.worker);
-        if last.is_none_or(|last| known.end.sent_unix_ms >= last.end.ended_unix_ms) {
-            lives.push(known);
-        }
-    }
-    lives
-}
-
 fn is_separate(earlier: &WorkerEnd, later: &WorkerEnd) -> bool {
     let began_after = later.sent_unix_ms >= earlier.ended_unix_ms;
     let gap = Duration::from_millis(later.ended_unix_ms.saturating_sub(earlier.ended_unix_ms));
--- a/crates/swiftshunt-scheduler/tests/quarantine.rs
+++ b/crates/swiftshunt-scheduler/tests/quarantine.rs
@@ -4,8 +4,9 @@
 
 use proptest::prelude::*;
 use swiftshunt_scheduler::quarantine::{
-    Evidence, Fingerprint, LAPSE_SETTLE_DELAY, LapsedWorkers, PROVED_END_TTL, QUARANTINE_THRESHOLD,
-    Quarantine, QuarantineStatus, RenewalTracker, RequestIdentity, SUSPECTED_END_TTL, WorkerEnd,
+    Evidence, Fingerprint, LAPSE_SETTLE_DELAY, LapsedWorkers, NextLife, PROVED_END_TTL,
+    QUARANTINE_THRESHOLD, Quarantine, QuarantineStatus, RenewalTracker, RequestIdentity,
+    SUSPECTED_END_TTL, WorkerEnd,
 };
 use swiftshunt_scheduler::slots::WorkerKey;
 use test_case::test_case;
@@ -463,3 +464,110 @@
     quarantine.mark_proved(WorkerKey(1), UNIX_MS + 3_000, NOW);
     assert!(!is_quarantined(&quarantine, "request"));
 }
+
+/// The connections of a send may break off only after the directory has proved the end.
+#[test]
+fn a_send_noticed_after_the_proof_is_no_further_end() {
+    let mut quarantine = Quarantine::default();
+    record_end(&mut quarantine, "request", [suspected(1, 100)]);
+    quarantine.mark_proved(WorkerKey(1), UNIX_MS + 500, NOW);
+    let late = [suspected(1, 600), end(1, 1_100), suspected(1, 1_600)];
+    record_end(&mut quarantine, "request", late);
+    assert!(!is_quarantined(&quarantine, "request"));
+}
+
+/// Each gateway sees one send to the ended worker, proves the end from the directory by itself, and
+/// reads the ends that the others publish as proved.
+#[test]
+fn sends_of_several_gateways_to_one_ended_life_are_one_end() {
+    let mut gateways: Vec<Quarantine> = (0..3).map(|_| Quarantine::default()).collect();
+    let mut published = Vec::new();
+    for (number, quarantine) in gateways.iter_mut().enumerate() {
+        let seen = suspected(1, 100 + 500 * number as u64);
+        record_end(quarantine, "request", [seen]);
+        published.extend(quarantine.mark_proved(WorkerKey(1), UNIX_MS + 3_000, NOW));
+    }
+    assert_eq!(published.len(), 3);
+    for quarantine in &mut gateways {
+        for (request, end) in &published {
+            quarantine.record_end(*request, *end, UNIX_MS + 3_000, NOW);
+        }
+        assert!(!is_quarantined(quarantine, "request"));
+    }
+}
+
+/// Three workers end one after the other, and the request is sent to each of them several times.
+#[test]
+fn proved_ends_of_three_workers_quarantine_a_request() {
+    let mut quarantine = Quarantine::default();
+    for worker in 1..=3 {
+        let first = worker * 10_000;
+        // More sends to one worker than ends are remembered for a request.
+        let sends = (0..20).map(|send| suspected(worker, first + send * 100));
+        record_end(&mut quarantine, "request", sends);
+        quarantine.mark_proved(WorkerKey(worker), UNIX_MS + first + 5_000, NOW);
+        let is_third = worker == 3;
+        assert_eq!(
+            is_quarantined(&quarantine, "request"),
+            is_third,
+            "worker {worker}"
+        );
+    }
+}
+
+const NEXT: NextLife = NextLife {
+    worker: WorkerKey(2),
+    started_unix_ms: UNIX_MS + 500,
+};
+
+/// Until a gateway has read the entry of a restarted worker, it sends to the new life under the name
+/// of the last one. Whether it notices the end of the new life before it reads the entry or after,
+/// the end is one of the new life.
+#[test_case(true; "noticed before the entry is read")]
+#[test_case(false; "noticed after the entry is read")]
+fn an_end_of_the_next_life_counts_for_the_next_life(noticed_before: bool) {
+    let mut quarantine = Quarantine::default();
+    let to_first_life = [suspected(1, 100), suspected(1, 300)];
+    let to_next_life = [suspected(1, 700), suspected(1, 900)];
+    record_end(&mut quarantine, "request", to_first_life);
+    if noticed_before {
+        record_end(&mut quarantine, "request", to_next_life);
+    }
+    let moved = quarantine.record_next_life(WorkerKey(1), NEXT, NOW);
+    assert_eq!(moved.len(), if noticed_before { 2 } else { 0 });
+    quarantine.mark_proved(WorkerKey(1), UNIX_MS + 1_000, NOW);
+    record_end(&mut quarantine, "request", to_next_life);
+    let fingerprint = request("request");
+    let ends_of_next_life = quarantine
+        .ends(&fingerprint)
+        .filter(|end| end.worker == NEXT.worker);
+    assert!(
+        ends_of_next_life
+            .map(|end| end.evidence)
+            .eq([Evidence::Suspected; 2])
+    );
+    quarantine.mark_proved(NEXT.worker, UNIX_MS + 2_000, NOW);
+    record_end(&mut quarantine, "request", [end(3, 2_500)]);
+    // The first life, the next one and worker 3.
+    assert!(is_quarantined(&quarantine, "request"));
+    assert_eq!(quarantine.refute(NEXT.worker, Evidence::Proved).len(), 2);
+    assert!(!is_quarantined(&quarantine, "request"));
+}
+
+/// A worker that renews its entry has not ended: its later sends are judged without the proof.
+#[test]
+fn a_refuted_proof_is_forgotten() {
+    let mut quarantine = Quarantine::default();
+    quarantine.mark_proved(WorkerKey(1), UNIX_MS, NOW);
+    assert!(
+        quarantine
+            .ended_workers()
+            .any(|worker| worker == WorkerKey(1))
+    );
+    quarantine.refute(WorkerKey(1), Evidence::Proved);
+    assert_eq!(quarantine.ended_workers().count(), 0);
+    record_end(&mut quarantine, "request", [suspected(1, 100)]);
+    let fingerprint = request("request");
+    let evidence = quarantine.ends(&fingerprint).map(|end| end.evidence);
+    assert!(evidence.eq([Evidence::Suspected]));
+}
--- a/crates/swiftshunt/tests/gateway_quarantine.rs
+++ b/crates/swiftshunt/tests/gateway_quarantine.rs
@@ -476,3 +476,51 @@
             .all(|worker| !worker.has_crashed())
     );
 }
+
+/// Guards against a quarantine of 15 minutes for a request that crashed no worker. A worker has ended, and
+/// the network path to it still accepts connections, so that each request sent there breaks off. The
+/// directory proves one end: whether one gateway sent the request there three times or each of three
+/// gateways once, the request must be served by the next worker, also by a gateway that starts later.
+#[test_case([0, 0, 0]; "one gateway sends three times")]
+#[test_case([0, 1, 2]; "three gateways send once each")]
+#[tokio::test(flavor = "multi_thread")]
+async fn sends_to_an_ended_worker_behind_an_open_path_quarantine_no_request(senders: [usize; 3]) {
+    let mut fleet = start(PlatformOptions {
+        gateways: GATEWAYS,
+        workers: 1,
+        ..PlatformOptions::default()
+    })
+    .await;
+    let links = open_links(&fleet).await;
+    // By then the directory names only the links.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let ended = fleet.whole_workers.remove(0);
+    ended.crash();
+    for (number, sender) in senders.into_iter().enumerate() {
+        let gateway = fleet.gateways[sender].callers;
+        let breaks_off = || async {
+            let id = format!("sent-{number}-{:016x}", rand::random::<u64>());
+            let answer = fleet.caller.ask_with_body(gateway, ONCE, &id, "innocent");
+            status_of(&answer.await) == Some(StatusCode::BAD_GATEWAY)
+        };
+        eventually("the request breaks off at the ended worker", breaks_off).await;
+    }
+    fleet.unlist(&ended);
+    let next = fleet.add_whole_worker("whole-next").await;
+    next.expect("the worker did not start");
+    // The entry lapses, and other lapses of the zone are awaited, before the end is proved.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let added = fleet.add_gateway("").await;
+    added.expect("the gateway did not start");
+    for (number, gateway) in fleet.gateways.iter().enumerate() {
+        let is_served = || async {
+            let id = format!("served-{number}-{:016x}", rand::random::<u64>());
+            let answer = fleet
+                .caller
+                .ask_with_body(gateway.callers, ONCE, &id, "innocent");
+            status_of(&answer.await) == Some(StatusCode::OK)
+        };
+        eventually("the request is served by the next worker", is_served).await;
+    }
+    drop(links);
+}
