--- a/crates/swiftshunt-scheduler/src/quarantine/mod.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/mod.rs
@@ -6,9 +6,10 @@
 //! a function of the set ([`Quarantine`]):
 //!
 //! - Each life of a worker counts once. A proof concerns one life: all requests that were sent to
-//!   the worker before its next life started count as one end of it. If many workers end at one moment and not all of them ran
-//!   the request, they count as one: a rack that fails while a popular request runs on half of its
-//!   workers is no more evidence than one worker.
+//!   the worker before its next life started count as one end of it.
+//! - If many workers end at one moment and not all of them ran the request, they count as one: a
+//!   rack that fails while a popular request runs on half of its workers is no more evidence than one
+//!   worker.
 //! - An end does not count for a request if another request that ran on the worker has ended more
 //!   workers: the other request explains it.
 //! - A run that ends well clears a request.
