--- a/crates/swiftshunt-node/src/fleet/gossip.rs
+++ b/crates/swiftshunt-node/src/fleet/gossip.rs
@@ -150,11 +150,11 @@
 /// updates still being disseminated may explain the difference.
 pub(crate) fn answer_gossip(context: &Arc<Context>, received: Gossip) -> Gossip {
     let sender = received.from.peer;
-    let sender_joins = received.complete || may_lack_updates(context, received.from.id);
+    let sender_needs_all = received.complete || may_lack_updates(context, received.from.id);
     let digests_differ = received.digest != digest(context);
     let is_stable = context.gossip_stability.is_stable(context);
     merge_gossip(context, received, sender);
-    own_gossip(context, sender_joins || (digests_differ && is_stable))
+    own_gossip(context, sender_needs_all || (digests_differ && is_stable))
 }
 
 /// Whether a member did not answer probes: updates that were disseminated meanwhile may not have reached
