Gateway: logs name the software version of workers, and the streams that callers take up

Change: the version of a directory entry is kept (it was parsed and dropped); a line for each send of a stream that a caller takes up, with the attempt that the caller names, the last event, worker, service and version; both versions at a stream resumed at another worker; the versions of the workers in a line about the directory. No decision uses any of them yet.

--- a/crates/swiftshunt-gateway/src/directory_summary.rs
+++ b/crates/swiftshunt-gateway/src/directory_summary.rs
@@ -1,8 +1,11 @@
 //! A single log line for all changes of one read of the directory. With a line for each worker, the log would grow
 //! with the number of workers times the number of gateways.
 
+use std::collections::BTreeSet;
+
 use swiftshunt_scheduler::directory::Availability;
 use swiftshunt_scheduler::listed::UnlistOutcome;
+use swiftshunt_types::SoftwareVersion;
 
 /// Largest number of workers that a line names for each kind of change; further ones are only counted.
 const MAX_NAMED_WORKERS: usize = 8;
@@ -38,6 +41,8 @@
     leaving: WorkerGroup,
     gone: WorkerGroup,
     lapsed: WorkerGroup,
+    /// Software versions of the listed workers.
+    software: BTreeSet<SoftwareVersion>,
     /// Highest offset among the entries that were read.
     offset: u64,
 }
@@ -48,9 +53,11 @@
         &mut self,
         incarnation: &str,
         availability: Availability,
+        software: SoftwareVersion,
         offset: u64,
     ) {
         self.offset = self.offset.max(offset);
+        self.software.insert(software);
         match availability {
             Availability::Ready => self.ready.add(incarnation),
             Availability::Draining => self.leaving.add(incarnation),
@@ -75,7 +82,9 @@
         {
             return;
         }
-        log::info!(offset = self.offset, ready = self.ready.text().as_str(),
+        let software = self.software.iter().map(SoftwareVersion::as_str);
+        let software = software.collect::<Vec<_>>().join(" ");
+        log::info!(offset = self.offset, software, ready = self.ready.text().as_str(),
             leaving = self.leaving.text().as_str(), gone = self.gone.text().as_str(),
             lapsed = self.lapsed.text().as_str();
             "the directory of workers changed");
--- a/crates/swiftshunt-gateway/src/fleet_followers.rs
+++ b/crates/swiftshunt-gateway/src/fleet_followers.rs
@@ -202,6 +202,7 @@
     ) {
         let life = entry.life.clone();
         let (address, availability) = (entry.address, entry.availability);
+        let software = entry.software.clone();
         let (before, listed) = {
             let mut selector = self.fleet_state.selector();
             let before = selector.incarnation(&life.id).map(str::to_owned);
@@ -215,7 +216,7 @@
                 .started_unix_ms
                 .filter(|_| life.incarnation() == incarnation);
             quarantine.handle_listing(&incarnation, started_unix_ms, address, before.as_deref());
-            summary.add_listed(&incarnation, availability, offset);
+            summary.add_listed(&incarnation, availability, software, offset);
         }
     }
 
--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -91,6 +91,7 @@
                 }
             };
             context.record_send(&chosen, self.dispatcher.clock.now());
+            context.log_take_up(&chosen);
             let limits = self.send_limits(context, &chosen);
             let last_event = context.facts.last_event;
             let sent = self
--- a/crates/swiftshunt-gateway/src/protocol.rs
+++ b/crates/swiftshunt-gateway/src/protocol.rs
@@ -103,6 +103,9 @@
     pub output_tokens: u64,
     /// Identifier of the last event of a stream that the caller has; `None` for a new stream.
     pub last_event: Option<u64>,
+    /// Identifier of the caller's attempt that brought the first event of a stream that the caller takes up; `None` if
+    /// the caller names none.
+    pub first_attempt: Option<String>,
 }
 
 /// The information that is added to the headers of a request for a worker.
--- a/crates/swiftshunt-gateway/src/relay.rs
+++ b/crates/swiftshunt-gateway/src/relay.rs
@@ -216,6 +216,9 @@
     /// aborts the caller's stream, if no worker does.
     async fn resume_elsewhere(&mut self, failure: SendFailure) -> Result<(), BodyError> {
         let last = self.resume.as_ref().and_then(Resume::position);
+        let began_at = (self.answer.as_ref())
+            .map(|answer| answer.in_flight.chosen.software.to_string())
+            .unwrap_or_default();
         if let Some(mut answer) = self.answer.take() {
             log::info!(request = self.id.as_str(), failure:% = failure, last_event:? = last,
                 worker = answer.in_flight.chosen.incarnation.as_str(),
@@ -237,6 +240,7 @@
             return Err(broken());
         };
         log::info!(request = self.id.as_str(), last_event:? = last,
+            began_at, software = answer.in_flight.chosen.software.as_str(),
             worker = answer.in_flight.chosen.incarnation.as_str(); "stream resumed at another worker");
         self.answer = Some(answer);
         Ok(())
--- a/crates/swiftshunt-gateway/src/request_context.rs
+++ b/crates/swiftshunt-gateway/src/request_context.rs
@@ -98,6 +98,16 @@
             reading_ms = expected_prefill.as_millis() as u64; "answered");
     }
 
+    /// Logs the worker that a stream which the caller takes up is sent to.
+    pub(crate) fn log_take_up(&self, chosen: &ChosenWorker) {
+        let Some(last_event) = self.facts.last_event else {
+            return;
+        };
+        log::info!(request = self.id(), first_attempt:? = self.facts.first_attempt, last_event,
+            worker = chosen.incarnation.as_str(), service = chosen.service.as_str(),
+            software = chosen.software.as_str(); "the caller takes up a stream");
+    }
+
     /// Logs that a send of the request failed.
     pub(crate) fn log_failure(&self, chosen: &ChosenWorker, failure: &SendFailure) {
         log::info!(request = self.id(), worker = chosen.incarnation.as_str(),
--- a/crates/swiftshunt-scheduler/src/candidate.rs
+++ b/crates/swiftshunt-scheduler/src/candidate.rs
@@ -108,6 +108,7 @@
             incarnation: self.entry.incarnation.clone(),
             address: self.entry.address,
             zone: self.entry.zone.clone(),
+            software: self.entry.software.clone(),
             missing_tokens: prefill.missing_tokens,
             expected_prefill: prefill.time,
             has_prompt,
--- a/crates/swiftshunt-scheduler/src/directory.rs
+++ b/crates/swiftshunt-scheduler/src/directory.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use swiftshunt_types::SoftwareVersion;
+
 /// Whether a worker accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Availability {
@@ -56,6 +58,8 @@
     pub address: SocketAddr,
     /// The zone of the worker.
     pub zone: String,
+    /// The version of the worker's software.
+    pub software: SoftwareVersion,
     /// Requests that the worker runs concurrently.
     pub slots: u32,
     /// Whether the worker accepts new requests.
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use swiftshunt_topology::{Distance, Residency, Topology};
+use swiftshunt_types::SoftwareVersion;
 
 use crate::candidate::Candidate;
 use crate::cold::ColdBound;
@@ -66,6 +67,8 @@
     pub address: SocketAddr,
     /// The zone of the worker.
     pub zone: String,
+    /// The version of the worker's software.
+    pub software: SoftwareVersion,
     /// Prompt tokens that the worker is expected not to have in its prefix cache.
     pub missing_tokens: u64,
     /// Expected prefill time until the first event: the prompts that are pending at the worker and
--- a/crates/swiftshunt-scheduler/tests/cold.rs
+++ b/crates/swiftshunt-scheduler/tests/cold.rs
@@ -30,6 +30,7 @@
         service: "s".to_owned(),
         address: "127.0.0.1:1".parse().expect("parse the worker's address"),
         zone: "a".to_owned(),
+        software: "v1".into(),
         slots: 4,
         availability: Availability::Ready,
         cold_left,
--- a/crates/swiftshunt-scheduler/tests/listed.rs
+++ b/crates/swiftshunt-scheduler/tests/listed.rs
@@ -29,6 +29,7 @@
             .parse()
             .expect("parse the worker's address"),
         zone: "z".to_owned(),
+        software: "v1".into(),
         slots: 4,
         availability: Availability::Ready,
         cold_left: Duration::ZERO,
--- a/crates/swiftshunt-scheduler/tests/offers.rs
+++ b/crates/swiftshunt-scheduler/tests/offers.rs
@@ -32,6 +32,7 @@
         service: "s".to_owned(),
         address: "127.0.0.1:1".parse().expect("parse the worker's address"),
         zone: zone.to_owned(),
+        software: "v1".into(),
         slots: 4,
         availability,
         cold_left: Duration::ZERO,
--- a/crates/swiftshunt-types/src/identifiers.rs
+++ b/crates/swiftshunt-types/src/identifiers.rs
@@ -63,6 +63,11 @@
     /// A batch job. The identifier is derived from the tenant and the idempotency key.
     JobId
 );
+text_identifier!(
+    /// The version of a worker's software, which is independent of the version of its weights. Workers of several
+    /// versions may serve side by side; the outputs of two versions do not fit together.
+    SoftwareVersion
+);
 text_identifier!(
     /// An uploaded or generated file.
     FileId
--- a/crates/swiftshunt-types/src/lib.rs
+++ b/crates/swiftshunt-types/src/lib.rs
@@ -11,8 +11,8 @@
 pub use digest::{Digest, token_digest};
 pub use execution::{ErrorBody, ErrorEnvelope, ErrorKind, Execution, Failure};
 pub use identifiers::{
-    FileId, JobId, ModelName, NodeId, PartitionId, PoolName, RegionName, RequestId, SubmissionId,
-    TenantName, WorkerId, ZoneName, partition_of,
+    FileId, JobId, ModelName, NodeId, PartitionId, PoolName, RegionName, RequestId,
+    SoftwareVersion, SubmissionId, TenantName, WorkerId, ZoneName, partition_of,
 };
 pub use machines::{Machine, MachineKind, MachineList, MachineState};
 pub use priority::Priority;
