--- a/crates/swiftshunt-lab/src/platform/caller.rs
+++ b/crates/swiftshunt-lab/src/platform/caller.rs
@@ -7,7 +7,10 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
-use hyper::{Method, StatusCode};
+use eventsource_stream::Eventsource;
+use futures_util::StreamExt;
+use http_body_util::BodyExt;
+use hyper::{HeaderMap, Method, StatusCode};
 use swiftshunt_http::{HttpAnswer, HttpClient, HttpError, HttpRequest};
 use swiftshunt_platform::documents::{ItemDocument, JobDocument, PageDocument};
 use swiftshunt_platform::words::{headers, paths, queries, values};
@@ -19,6 +22,45 @@
 /// Time limit of one HTTP exchange.
 const CALL_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Where a caller takes up a stream that broke off.
+#[derive(Clone, Debug)]
+pub struct TakeUp {
+    /// Identifier of the attempt that brought the first event.
+    pub first_attempt: String,
+    /// Number of the last event that the caller has.
+    pub last_event: u64,
+}
+
+/// The part of a stream that a caller read.
+#[derive(Clone, Debug)]
+pub struct StreamPart {
+    /// Status of the response.
+    pub status: StatusCode,
+    /// Headers of the response.
+    pub headers: HeaderMap,
+    /// The events, each with its number and data.
+    pub events: Vec<(u64, String)>,
+    /// Whether the response ended without an error.
+    pub is_complete: bool,
+}
+
+impl StreamPart {
+    /// Returns how the stream of `first_attempt` is taken up after this part; `None` if it has no event.
+    pub fn take_up(&self, first_attempt: &str) -> Option<TakeUp> {
+        let (last_event, _) = self.events.last()?;
+        Some(TakeUp {
+            first_attempt: first_attempt.to_owned(),
+            last_event: *last_event,
+        })
+    }
+
+    /// Returns the data of the events, one a line.
+    pub fn text(&self) -> String {
+        let data = self.events.iter().map(|(_, data)| data.as_str());
+        data.collect::<Vec<_>>().join("\n")
+    }
+}
+
 /// A caller of the gateways, with or without an API key. Clones share their connections.
 #[derive(Clone)]
 pub struct PlatformCaller {
@@ -107,6 +149,47 @@
         self.client.exchange(request, CALL_TIMEOUT).await
     }
 
+    /// Requests a stream, or takes one up, and reads it to its end or until `max_events` events have arrived. The
+    /// connection is closed then.
+    pub async fn read_stream(
+        &self,
+        gateway: SocketAddr,
+        path: &str,
+        id: &str,
+        take_up: Option<&TakeUp>,
+        max_events: usize,
+    ) -> Result<StreamPart, HttpError> {
+        let mut request = self.text_request(gateway, path, id, CALL_TIMEOUT);
+        if let Some(take_up) = take_up {
+            request = request
+                .with_header(headers::FIRST_ATTEMPT, &take_up.first_attempt)
+                .with_header(headers::LAST_EVENT, take_up.last_event.to_string());
+        }
+        let response = self.client.open(request, CALL_TIMEOUT).await?;
+        let (head, body) = response.into_parts();
+        let mut part = StreamPart {
+            status: head.status,
+            headers: head.headers,
+            events: Vec::new(),
+            is_complete: false,
+        };
+        let mut events = body.into_data_stream().eventsource();
+        while part.events.len() < max_events {
+            match events.next().await {
+                Some(Ok(event)) => {
+                    let number = event.id.parse().unwrap_or_default();
+                    part.events.push((number, event.data));
+                }
+                Some(Err(_)) => break,
+                None => {
+                    part.is_complete = true;
+                    break;
+                }
+            }
+        }
+        Ok(part)
+    }
+
     /// Sends a request with the given body and a deadline of 20 s.
     pub async fn ask_with_body(
         &self,
--- a/crates/swiftshunt-lab/src/platform/fleet.rs
+++ b/crates/swiftshunt-lab/src/platform/fleet.rs
@@ -142,6 +142,9 @@
     /// Bandwidth-limited line that gateways outside the first region share to reach the store; `None` for
     /// no limit.
     pub store_line: Option<Arc<Bandwidth>>,
+    /// Software versions of the workers, assigned in turn by index. If empty, all have the same version and their
+    /// events name none.
+    pub software: Vec<String>,
 }
 
 impl Default for PlatformOptions {
@@ -161,6 +164,7 @@
             zone_layout: ZoneLayout::default(),
             programs: Vec::new(),
             store_line: None,
+            software: Vec::new(),
         }
     }
 }
@@ -187,6 +191,7 @@
                 crash_on_body: options.crash_workers_on_body.clone(),
                 started_unix_ms: options.report_start_times.then(unix_ms),
                 zone: options.zone_layout.zone(index).to_owned(),
+                software: software_at(&options.software, index),
             };
             let whole_settings = settings("whole", None, options.answer_delay);
             whole_workers.push(Worker::start(whole_settings).await?);
@@ -378,7 +383,7 @@
             service: service.to_owned(),
             address: worker.address.to_string(),
             zone: worker.settings().zone.clone(),
-            version: "v1".to_owned(),
+            version: (worker.settings().software.clone()).unwrap_or_else(|| "v1".to_owned()),
             slots: 16,
             state: state.to_owned(),
             cold_left_ms: 0.0,
@@ -413,6 +418,7 @@
             crash_on_body: None,
             started_unix_ms: None,
             zone: self.zone_layout.zone(0).to_owned(),
+            software: None,
         };
         let worker = Worker::start(settings).await?;
         self.list(&worker, "whole", values::READY);
@@ -420,6 +426,45 @@
         Ok(())
     }
 
+    /// Starts one more worker of the service `engine`, with the settings of the first one except for its identifier
+    /// and software version, and lists it as ready.
+    pub async fn add_engine_worker(
+        &mut self,
+        incarnation: &str,
+        software: &str,
+    ) -> std::io::Result<()> {
+        let settings = WorkerSettings {
+            incarnation: incarnation.to_owned(),
+            software: Some(software.to_owned()),
+            ..self.engine_workers[0].settings().clone()
+        };
+        let worker = Worker::start(settings).await?;
+        self.list(&worker, "engine", values::READY);
+        self.engine_workers.push(worker);
+        Ok(())
+    }
+
+    /// Crashes a worker of the service `engine` and restarts it with the same address and identifier, but with other
+    /// software. Lists it as ready with the new start time.
+    pub async fn replace_engine_software(
+        &mut self,
+        index: usize,
+        software: &str,
+    ) -> std::io::Result<()> {
+        let old = &self.engine_workers[index];
+        old.crash();
+        let address = old.address;
+        let settings = WorkerSettings {
+            started_unix_ms: Some(unix_ms()),
+            software: Some(software.to_owned()),
+            ..old.settings().clone()
+        };
+        let worker = start_worker_at(address, settings).await?;
+        self.list(&worker, "engine", values::READY);
+        self.engine_workers[index] = worker;
+        Ok(())
+    }
+
     /// Removes a worker from the directory.
     pub fn unlist(&self, worker: &Worker) {
         let nothing = bytes::Bytes::new();
@@ -440,6 +485,12 @@
     }
 }
 
+/// Returns the software version of the worker with this index.
+fn software_at(versions: &[String], index: usize) -> Option<String> {
+    let index = index.checked_rem(versions.len())?;
+    versions.get(index).cloned()
+}
+
 /// Starts a worker at an address. Retries while the previous worker has not released it yet, and fails with
 /// `AddrInUse` after [`PORT_ATTEMPTS`] attempts.
 async fn start_worker_at(address: SocketAddr, settings: WorkerSettings) -> std::io::Result<Worker> {
--- a/crates/swiftshunt-lab/src/platform/process.rs
+++ b/crates/swiftshunt-lab/src/platform/process.rs
@@ -93,6 +93,7 @@
         crash_on_body: None,
         started_unix_ms: None,
         zone: "zone-a".to_owned(),
+        software: None,
     };
     let report_run = move |event: RunEvent, run: &Run| {
         let line = RunLine {
--- a/crates/swiftshunt-lab/src/platform/worker.rs
+++ b/crates/swiftshunt-lab/src/platform/worker.rs
@@ -1,5 +1,6 @@
 //! A stand-in for a worker that speaks the platform's protocol, with injected faults and a record of its runs.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -88,6 +89,8 @@
     pub started_unix_ms: Option<u64>,
     /// Name of the worker's zone.
     pub zone: String,
+    /// Version of the worker's software, which its stream events name; `None` if they name none.
+    pub software: Option<String>,
 }
 
 /// Path at which a test sets the behaviour; the body is a [`WorkerBehaviour`] in JSON.
@@ -427,6 +430,26 @@
     format!("{id}-piece-{event}")
 }
 
+/// Separates the data of an event from the software version that made it.
+const VERSION_SEPARATOR: char = '@';
+
+/// Returns the data of an event that a worker of a software version makes.
+pub fn versioned_event_data(id: &str, event: u64, software: Option<&str>) -> String {
+    let data = event_data(id, event);
+    match software {
+        Some(software) => format!("{data}{VERSION_SEPARATOR}{software}"),
+        None => data,
+    }
+}
+
+/// Returns the software versions that made the events of a text, one event a line, without repetitions.
+pub fn versions_in(text: &str) -> BTreeSet<&str> {
+    let versions = text
+        .lines()
+        .filter_map(|line| line.rsplit_once(VERSION_SEPARATOR));
+    versions.map(|(_, version)| version).collect()
+}
+
 fn event_stream_body(
     shared: &Arc<Shared>,
     slot: HeldSlot,
@@ -459,7 +482,8 @@
                 return Ok(Frame::data(Bytes::new()));
             }
             tokio::time::sleep(shared.settings.answer_delay).await;
-            let text = format!("id: {event}\ndata: {}\n\n", event_data(&id, event));
+            let data = versioned_event_data(&id, event, shared.settings.software.as_deref());
+            let text = format!("id: {event}\ndata: {data}\n\n");
             Ok(Frame::data(Bytes::from(text)))
         }
     });
--- /dev/null
+++ b/crates/swiftshunt/tests/gateway_software_versions.rs
@@ -0,0 +1,305 @@
+//! Streams and batch items while workers of several software versions serve side by side. Each event names the
+//! version that made it, so that the tests see every output that holds events of two versions.
+
+mod gateway;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use gateway::{ExclusiveFleet, listed_results, start, submit, wait_for_all_results};
+use hyper::StatusCode;
+use swiftshunt_lab::platform::caller::{StreamPart, item_id};
+use swiftshunt_lab::platform::fleet::{PlatformOptions, STREAM, eventually};
+use swiftshunt_lab::platform::worker::{WorkerBehaviour, versioned_event_data, versions_in};
+use swiftshunt_platform::words::values;
+
+/// Number of events in a stream.
+const EVENTS: u64 = 12;
+/// Number of events that a caller reads before it closes the connection.
+const READ_EVENTS: usize = 3;
+/// Least share of the streams taken up that must go on, where workers of their version serve.
+const MIN_CONTINUED_SHARE: f64 = 0.5;
+/// Time in which a request that cannot be served is refused.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
+
+fn options(software: &[&str]) -> PlatformOptions {
+    PlatformOptions {
+        gateways: 3,
+        workers: 6,
+        events: EVENTS,
+        software: software
+            .iter()
+            .map(|version| (*version).to_owned())
+            .collect(),
+        ..PlatformOptions::default()
+    }
+}
+
+async fn two_versions() -> ExclusiveFleet {
+    start(options(&["v1", "v2"])).await
+}
+
+/// A stream that a caller began and whose connection it closed.
+struct Begun {
+    id: String,
+    part: StreamPart,
+}
+
+impl Begun {
+    fn version(&self) -> String {
+        let text = self.part.text();
+        let versions = versions_in(&text);
+        versions
+            .first()
+            .map(|version| (*version).to_owned())
+            .unwrap_or_default()
+    }
+}
+
+async fn begin(fleet: &ExclusiveFleet, gateway: SocketAddr, id: &str) -> Begun {
+    let read = fleet
+        .caller
+        .read_stream(gateway, STREAM, id, None, READ_EVENTS);
+    let part = read.await.expect("no response");
+    assert_eq!(part.status, StatusCode::OK, "{id}");
+    assert_eq!(part.events.len(), READ_EVENTS, "{id}");
+    Begun {
+        id: id.to_owned(),
+        part,
+    }
+}
+
+async fn begin_streams(fleet: &ExclusiveFleet, gateways: &[usize], count: usize) -> Vec<Begun> {
+    let mut begun = Vec::new();
+    for number in 0..count {
+        let gateway = fleet.gateways[gateways[number % gateways.len()]].callers;
+        begun.push(begin(fleet, gateway, &format!("s{number}")).await);
+    }
+    let versions: BTreeSet<String> = begun.iter().map(Begun::version).collect();
+    println!("versions that began streams: {versions:?}");
+    begun
+}
+
+async fn take_up(
+    fleet: &ExclusiveFleet,
+    gateway: SocketAddr,
+    begun: &Begun,
+    id: &str,
+) -> StreamPart {
+    let take_up = begun.part.take_up(&begun.id);
+    let read = fleet
+        .caller
+        .read_stream(gateway, STREAM, id, take_up.as_ref(), usize::MAX);
+    read.await.expect("no response")
+}
+
+/// What became of streams that callers took up.
+#[derive(Debug, Default)]
+struct Outcomes {
+    continued: usize,
+    refused: usize,
+    broken: usize,
+    /// Streams that hold events of two versions.
+    mixed: Vec<String>,
+}
+
+impl Outcomes {
+    fn add(&mut self, begun: &Begun, rest: &StreamPart) {
+        let text = format!("{}\n{}", begun.part.text(), rest.text());
+        if versions_in(&text).len() > 1 {
+            self.mixed.push(text);
+        }
+        if rest.status != StatusCode::OK {
+            assert_eq!(rest.status, StatusCode::SERVICE_UNAVAILABLE);
+            assert!(rest.headers.contains_key("retry-after"));
+            self.refused += 1;
+        } else if rest.is_complete {
+            let numbers: Vec<u64> = rest.events.iter().map(|(number, _)| *number).collect();
+            let expected: Vec<u64> = (READ_EVENTS as u64..EVENTS).collect();
+            assert_eq!(numbers, expected);
+            self.continued += 1;
+        } else {
+            self.broken += 1;
+        }
+    }
+
+    fn assert_unmixed(&self) {
+        println!("{self:?}");
+        assert!(self.mixed.is_empty(), "events of two versions: {self:?}");
+    }
+
+    fn assert_continued(&self) {
+        let all = self.continued + self.refused + self.broken;
+        let share = self.continued as f64 / all.max(1) as f64;
+        assert!(share >= MIN_CONTINUED_SHARE, "too few went on: {self:?}");
+    }
+}
+
+async fn take_up_all(fleet: &ExclusiveFleet, gateways: &[usize], begun: &[Begun]) -> Outcomes {
+    let mut outcomes = Outcomes::default();
+    for (number, stream) in begun.iter().enumerate() {
+        let gateway = fleet.gateways[gateways[number % gateways.len()]].callers;
+        let rest = take_up(fleet, gateway, stream, &format!("t{number}")).await;
+        outcomes.add(stream, &rest);
+    }
+    outcomes
+}
+
+async fn wait_until_ready(fleet: &ExclusiveFleet, gateways: &[usize]) {
+    for gateway in gateways {
+        let ready = fleet.gateways[*gateway].ready;
+        eventually("the gateway is ready", || fleet.caller.is_ready(ready)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_taken_up_at_another_gateway_stays_at_the_version_that_began_it() {
+    let fleet = two_versions().await;
+    let begun = begin_streams(&fleet, &[0, 1, 2], 30).await;
+    let outcomes = take_up_all(&fleet, &[1, 2, 0], &begun).await;
+    outcomes.assert_unmixed();
+    outcomes.assert_continued();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_resumed_inside_one_answer_stays_at_the_version_that_began_it() {
+    let fleet = two_versions().await;
+    for worker in &fleet.engine_workers[..2] {
+        worker.set_behaviour(WorkerBehaviour::TruncateStreamAfter(3));
+    }
+    let mut mixed = Vec::new();
+    for number in 0..30 {
+        let id = format!("s{number}");
+        let gateway = fleet.gateways[number % 3].callers;
+        let read = fleet
+            .caller
+            .read_stream(gateway, STREAM, &id, None, usize::MAX);
+        let part = read.await.expect("no response");
+        assert!(part.is_complete, "{id}: {part:?}");
+        let text = part.text();
+        if versions_in(&text).len() > 1 {
+            mixed.push(text);
+        }
+    }
+    assert!(mixed.is_empty(), "events of two versions: {mixed:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_stays_at_its_version_although_the_gateway_that_began_it_is_killed() {
+    let mut fleet = two_versions().await;
+    let begun = begin_streams(&fleet, &[0], 24).await;
+    fleet.restart(0).expect("the gateway did not start");
+    let outcomes = take_up_all(&fleet, &[1, 2], &begun).await;
+    outcomes.assert_unmixed();
+    outcomes.assert_continued();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_stream_joins_two_versions_after_all_gateways_are_killed() {
+    let mut fleet = two_versions().await;
+    let begun = begin_streams(&fleet, &[0, 1, 2], 24).await;
+    for gateway in 0..3 {
+        fleet.restart(gateway).expect("the gateway did not start");
+    }
+    wait_until_ready(&fleet, &[0, 1, 2]).await;
+    let outcomes = take_up_all(&fleet, &[0, 1, 2], &begun).await;
+    outcomes.assert_unmixed();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_goes_on_after_all_gateways_are_killed_if_one_version_alone_serves() {
+    let mut fleet = start(options(&["v1"])).await;
+    // The gateways learn that no other version has served.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let begun = begin_streams(&fleet, &[0, 1, 2], 24).await;
+    for gateway in 0..3 {
+        fleet.restart(gateway).expect("the gateway did not start");
+    }
+    wait_until_ready(&fleet, &[0, 1, 2]).await;
+    let outcomes = take_up_all(&fleet, &[0, 1, 2], &begun).await;
+    outcomes.assert_unmixed();
+    outcomes.assert_continued();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_version_is_gone_is_refused_at_once() {
+    let fleet = two_versions().await;
+    let begun = begin_streams(&fleet, &[0, 1, 2], 24).await;
+    for worker in fleet.engine_workers.iter().step_by(2) {
+        fleet.unlist(worker);
+    }
+    // Longer than the time within which gateways learn of workers that are gone.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let gone: Vec<&Begun> = begun
+        .iter()
+        .filter(|stream| stream.version() == "v1")
+        .collect();
+    assert!(!gone.is_empty());
+    for (number, stream) in gone.into_iter().enumerate() {
+        let gateway = fleet.gateways[(number + 1) % 3].callers;
+        let asked_at = Instant::now();
+        let rest = take_up(&fleet, gateway, stream, &format!("t{number}")).await;
+        assert_eq!(rest.status, StatusCode::SERVICE_UNAVAILABLE, "{rest:?}");
+        assert!(rest.headers.contains_key("retry-after"));
+        assert!(asked_at.elapsed() < REFUSAL_TIME);
+    }
+}
+
+/// Asserts that each item of the job is completed with all of its events, made by one version.
+async fn assert_items_of_one_version(
+    fleet: &ExclusiveFleet,
+    gateway: SocketAddr,
+    job: &str,
+    items: usize,
+) {
+    wait_for_all_results(fleet, gateway, job, items).await;
+    let results = listed_results(fleet, gateway, job).await;
+    for item in 0..items {
+        let id = item_id(job, item);
+        let result = results
+            .iter()
+            .find(|result| result.id == id)
+            .expect("the item is not listed");
+        assert_eq!(result.state, values::COMPLETED);
+        let versions = versions_in(&result.text);
+        assert_eq!(versions.len(), 1, "{}", result.text);
+        let version = versions.first().copied();
+        let expected: Vec<String> = (0..EVENTS)
+            .map(|event| versioned_event_data(&id, event, version))
+            .collect();
+        assert_eq!(result.text, expected.join("\n"));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_batch_item_whose_run_breaks_off_holds_the_output_of_one_version() {
+    let fleet = two_versions().await;
+    for worker in &fleet.engine_workers[..4] {
+        worker.set_behaviour(WorkerBehaviour::TruncateStreamAfter(5));
+    }
+    let gateway = fleet.gateways[0].callers;
+    submit(&fleet, gateway, "job", 24).await;
+    assert_items_of_one_version(&fleet, gateway, "job", 24).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_batch_item_handed_to_another_gateway_holds_the_output_of_one_version() {
+    let options = PlatformOptions {
+        event_interval: Duration::from_millis(150),
+        ..options(&["v1", "v2"])
+    };
+    let mut fleet = start(options).await;
+    for job in ["job-a", "job-b", "job-c"] {
+        submit(&fleet, fleet.gateways[0].callers, job, 16).await;
+    }
+    // Long enough for items to have some events, and shorter than their runs.
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    for gateway in [1, 2] {
+        fleet.gateways[gateway].process.terminate();
+    }
+    for job in ["job-a", "job-b", "job-c"] {
+        assert_items_of_one_version(&fleet, fleet.gateways[0].callers, job, 16).await;
+    }
+    fleet.gateways.truncate(1);
+}
