Gateway: a stream resumed inside one answer goes on only at the service and version that began it

What callers saw: one answer with events of two software versions, status 200, signed and whole.

Cause: a resumption chose among all workers of the service that were not tried; nothing in a request said what its output was bound to.

Change: an output's origin (service and software version) is a part of the scope in which a request may be offered, beside its regions, and OtherOrigin is one more reason of the one decision whether a worker may be offered a request (eligibility.rs). Each kind of placement asks it, and each send asks it again. A resumption takes the origin of the answer's first worker. Where no worker has the origin, the obstacle is OriginGone, which is refused at once.

Ruled out: a second filter in the resumption; the slot owner, the choice in other regions and a check before the send would each have needed it, too.

Pure tests: no kind of placement offers an output to another version or service.

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -13,6 +13,7 @@
 use swiftshunt_routing::Configuration;
 use swiftshunt_scheduler::eligibility::Withheld;
 use swiftshunt_scheduler::selection::{AttemptOutcome, ChosenWorker, Demand};
+use swiftshunt_types::OutputOrigin;
 
 use crate::clock::Clock;
 use crate::fleet_state::FleetState;
@@ -54,6 +55,12 @@
 }
 
 impl OutgoingRequest {
+    /// Restricts the request to workers that may continue an output of this origin.
+    pub(crate) fn continuing(mut self, origin: OutputOrigin) -> Self {
+        self.demand.scope.origin = Some(origin);
+        self
+    }
+
     /// Restricts the request to the regions that a configuration allows for it.
     pub(crate) fn bind_residency(&mut self, configuration: &Configuration) {
         let path = self.request_content.target().path();
@@ -64,7 +71,7 @@
             Identity::Tenant(name) => Some(name),
             Identity::Unchecked | Identity::Anyone => None,
         };
-        self.demand.residency = configuration.residency_of(route, tenant);
+        self.demand.scope.residency = configuration.residency_of(route, tenant);
     }
 }
 
@@ -346,7 +353,7 @@
         outgoing: &OutgoingRequest,
     ) -> Result<(), SendFailure> {
         let selector = self.fleet_state.selector();
-        let offered = selector.may_offer(&chosen.incarnation, &outgoing.demand.residency);
+        let offered = selector.may_offer(&chosen.incarnation, &outgoing.demand.scope);
         offered.map_err(|why| withheld(chosen, outgoing, why))
     }
 
--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -11,6 +11,7 @@
 use swiftshunt_http::SendPermit;
 use swiftshunt_jobs::{ItemOutcome, ItemSpec, JobSpec, Progress, Settled};
 use swiftshunt_routing::Route;
+use swiftshunt_scheduler::eligibility::OfferScope;
 use swiftshunt_scheduler::selection::{AttemptOutcome, ChosenWorker, Class, Demand};
 use swiftshunt_scheduler::slots::ItemTimes;
 use swiftshunt_topology::Residency;
@@ -117,7 +118,8 @@
                 tokio::time::sleep(HOLD_POLL_INTERVAL).await;
                 continue;
             }
-            let service = self.dispatcher.fleet_state.next_service(&route, &residency);
+            let scope = OfferScope::within(residency);
+            let service = self.dispatcher.fleet_state.next_service(&route, &scope);
             let expected_run = self.run_time_estimate.expected().saturating_sub(output.ran);
             self.running.set_remaining_time(id, expected_run);
             let times = ItemTimes {
@@ -125,7 +127,7 @@
                 ..times
             };
             let slots = &self.dispatcher.slots;
-            let slot = slots.wait_for_slot(&service, times, &residency);
+            let slot = slots.wait_for_slot(&service, times, &scope);
             // The route may change, or the item may expire, while it waits for a slot.
             let Ok(chosen) = tokio::time::timeout(MAX_SLOT_WAIT, slot).await else {
                 continue;
@@ -134,8 +136,7 @@
                 continue;
             }
             let began = self.dispatcher.clock.now();
-            let Some(outgoing) = self.build_request(id, spec, item, request_content, residency)
-            else {
+            let Some(outgoing) = self.build_request(id, spec, item, request_content, scope) else {
                 let reason = "item has no valid path or host";
                 return self.settle(id, item, ItemOutcome::GivenUp, String::new(), reason);
             };
@@ -284,7 +285,7 @@
         spec: &JobSpec,
         item: &ItemSpec,
         request_content: &RequestContent,
-        residency: Residency,
+        scope: OfferScope,
     ) -> Option<OutgoingRequest> {
         let protocol = &self.dispatcher.protocol;
         let facts = protocol.item_facts(item);
@@ -297,7 +298,7 @@
                 class: Class::Batch,
                 prompt: facts.prompt,
                 prompt_tokens: facts.prompt_tokens,
-                residency,
+                scope,
                 salt: rand::rng().next_u64(),
             },
             request_content: request_content.clone(),
--- a/crates/swiftshunt-gateway/src/entry.rs
+++ b/crates/swiftshunt-gateway/src/entry.rs
@@ -19,6 +19,7 @@
 use swiftshunt_scheduler::admission::{
     retry_after_elsewhere, retry_after_startup, retry_after_tenant_limit,
 };
+use swiftshunt_scheduler::eligibility::OfferScope;
 use swiftshunt_scheduler::selection::{Class, Demand};
 
 use crate::abandon_guard::AbandonGuard;
@@ -259,7 +260,8 @@
             arrived,
         } = identified;
         let residency = Configuration::residency(&route, &caller);
-        let service = self.dispatcher.fleet_state.next_service(&route, &residency);
+        let scope = OfferScope::within(residency);
+        let service = self.dispatcher.fleet_state.next_service(&route, &scope);
         let mut headers = end_to_end_headers(&head.headers);
         headers.remove(CONTENT_LENGTH);
         headers.remove("expect");
@@ -267,7 +269,7 @@
             class: Class::Online,
             prompt: facts.prompt.clone(),
             prompt_tokens: facts.prompt_tokens,
-            residency,
+            scope,
             salt: rand::rng().next_u64(),
         };
         let identity = Identity::from(&caller);
--- a/crates/swiftshunt-gateway/src/fleet_state.rs
+++ b/crates/swiftshunt-gateway/src/fleet_state.rs
@@ -7,8 +7,8 @@
     ColdSpec, Configuration, CurrentConfiguration, Installed, Route, SplitState,
 };
 use swiftshunt_scheduler::cold::ColdBound;
+use swiftshunt_scheduler::eligibility::OfferScope;
 use swiftshunt_scheduler::selection::Selector;
-use swiftshunt_topology::Residency;
 use tokio::sync::{Notify, watch};
 
 use crate::settings::ColdSettings;
@@ -101,13 +101,13 @@
     }
 
     /// Returns the service for the next request of a route. The route's split decides among the services that have
-    /// an eligible worker in the given regions.
-    pub(crate) fn next_service(&self, route: &Route, residency: &Residency) -> String {
+    /// an eligible worker in the given scope.
+    pub(crate) fn next_service(&self, route: &Route, scope: &OfferScope) -> String {
         let selector = self.selector();
         let mut split = lock(&self.split);
         split
             .next(route, |service| {
-                selector.has_eligible_worker(service, residency)
+                selector.has_eligible_worker(service, scope)
             })
             .to_owned()
     }
--- a/crates/swiftshunt-gateway/src/metrics/labels.rs
+++ b/crates/swiftshunt-gateway/src/metrics/labels.rs
@@ -74,6 +74,8 @@
     Evacuated,
     /// No worker or gateway that the request needs is in a region in which the request may be handled.
     OutsideResidency,
+    /// No worker has the service and software version that began the stream.
+    OriginGone,
 }
 
 impl From<Obstacle> for Refusal {
@@ -84,6 +86,7 @@
             Obstacle::Full => Self::Full,
             Obstacle::Evacuated { .. } => Self::Evacuated,
             Obstacle::OutsideResidency => Self::OutsideResidency,
+            Obstacle::OriginGone => Self::OriginGone,
         }
     }
 }
--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -129,12 +129,12 @@
     /// that may have run keeps its service.
     fn replace_ineligible_service(&self, context: &mut RequestContext) {
         let fleet_state = &self.dispatcher.fleet_state;
-        let residency = &context.outgoing.demand.residency;
+        let scope = &context.outgoing.demand.scope;
         let is_eligible = fleet_state
             .selector()
-            .has_eligible_worker(&context.service, residency);
+            .has_eligible_worker(&context.service, scope);
         if context.runs == 0 && !is_eligible {
-            context.service = fleet_state.next_service(&context.route, residency);
+            context.service = fleet_state.next_service(&context.route, scope);
         }
     }
 
@@ -204,12 +204,12 @@
         let now = self.dispatcher.clock.now();
         let selector = self.dispatcher.fleet_state.selector();
         let reaches_workers = selector.has_activity_since(now.saturating_sub(RECENT_ACTIVITY));
-        let residency = &context.outgoing.demand.residency;
-        let service_obstacle = selector.service_obstacle(&context.service, residency, now);
+        let scope = &context.outgoing.demand.scope;
+        let service_obstacle = selector.service_obstacle(&context.service, scope, now);
         let obstacle = if let Some(service_obstacle) = service_obstacle {
             service_obstacle
         } else if context.was_declined
-            || selector.awaits_start_permits(&context.service, residency, now)
+            || selector.awaits_start_permits(&context.service, scope, now)
         {
             Obstacle::Full
         } else if context.tried.is_empty() || reaches_workers {
--- a/crates/swiftshunt-gateway/src/relay.rs
+++ b/crates/swiftshunt-gateway/src/relay.rs
@@ -131,8 +131,9 @@
     first: Bytes,
 ) -> AnswerBody {
     let id = context.outgoing.id.clone().unwrap_or_default();
+    let origin = answer.in_flight.chosen.origin();
     let resume = context.route.resumable.then(|| Resume {
-        outgoing: context.outgoing.clone(),
+        outgoing: context.outgoing.clone().continuing(origin),
         service: context.service.clone(),
         tried: context.tried.clone(),
         runs_left: (context.route.max_attempts).saturating_sub(context.runs + 1),
--- a/crates/swiftshunt-gateway/src/slots/mod.rs
+++ b/crates/swiftshunt-gateway/src/slots/mod.rs
@@ -14,12 +14,12 @@
 use std::time::Duration;
 
 use rand::RngCore;
+use swiftshunt_scheduler::eligibility::OfferScope;
 use swiftshunt_scheduler::selection::{ChosenWorker, Demand};
 use swiftshunt_scheduler::slots::allocator::{PlacementError, SlotAllocator};
 use swiftshunt_scheduler::slots::cell::Cell;
 use swiftshunt_scheduler::slots::remote_capacity::RemoteCapacity;
 use swiftshunt_scheduler::slots::{Bid, ItemTimes, WorkerKey};
-use swiftshunt_topology::Residency;
 use tokio::sync::oneshot;
 
 use crate::clock::Clock;
@@ -391,16 +391,15 @@
         OwnerReply { verdict, elsewhere }
     }
 
-    /// Waits until a batch item is granted a slot at a worker in one of the regions that its residency
-    /// rule allows.
+    /// Waits until a batch item is granted a slot at a worker in one of the regions that its scope allows.
     pub(crate) async fn wait_for_slot(
         &self,
         service: &str,
         times: ItemTimes,
-        residency: &Residency,
+        scope: &OfferScope,
     ) -> ChosenWorker {
         loop {
-            let regions = self.fleet_state.selector().regions(service, residency);
+            let regions = self.fleet_state.selector().regions(service, scope);
             let now = self.clock.now();
             let (ticket, granted) = self.queue.enter(service, regions, times, now);
             self.fleet_state.load_changed.notify_one();
@@ -412,8 +411,7 @@
             self.record_assignment(&granted.cell, granted.number);
             let now = self.clock.now();
             let selector = self.fleet_state.selector();
-            if let Some(chosen) = selector.assigned_worker(service, granted.worker, residency, now)
-            {
+            if let Some(chosen) = selector.assigned_worker(service, granted.worker, scope, now) {
                 return chosen;
             }
         }
--- a/crates/swiftshunt-scheduler/src/admission.rs
+++ b/crates/swiftshunt-scheduler/src/admission.rs
@@ -25,6 +25,8 @@
     },
     /// No worker of the service is in a region in which the request may be handled.
     OutsideResidency,
+    /// No worker has the service and software version that began the request's output.
+    OriginGone,
 }
 
 /// The state of a request for which no worker was found.
@@ -78,7 +80,9 @@
     let refuse =
         |retry_after| Decision::Refuse(limited_retry_after(retry_after, situation.time_left, draw));
     match situation.obstacle {
-        Obstacle::NoWorker | Obstacle::OutsideResidency => refuse(RETRY_AFTER_NO_WORKER),
+        Obstacle::NoWorker | Obstacle::OutsideResidency | Obstacle::OriginGone => {
+            refuse(RETRY_AFTER_NO_WORKER)
+        }
         Obstacle::Evacuated { lasted } => refuse(retry_after_evacuation(lasted)),
         Obstacle::Unreachable => refuse(RETRY_AFTER_ELSEWHERE),
         Obstacle::Full => {
--- a/crates/swiftshunt-scheduler/src/candidate.rs
+++ b/crates/swiftshunt-scheduler/src/candidate.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use swiftshunt_types::RegionName;
+use swiftshunt_types::{OutputOrigin, RegionName};
 
 use crate::cold::worker_state::{ColdSuspicion, KnownPermits};
 use crate::directory::WorkerEntry;
@@ -115,6 +115,11 @@
         }
     }
 
+    /// Returns whether the worker has the service and software version that began an output.
+    pub(crate) fn is_of(&self, origin: &OutputOrigin) -> bool {
+        self.entry.service == origin.service && self.entry.software == origin.software
+    }
+
     /// Returns whether the worker belongs to a cell of its service.
     pub(crate) fn is_in(&self, cell: &Cell) -> bool {
         self.region == cell.region && self.key.cell_index(cell.count) == cell.index
--- a/crates/swiftshunt-scheduler/src/cells.rs
+++ b/crates/swiftshunt-scheduler/src/cells.rs
@@ -3,13 +3,13 @@
 
 use std::time::Duration;
 
-use swiftshunt_topology::Residency;
 use swiftshunt_types::RegionName;
 
 use crate::candidate::Candidate;
 use crate::cost::{
     USUAL_SILENCE, load_independent_cost, mean_slot_ms, prefill_rate, unexplained_wait,
 };
+use crate::eligibility::OfferScope;
 use crate::selection::{
     ChosenWorker, Demand, Selector, missing_tokens, shared_tokens, tie_break_cost,
 };
@@ -48,11 +48,11 @@
 
     /// Returns the regions with eligible workers of a service, the own region first; a single
     /// `None` in a deployment of one region.
-    pub fn regions(&self, service: &str, residency: &Residency) -> Vec<Option<RegionName>> {
+    pub fn regions(&self, service: &str, scope: &OfferScope) -> Vec<Option<RegionName>> {
         if !self.topology.spans_regions() {
             return vec![None];
         }
-        let eligible = self.eligible_workers(service, residency);
+        let eligible = self.eligible_workers(service, scope);
         let mut regions: Vec<_> = eligible.map(|candidate| candidate.region.clone()).collect();
         let own = self.topology.own_region();
         regions.sort_by_key(|region| (region.as_ref() != own, region.clone()));
@@ -120,7 +120,7 @@
     ) -> RegionFilter<'_> {
         let own = self.topology.own_region();
         let own = own.filter(|_| self.topology.spans_regions());
-        let mut eligible = self.eligible_workers(service, &demand.residency);
+        let mut eligible = self.eligible_workers(service, &demand.scope);
         let has_healthy_worker = eligible.any(|candidate| {
             candidate.region.as_ref() == own
                 && candidate.ejected_until <= now
@@ -182,7 +182,7 @@
     pub fn bids(&self, cell: &Cell, demand: &Demand, tried: &[String], now: Duration) -> Vec<Bid> {
         let eligible: Vec<&Candidate> = self
             .members(cell)
-            .filter(|candidate| self.withhold_reason(candidate, &demand.residency).is_none())
+            .filter(|candidate| self.withhold_reason(candidate, &demand.scope).is_none())
             .filter(|candidate| !tried.contains(&candidate.entry.incarnation))
             .filter(|candidate| !self.lacks_start_permits(candidate, now))
             .collect();
@@ -263,23 +263,23 @@
         &self,
         service: &str,
         key: WorkerKey,
-        residency: &Residency,
+        scope: &OfferScope,
     ) -> Option<&Candidate> {
         let candidate = self
             .ready_workers(service)
             .find(|candidate| candidate.key == key);
-        candidate.filter(|candidate| self.withhold_reason(candidate, residency).is_none())
+        candidate.filter(|candidate| self.withhold_reason(candidate, scope).is_none())
     }
 
-    /// Returns the worker that a slot owner assigned, if it is still eligible for this residency.
+    /// Returns the worker that a slot owner assigned, if it is still eligible for this scope.
     pub fn assigned_worker(
         &self,
         service: &str,
         key: WorkerKey,
-        residency: &Residency,
+        scope: &OfferScope,
         now: Duration,
     ) -> Option<ChosenWorker> {
-        let candidate = self.eligible_worker_by_key(service, key, residency)?;
+        let candidate = self.eligible_worker_by_key(service, key, scope)?;
         Some(self.to_chosen_worker(candidate, 0, true, now))
     }
 
@@ -292,7 +292,7 @@
         demand: &Demand,
         prefill: PrefillEstimate,
     ) -> Option<ChosenWorker> {
-        let candidate = self.eligible_worker_by_key(service, key, &demand.residency)?;
+        let candidate = self.eligible_worker_by_key(service, key, &demand.scope)?;
         Some(candidate.to_chosen_worker(prefill, demand.prompt_tokens > 0))
     }
 }
--- a/crates/swiftshunt-scheduler/src/cold/worker_state.rs
+++ b/crates/swiftshunt-scheduler/src/cold/worker_state.rs
@@ -2,11 +2,10 @@
 
 use std::time::Duration;
 
-use swiftshunt_topology::Residency;
-
 use super::ColdBound;
 use super::permit_rate::{PermitBucket, PermitRate};
 use crate::candidate::Candidate;
+use crate::eligibility::OfferScope;
 use crate::selection::{AttemptOutcome, ChosenWorker, Selector};
 use crate::slots::WorkerKey;
 use crate::warmup::WarmupState;
@@ -121,13 +120,8 @@
 
     /// Returns whether any eligible worker of a service lacks start permits at present and may thus
     /// accept a request as soon as there is a permit.
-    pub fn awaits_start_permits(
-        &self,
-        service: &str,
-        residency: &Residency,
-        now: Duration,
-    ) -> bool {
-        let mut eligible = self.eligible_workers(service, residency);
+    pub fn awaits_start_permits(&self, service: &str, scope: &OfferScope, now: Duration) -> bool {
+        let mut eligible = self.eligible_workers(service, scope);
         eligible.any(|candidate| self.lacks_start_permits(candidate, now))
     }
 
--- a/crates/swiftshunt-scheduler/src/eligibility.rs
+++ b/crates/swiftshunt-scheduler/src/eligibility.rs
@@ -6,7 +6,7 @@
 
 use derive_more::Display;
 use swiftshunt_topology::Residency;
-use swiftshunt_types::RegionName;
+use swiftshunt_types::{OutputOrigin, RegionName};
 
 use crate::admission::Obstacle;
 use crate::candidate::Candidate;
@@ -14,6 +14,29 @@
 use crate::selection::Selector;
 use crate::warmup::WarmupState;
 
+/// The restriction of a request to a part of the workers, whatever their state.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct OfferScope {
+    /// The regions in which the request may be handled.
+    pub residency: Residency,
+    /// The service and software version that began the output which the request continues; `None` if there is no
+    /// output yet.
+    pub origin: Option<OutputOrigin>,
+}
+
+impl OfferScope {
+    /// Returns a scope without a restriction.
+    pub const fn anywhere() -> Self {
+        Self::within(Residency::anywhere())
+    }
+
+    /// Returns the scope of a request that has no output yet.
+    pub const fn within(residency: Residency) -> Self {
+        let origin = None;
+        Self { residency, origin }
+    }
+}
+
 /// The reason why a request may not be offered to a worker.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub enum Withheld {
@@ -37,28 +60,40 @@
         /// The worker's region, if it is known.
         region: Option<RegionName>,
     },
+    /// The worker has another service or software version than the one that began the request's output.
+    #[display("the output was begun by {origin}")]
+    OtherOrigin {
+        /// The service and version that began the output.
+        origin: OutputOrigin,
+    },
     /// The worker is cold, or may be, and the request has no start permit.
     #[display("it is cold, and no start there is to be had")]
     Cold,
 }
 
 impl Selector {
-    /// Checks whether a request with this residency may be offered to a worker.
-    pub fn may_offer(&self, incarnation: &str, residency: &Residency) -> Result<(), Withheld> {
+    /// Checks whether a request of this scope may be offered to a worker.
+    pub fn may_offer(&self, incarnation: &str, scope: &OfferScope) -> Result<(), Withheld> {
         let candidate = self.candidates.get(incarnation).ok_or(Withheld::Unlisted)?;
-        self.withhold_reason(candidate, residency)
-            .map_or(Ok(()), Err)
+        self.withhold_reason(candidate, scope).map_or(Ok(()), Err)
     }
 
     pub(crate) fn withhold_reason(
         &self,
         candidate: &Candidate,
-        residency: &Residency,
+        scope: &OfferScope,
     ) -> Option<Withheld> {
+        let OfferScope { residency, origin } = scope;
         let zone = &candidate.entry.zone;
         if candidate.entry.availability != Availability::Ready {
             return Some(Withheld::Leaving);
         }
+        if let Some(origin) = origin
+            && !candidate.is_of(origin)
+        {
+            let origin = origin.clone();
+            return Some(Withheld::OtherOrigin { origin });
+        }
         if let Some(since) = self.evacuations.since(zone) {
             let zone = zone.clone();
             return Some(Withheld::Evacuated { zone, since });
@@ -73,20 +108,20 @@
         })
     }
 
-    /// Returns the workers of a service to which a request with this residency may be offered.
+    /// Returns the workers of a service to which a request of this scope may be offered.
     pub(crate) fn eligible_workers<'s>(
         &'s self,
         service: &str,
-        residency: &Residency,
+        scope: &OfferScope,
     ) -> impl Iterator<Item = &'s Candidate> + use<'s> {
-        let residency = residency.clone();
+        let scope = scope.clone();
         self.ready_workers(service)
-            .filter(move |candidate| self.withhold_reason(candidate, &residency).is_none())
+            .filter(move |candidate| self.withhold_reason(candidate, &scope).is_none())
     }
 
-    /// Returns whether a request with this residency may be offered to any worker of the service.
-    pub fn has_eligible_worker(&self, service: &str, residency: &Residency) -> bool {
-        self.eligible_workers(service, residency).next().is_some()
+    /// Returns whether a request of this scope may be offered to any worker of the service.
+    pub fn has_eligible_worker(&self, service: &str, scope: &OfferScope) -> bool {
+        self.eligible_workers(service, scope).next().is_some()
     }
 
     /// Returns why a request may not be offered to any of the service's ready workers. Returns
@@ -94,14 +129,17 @@
     pub fn service_obstacle(
         &self,
         service: &str,
-        residency: &Residency,
+        scope: &OfferScope,
         now: Duration,
     ) -> Option<Obstacle> {
+        let residency = &scope.residency;
         let mut is_any_outside_residency = false;
+        let mut is_any_of_other_origin = false;
         let mut evacuated_since = None;
         for candidate in self.ready_workers(service) {
-            match self.withhold_reason(candidate, residency) {
+            match self.withhold_reason(candidate, scope) {
                 None => return None,
+                Some(Withheld::OtherOrigin { .. }) => is_any_of_other_origin = true,
                 // The service is unavailable since its last zone was evacuated.
                 Some(Withheld::Evacuated { since, .. })
                     if self.is_within_residency(candidate, residency) =>
@@ -114,7 +152,9 @@
         let evacuated = evacuated_since.map(|since| Obstacle::Evacuated {
             lasted: now.saturating_sub(since),
         });
-        evacuated.or(is_any_outside_residency.then_some(Obstacle::OutsideResidency))
+        evacuated
+            .or(is_any_outside_residency.then_some(Obstacle::OutsideResidency))
+            .or(is_any_of_other_origin.then_some(Obstacle::OriginGone))
     }
 
     fn is_within_residency(&self, candidate: &Candidate, residency: &Residency) -> bool {
@@ -163,7 +203,7 @@
         });
         let due = due.filter(|candidate| {
             let mut eligible =
-                self.eligible_workers(&candidate.entry.service, &Residency::anywhere());
+                self.eligible_workers(&candidate.entry.service, &OfferScope::anywhere());
             eligible.any(|other| other.region == candidate.region)
         });
         due.map(|candidate| candidate.entry.incarnation.clone())
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -7,13 +7,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use swiftshunt_topology::{Distance, Residency, Topology};
-use swiftshunt_types::SoftwareVersion;
+use swiftshunt_topology::{Distance, Topology};
+use swiftshunt_types::{OutputOrigin, SoftwareVersion};
 
 use crate::candidate::Candidate;
 use crate::cold::ColdBound;
 use crate::cost::{ServiceTimes, expected_prefill, expected_wait, prefill_ms};
 use crate::directory::Availability;
+use crate::eligibility::OfferScope;
 use crate::evacuations::Evacuations;
 use crate::prefix_cache::PromptPart;
 use crate::slots::prompts::PrefillEstimate;
@@ -47,8 +48,8 @@
     pub prompt: Vec<PromptPart>,
     /// The length of the prompt in tokens.
     pub prompt_tokens: u64,
-    /// The regions in which the request may be handled.
-    pub residency: Residency,
+    /// The workers that the request may be offered to.
+    pub scope: OfferScope,
     /// A random number that breaks ties, so that many nodes spread their requests over equally good
     /// workers.
     pub salt: u64,
@@ -79,6 +80,16 @@
     pub has_prompt: bool,
 }
 
+impl ChosenWorker {
+    /// Returns what an output that this worker begins is bound to.
+    pub fn origin(&self) -> OutputOrigin {
+        OutputOrigin {
+            service: self.service.clone(),
+            software: self.software.clone(),
+        }
+    }
+}
+
 /// The outcome of sending a request to a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptOutcome {
@@ -162,7 +173,7 @@
 
     /// Returns whether a service has a worker to which new requests may be sent.
     pub fn is_served(&self, service: &str) -> bool {
-        self.has_eligible_worker(service, &Residency::anywhere())
+        self.has_eligible_worker(service, &OfferScope::anywhere())
     }
 
     pub(crate) fn ready_workers<'s>(
@@ -196,7 +207,7 @@
 
     /// Returns the total number of slots of the service's eligible workers.
     pub fn slots(&self, service: &str) -> u32 {
-        let eligible = self.eligible_workers(service, &Residency::anywhere());
+        let eligible = self.eligible_workers(service, &OfferScope::anywhere());
         eligible.map(Candidate::slots).sum()
     }
 
@@ -223,7 +234,7 @@
         is_allowed: impl Fn(&Candidate) -> bool,
     ) -> Option<ChosenWorker> {
         let affinity_target = self.affinity_target(service, demand);
-        let eligible = self.eligible_workers(service, &demand.residency);
+        let eligible = self.eligible_workers(service, &demand.scope);
         let eligible = eligible
             .filter(|candidate| is_allowed(candidate) && !self.lacks_start_permits(candidate, now));
         let times = self.services.get(service);
@@ -338,7 +349,7 @@
     ) -> Option<&Candidate> {
         let (_, shared) = demand.prompt.split_last()?;
         let last = shared.last()?;
-        let eligible = self.eligible_workers(service, &demand.residency);
+        let eligible = self.eligible_workers(service, &demand.scope);
         let eligible = eligible.filter(|candidate| is_allowed(candidate));
         let weighted = eligible.map(|candidate| {
             let mut hasher = DefaultHasher::new();
--- a/crates/swiftshunt-scheduler/tests/cold.rs
+++ b/crates/swiftshunt-scheduler/tests/cold.rs
@@ -4,10 +4,10 @@
 
 use swiftshunt_scheduler::cold::ColdBound;
 use swiftshunt_scheduler::directory::{Availability, WorkerEntry, WorkerLife};
+use swiftshunt_scheduler::eligibility::OfferScope;
 use swiftshunt_scheduler::selection::{AttemptOutcome, ChosenWorker, Class, Demand, Selector};
 use swiftshunt_scheduler::slots::WorkerKey;
 use swiftshunt_scheduler::warmup::WarmupState;
-use swiftshunt_topology::Residency;
 
 const START: Duration = Duration::from_secs(100);
 /// Time at which the entry of a worker that is listed at `START` is certain to say whether the
@@ -51,7 +51,7 @@
         class: Class::Online,
         prompt: Vec::new(),
         prompt_tokens: 0,
-        residency: Residency::anywhere(),
+        scope: OfferScope::anywhere(),
         salt: 1,
     }
 }
--- a/crates/swiftshunt-scheduler/tests/listed.rs
+++ b/crates/swiftshunt-scheduler/tests/listed.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use swiftshunt_scheduler::directory::{Availability, WorkerEntry, WorkerLife};
+use swiftshunt_scheduler::eligibility::OfferScope;
 use swiftshunt_scheduler::listed::RemovedWorker;
 use swiftshunt_scheduler::selection::{AttemptOutcome, Class, Demand, ReportedLoad, Selector};
-use swiftshunt_topology::Residency;
 
 const START: Duration = Duration::from_secs(10);
 const GRACE_UNTIL: Duration = Duration::from_secs(12);
@@ -157,7 +157,7 @@
     class: Class::Online,
     prompt: Vec::new(),
     prompt_tokens: 0,
-    residency: Residency::anywhere(),
+    scope: OfferScope::anywhere(),
     salt: 1,
 };
 
--- a/crates/swiftshunt-scheduler/tests/offers.rs
+++ b/crates/swiftshunt-scheduler/tests/offers.rs
@@ -5,14 +5,14 @@
 
 use swiftshunt_scheduler::admission::Obstacle;
 use swiftshunt_scheduler::directory::{Availability, WorkerEntry, WorkerLife};
-use swiftshunt_scheduler::eligibility::Withheld;
+use swiftshunt_scheduler::eligibility::{OfferScope, Withheld};
 use swiftshunt_scheduler::prefix_cache::PromptPart;
 use swiftshunt_scheduler::selection::{Class, Demand, Selector};
 use swiftshunt_scheduler::slots::WorkerKey;
 use swiftshunt_scheduler::slots::prompts::PrefillEstimate;
 use swiftshunt_scheduler::warmup::WarmupState;
 use swiftshunt_topology::{Residency, Topology};
-use swiftshunt_types::RegionName;
+use swiftshunt_types::{OutputOrigin, RegionName};
 use test_case::test_case;
 
 const START: Duration = Duration::from_secs(100);
@@ -57,7 +57,7 @@
         class: Class::Online,
         prompt: Vec::new(),
         prompt_tokens: 0,
-        residency,
+        scope: OfferScope::within(residency),
         salt: 1,
     }
 }
@@ -79,7 +79,7 @@
 #[test]
 fn may_offer_returns_the_reason_against_a_worker() {
     let mut selector = selector();
-    let anywhere = Residency::anywhere();
+    let anywhere = OfferScope::anywhere();
     assert_eq!(selector.may_offer("in-a", &anywhere), Ok(()));
     assert_eq!(
         selector.may_offer("nobody", &anywhere),
@@ -88,7 +88,10 @@
     let outside = Withheld::OutsideResidency {
         region: Some(region("north")),
     };
-    assert_eq!(selector.may_offer("in-a", &south()), Err(outside));
+    assert_eq!(
+        selector.may_offer("in-a", &OfferScope::within(south())),
+        Err(outside)
+    );
     selector.apply_entry(entry("b", Availability::Draining), START);
     assert_eq!(
         selector.may_offer("in-b", &anywhere),
@@ -121,10 +124,7 @@
     selector.evacuate("c", START);
     assert_eq!(selector.choose("s", &all, &[], START), None);
     assert!(selector.bids(&cell, &all, &[], START).is_empty());
-    assert_eq!(
-        selector.assigned_worker("s", key, &all.residency, START),
-        None
-    );
+    assert_eq!(selector.assigned_worker("s", key, &all.scope, START), None);
     assert_eq!(
         selector.assigned_worker_for("s", key, &all, PrefillEstimate::default()),
         None
@@ -134,8 +134,8 @@
         workers.iter().all(|worker| !worker.accepts_batch),
         "a worker in an evacuated zone accepts batch items"
     );
-    assert!(!selector.has_eligible_worker("s", &all.residency));
-    assert!(selector.has_eligible_worker("s", &Residency::anywhere()));
+    assert!(!selector.has_eligible_worker("s", &all.scope));
+    assert!(selector.has_eligible_worker("s", &OfferScope::anywhere()));
 }
 
 #[test]
@@ -173,18 +173,21 @@
 #[test]
 fn service_obstacle_returns_the_reason_against_a_service() {
     let mut selector = selector();
-    let anywhere = Residency::anywhere();
+    let anywhere = OfferScope::anywhere();
     let later = START + Duration::from_secs(9);
     assert_eq!(selector.service_obstacle("s", &anywhere, START), None);
     assert_eq!(selector.service_obstacle("unknown", &anywhere, START), None);
-    let east = Residency::within([region("east")]);
+    let east = OfferScope::within(Residency::within([region("east")]));
     let outside = Some(Obstacle::OutsideResidency);
     assert_eq!(selector.service_obstacle("s", &east, START), outside);
     selector.evacuate("c", START);
     assert_eq!(selector.service_obstacle("s", &anywhere, later), None);
     let lasted = later - START;
     let evacuated = Some(Obstacle::Evacuated { lasted });
-    assert_eq!(selector.service_obstacle("s", &south(), later), evacuated);
+    assert_eq!(
+        selector.service_obstacle("s", &OfferScope::within(south()), later),
+        evacuated
+    );
     assert_eq!(selector.slots("s"), 8);
     // The obstacle began when the last zone was evacuated.
     let last = START + Duration::from_secs(4);
@@ -268,3 +271,101 @@
     let cell = alone.cells("s").next().expect("find a cell");
     assert_eq!(alone.counterparts(&cell), []);
 }
+
+/// Returns a selector with a worker of each of the versions v1 and v2 of the service `s`, and one of v1 of the service
+/// `t`.
+fn two_versions() -> Selector {
+    let mut selector = Selector::new("z");
+    for (id, service, software) in [("one", "s", "v1"), ("two", "s", "v2"), ("other", "t", "v1")] {
+        let life = WorkerLife {
+            id: id.to_owned(),
+            started_unix_ms: None,
+        };
+        let entry = WorkerEntry {
+            incarnation: life.incarnation(),
+            life,
+            service: service.to_owned(),
+            software: software.into(),
+            ..entry("z", Availability::Ready)
+        };
+        selector.apply_entry(entry, START);
+    }
+    selector
+}
+
+fn begun_by(service: &str, software: &str) -> OfferScope {
+    OfferScope {
+        origin: Some(OutputOrigin {
+            service: service.to_owned(),
+            software: software.into(),
+        }),
+        ..OfferScope::anywhere()
+    }
+}
+
+#[test_case("s", "v1", &["one"])]
+#[test_case("s", "v2", &["two"])]
+#[test_case("t", "v1", &["other"])]
+#[test_case("t", "v2", &[])]
+fn an_output_is_offered_only_to_workers_of_the_service_and_version_that_began_it(
+    service: &str,
+    software: &str,
+    expected: &[&str],
+) {
+    let selector = two_versions();
+    let scope = begun_by(service, software);
+    for worker in ["one", "two", "other"] {
+        let offered = selector.may_offer(worker, &scope);
+        if expected.contains(&worker) {
+            assert_eq!(offered, Ok(()));
+        } else {
+            let origin = scope.origin.clone().expect("the scope has an origin");
+            assert_eq!(offered, Err(Withheld::OtherOrigin { origin }));
+        }
+    }
+}
+
+#[test]
+fn no_kind_of_placement_continues_an_output_at_another_version() {
+    let selector = two_versions();
+    let demand = Demand {
+        scope: begun_by("s", "v1"),
+        ..demand(Residency::anywhere())
+    };
+    let cell = selector.cells("s").next().expect("the service has a cell");
+    let bids = selector.bids(&cell, &demand, &[], START);
+    assert_eq!(bids.len(), 1);
+    assert_eq!(bids[0].worker, WorkerKey::of("one"));
+    for salt in 0..20 {
+        let demand = Demand {
+            salt,
+            ..demand.clone()
+        };
+        let chosen = selector.choose("s", &demand, &[], START);
+        assert_eq!(chosen.map(|chosen| chosen.id).as_deref(), Some("one"));
+    }
+    let other = WorkerKey::of("two");
+    let prefill = PrefillEstimate::default();
+    assert_eq!(
+        selector.assigned_worker("s", other, &demand.scope, START),
+        None
+    );
+    assert_eq!(
+        selector.assigned_worker_for("s", other, &demand, prefill),
+        None
+    );
+    let tried = ["one".to_owned()];
+    assert_eq!(selector.choose("s", &demand, &tried, START), None);
+}
+
+#[test]
+fn an_output_whose_version_is_gone_meets_its_own_obstacle() {
+    let mut selector = two_versions();
+    let scope = begun_by("s", "v1");
+    assert_eq!(selector.service_obstacle("s", &scope, START), None);
+    selector.remove_unlisted(&["one".to_owned()].into(), None);
+    let obstacle = selector.service_obstacle("s", &scope, START);
+    assert_eq!(obstacle, Some(Obstacle::OriginGone));
+    let anywhere = OfferScope::anywhere();
+    assert_eq!(selector.service_obstacle("s", &anywhere, START), None);
+}
--- a/crates/swiftshunt-scheduler/tests/selection.rs
+++ b/crates/swiftshunt-scheduler/tests/selection.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use swiftshunt_scheduler::directory::{Availability, WorkerEntry, WorkerLife};
+use swiftshunt_scheduler::eligibility::OfferScope;
 use swiftshunt_scheduler::prefix_cache::{PrefixCacheEstimate, PromptPart};
 use swiftshunt_scheduler::selection::{
     AttemptOutcome, ChosenWorker, Class, Demand, ReportedLoad, Selector,
 };
-use swiftshunt_topology::Residency;
 
 const START: Duration = Duration::from_secs(100);
 
@@ -43,7 +43,7 @@
         class: Class::Online,
         prompt: Vec::new(),
         prompt_tokens: 0,
-        residency: Residency::anywhere(),
+        scope: OfferScope::anywhere(),
         salt,
     }
 }
--- a/crates/swiftshunt-types/src/lib.rs
+++ b/crates/swiftshunt-types/src/lib.rs
@@ -4,6 +4,7 @@
 mod execution;
 mod identifiers;
 mod machines;
+mod output;
 mod priority;
 mod rate;
 mod tokens;
@@ -15,6 +16,7 @@
     SoftwareVersion, SubmissionId, TenantName, WorkerId, ZoneName, partition_of,
 };
 pub use machines::{Machine, MachineKind, MachineList, MachineState};
+pub use output::OutputOrigin;
 pub use priority::Priority;
 pub use rate::RateLimit;
 pub use tokens::total_tokens;
