Gateway: a stream that a caller takes up goes on only at the service and version that began it

Cause: the gateway that gets the attempt places it like a new request. The attempt that began the stream is named in Resumes, which no code read, and the gateway that began it may be another one, or gone.

Change: a gateway remembers what began each stream that may be taken up, under a key of caller, host and first attempt (scheduler/src/origins: a table of bounded size with an end to each entry; the first origin stands, another one makes the entry conflicting). Unless one version alone has served for as long as a stream can last, it tells three gateways of its region before the first event is forwarded. The gateway that is asked to go on looks into its own table, then asks these three; a record decides, and without one the versions that have served are the evidence, where a gateway that knows of several outweighs others. A gateway that sees a second version appear tells the origins of all streams it remembers. After all gateways are lost none has watched for long enough; services of which several versions have served are therefore marked in the log, and one without a mark has been served by one version alone. What stays unknown is refused at once with a retry time. A worker restarted with other software shortly after a stream began makes its origin doubtful.

Ruled out: a record in the log for each stream (a call to the log before each first event, or a window in which the event is ahead of the record), a message to all gateways (grows with gateways times streams), a choice of version by a hash of the attempt (views differ while a release goes round).

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -20,6 +20,7 @@
 use crate::in_flight::InFlight;
 use crate::job_regions::JobRegions;
 use crate::metrics::Metrics;
+use crate::origins::StreamOrigins;
 use crate::peers::Peers;
 use crate::protocol::{AnswerFacts, Identity, Protocol, SendFacts};
 use crate::quarantine::{Quarantine, RequestContent};
@@ -37,6 +38,7 @@
     pub(crate) slots: Arc<Slots>,
     pub(crate) start_permits: Arc<StartPermits>,
     pub(crate) quarantine: Arc<Quarantine>,
+    pub(crate) origins: Arc<StreamOrigins>,
     pub(crate) job_regions: Arc<JobRegions>,
     pub(crate) clock: Clock,
 }
--- a/crates/swiftshunt-gateway/src/fleet_followers.rs
+++ b/crates/swiftshunt-gateway/src/fleet_followers.rs
@@ -13,6 +13,7 @@
 use crate::directory_summary::DirectorySummary;
 use crate::fleet_state::FleetState;
 use crate::metrics::Metrics;
+use crate::origins::VersionMarks;
 use crate::protocol::{OperatorRecord, Protocol};
 use crate::quarantine::Quarantine;
 use crate::settings::DirectorySettings;
@@ -38,6 +39,7 @@
     pub(crate) unreadable: Arc<UnreadableRecords>,
     pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) tails: Arc<SharedTails>,
+    pub(crate) version_marks: Arc<VersionMarks>,
     pub(crate) clock: Clock,
 }
 
@@ -119,7 +121,8 @@
             return;
         }
         let routes = configuration.routes.len();
-        let installed = self.fleet_state.install(configuration);
+        let installed = self.fleet_state.install(configuration, self.clock.now());
+        self.version_marks.request_review();
         if installed == Installed::Taken {
             self.metrics.configuration_version.set(version as i64);
         }
@@ -141,6 +144,7 @@
             self.count_failure(&changes);
             backoff.backoff_on_error(&changes).await;
             if let Ok(changes) = changes {
+                self.fleet_state.confirm_directory(self.clock.now());
                 let returned_at = follower.returned_at();
                 let lapses_until = returned_at.map_or(Duration::ZERO, |at| at + max_lapse);
                 if !follower.came_from_peer() {
@@ -183,7 +187,12 @@
     /// Waits until `until`, then removes the workers whose entries lapsed and have not been written again.
     async fn remove_lapsed_workers(self: Arc<Self>, until: Duration) {
         tokio::time::sleep(until.saturating_sub(self.clock.now())).await;
-        let removed = self.fleet_state.selector().remove_lapsed(self.clock.now());
+        let now = self.clock.now();
+        let removed = {
+            let mut selector = self.fleet_state.selector();
+            selector.record_software(now);
+            selector.remove_lapsed(now)
+        };
         let mut summary = DirectorySummary::default();
         self.quarantine.handle_lapsed_workers(&removed);
         summary.add_unlisted(&UnlistOutcome {
@@ -230,6 +239,7 @@
     /// may have lapsed, and continue to serve until then.
     fn apply_directory_changes(self: &Arc<Self>, changes: Vec<Change>, lapses_until: Duration) {
         let now = self.clock.now();
+        self.fleet_state.selector().record_software(now);
         let mut summary = DirectorySummary::default();
         let mut unlisted = BTreeSet::new();
         for change in changes {
@@ -265,6 +275,7 @@
         if let Some(until) = lapses_until.filter(|_| !unlisted.lapsed.is_empty()) {
             tokio::spawn(Arc::clone(self).remove_lapsed_workers(until));
         }
+        self.version_marks.request_review();
         summary.log();
     }
 }
--- a/crates/swiftshunt-gateway/src/fleet_state.rs
+++ b/crates/swiftshunt-gateway/src/fleet_state.rs
@@ -1,5 +1,6 @@
 //! A gateway's view of the fleet: the configuration in force, the workers, and their load.
 
+use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -22,6 +23,10 @@
     split: Mutex<SplitState>,
     /// Time at which a read of the log last returned a configuration or the absence of changes.
     confirmed_at: Mutex<Duration>,
+    /// Time at which a read of the log last returned entries of the directory or the absence of changes.
+    directory_confirmed_at: Mutex<Duration>,
+    /// Time at which a configuration last gave a route other services, by the route's host and path prefix.
+    moved_routes: Mutex<HashMap<(String, String), Duration>>,
     /// Notified when the requests that this gateway has at workers, or would send to them, change.
     pub(crate) load_changed: Notify,
 }
@@ -35,6 +40,8 @@
             selector: Mutex::new(selector),
             split: Mutex::default(),
             confirmed_at: Mutex::default(),
+            directory_confirmed_at: Mutex::default(),
+            moved_routes: Mutex::default(),
             load_changed: Notify::new(),
         }
     }
@@ -54,6 +61,42 @@
         *lock(&self.confirmed_at)
     }
 
+    /// Records that the log confirmed the directory.
+    pub(crate) fn confirm_directory(&self, now: Duration) {
+        *lock(&self.directory_confirmed_at) = now;
+    }
+
+    /// Returns the time of the last confirmation of the directory; zero if there was none.
+    pub(crate) fn directory_confirmed_at(&self) -> Duration {
+        *lock(&self.directory_confirmed_at)
+    }
+
+    /// Whether a configuration gave a route other services after a time. The first configuration of the process moves
+    /// no route.
+    pub(crate) fn has_moved_since(&self, route: &Route, since: Duration) -> bool {
+        let moved = lock(&self.moved_routes);
+        let moved_at = moved.get(&(route.host.clone(), route.path_prefix.clone()));
+        moved_at.is_some_and(|at| *at > since)
+    }
+
+    fn record_moved_routes(&self, before: &Configuration, after: &Configuration, now: Duration) {
+        let mut moved = lock(&self.moved_routes);
+        let is_configured = |host: &str, path_prefix: &str| {
+            let mut routes = after.routes.iter();
+            routes.any(|route| route.host == host && route.path_prefix == path_prefix)
+        };
+        moved.retain(|(host, path_prefix), _| is_configured(host, path_prefix));
+        for route in &after.routes {
+            let known = before
+                .routes
+                .iter()
+                .find(|known| known.host == route.host && known.path_prefix == route.path_prefix);
+            if known.is_some_and(|known| !has_same_services(known, route)) {
+                moved.insert((route.host.clone(), route.path_prefix.clone()), now);
+            }
+        }
+    }
+
     /// Whether a service runs batch items besides online requests.
     pub(crate) fn has_batch(&self, service: &str) -> bool {
         let configuration = self.current.borrow();
@@ -63,13 +106,17 @@
     }
 
     /// Puts a configuration into force if it is newer than the current one.
-    pub(crate) fn install(&self, configuration: Configuration) -> Installed {
+    pub(crate) fn install(&self, configuration: Configuration, now: Duration) -> Installed {
         let mut versioned = lock(&self.versioned);
+        let before = versioned.current();
         let installed = versioned.install(configuration);
         if installed == Installed::Taken {
             let current = versioned.current();
             if let Some(current) = &current {
                 self.apply_services(current);
+                if let Some(before) = &before {
+                    self.record_moved_routes(before, current, now);
+                }
             }
             self.current.send_replace(current);
         }
@@ -118,6 +165,15 @@
     }
 }
 
+/// Whether two versions of a route have the same services, whatever their weights.
+fn has_same_services(one: &Route, other: &Route) -> bool {
+    let services = |route: &Route| -> BTreeSet<String> {
+        let services = route.shares.iter().map(|share| share.service.clone());
+        services.collect()
+    };
+    services(one) == services(other)
+}
+
 /// Locks a mutex. Poisoning is ignored: a panic stops the process before another thread can see the state that it
 /// left.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::online::OnlineHandler;
+use crate::origins::StreamOrigins;
 use crate::peers::{NoticeHandlers, Peers};
 use crate::protocol::Protocol;
 use crate::quarantine::Quarantine;
@@ -183,6 +184,15 @@
             Arc::clone(&metrics),
             clock,
         ));
+        let origins = Arc::new(StreamOrigins::new(
+            Arc::clone(&log),
+            Arc::clone(&members),
+            Arc::clone(&datagrams),
+            Arc::clone(&fleet_state),
+            Arc::clone(&metrics),
+            Arc::clone(other_gateways.version_marks()),
+            clock,
+        ));
         let slots = Arc::new(Slots::new(
             Arc::clone(&members),
             datagrams,
@@ -201,6 +211,7 @@
             slots: Arc::clone(&slots),
             start_permits: Arc::clone(&start_permits),
             quarantine: Arc::clone(&quarantine),
+            origins: Arc::clone(&origins),
             job_regions,
             clock,
         });
@@ -228,6 +239,7 @@
             unreadable: Arc::clone(&unreadable),
             quarantine: Arc::clone(&quarantine),
             tails: Arc::clone(&tails),
+            version_marks: Arc::clone(other_gateways.version_marks()),
             clock,
         });
         let stop = Stop::default();
@@ -272,7 +284,9 @@
                 rates: Arc::clone(&rates),
                 quarantine: Arc::clone(&quarantine),
                 start_permits,
+                origins: Arc::clone(&origins),
             })),
+            tokio::spawn(origins.run_reviews()),
             tokio::spawn(Arc::clone(&quarantine).follow(tails)),
             tokio::spawn(Arc::clone(&quarantine).run_recording()),
             tokio::spawn(quarantine.run_expiry()),
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod messages;
 mod metrics;
 mod online;
+mod origins;
 mod pauses;
 mod peer_http;
 mod peers;
--- a/crates/swiftshunt-gateway/src/members.rs
+++ b/crates/swiftshunt-gateway/src/members.rs
@@ -291,6 +291,16 @@
         top_ranked(subject, all, count)
     }
 
+    /// Returns the first `count` gateways of this one's region in the order that the hash of a subject gives. Suspected
+    /// gateways are included.
+    pub(crate) fn ranked_in_own_region(
+        &self,
+        subject: &impl Hash,
+        count: usize,
+    ) -> Vec<SocketAddr> {
+        top_ranked(subject, self.gateways_in_own_region(), count)
+    }
+
     /// Returns the issuers of start permits for a worker, by rank: the first gateways in the worker's own order
     /// among those of its region, including suspected ones. `None` is a rank whose gateway is no longer
     /// listed; another gateway gets that rank `UNLISTED_NODE_TTL` after the removal.
--- a/crates/swiftshunt-gateway/src/messages/mod.rs
+++ b/crates/swiftshunt-gateway/src/messages/mod.rs
@@ -4,6 +4,7 @@
 //! A gateway ignores kinds of messages and fields that it does not know. Therefore a new field needs a default, and a
 //! new meaning needs a new kind of message.
 
+pub(crate) mod origins;
 pub(crate) mod quarantine;
 pub(crate) mod rates;
 pub(crate) mod slots;
@@ -15,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 use swiftshunt_scheduler::prefix_cache::PromptPart;
 
+use origins::OriginMessage;
 use quarantine::QuarantineMessage;
 use rates::RateMessage;
 use slots::SlotMessage;
@@ -51,4 +53,6 @@
     Quarantine(QuarantineMessage),
     /// A message about start permits for cold workers.
     Start(StartMessage),
+    /// A message about the origins of streams.
+    Origin(OriginMessage),
 }
--- a/crates/swiftshunt-gateway/src/metrics/labels.rs
+++ b/crates/swiftshunt-gateway/src/metrics/labels.rs
@@ -3,6 +3,7 @@
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use swiftshunt_routing::Rejected;
 use swiftshunt_scheduler::admission::Obstacle;
+use swiftshunt_scheduler::origins::resolution::UnknownOrigin;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
@@ -76,6 +77,8 @@
     OutsideResidency,
     /// No worker has the service and software version that began the stream.
     OriginGone,
+    /// It is not known which service and software version began the stream.
+    OriginUnknown,
 }
 
 impl From<Obstacle> for Refusal {
@@ -103,6 +106,41 @@
     pub(crate) answer: SlotAnswer,
 }
 
+/// What showed which version began a stream that a caller takes up, or why that is not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum OriginSource {
+    /// This gateway has a record of the stream.
+    OwnRecord,
+    /// Another gateway has a record of the stream.
+    PeerRecord,
+    /// One version alone has served for long enough.
+    SoleVersion,
+    /// One version serves, and no mark in the log says that another has served a short time ago.
+    NoMark,
+    /// Records contradict each other.
+    Conflicting,
+    /// Several versions may have begun the stream, and no gateway that answered has a record.
+    Several,
+    /// No gateway that answered knows which versions have served.
+    Unsure,
+}
+
+impl From<UnknownOrigin> for OriginSource {
+    fn from(unknown: UnknownOrigin) -> Self {
+        match unknown {
+            UnknownOrigin::Conflicting => Self::Conflicting,
+            UnknownOrigin::Several => Self::Several,
+            UnknownOrigin::Unsure => Self::Unsure,
+        }
+    }
+}
+
+/// Labels of a stream that a caller takes up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct TakeUpLabels {
+    pub(crate) origin: OriginSource,
+}
+
 /// What a slot is used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub(crate) enum SlotUse {
--- a/crates/swiftshunt-gateway/src/metrics/mod.rs
+++ b/crates/swiftshunt-gateway/src/metrics/mod.rs
@@ -17,10 +17,10 @@
 
 use crate::fleet_state::lock;
 use crate::traffic::Traffic;
-pub(crate) use labels::{Basis, RateAnswer, Refusal, RequestEnd, SlotAnswer};
+pub(crate) use labels::{Basis, OriginSource, RateAnswer, Refusal, RequestEnd, SlotAnswer};
 use labels::{
     LimitLabels, OutcomeLabels, RateLabels, RefusalLabels, RejectedLabels, RequestLabels,
-    SlotLabels, SlotUse, TenantLabels, UseLabels, ZoneLabels,
+    SlotLabels, SlotUse, TakeUpLabels, TenantLabels, UseLabels, ZoneLabels,
 };
 
 /// Largest number of tenants with a label value of their own; later tenants share [`OTHER_TENANTS`].
@@ -36,6 +36,7 @@
     pub(crate) attempts: Family<OutcomeLabels, Counter>,
     pub(crate) appends: Family<OutcomeLabels, Counter>,
     pub(crate) items: Family<OutcomeLabels, Counter>,
+    take_ups: Family<TakeUpLabels, Counter>,
     pub(crate) slot_questions: Family<SlotLabels, Counter>,
     pub(crate) slots: Family<UseLabels, Gauge>,
     pub(crate) refusals: Family<RefusalLabels, Counter>,
@@ -88,6 +89,12 @@
         registry.register("appends", "Journal appends by outcome", appends.clone());
         let items = Family::default();
         registry.register("items", "Batch items by outcome", items.clone());
+        let take_ups = Family::default();
+        registry.register(
+            "streams_taken_up",
+            "Streams that callers take up, by what showed the version that began them, or why it is not known",
+            take_ups.clone(),
+        );
         let slot_questions = Family::default();
         registry.register(
             "slot_questions",
@@ -294,6 +301,7 @@
             attempts,
             appends,
             items,
+            take_ups,
             first_event_seconds,
             in_flight,
             configuration_version,
@@ -398,6 +406,11 @@
         self.attempts.get_or_create(&outcome_labels(outcome)).inc();
     }
 
+    /// Counts a stream that a caller takes up.
+    pub(crate) fn record_take_up(&self, origin: OriginSource) {
+        self.take_ups.get_or_create(&TakeUpLabels { origin }).inc();
+    }
+
     pub(crate) fn record_append(&self, outcome: impl std::fmt::Debug) {
         self.appends.get_or_create(&outcome_labels(outcome)).inc();
     }
--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -14,6 +14,7 @@
 use crate::attempt::{Answer, Dispatcher, SendFailure, SendLimits};
 use crate::batch::Batch;
 use crate::metrics::{Refusal, RequestEnd};
+use crate::origins::TakenUpStream;
 use crate::quarantine::QuarantineHold;
 use crate::rates::Rates;
 use crate::relay;
@@ -60,6 +61,9 @@
     }
 
     async fn send_until_answered(&self, context: &mut RequestContext) -> CallerAnswer {
+        if let Err(refusal) = self.bind_origin(context).await {
+            return refusal;
+        }
         loop {
             let now = self.dispatcher.clock.now();
             if now >= context.deadline {
@@ -91,7 +95,6 @@
                 }
             };
             context.record_send(&chosen, self.dispatcher.clock.now());
-            context.log_take_up(&chosen);
             let limits = self.send_limits(context, &chosen);
             let last_event = context.facts.last_event;
             let sent = self
@@ -113,6 +116,38 @@
         }
     }
 
+    /// Restricts a stream that the caller takes up to the service and software version that began it. The error is the
+    /// answer that refuses the request, if that version is not known.
+    async fn bind_origin(&self, context: &mut RequestContext) -> Result<(), CallerAnswer> {
+        if context.route.kind != RouteKind::Stream || context.facts.last_event.is_none() {
+            return Ok(());
+        }
+        let stream = TakenUpStream {
+            request_content: &context.outgoing.request_content,
+            first_attempt: context.first_attempt().unwrap_or_default(),
+            route: &context.route,
+        };
+        let found = self.dispatcher.origins.find(&stream).await;
+        log::info!(request = context.id(), first_attempt:? = context.facts.first_attempt,
+            last_event:? = context.facts.last_event, found:? = found; "the caller takes up a stream");
+        match found {
+            Ok(origin) => {
+                context.outgoing.demand.scope.origin = Some(origin);
+                let scope = &context.outgoing.demand.scope;
+                let fleet_state = &self.dispatcher.fleet_state;
+                context.service = fleet_state.next_service(&context.route, scope);
+                Ok(())
+            }
+            Err(_) => {
+                let now = self.dispatcher.clock.now();
+                let time_left = context.deadline.saturating_sub(now);
+                let retry_after = admission::retry_after_unknown_origin(time_left, rand::random());
+                let reason = "it is not known which software version began the stream";
+                Err(self.give_up(context, Refusal::OriginUnknown, reason, retry_after))
+            }
+        }
+    }
+
     /// Restricts a request to the regions that the configuration in force allows.
     fn bind_residency(&self, context: &mut RequestContext) {
         let Some(configuration) = self.dispatcher.fleet_state.configuration() else {
@@ -324,6 +359,7 @@
         let first = relay::first_bytes(&self.dispatcher, context, &mut answer).await;
         match first {
             Ok(first) => {
+                self.record_origin(context, &answer);
                 self.record_answered(context, answer.head.status);
                 let head = answer.head.clone();
                 let body = relay::relay_body(Arc::clone(&self.dispatcher), context, answer, first);
@@ -341,6 +377,22 @@
         }
     }
 
+    /// Remembers what began a stream that may be taken up, before its first event is forwarded.
+    fn record_origin(&self, context: &RequestContext, answer: &Answer) {
+        if !context.route.resumable {
+            return;
+        }
+        let Some(first_attempt) = context.first_attempt() else {
+            return;
+        };
+        self.dispatcher.origins.record(
+            &context.outgoing.request_content,
+            first_attempt,
+            &context.route,
+            &answer.in_flight.chosen,
+        );
+    }
+
     /// Treats an answer that cannot be forwarded as a broken send.
     fn reject_answer(
         &self,
--- /dev/null
+++ b/crates/swiftshunt-gateway/src/origins/evidence.rs
@@ -0,0 +1,83 @@
+//! What the directory and the configuration show of the versions that may have begun a stream.
+
+use std::time::Duration;
+
+use swiftshunt_routing::Route;
+use swiftshunt_scheduler::origins::resolution::Evidence;
+use swiftshunt_types::{OutputOrigin, SoftwareVersion};
+
+use super::StreamOrigins;
+
+/// Age of the last read of the directory up to which a gateway relies on it: another version may have begun to serve
+/// since.
+const MAX_DIRECTORY_AGE: Duration = Duration::from_secs(3);
+
+impl StreamOrigins {
+    /// Returns what this gateway knows, without a record, of the versions that may have begun a stream of a route.
+    pub(super) fn evidence(&self, host: &str, path_prefix: &str) -> Evidence {
+        self.evidence_since(host, path_prefix, |since| {
+            let watched_since = self.fleet_state.selector().directory_watched_since();
+            watched_since.is_some_and(|watched_since| watched_since <= since)
+        })
+    }
+
+    /// Returns the evidence of a gateway that has just started, from the marks in the log: no other version served
+    /// before the start if the service is not marked.
+    pub(super) fn startup_evidence(&self, host: &str, path_prefix: &str) -> Evidence {
+        if !self.members.is_list_loaded() {
+            return Evidence::Unsure;
+        }
+        let evidence = self.evidence_since(host, path_prefix, |_| true);
+        match evidence {
+            Evidence::Sole(origin) if self.version_marks.is_marked(&origin.service) => {
+                Evidence::Several
+            }
+            evidence => evidence,
+        }
+    }
+
+    /// Returns the evidence, given whether this gateway knows all versions that have served since a time.
+    fn evidence_since(
+        &self,
+        host: &str,
+        path_prefix: &str,
+        knows_all_since: impl Fn(Duration) -> bool,
+    ) -> Evidence {
+        let Some(configuration) = self.fleet_state.configuration() else {
+            return Evidence::Unsure;
+        };
+        let Some(route) = configuration.route(host, path_prefix) else {
+            return Evidence::Unsure;
+        };
+        let now = self.clock.now();
+        let since = now.saturating_sub(self.ttl());
+        let Some(service) = self.sole_service(route, since) else {
+            return Evidence::Several;
+        };
+        let versions = self
+            .fleet_state
+            .selector()
+            .software_versions(service, since);
+        let mut versions: Vec<SoftwareVersion> = versions.into_iter().collect();
+        if versions.len() > 1 {
+            return Evidence::Several;
+        }
+        let is_recent = now < self.fleet_state.directory_confirmed_at() + MAX_DIRECTORY_AGE;
+        match versions.pop() {
+            Some(software) if is_recent && knows_all_since(since) => Evidence::Sole(OutputOrigin {
+                service: service.to_owned(),
+                software,
+            }),
+            _ => Evidence::Unsure,
+        }
+    }
+
+    /// Returns the service of a route's requests if there has been only one since a time.
+    fn sole_service<'r>(&self, route: &'r Route, since: Duration) -> Option<&'r str> {
+        let [share] = route.shares.as_slice() else {
+            return None;
+        };
+        let has_moved = self.fleet_state.has_moved_since(route, since);
+        (!has_moved).then_some(share.service.as_str())
+    }
+}
--- /dev/null
+++ b/crates/swiftshunt-gateway/src/origins/mod.rs
@@ -0,0 +1,358 @@
+//! The origins of streams, shared by all gateways ([`swiftshunt_scheduler::origins`]).
+//!
+//! A caller whose stream broke off may take it up at any gateway, also after the one that began it is gone. While
+//! several software versions serve, the gateway that begins a stream therefore tells a few others of its region before
+//! the caller gets the first event; the gateway that is asked to go on with it asks these. While one version alone
+//! serves, nothing is sent, and a gateway that begins to see a second version tells the origins of all streams that it
+//! remembers.
+
+mod evidence;
+mod version_marks;
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use swiftshunt_journal::Log;
+use swiftshunt_routing::Route;
+use swiftshunt_scheduler::origins::key::AttemptKey;
+use swiftshunt_scheduler::origins::resolution::{
+    Evidence, OriginKnowledge, UnknownOrigin, resolve,
+};
+use swiftshunt_scheduler::origins::table::{OriginTable, Recorded, StreamOrigin};
+use swiftshunt_scheduler::selection::ChosenWorker;
+use swiftshunt_types::OutputOrigin;
+use tokio::sync::mpsc;
+
+use crate::clock::Clock;
+use crate::datagrams::Datagrams;
+use crate::fleet_state::{FleetState, lock};
+use crate::members::Members;
+use crate::messages::Notice;
+use crate::messages::origins::{BegunStream, OriginMessage};
+use crate::metrics::{Metrics, OriginSource};
+use crate::protocol::Identity;
+use crate::quarantine::RequestContent;
+pub(crate) use version_marks::VersionMarks;
+
+/// Number of gateways that remember a stream's origin besides the one that began it: a zone and a further gateway may
+/// be lost together with that one.
+const HOLDERS: usize = 3;
+/// Longest time between the end of a caller's attempt and the attempt that takes its stream up. Added to the longest
+/// time-out of a stream, it bounds the time for which an origin matters.
+const TAKE_UP_GAP: Duration = Duration::from_secs(10);
+/// Upper bound of the number of remembered origins: some 10 MB.
+const TABLE_CAPACITY: usize = 32_768;
+/// Number of origins in one datagram, which must fit into its maximum size.
+const STREAMS_PER_MESSAGE: usize = 8;
+/// Time-out for the answers of holders in the same region. Most answer within a few milliseconds; one whose processor
+/// share is used up answers after a tenth of a second.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
+/// Interval at which a question is sent again to holders that have not answered: a datagram may be lost.
+const ASK_AGAIN_INTERVAL: Duration = Duration::from_millis(30);
+/// Longest wait after the start of the process until the other gateways are known, so that they can be asked.
+const MEMBERS_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Interval at which the wait for the other gateways is checked.
+const MEMBERS_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time within which a gateway learns that a worker has restarted.
+const RESTART_NOTICE_TIME: Duration = Duration::from_secs(2);
+
+/// A stream that a caller takes up.
+pub(crate) struct TakenUpStream<'r> {
+    /// Content of the request, which names the caller and the host.
+    pub(crate) request_content: &'r RequestContent,
+    /// Identifier of the attempt that brought the first event.
+    pub(crate) first_attempt: &'r str,
+    /// The route of the request.
+    pub(crate) route: &'r Route,
+}
+
+/// Remembers the origins of streams, and finds those of streams that callers take up.
+pub(crate) struct StreamOrigins {
+    log: Arc<dyn Log>,
+    members: Arc<Members>,
+    datagrams: Arc<Datagrams>,
+    fleet_state: Arc<FleetState>,
+    metrics: Arc<Metrics>,
+    version_marks: Arc<VersionMarks>,
+    clock: Clock,
+    table: Mutex<OriginTable>,
+    /// Services of which this gateway sees several versions, whose remembered origins were told to others.
+    several_versions: Mutex<BTreeSet<String>>,
+    pending_asks: Mutex<HashMap<u64, mpsc::UnboundedSender<(SocketAddr, OriginKnowledge)>>>,
+    last_ask: AtomicU64,
+}
+
+/// An open question. Dropping this removes it, also when the task that asked was cancelled.
+struct PendingAsk<'o> {
+    origins: &'o StreamOrigins,
+    ask: u64,
+}
+
+impl Drop for PendingAsk<'_> {
+    fn drop(&mut self) {
+        lock(&self.origins.pending_asks).remove(&self.ask);
+    }
+}
+
+impl StreamOrigins {
+    pub(crate) fn new(
+        log: Arc<dyn Log>,
+        members: Arc<Members>,
+        datagrams: Arc<Datagrams>,
+        fleet_state: Arc<FleetState>,
+        metrics: Arc<Metrics>,
+        version_marks: Arc<VersionMarks>,
+        clock: Clock,
+    ) -> Self {
+        Self {
+            log,
+            members,
+            datagrams,
+            fleet_state,
+            metrics,
+            version_marks,
+            clock,
+            table: Mutex::new(OriginTable::new(TABLE_CAPACITY)),
+            several_versions: Mutex::default(),
+            pending_asks: Mutex::default(),
+            last_ask: AtomicU64::new(0),
+        }
+    }
+
+    /// Records what began a stream, here and, unless one version alone has served, at other gateways. Called before the
+    /// first event is forwarded.
+    pub(crate) fn record(
+        &self,
+        request_content: &RequestContent,
+        first_attempt: &str,
+        route: &Route,
+        chosen: &ChosenWorker,
+    ) {
+        let key = attempt_key(request_content, first_attempt);
+        let origin = StreamOrigin {
+            output: chosen.origin(),
+            worker: chosen.incarnation.clone(),
+        };
+        let ttl = self.ttl();
+        let now = self.clock.now();
+        lock(&self.table).record(key, origin.clone(), ttl, now);
+        let evidence = self.evidence(request_content.host(), &route.path_prefix);
+        if !matches!(evidence, Evidence::Sole(_)) {
+            self.tell_holders(vec![begun_stream(key, &origin, ttl)]);
+        }
+    }
+
+    /// Finds what a stream that a caller takes up is bound to.
+    pub(crate) async fn find(
+        &self,
+        stream: &TakenUpStream<'_>,
+    ) -> Result<OutputOrigin, UnknownOrigin> {
+        let key = attempt_key(stream.request_content, stream.first_attempt);
+        let host = stream.request_content.host();
+        let path_prefix = &stream.route.path_prefix;
+        let own = self.knowledge(&key, host, path_prefix);
+        if !matches!(own, OriginKnowledge::Unrecorded(_)) {
+            let found = resolve(&[own]);
+            self.count_take_up(OriginSource::OwnRecord, &found);
+            return found;
+        }
+        let mut knowledge = self.ask_holders(key, host, path_prefix).await;
+        // This gateway may have learned more while it waited.
+        knowledge.push(self.knowledge(&key, host, path_prefix));
+        let found = resolve(&knowledge);
+        if found != Err(UnknownOrigin::Unsure) {
+            let is_recorded = knowledge
+                .iter()
+                .any(|known| matches!(known, OriginKnowledge::Recorded(_)));
+            let source = if is_recorded {
+                OriginSource::PeerRecord
+            } else {
+                OriginSource::SoleVersion
+            };
+            self.count_take_up(source, &found);
+            return found;
+        }
+        let evidence = self.startup_evidence(host, path_prefix);
+        let found = resolve(&[OriginKnowledge::Unrecorded(evidence)]);
+        self.count_take_up(OriginSource::NoMark, &found);
+        found
+    }
+
+    /// Counts a stream that is taken up; `source` showed its origin if that is known.
+    fn count_take_up(&self, source: OriginSource, found: &Result<OutputOrigin, UnknownOrigin>) {
+        let source = found
+            .as_ref()
+            .map_or_else(|unknown| (*unknown).into(), |_| source);
+        self.metrics.record_take_up(source);
+    }
+
+    /// Returns the time for which the origin of a stream that begins now is remembered.
+    fn ttl(&self) -> Duration {
+        let configuration = self.fleet_state.configuration();
+        let longest = configuration.map(|configuration| configuration.longest_stream());
+        longest.unwrap_or_default() + TAKE_UP_GAP
+    }
+
+    /// Returns what this gateway knows of a stream.
+    fn knowledge(&self, key: &AttemptKey, host: &str, path_prefix: &str) -> OriginKnowledge {
+        let now = self.clock.now();
+        let table = lock(&self.table);
+        match table.find(key, now) {
+            Some(Recorded::Origin(origin, recorded_at)) => {
+                let selector = self.fleet_state.selector();
+                let is_doubtful = selector.may_have_been_replaced(
+                    &origin.worker,
+                    recorded_at,
+                    RESTART_NOTICE_TIME,
+                );
+                if is_doubtful {
+                    OriginKnowledge::Conflicting
+                } else {
+                    OriginKnowledge::Recorded(origin.output.clone())
+                }
+            }
+            Some(Recorded::Conflicting) => OriginKnowledge::Conflicting,
+            None => {
+                drop(table);
+                OriginKnowledge::Unrecorded(self.evidence(host, path_prefix))
+            }
+        }
+    }
+
+    /// Returns the gateways that remember the origin of a stream, without this one.
+    fn holders(&self, key: &AttemptKey) -> Vec<SocketAddr> {
+        let mut holders = self.members.ranked_in_own_region(key, HOLDERS);
+        holders.retain(|gateway| *gateway != self.members.own_address());
+        holders
+    }
+
+    /// Tells the holders of each stream its origin.
+    fn tell_holders(&self, streams: Vec<BegunStream>) {
+        let mut by_holder: HashMap<SocketAddr, Vec<BegunStream>> = HashMap::new();
+        for stream in streams {
+            for holder in self.holders(&stream.key) {
+                by_holder.entry(holder).or_default().push(stream.clone());
+            }
+        }
+        for (holder, streams) in by_holder {
+            for streams in streams.chunks(STREAMS_PER_MESSAGE) {
+                let streams = streams.to_vec();
+                self.send(OriginMessage::Began { streams }, holder);
+            }
+        }
+    }
+
+    fn send(&self, message: OriginMessage, to: SocketAddr) {
+        self.datagrams.send(&Notice::Origin(message), [to]);
+    }
+
+    /// Asks the holders of a stream what they know. Returns the answers that arrived in time; once one has a record,
+    /// no further ones are awaited.
+    async fn ask_holders(
+        &self,
+        key: AttemptKey,
+        host: &str,
+        path_prefix: &str,
+    ) -> Vec<OriginKnowledge> {
+        self.wait_until_members_known().await;
+        let mut unanswered = self.holders(&key);
+        let ask = self.last_ask.fetch_add(1, Ordering::Relaxed) + 1;
+        let (sender, mut answers) = mpsc::unbounded_channel();
+        lock(&self.pending_asks).insert(ask, sender);
+        let _pending = PendingAsk { origins: self, ask };
+        let question = OriginMessage::Ask {
+            ask,
+            key,
+            host: host.to_owned(),
+            path_prefix: path_prefix.to_owned(),
+        };
+        let deadline = tokio::time::Instant::now() + ANSWER_TIMEOUT;
+        let mut knowledge = Vec::new();
+        while !unanswered.is_empty() && tokio::time::Instant::now() < deadline {
+            for holder in &unanswered {
+                self.send(question.clone(), *holder);
+            }
+            let ask_again_at = tokio::time::Instant::now() + ASK_AGAIN_INTERVAL;
+            let until = ask_again_at.min(deadline);
+            while let Ok(Some((from, known))) = tokio::time::timeout_at(until, answers.recv()).await
+            {
+                unanswered.retain(|holder| *holder != from);
+                let is_recorded = !matches!(known, OriginKnowledge::Unrecorded(_));
+                knowledge.push(known);
+                if is_recorded {
+                    return knowledge;
+                }
+                if unanswered
+                    .iter()
+                    .all(|holder| self.members.is_suspected(*holder))
+                {
+                    return knowledge;
+                }
+            }
+        }
+        for holder in unanswered {
+            self.members.record_timeout(holder);
+        }
+        knowledge
+    }
+
+    /// Waits until the other gateways are known, for [`MEMBERS_TIMEOUT`] after the start at most.
+    async fn wait_until_members_known(&self) {
+        while !self.members.is_list_loaded() && self.clock.now() < MEMBERS_TIMEOUT {
+            tokio::time::sleep(MEMBERS_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Handles a message of another gateway.
+    pub(crate) fn handle_message(&self, message: OriginMessage, from: SocketAddr) {
+        match message {
+            OriginMessage::Began { streams } => {
+                let now = self.clock.now();
+                let mut table = lock(&self.table);
+                for stream in streams {
+                    let ttl = Duration::from_millis(stream.ttl_ms);
+                    table.record(stream.key, stream.origin, ttl, now);
+                }
+            }
+            OriginMessage::Ask {
+                ask,
+                key,
+                host,
+                path_prefix,
+            } => {
+                let knowledge = self.knowledge(&key, &host, &path_prefix);
+                self.send(OriginMessage::Knows { ask, knowledge }, from);
+            }
+            OriginMessage::Knows { ask, knowledge } => {
+                let pending = lock(&self.pending_asks);
+                let receiver_is_gone = pending
+                    .get(&ask)
+                    .is_some_and(|pending| pending.send((from, knowledge)).is_err());
+                if receiver_is_gone {
+                    log::debug!(ask; "an answer about a stream's origin arrived after its request had ended");
+                }
+            }
+        }
+    }
+}
+
+/// Returns the key of one of a caller's attempts.
+fn attempt_key(request_content: &RequestContent, attempt: &str) -> AttemptKey {
+    let caller = match request_content.identity() {
+        Identity::Tenant(name) => name.as_str(),
+        // Callers without a checked key cannot be told apart.
+        Identity::Unchecked | Identity::Anyone => "",
+    };
+    AttemptKey::of(caller, request_content.host(), attempt)
+}
+
+fn begun_stream(key: AttemptKey, origin: &StreamOrigin, ttl: Duration) -> BegunStream {
+    BegunStream {
+        key,
+        origin: origin.clone(),
+        ttl_ms: ttl.as_millis() as u64,
+    }
+}
--- /dev/null
+++ b/crates/swiftshunt-gateway/src/origins/version_marks.rs
@@ -0,0 +1,185 @@
+//! Marks in the log of services of which several versions have served a short time ago.
+//!
+//! After all gateways were lost, none has watched the directory for long enough to know which versions have served. A
+//! service without a mark has been served by one version alone. Marks are written when a second version appears, and
+//! removed once it has been gone for as long as the origins of streams matter.
+
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use swiftshunt_journal::{AppendOutcome, Topic};
+use tokio::sync::Notify;
+
+use super::{StreamOrigins, begun_stream};
+use crate::fleet_state::lock;
+
+/// Prefix of the keys of marks among the records of gateways; the service's name follows.
+const MARK_PREFIX: &[u8] = b"several-versions/";
+/// Value of a mark.
+const MARK: Bytes = Bytes::from_static(b"1");
+/// Number of gateways that write and remove the marks of a service. Two, since one of them may be unavailable.
+const WRITERS: usize = 2;
+/// Time after which any gateway writes a mark that the writers have not written.
+const WRITERS_TIMEOUT: Duration = Duration::from_secs(3);
+/// Interval of reviews while a service has several versions or a mark.
+const REVIEW_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The marks that this gateway has read or written.
+#[derive(Default)]
+pub(crate) struct VersionMarks {
+    services: Mutex<BTreeSet<String>>,
+    /// Notified when the directory, the configuration or the marks change.
+    changed: Notify,
+}
+
+impl VersionMarks {
+    /// Applies a record of the topic of gateways. Returns whether it is a mark.
+    pub(crate) fn apply(&self, key: &[u8], is_set: bool) -> bool {
+        let Some(service) = key.strip_prefix(MARK_PREFIX) else {
+            return false;
+        };
+        self.set(&String::from_utf8_lossy(service), is_set);
+        true
+    }
+
+    fn set(&self, service: &str, is_set: bool) {
+        let mut services = lock(&self.services);
+        let has_changed = if is_set {
+            services.insert(service.to_owned())
+        } else {
+            services.remove(service)
+        };
+        drop(services);
+        if has_changed {
+            log::info!(service, is_set; "the mark of a service with several software versions changed");
+            self.changed.notify_one();
+        }
+    }
+
+    pub(super) fn is_marked(&self, service: &str) -> bool {
+        lock(&self.services).contains(service)
+    }
+
+    fn services(&self) -> BTreeSet<String> {
+        lock(&self.services).clone()
+    }
+
+    /// Requests a review because the directory or the configuration changed.
+    pub(crate) fn request_review(&self) {
+        self.changed.notify_one();
+    }
+}
+
+/// The versions of a service as this gateway sees them.
+struct Review {
+    service: String,
+    /// When this gateway first saw several versions; `None` if it sees a single one.
+    several_since: Option<Duration>,
+}
+
+impl StreamOrigins {
+    /// Tells the origins of streams once a second version appears, and keeps the marks, until the process ends.
+    pub(crate) async fn run_reviews(self: Arc<Self>) {
+        let mut reviews: Vec<Review> = Vec::new();
+        loop {
+            let has_several = !lock(&self.several_versions).is_empty();
+            let has_marks = !self.version_marks.services().is_empty();
+            let changed = self.version_marks.changed.notified();
+            if has_several || has_marks {
+                drop(tokio::time::timeout(REVIEW_INTERVAL, changed).await);
+            } else {
+                changed.await;
+            }
+            self.review_services(&mut reviews).await;
+        }
+    }
+
+    async fn review_services(&self, reviews: &mut Vec<Review>) {
+        let Some(configuration) = self.fleet_state.configuration() else {
+            return;
+        };
+        let mut services: BTreeSet<String> = self.version_marks.services();
+        services.extend(
+            configuration
+                .stream_services()
+                .into_iter()
+                .map(str::to_owned),
+        );
+        reviews.retain(|review| services.contains(&review.service));
+        for service in services {
+            let position = reviews.iter().position(|review| review.service == service);
+            let position = position.unwrap_or_else(|| {
+                reviews.push(Review {
+                    service,
+                    several_since: None,
+                });
+                reviews.len() - 1
+            });
+            self.review(&mut reviews[position]).await;
+        }
+    }
+
+    async fn review(&self, review: &mut Review) {
+        let now = self.clock.now();
+        let since = now.saturating_sub(self.ttl());
+        let service = review.service.as_str();
+        let versions = self
+            .fleet_state
+            .selector()
+            .software_versions(service, since);
+        let is_marked = self.version_marks.is_marked(service);
+        if versions.len() > 1 {
+            if review.several_since.is_none() {
+                log::info!(service, versions:? = versions;
+                    "workers of several software versions serve; telling other gateways which of them begin streams");
+                lock(&self.several_versions).insert(service.to_owned());
+                self.tell_remembered(service);
+            }
+            let several_since = *review.several_since.get_or_insert(now);
+            let is_overdue = now >= several_since + WRITERS_TIMEOUT;
+            if !is_marked && (is_overdue || self.writes_marks_of(service)) {
+                self.write_mark(service, true).await;
+            }
+            return;
+        }
+        if review.several_since.take().is_some() {
+            lock(&self.several_versions).remove(service);
+            log::info!(service, versions:? = versions; "a single software version serves again");
+        }
+        let watched_since = self.fleet_state.selector().directory_watched_since();
+        let has_watched = watched_since.is_some_and(|watched_since| watched_since <= since);
+        if is_marked && has_watched && self.writes_marks_of(service) {
+            self.write_mark(service, false).await;
+        }
+    }
+
+    /// Whether this gateway is one of those that write the marks of a service.
+    fn writes_marks_of(&self, service: &str) -> bool {
+        let writers = self.members.ranked_gateways(&service, WRITERS);
+        writers.contains(&self.members.own_address())
+    }
+
+    async fn write_mark(&self, service: &str, is_set: bool) {
+        let key = [MARK_PREFIX, service.as_bytes()].concat();
+        let value = if is_set { MARK } else { Bytes::new() };
+        let appended = self.log.append(Topic::Gateways, 0, vec![(key, value)]);
+        let outcome = appended.await;
+        log::info!(service, is_set, outcome:? = outcome; "wrote the mark of a service with several software versions");
+        // An append without an outcome is repeated by a later review; repeating it does no harm.
+        if matches!(outcome, AppendOutcome::Done { .. }) {
+            self.version_marks.set(service, is_set);
+        }
+    }
+
+    /// Tells the holders the origins of all remembered streams of a service.
+    fn tell_remembered(&self, service: &str) {
+        let now = self.clock.now();
+        let streams = lock(&self.table)
+            .begun_by(service, now)
+            .map(|(key, origin, time_left)| begun_stream(key, origin, time_left))
+            .collect();
+        self.tell_holders(streams);
+    }
+}
--- a/crates/swiftshunt-gateway/src/peers.rs
+++ b/crates/swiftshunt-gateway/src/peers.rs
@@ -22,6 +22,7 @@
 use crate::members::Members;
 use crate::messages::Notice;
 use crate::metrics::Metrics;
+use crate::origins::{StreamOrigins, VersionMarks};
 use crate::quarantine::Quarantine;
 use crate::rates::Rates;
 use crate::slots::Slots;
@@ -67,6 +68,7 @@
     pub(crate) rates: Arc<Rates>,
     pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) start_permits: Arc<StartPermits>,
+    pub(crate) origins: Arc<StreamOrigins>,
 }
 
 /// The record of a gateway in the list.
@@ -107,6 +109,7 @@
     fleet_state: Arc<FleetState>,
     metrics: Arc<Metrics>,
     unreadable: Arc<UnreadableRecords>,
+    version_marks: Arc<VersionMarks>,
     clock: Clock,
     /// Limits the rate of notices of prompts and of this gateway's start.
     budget: Mutex<TokenBucket>,
@@ -131,12 +134,18 @@
             fleet_state,
             metrics,
             unreadable,
+            version_marks: Arc::default(),
             clock,
             budget: Mutex::new(TokenBucket::full(NOTICE_BURST, clock.now())),
             starts: Mutex::default(),
         }
     }
 
+    /// Returns the marks that are read together with the list of gateways.
+    pub(crate) fn version_marks(&self) -> &Arc<VersionMarks> {
+        &self.version_marks
+    }
+
     /// Notifies other gateways of the region of a long prompt that is sent to a worker. Does not block: a notice
     /// that does not fit into the socket's buffer is dropped.
     pub(crate) fn notify_prompt(
@@ -246,6 +255,7 @@
             Notice::Rate(message) => handlers.rates.handle_message(message, from),
             Notice::Quarantine(message) => handlers.quarantine.handle_message(message, from),
             Notice::Start(message) => handlers.start_permits.handle_message(message, from),
+            Notice::Origin(message) => handlers.origins.handle_message(message, from),
         }
     }
 
@@ -325,6 +335,9 @@
                 Change::Set(record) => (record.key, Some(record.value)),
                 Change::Dropped(key) => (key, None),
             };
+            if self.version_marks.apply(&key, value.is_some()) {
+                continue;
+            }
             match String::from_utf8_lossy(&key).parse::<SocketAddr>() {
                 Ok(address) => {
                     has_changed |= self.members.set_listed(address, value.is_some());
--- a/crates/swiftshunt-gateway/src/request_context.rs
+++ b/crates/swiftshunt-gateway/src/request_context.rs
@@ -48,6 +48,16 @@
         self.outgoing.id.as_deref().unwrap_or("")
     }
 
+    /// Returns the identifier of the caller's attempt that brought the first event of the stream: an earlier one if the
+    /// caller takes the stream up, else this one. `None` if the caller sent no identifier.
+    pub(crate) fn first_attempt(&self) -> Option<&str> {
+        let earlier = self
+            .facts
+            .last_event
+            .and(self.facts.first_attempt.as_deref());
+        earlier.or(self.outgoing.id.as_deref())
+    }
+
     /// Returns the time at which the caller gives up, from which the deadline header for workers is derived; `None`
     /// if the caller sent no timeout.
     pub(crate) fn caller_deadline(&self) -> Option<Duration> {
@@ -98,16 +108,6 @@
             reading_ms = expected_prefill.as_millis() as u64; "answered");
     }
 
-    /// Logs the worker that a stream which the caller takes up is sent to.
-    pub(crate) fn log_take_up(&self, chosen: &ChosenWorker) {
-        let Some(last_event) = self.facts.last_event else {
-            return;
-        };
-        log::info!(request = self.id(), first_attempt:? = self.facts.first_attempt, last_event,
-            worker = chosen.incarnation.as_str(), service = chosen.service.as_str(),
-            software = chosen.software.as_str(); "the caller takes up a stream");
-    }
-
     /// Logs that a send of the request failed.
     pub(crate) fn log_failure(&self, chosen: &ChosenWorker, failure: &SendFailure) {
         log::info!(request = self.id(), worker = chosen.incarnation.as_str(),
--- a/crates/swiftshunt-gateway/src/traffic.rs
+++ b/crates/swiftshunt-gateway/src/traffic.rs
@@ -43,6 +43,8 @@
     Quarantine,
     /// Requests for start permits for cold workers, and the issuers' answers.
     ColdStarts,
+    /// Messages about the origins of streams.
+    Origins,
     /// Tails of topics that one gateway reads for others.
     Tails,
     /// Requests to workers.
@@ -66,6 +68,7 @@
             Notice::Rate(_) => Self::Rates,
             Notice::Quarantine(_) => Self::Quarantine,
             Notice::Start(_) => Self::ColdStarts,
+            Notice::Origin(_) => Self::Origins,
         }
     }
 }
--- a/crates/swiftshunt-routing/src/configuration.rs
+++ b/crates/swiftshunt-routing/src/configuration.rs
@@ -283,6 +283,22 @@
             .max_by_key(|route| route.path_prefix.len())
     }
 
+    /// Returns the names of the services that serve routes of streams.
+    pub fn stream_services(&self) -> BTreeSet<&str> {
+        let routes = self.routes.iter();
+        let streams = routes.filter(|route| route.kind == RouteKind::Stream);
+        let shares = streams.flat_map(|route| &route.shares);
+        shares.map(|share| share.service.as_str()).collect()
+    }
+
+    /// Returns the longest time for which one attempt of a caller may stream; zero without a route of streams.
+    pub fn longest_stream(&self) -> Duration {
+        let routes = self.routes.iter();
+        let streams = routes.filter(|route| route.kind == RouteKind::Stream);
+        let timeouts = streams.map(|route| route.timeout);
+        timeouts.max().unwrap_or_default()
+    }
+
     /// Returns the names of the services that serve batch routes.
     pub fn batch_services(&self) -> BTreeSet<&str> {
         let routes = self.routes.iter();
--- a/crates/swiftshunt-scheduler/src/admission.rs
+++ b/crates/swiftshunt-scheduler/src/admission.rs
@@ -66,6 +66,8 @@
 const STARTUP_TIME: Duration = Duration::from_millis(900);
 /// Lower bound of Retry-After while a gateway has no configuration or the log is unavailable.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Retry-After for a stream whose origin is not known: a gateway that has just started knows the others by then.
+const RETRY_AFTER_UNKNOWN_ORIGIN: Duration = Duration::from_millis(300);
 /// Retry-After for callers of a route whose limit is reached.
 const RETRY_AFTER_LIMIT: Duration = Duration::from_secs(1);
 /// Retry-After is at most the caller's remaining time divided by this number; a longer wait would
@@ -120,6 +122,12 @@
     limited_retry_after(outage.max(MIN_RETRY_AFTER), time_left, draw)
 }
 
+/// Returns Retry-After for a stream that the caller takes up and whose origin is not known: another gateway may know
+/// it, or this one a little later.
+pub fn retry_after_unknown_origin(time_left: Duration, draw: f64) -> Duration {
+    limited_retry_after(RETRY_AFTER_UNKNOWN_ORIGIN, time_left, draw)
+}
+
 /// Returns Retry-After for a route whose limit is reached; some items have ended by then.
 pub fn retry_after_route_limit(time_left: Duration, draw: f64) -> Duration {
     limited_retry_after(RETRY_AFTER_LIMIT, time_left, draw)
--- a/crates/swiftshunt-scheduler/src/listed.rs
+++ b/crates/swiftshunt-scheduler/src/listed.rs
@@ -42,7 +42,14 @@
             } = &known.entry;
             match entry.life.compare(life) {
                 Ordering::Less => return false,
-                Ordering::Greater => drop(self.remove(&incarnation.clone())),
+                Ordering::Greater => {
+                    let (incarnation, software) =
+                        (incarnation.clone(), known.entry.software.clone());
+                    if software != entry.software {
+                        self.software.record_replaced(&incarnation, now);
+                    }
+                    drop(self.remove(&incarnation));
+                }
                 Ordering::Equal => {
                     entry.life.clone_from(life);
                     entry.incarnation.clone_from(incarnation);
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -18,6 +18,7 @@
 use crate::evacuations::Evacuations;
 use crate::prefix_cache::PromptPart;
 use crate::slots::prompts::PrefillEstimate;
+use crate::software::SoftwareHistory;
 
 /// The load that a worker reported in a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -131,6 +132,7 @@
     /// The incarnation of each known worker, keyed by the worker's identifier.
     pub(crate) incarnations: BTreeMap<String, String>,
     pub(crate) services: BTreeMap<String, ServiceTimes>,
+    pub(crate) software: SoftwareHistory,
     /// Bounds of the services whose workers sustain less than their usual load after a start.
     pub(crate) cold: BTreeMap<String, ColdBound>,
 }
@@ -149,6 +151,7 @@
             candidates: BTreeMap::new(),
             incarnations: BTreeMap::new(),
             services: BTreeMap::new(),
+            software: SoftwareHistory::default(),
             cold: BTreeMap::new(),
         }
     }
