Batch: an item's text goes on only at the service and version that began it, or begins anew

What callers saw: results whose text two software versions had written, after a run that broke off, was preempted or interrupted, or was handed to another gateway.

Cause: as with streams; an item's continuation waited for any slot of the service, and the record of an item's progress had no place for the version that wrote it.

Change: an item's output and its record (a new field with a default) name what began it, and the next attempt has it as its scope. A batch item has a choice that a stream has not: where its version is gone, not known (records of earlier builds), or has had no free slot for as long as the item had run, the text is dropped and the item begins anew; texts are never joined.

Items whose version is gone begin anew (new test).

--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -9,7 +9,7 @@
 use hyper::{Method, Uri};
 use rand::RngCore;
 use swiftshunt_http::SendPermit;
-use swiftshunt_jobs::{ItemOutcome, ItemSpec, JobSpec, Progress, Settled};
+use swiftshunt_jobs::{ItemOutcome, ItemSpec, JobSpec, Settled};
 use swiftshunt_routing::Route;
 use swiftshunt_scheduler::eligibility::OfferScope;
 use swiftshunt_scheduler::selection::{AttemptOutcome, ChosenWorker, Class, Demand};
@@ -18,16 +18,15 @@
 use swiftshunt_types::TenantName;
 
 use super::Batch;
+use super::item_output::ItemOutput;
 use crate::attempt::{Answer, OutgoingRequest, SendFailure, SendLimits};
 use crate::fleet_state::lock;
 use crate::protocol::Identity;
-use crate::quarantine::{QuarantineHold, RequestContent};
+use crate::quarantine::RequestContent;
 use crate::running::ItemId;
 
 /// Pause before checking again whether items of a partition may be sent.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
-/// Longest wait for a slot before the item's route and deadline are checked again.
-const MAX_SLOT_WAIT: Duration = Duration::from_secs(1);
 /// Pause before checking again whether an item is still quarantined or may be sent from this region.
 const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Pause after a failed attempt.
@@ -37,20 +36,6 @@
 /// Longest duration of one attempt.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(600);
 
-/// The output of an item so far.
-#[derive(Default)]
-pub(crate) struct ItemOutput {
-    text: String,
-    last_event: Option<u64>,
-    failures: u32,
-    /// Total duration of the attempts at this gateway.
-    ran: Duration,
-    /// Whether the item began at another gateway; its run time here is then incomplete.
-    is_taken_over: bool,
-    /// Whether the item is quarantined because workers ended while they ran it.
-    is_held: bool,
-}
-
 /// How an attempt to run an item ended.
 #[derive(Debug)]
 enum Attempt {
@@ -118,7 +103,7 @@
                 tokio::time::sleep(HOLD_POLL_INTERVAL).await;
                 continue;
             }
-            let scope = OfferScope::within(residency);
+            let scope = self.next_scope(id, item, &route, residency, output);
             let service = self.dispatcher.fleet_state.next_service(&route, &scope);
             let expected_run = self.run_time_estimate.expected().saturating_sub(output.ran);
             self.running.set_remaining_time(id, expected_run);
@@ -126,20 +111,19 @@
                 expected_run,
                 ..times
             };
-            let slots = &self.dispatcher.slots;
-            let slot = slots.wait_for_slot(&service, times, &scope);
+            let Some(outgoing) = self.build_request(id, spec, item, request_content, scope) else {
+                let reason = "item has no valid path or host";
+                return self.settle(id, item, ItemOutcome::GivenUp, String::new(), reason);
+            };
             // The route may change, or the item may expire, while it waits for a slot.
-            let Ok(chosen) = tokio::time::timeout(MAX_SLOT_WAIT, slot).await else {
+            let slot = self.acquire_slot(&service, times, &outgoing.demand, output);
+            let Some(chosen) = slot.await else {
                 continue;
             };
             if !self.may_send(id.partition) {
                 continue;
             }
             let began = self.dispatcher.clock.now();
-            let Some(outgoing) = self.build_request(id, spec, item, request_content, scope) else {
-                let reason = "item has no valid path or host";
-                return self.settle(id, item, ItemOutcome::GivenUp, String::new(), reason);
-            };
             let attempt = self.attempt(id, &outgoing, &chosen, output).await;
             output.ran += self.dispatcher.clock.now().saturating_sub(began);
             match attempt {
@@ -177,30 +161,17 @@
             .fold
             .job(&id.job)
             .and_then(|job| job.progress(id.index));
-        progress.map_or_else(ItemOutput::default, |progress| ItemOutput {
-            text: progress.text.clone(),
-            last_event: Some(progress.last_event),
-            failures: progress.failures,
-            ran: Duration::ZERO,
-            is_taken_over: true,
-            is_held: false,
-        })
+        progress.map_or_else(ItemOutput::default, ItemOutput::taken_over)
     }
 
     /// Queues the item's progress for its next runner, unless the item has no output yet or is no longer open.
     pub(crate) fn hand_over_progress(&self, id: &ItemId, output: ItemOutput) {
-        let Some(last_event) = output.last_event else {
+        let Some(progress) = output.into_progress(id.index) else {
             return;
         };
         if !self.is_item_open(id) {
             return;
         }
-        let progress = Progress {
-            item: id.index,
-            last_event,
-            text: output.text,
-            failures: output.failures,
-        };
         self.results.add_progress(id.partition, &id.job, progress);
     }
 
@@ -383,6 +354,9 @@
             in_flight.record_progress();
             in_flight.record_received(event.data.len());
             output.append_event(&event)?;
+            output
+                .origin
+                .get_or_insert_with(|| in_flight.chosen.origin());
         }
     }
 }
@@ -426,35 +400,3 @@
         *mean = Some(updated);
     }
 }
-
-impl ItemOutput {
-    /// Records that the item is quarantined. It waits until it may be sent again or reaches its route's limit
-    /// (`give_up_after`) like any other item. Only the start of a hold is logged.
-    fn record_hold(&mut self, id: &ItemId, item: &ItemSpec, held: QuarantineHold) {
-        if !std::mem::replace(&mut self.is_held, true) {
-            log::info!(job = id.job.as_str(), item = item.id.as_str(), ends = held.ends,
-                held_for_ms = held.time_left.as_millis() as u64;
-                "an item is quarantined because workers ended while they ran it; waiting");
-        }
-    }
-
-    /// Appends an event. Returns an error if its number does not follow the last one's.
-    fn append_event(&mut self, event: &eventsource_stream::Event) -> Result<(), SendFailure> {
-        let id: Option<u64> = event.id.parse().ok();
-        let out_of_order = match (self.last_event, id) {
-            (Some(last), Some(id)) => id != last + 1,
-            _ => false,
-        };
-        if out_of_order {
-            return Err(SendFailure::Broken {
-                reason: format!("event {id:?} came after {:?}", self.last_event),
-            });
-        }
-        if self.last_event.is_some() {
-            self.text.push('\n');
-        }
-        self.text.push_str(&event.data);
-        self.last_event = id.or(self.last_event);
-        Ok(())
-    }
-}
--- /dev/null
+++ b/crates/swiftshunt-gateway/src/batch/item_output.rs
@@ -0,0 +1,198 @@
+//! The output of a batch item so far, and where its next attempt may continue it.
+
+use std::time::Duration;
+
+use swiftshunt_jobs::{ItemSpec, Progress};
+use swiftshunt_routing::Route;
+use swiftshunt_scheduler::eligibility::OfferScope;
+use swiftshunt_scheduler::selection::{ChosenWorker, Demand};
+use swiftshunt_scheduler::slots::ItemTimes;
+use swiftshunt_topology::Residency;
+use swiftshunt_types::OutputOrigin;
+
+use super::Batch;
+use crate::attempt::SendFailure;
+use crate::quarantine::QuarantineHold;
+use crate::running::ItemId;
+
+/// Longest wait for a slot before the item's route and deadline are checked again.
+const MAX_SLOT_WAIT: Duration = Duration::from_secs(1);
+/// Pause before an item whose output is bound to a version asks for a slot again.
+const BOUND_RETRY_DELAY: Duration = Duration::from_millis(120);
+/// Shortest wait for a slot at the version that began an item's output before the item begins anew.
+const MIN_BOUND_WAIT: Duration = Duration::from_secs(1);
+
+/// The output of an item so far.
+#[derive(Default)]
+pub(crate) struct ItemOutput {
+    pub(super) text: String,
+    pub(super) last_event: Option<u64>,
+    /// The service and software version that wrote `text`; `None` if there is none, or if an earlier build recorded it.
+    pub(super) origin: Option<OutputOrigin>,
+    pub(super) failures: u32,
+    /// Total duration of the attempts at this gateway.
+    pub(super) ran: Duration,
+    /// Whether the item began at another gateway; its run time here is then incomplete.
+    pub(super) is_taken_over: bool,
+    /// Whether the item is quarantined because workers ended while they ran it.
+    pub(super) is_held: bool,
+    /// When the item began to wait for a slot at the version that began its output; `None` while it does not wait.
+    bound_since: Option<Duration>,
+}
+
+/// Why an item's output is not continued.
+#[derive(Clone, Copy, Debug)]
+enum Restart {
+    /// The version that wrote it is not known.
+    VersionUnknown,
+    /// No worker of the version that wrote it can be offered the item.
+    VersionGone,
+    /// The item has waited as long for a slot at that version as it had run.
+    NoSlot,
+}
+
+impl Batch {
+    /// Returns the workers that an item's next attempt may be offered to. What one software version began only that
+    /// version continues, so the output is dropped, and the item begins anew, where that is not possible or would take
+    /// longer than the run that would be repeated.
+    pub(super) fn next_scope(
+        &self,
+        id: &ItemId,
+        item: &ItemSpec,
+        route: &Route,
+        residency: Residency,
+        output: &mut ItemOutput,
+    ) -> OfferScope {
+        if output.last_event.is_none() {
+            return OfferScope::within(residency);
+        }
+        let scope = OfferScope {
+            residency,
+            origin: output.origin.clone(),
+        };
+        let Some(restart) = self.restart_reason(route, &scope, output) else {
+            return scope;
+        };
+        log::info!(job = id.job.as_str(), item = item.id.as_str(), reason:? = restart,
+            origin:? = output.origin, last_event:? = output.last_event,
+            ran_ms = output.ran.as_millis() as u64; "an item begins anew");
+        self.dispatcher.metrics.items_begun_anew.inc();
+        output.restart();
+        OfferScope::within(scope.residency)
+    }
+
+    fn restart_reason(
+        &self,
+        route: &Route,
+        scope: &OfferScope,
+        output: &ItemOutput,
+    ) -> Option<Restart> {
+        let Some(origin) = &scope.origin else {
+            return Some(Restart::VersionUnknown);
+        };
+        let mut shares = route.shares.iter();
+        let is_served = shares.any(|share| share.service == origin.service);
+        let selector = self.dispatcher.fleet_state.selector();
+        if !is_served || !selector.has_eligible_worker(&origin.service, scope) {
+            return Some(Restart::VersionGone);
+        }
+        let now = self.dispatcher.clock.now();
+        let longest_wait = output.ran.max(MIN_BOUND_WAIT);
+        let has_waited = output
+            .bound_since
+            .is_some_and(|since| now >= since + longest_wait);
+        has_waited.then_some(Restart::NoSlot)
+    }
+
+    /// Waits for a slot for an item's next attempt. Returns `None` if there was none within a short time.
+    pub(super) async fn acquire_slot(
+        &self,
+        service: &str,
+        times: ItemTimes,
+        demand: &Demand,
+        output: &mut ItemOutput,
+    ) -> Option<ChosenWorker> {
+        let slots = &self.dispatcher.slots;
+        if demand.scope.origin.is_none() {
+            let slot = slots.wait_for_slot(service, times, &demand.scope);
+            return tokio::time::timeout(MAX_SLOT_WAIT, slot).await.ok();
+        }
+        let placed = slots.place_item(service, demand).await;
+        if placed.is_some() {
+            output.bound_since = None;
+        } else {
+            output
+                .bound_since
+                .get_or_insert(self.dispatcher.clock.now());
+            tokio::time::sleep(BOUND_RETRY_DELAY).await;
+        }
+        placed
+    }
+}
+
+impl ItemOutput {
+    /// Returns the output that an earlier runner recorded.
+    pub(super) fn taken_over(progress: &Progress) -> Self {
+        Self {
+            text: progress.text.clone(),
+            last_event: Some(progress.last_event),
+            origin: progress.origin.clone(),
+            failures: progress.failures,
+            is_taken_over: true,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the record of the output for the item's next runner; `None` if there is none.
+    pub(super) fn into_progress(self, item: u32) -> Option<Progress> {
+        let last_event = self.last_event?;
+        Some(Progress {
+            item,
+            last_event,
+            text: self.text,
+            failures: self.failures,
+            origin: self.origin,
+        })
+    }
+
+    /// Drops what was written, so that the item begins anew. Failed attempts still count.
+    fn restart(&mut self) {
+        self.text.clear();
+        self.last_event = None;
+        self.origin = None;
+        self.bound_since = None;
+    }
+
+    /// Records that the item is quarantined. It waits until it may be sent again or reaches its route's limit
+    /// (`give_up_after`) like any other item. Only the start of a hold is logged.
+    pub(super) fn record_hold(&mut self, id: &ItemId, item: &ItemSpec, held: QuarantineHold) {
+        if !std::mem::replace(&mut self.is_held, true) {
+            log::info!(job = id.job.as_str(), item = item.id.as_str(), ends = held.ends,
+                held_for_ms = held.time_left.as_millis() as u64;
+                "an item is quarantined because workers ended while they ran it; waiting");
+        }
+    }
+
+    /// Appends an event. Returns an error if its number does not follow the last one's.
+    pub(super) fn append_event(
+        &mut self,
+        event: &eventsource_stream::Event,
+    ) -> Result<(), SendFailure> {
+        let id: Option<u64> = event.id.parse().ok();
+        let out_of_order = match (self.last_event, id) {
+            (Some(last), Some(id)) => id != last + 1,
+            _ => false,
+        };
+        if out_of_order {
+            return Err(SendFailure::Broken {
+                reason: format!("event {id:?} came after {:?}", self.last_event),
+            });
+        }
+        if self.last_event.is_some() {
+            self.text.push('\n');
+        }
+        self.text.push_str(&event.data);
+        self.last_event = id.or(self.last_event);
+        Ok(())
+    }
+}
--- a/crates/swiftshunt-gateway/src/batch/mod.rs
+++ b/crates/swiftshunt-gateway/src/batch/mod.rs
@@ -4,6 +4,7 @@
 mod appender;
 mod intake;
 mod item;
+mod item_output;
 mod job_queries;
 mod leases;
 mod member;
--- a/crates/swiftshunt-gateway/src/earlier_builds/values.rs
+++ b/crates/swiftshunt-gateway/src/earlier_builds/values.rs
@@ -103,6 +103,7 @@
     );
     entry("noted", SlotMessage::Noted);
     let request = |max_wait| SlotRequest {
+        for_item: false,
         bids: vec![Bid {
             worker: WorkerKey(8),
             cost_ms: 40,
@@ -412,6 +413,7 @@
         last_event: 5,
         text: "so far".to_owned(),
         failures: 1,
+        origin: None,
     };
     entry(
         "handed-over",
--- a/crates/swiftshunt-gateway/src/messages/slots.rs
+++ b/crates/swiftshunt-gateway/src/messages/slots.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use swiftshunt_scheduler::prefix_cache::PromptPart;
-use swiftshunt_scheduler::slots::allocator::{PlacementError, PlacementRequest};
+use swiftshunt_scheduler::slots::allocator::{Grant, PlacementError, PlacementRequest};
 use swiftshunt_scheduler::slots::cell::Cell;
 use swiftshunt_scheduler::slots::prompts::{PrefillEstimate, Prompt};
 use swiftshunt_scheduler::slots::{Bid, SlotReport, WorkerKey};
@@ -91,6 +91,13 @@
     pub(crate) max_wait: Option<Duration>,
     /// Whether the request may be sent to another worker if the first one fails while running it.
     pub(crate) may_repeat: bool,
+    /// Whether the request is a batch item that continues its output: it gets only a slot that batch items may have.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub(crate) for_item: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 impl SlotRequest {
@@ -125,3 +132,15 @@
     /// The part of the prompt that the worker has to process, and the time that it takes.
     pub(crate) reading: PrefillEstimate,
 }
+
+impl From<Grant> for Assigned {
+    fn from(grant: Grant) -> Self {
+        Self {
+            worker: grant.worker,
+            number: grant.number,
+            waits: false,
+            frees: false,
+            reading: PrefillEstimate::default(),
+        }
+    }
+}
--- a/crates/swiftshunt-gateway/src/metrics/mod.rs
+++ b/crates/swiftshunt-gateway/src/metrics/mod.rs
@@ -53,6 +53,7 @@
     pub(crate) slot_owners_lost: Counter,
     pub(crate) requests_crossed: Counter,
     pub(crate) items_stepped_aside: Counter,
+    pub(crate) items_begun_anew: Counter,
     pub(crate) workers_relieved: Counter,
     pub(crate) workers_failing: Counter,
     pub(crate) starts_handed_out: Counter,
@@ -221,6 +222,10 @@
             "requests_crossed",
             "Requests sent to another region because their own region would have made them late",
         );
+        let items_begun_anew = counter(
+            "items_begun_anew",
+            "Batch items whose output was dropped, since the software version that began it could not continue it",
+        );
         let items_stepped_aside = counter(
             "items_stepped_aside",
             "Batch items interrupted to free their slot or to leave an evacuated zone",
@@ -289,6 +294,7 @@
             slot_owners_lost,
             requests_crossed,
             items_stepped_aside,
+            items_begun_anew,
             workers_relieved,
             workers_failing,
             starts_handed_out,
--- a/crates/swiftshunt-gateway/src/slots/cross_region.rs
+++ b/crates/swiftshunt-gateway/src/slots/cross_region.rs
@@ -159,6 +159,7 @@
             may_wait: false,
             max_wait: max_wait.map(|time| time.saturating_sub(self.cross_region_delay(owner))),
             may_repeat: query.may_repeat,
+            for_item: false,
         };
         let (answer, verdict) = self.ask(owner, &cell, request).await.into_verdict();
         self.metrics.record_slot_answer(answer);
--- a/crates/swiftshunt-gateway/src/slots/mod.rs
+++ b/crates/swiftshunt-gateway/src/slots/mod.rs
@@ -1,6 +1,7 @@
 //! Worker slots that online requests and batch items share. A gateway asks the owner of a cell for a
 //! slot; the owner assigns slots to requests, grants them to batch items and preempts batch items.
 
+mod continuations;
 mod cross_region;
 mod failures;
 mod owner;
@@ -202,6 +203,7 @@
                 may_wait: is_last,
                 max_wait: self.local_slot_timeout(&query, &crossing, is_last),
                 may_repeat: query.may_repeat,
+                for_item: false,
             };
             let mut outcome = self.ask(owner, &cell, request).await;
             let reply = outcome.reply.as_mut();
--- a/crates/swiftshunt-gateway/src/slots/owner.rs
+++ b/crates/swiftshunt-gateway/src/slots/owner.rs
@@ -59,6 +59,13 @@
             let allocator = self.allocator(&mut allocators, cell);
             allocator.apply_report(from, report, now);
             let assignable = self.assignable(&workers, cell, now);
+            if request.for_item {
+                let granted =
+                    allocator.grant_among(from, &request.bids, &assignable, self.headroom, now)?;
+                drop(allocators);
+                self.record_worker_assignment(granted.worker, cell, now);
+                return Ok(Assigned::from(granted));
+            }
             let has_unassignable = assignable.len() < workers.len();
             let placed =
                 allocator.place(from, &request.placement_request(), &assignable, &rates, now);
--- a/crates/swiftshunt-jobs/src/record.rs
+++ b/crates/swiftshunt-jobs/src/record.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use swiftshunt_types::TenantName;
+use swiftshunt_types::{OutputOrigin, TenantName};
 
 /// An item of a batch job, as its caller submitted it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -100,6 +100,10 @@
     pub text: String,
     /// Number of runs of the item that failed.
     pub failures: u32,
+    /// The service and software version that wrote `text`; `None` in records of earlier builds, whose text cannot be
+    /// continued.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub origin: Option<OutputOrigin>,
 }
 
 /// A record about a batch job.
--- a/crates/swiftshunt-jobs/tests/fold.rs
+++ b/crates/swiftshunt-jobs/tests/fold.rs
@@ -115,6 +115,7 @@
             last_event,
             text: format!("up to {last_event}"),
             failures: 0,
+            origin: None,
         };
         let record = JobRecord::HandedOver {
             job: "j".into(),
--- a/crates/swiftshunt-scheduler/src/slots/allocator.rs
+++ b/crates/swiftshunt-scheduler/src/slots/allocator.rs
@@ -105,6 +105,15 @@
     pub free: u32,
 }
 
+/// Slots of a cell that batch items may get.
+#[derive(Debug, Default)]
+struct BatchCapacity {
+    /// Free slots by worker.
+    free: Vec<(WorkerKey, u32)>,
+    /// Number of slots that may be granted.
+    grantable: u32,
+}
+
 /// Slot allocator of a cell.
 #[derive(Debug, Default)]
 pub struct SlotAllocator {
@@ -322,25 +331,14 @@
     pub fn grant(&mut self, workers: &[CellWorker], reserved: f64, now: Duration) -> Vec<Grant> {
         self.expire(now);
         let mut grants = Vec::new();
-        let is_reserved = |at: Duration| now < at + ONLINE_RESERVATION_TIME;
-        if self.rejected_at.is_some_and(is_reserved) {
-            return grants;
-        }
-        if !self.is_warmed_up(now) || self.gateways.values().all(|it| it.waiting.items == 0) {
+        if self.gateways.values().all(|it| it.waiting.items == 0) {
             return grants;
         }
-        let mut free: Vec<(WorkerKey, u32)> = workers
-            .iter()
-            .filter(|worker| worker.accepts_batch && !self.is_failing(worker.key, now))
-            .map(|worker| {
-                let taken = self.effective_load(worker).taken();
-                (worker.key, worker.slots.saturating_sub(taken))
-            })
-            .collect();
-        let slots: u32 = workers.iter().map(|worker| worker.slots).sum();
-        let reserved = (f64::from(slots) * reserved).ceil() as u32;
-        let mut left: u32 = free.iter().map(|(_, free)| *free).sum();
-        while left > reserved {
+        let BatchCapacity {
+            mut free,
+            grantable: mut left,
+        } = self.batch_capacity(workers, reserved, now);
+        while left > 0 {
             let Some((worker, room)) = free.iter_mut().max_by_key(|(_, free)| *free) else {
                 break;
             };
@@ -356,6 +354,64 @@
         grants
     }
 
+    /// Grants an item of `from` a free slot at one of the workers that its bids name, the one with the most free slots.
+    /// The share `reserved` of the cell's slots stays free, and no item is preempted.
+    pub fn grant_among(
+        &mut self,
+        from: SocketAddr,
+        bids: &[Bid],
+        workers: &[CellWorker],
+        reserved: f64,
+        now: Duration,
+    ) -> Result<Grant, PlacementError> {
+        self.expire(now);
+        let is_named = |key: WorkerKey| bids.iter().any(|bid| bid.worker == key);
+        if !workers.iter().any(|worker| is_named(worker.key)) {
+            return Err(PlacementError::NoWorker);
+        }
+        let capacity = self.batch_capacity(workers, reserved, now);
+        if capacity.grantable == 0 {
+            return Err(PlacementError::Full);
+        }
+        let named = capacity.free.into_iter().filter(|(key, _)| is_named(*key));
+        let most = named.max_by_key(|(_, free)| *free);
+        let (worker, _) = most
+            .filter(|(_, free)| *free > 0)
+            .ok_or(PlacementError::Full)?;
+        let number = self.assign(from, worker, Class::Batch, now);
+        let to = from;
+        Ok(Grant { number, to, worker })
+    }
+
+    /// Returns the slots that may be granted to batch items now. The share `reserved` of the cell's slots stays free.
+    fn batch_capacity(
+        &self,
+        workers: &[CellWorker],
+        reserved: f64,
+        now: Duration,
+    ) -> BatchCapacity {
+        let is_reserved = |at: Duration| now < at + ONLINE_RESERVATION_TIME;
+        if self.rejected_at.is_some_and(is_reserved) || !self.is_warmed_up(now) {
+            return BatchCapacity::default();
+        }
+        let accepting = workers
+            .iter()
+            .filter(|worker| worker.accepts_batch && !self.is_failing(worker.key, now));
+        let free: Vec<(WorkerKey, u32)> = accepting
+            .map(|worker| {
+                let taken = self.effective_load(worker).taken();
+                (worker.key, worker.slots.saturating_sub(taken))
+            })
+            .collect();
+        let slots: u32 = workers.iter().map(|worker| worker.slots).sum();
+        let reserved = (f64::from(slots) * reserved).ceil() as u32;
+        let all_free: u32 = free.iter().map(|(_, free)| *free).sum();
+        BatchCapacity {
+            free,
+            grantable: all_free.saturating_sub(reserved),
+        }
+    }
+
     /// Returns the gateway whose waiting item has the lowest rank, and removes one item from its
     /// waiting count.
     fn most_urgent(&mut self, now: Duration) -> Option<SocketAddr> {
--- a/crates/swiftshunt-scheduler/tests/slots/grants.rs
+++ b/crates/swiftshunt-scheduler/tests/slots/grants.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use swiftshunt_scheduler::slots::allocator::SlotAllocator;
-use swiftshunt_scheduler::slots::{ItemTimes, Rank};
+use swiftshunt_scheduler::slots::allocator::{PlacementError, SlotAllocator};
+use swiftshunt_scheduler::slots::{Bid, ItemTimes, Rank, SlotReport};
 use test_case::test_case;
 
-use crate::support::{SETTLED, SLOTS, gateway, key, rank, waiting, workers};
+use crate::support::{SETTLED, SLOTS, gateway, held, key, rank, report, waiting, workers};
 
 #[test]
 fn grants_go_to_the_most_urgent_items_and_leave_reserved_slots_free() {
@@ -75,3 +75,44 @@
     cell[1].accepts_batch = false;
     assert!(allocator.grant(&cell, 0.0, SETTLED).is_empty());
 }
+
+/// Two workers with four slots each; a quarter of the slots stays free.
+#[test]
+fn an_item_bound_to_some_workers_gets_only_their_free_slots_and_leaves_the_reserve() {
+    let mut allocator = SlotAllocator::default();
+    allocator.apply_report(gateway(1), report(1, 0, &[(1, held(0, 3))]), Duration::ZERO);
+    let bound_to = |number| Bid {
+        worker: key(number),
+        cost_ms: 0,
+    };
+    let mut grant = |number| {
+        allocator.apply_report(gateway(2), report(1, 0, &[]), SETTLED);
+        allocator.grant_among(gateway(2), &[bound_to(number)], &workers(2), 0.25, SETTLED)
+    };
+    assert_eq!(grant(1).map(|granted| granted.worker), Ok(key(1)));
+    assert_eq!(
+        grant(1),
+        Err(PlacementError::Full),
+        "the worker has no free slot"
+    );
+    assert_eq!(grant(7), Err(PlacementError::NoWorker));
+    for _ in 0..2 {
+        assert_eq!(grant(0).map(|granted| granted.worker), Ok(key(0)));
+    }
+    assert_eq!(grant(0), Err(PlacementError::Full), "the reserve is used");
+}
+
+#[test]
+fn an_item_bound_to_some_workers_preempts_no_other_item() {
+    let mut allocator = SlotAllocator::default();
+    let full = report(1, 0, &[(0, held(0, SLOTS))]);
+    allocator.apply_report(gateway(1), full.clone(), Duration::ZERO);
+    allocator.apply_report(gateway(1), SlotReport { number: 2, ..full }, SETTLED);
+    let bid = Bid {
+        worker: key(0),
+        cost_ms: 0,
+    };
+    let granted = allocator.grant_among(gateway(2), &[bid], &workers(2), 0.0, SETTLED);
+    assert_eq!(granted, Err(PlacementError::Full));
+    assert_eq!(allocator.load(key(0)).batch, SLOTS);
+}
--- a/crates/swiftshunt/tests/gateway_software_versions.rs
+++ b/crates/swiftshunt/tests/gateway_software_versions.rs
@@ -11,7 +11,9 @@
 use hyper::StatusCode;
 use swiftshunt_lab::platform::caller::{StreamPart, item_id};
 use swiftshunt_lab::platform::fleet::{PlatformOptions, STREAM, eventually};
-use swiftshunt_lab::platform::worker::{WorkerBehaviour, versioned_event_data, versions_in};
+use swiftshunt_lab::platform::worker::{
+    Worker, WorkerBehaviour, versioned_event_data, versions_in,
+};
 use swiftshunt_platform::words::values;
 
 /// Number of events in a stream.
@@ -290,16 +292,61 @@
         ..options(&["v1", "v2"])
     };
     let mut fleet = start(options).await;
-    for job in ["job-a", "job-b", "job-c"] {
-        submit(&fleet, fleet.gateways[0].callers, job, 16).await;
+    let jobs: Vec<String> = (0..8).map(|job| format!("job-{job}")).collect();
+    let gateway = fleet.gateways[0].callers;
+    for job in &jobs {
+        submit(&fleet, gateway, job, 8).await;
     }
+    eventually("most items run", || async {
+        let running: usize = fleet.engine_workers.iter().map(Worker::running).sum();
+        running > jobs.len() * 4
+    })
+    .await;
     // Long enough for items to have some events, and shorter than their runs.
-    tokio::time::sleep(Duration::from_millis(900)).await;
-    for gateway in [1, 2] {
-        fleet.gateways[gateway].process.terminate();
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    // The slots that are left are granted in another order than before.
+    fleet.unlist(&fleet.engine_workers[0]);
+    for stopped in [1, 2] {
+        fleet.gateways[stopped].process.terminate();
     }
-    for job in ["job-a", "job-b", "job-c"] {
-        assert_items_of_one_version(&fleet, fleet.gateways[0].callers, job, 16).await;
+    for job in &jobs {
+        assert_items_of_one_version(&fleet, gateway, job, 8).await;
     }
     fleet.gateways.truncate(1);
+    let runs = fleet.engine_workers.iter().flat_map(Worker::runs);
+    let continued = runs.filter(|run| run.last_event.is_some()).count();
+    println!("continued runs: {continued}");
+    assert!(
+        continued > 0,
+        "no item was handed over with a part of its output"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_batch_item_whose_version_is_gone_begins_anew_at_another_one() {
+    let options = PlatformOptions {
+        event_interval: Duration::from_millis(100),
+        ..options(&["v1", "v2"])
+    };
+    let fleet = start(options).await;
+    let first_version = || fleet.engine_workers.iter().step_by(2);
+    for worker in first_version() {
+        worker.set_behaviour(WorkerBehaviour::TruncateStreamAfter(8));
+    }
+    let gateway = fleet.gateways[0].callers;
+    submit(&fleet, gateway, "job", 24).await;
+    eventually("items run at each version", || async {
+        first_version().map(Worker::running).sum::<usize>() > 4
+    })
+    .await;
+    for worker in first_version() {
+        fleet.unlist(worker);
+    }
+    assert_items_of_one_version(&fleet, gateway, "job", 24).await;
+    let mut begun_anew = 0.0;
+    for gateway in &fleet.gateways {
+        let name = "swiftshunt_items_begun_anew_total";
+        begun_anew += fleet.caller.metric_value(gateway.metrics, name).await;
+    }
+    assert!(begun_anew > 0.0, "no item began anew");
 }
