Node: an answer or item that another engine resumes goes on only at the software version that began it

What callers saw: answers and results of swiftshunt node whose tokens engines of two versions generated, after an engine failed or a batch item was preempted.

Cause: resume_from went to any engine that serves the model; the protocol named no version.

Change: an engine names its software version on the first event of a stream; a request that resumes an output names the version that began it, and an engine of another version refuses it (412), so that no stale view of a node matters. An answer passes over such engines without a charge to the retry budget, and fails, said to be so, where none is left. A batch item begins anew in its next slot. Engines that name no version are taken to have one; older nodes send no version.

Seen on the way, not new: outside its own zone a node takes an engine without a load report to have one slot, so a version that is left in other zones only gets few requests.

--- a/crates/swiftshunt-backends/src/engine.rs
+++ b/crates/swiftshunt-backends/src/engine.rs
@@ -8,7 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use serde::{Deserialize, Serialize};
-use swiftshunt_types::{ModelName, Priority, RequestId};
+use swiftshunt_types::{ModelName, Priority, RequestId, SoftwareVersion};
 
 use crate::BoxFuture;
 use swiftshunt_http::{HttpClient, HttpError, HttpRequest, JSON, SendPermit};
@@ -19,6 +19,8 @@
 pub const LOAD_PATH: &str = "/v1/load";
 /// Path prefix of the call that cancels a request.
 pub const CANCEL_PATH: &str = "/v1/cancel";
+/// Status of an engine that refuses to resume an output, since another software version began it.
+pub const OTHER_SOFTWARE_STATUS: StatusCode = StatusCode::PRECONDITION_FAILED;
 /// Path of the call that gives an order to load a model.
 pub const ORDERS_PATH: &str = "/v1/orders";
 
@@ -37,6 +39,10 @@
     pub priority: Priority,
     /// Number of tokens that the caller already has; generation resumes after them.
     pub resume_from: u32,
+    /// Software version of the engine that generated these tokens. An engine of another version refuses the request with
+    /// [`OTHER_SOFTWARE_STATUS`]. `None` for a new output, or if that engine named no version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
 }
 
 /// One event of a token stream.
@@ -50,6 +56,10 @@
     pub text: String,
     /// Why generation ended; only set on the last event.
     pub finish: Option<FinishReason>,
+    /// Software version of the engine, on the first event of a stream. `None` from engines that name none; those of a pool
+    /// are taken to have the same.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
 }
 
 /// Why generation ended.
@@ -119,7 +129,13 @@
         /// The error of the transport or of the decoder.
         reason: String,
     },
-    /// The engine refused the request with a status other than 503, or the request could not be encoded.
+    /// The engine did not start the request, since another software version began the output that is resumed.
+    #[display("engine has other software: {reason}")]
+    OtherSoftware {
+        /// The engine's response body.
+        reason: String,
+    },
+    /// The engine refused the request with another status, or the request could not be encoded.
     /// Another engine would refuse the request, too.
     #[display("engine refused the request: {reason}")]
     Refused {
@@ -202,11 +218,11 @@
             let body = response.into_body().collect().await;
             let body = body.map(|body| body.to_bytes()).unwrap_or_default();
             let reason = String::from_utf8_lossy(&body).into_owned();
-            if status == StatusCode::SERVICE_UNAVAILABLE {
-                Err(EngineError::NotStarted { reason })
-            } else {
-                Err(EngineError::Refused { reason })
-            }
+            Err(match status {
+                StatusCode::SERVICE_UNAVAILABLE => EngineError::NotStarted { reason },
+                OTHER_SOFTWARE_STATUS => EngineError::OtherSoftware { reason },
+                _ => EngineError::Refused { reason },
+            })
         })
     }
 
--- a/crates/swiftshunt-lab/src/engine/batcher.rs
+++ b/crates/swiftshunt-lab/src/engine/batcher.rs
@@ -6,12 +6,12 @@
 
 use serde::{Deserialize, Serialize};
 use swiftshunt_backends::engine::{FinishReason, GenerateRequest, TokenEvent};
-use swiftshunt_types::{Priority, RequestId};
+use swiftshunt_types::{Priority, RequestId, SoftwareVersion};
 use tokio::sync::mpsc::{self, error::TrySendError};
 
 use super::prefix_cache::PrefixCache;
 use super::settings::EngineSettings;
-use super::tokens::{natural_length, token_text};
+use super::tokens::{natural_length, token_text, versioned_token_text};
 
 /// A request that an engine accepted.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -191,7 +191,7 @@
         let duplicate_event_interval = self.settings.duplicate_event_interval;
         for sequence in &mut self.running {
             let ended = sequence.next_index >= sequence.length;
-            let event = sequence.event(ended);
+            let event = sequence.event(ended, self.settings.software.as_ref());
             self.sent_events += 1;
             if duplicate_event_interval > 0
                 && self.sent_events.is_multiple_of(duplicate_event_interval)
@@ -257,17 +257,20 @@
         self.request.priority == Priority::Batch
     }
 
-    fn event(&self, ended: bool) -> TokenEvent {
-        let text = if ended {
-            String::new()
-        } else {
-            token_text(&self.request.prompt, self.next_index)
+    fn event(&self, ended: bool, software: Option<&SoftwareVersion>) -> TokenEvent {
+        let is_first = self.next_index == self.request.resume_from;
+        let prompt = &self.request.prompt;
+        let text = match software {
+            _ if ended => String::new(),
+            Some(software) => versioned_token_text(prompt, self.next_index, software),
+            None => token_text(prompt, self.next_index),
         };
         TokenEvent {
             request: self.request.request.clone(),
             index: self.next_index,
             text,
             finish: ended.then_some(self.finish),
+            software: software.filter(|_| is_first).cloned(),
         }
     }
 }
--- a/crates/swiftshunt-lab/src/engine/mod.rs
+++ b/crates/swiftshunt-lab/src/engine/mod.rs
@@ -10,4 +10,4 @@
 pub use batcher::{AcceptedRequest, TokenCounts};
 pub use server::{EngineState, start};
 pub use settings::EngineSettings;
-pub use tokens::{expected_answer, natural_length, token_text};
+pub use tokens::{expected_answer, natural_length, token_text, versions_in};
--- a/crates/swiftshunt-lab/src/engine/server.rs
+++ b/crates/swiftshunt-lab/src/engine/server.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 use swiftshunt_backends::engine::{
     CANCEL_PATH, EngineLoad, Fence, GENERATE_PATH, GenerateRequest, LOAD_PATH, LoadOrder,
-    ORDERS_PATH, TokenEvent,
+    ORDERS_PATH, OTHER_SOFTWARE_STATUS, TokenEvent,
 };
 use swiftshunt_http::{BindError, Call, HttpClient, ObserveFailure, Reply, Router, endpoint};
 use swiftshunt_types::{ErrorKind, Failure, ModelName, RequestId};
@@ -137,6 +137,13 @@
         let message = format!("model {} is not loaded", request.model);
         return Err(Failure::not_run(ErrorKind::Unavailable, message));
     }
+    let own = &state.settings.software;
+    if request.software.is_some() && request.software != *own {
+        let message = format!("this engine has the version {own:?}");
+        let refusal = Failure::not_run(ErrorKind::Conflict, message);
+        let status = OTHER_SOFTWARE_STATUS.as_u16();
+        return Ok(Reply::failure(&refusal).with_status(status));
+    }
     let (sender, receiver) = mpsc::channel(EVENT_BUFFER_LENGTH);
     if !lock(&state.batcher).submit(request, sender) {
         return Err(Failure::not_run(ErrorKind::Overloaded, "the queue is full"));
--- a/crates/swiftshunt-lab/src/engine/settings.rs
+++ b/crates/swiftshunt-lab/src/engine/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use swiftshunt_types::ModelName;
+use swiftshunt_types::{ModelName, SoftwareVersion};
 
 /// Capacity, timing and faults of an engine stand-in.
 #[derive(Clone, Debug)]
@@ -29,6 +29,8 @@
     pub weight_store: Option<SocketAddr>,
     /// Send every n-th event twice; 0 disables duplicates.
     pub duplicate_event_interval: u32,
+    /// Software version, which each token names; `None` if they name none.
+    pub software: Option<SoftwareVersion>,
 }
 
 impl Default for EngineSettings {
@@ -44,6 +46,7 @@
             models: Vec::new(),
             weight_store: None,
             duplicate_event_interval: 0,
+            software: None,
         }
     }
 }
--- a/crates/swiftshunt-lab/src/engine/tokens.rs
+++ b/crates/swiftshunt-lab/src/engine/tokens.rs
@@ -1,9 +1,11 @@
 //! The text that the engine stand-in generates: a pure function of prompt and token index, so that a test can
 //! compute the exact output of every request.
 
+use std::collections::BTreeSet;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use swiftshunt_backends::engine::FinishReason;
+use swiftshunt_types::SoftwareVersion;
 
 const VOCABULARY: [&str; 16] = [
     "desk", "meter", "zone", "lot", "split", "rijeka", "osijek", "galle", "matara", "reading",
@@ -25,6 +27,23 @@
     format!("{word}{} ", hashed >> 48)
 }
 
+/// Separates the text of a token from the software version that generated it.
+const VERSION_SEPARATOR: char = '@';
+
+/// Returns the text of a token that an engine of a software version generates.
+pub fn versioned_token_text(prompt: &str, index: u32, software: &SoftwareVersion) -> String {
+    let text = token_text(prompt, index);
+    format!("{}{VERSION_SEPARATOR}{software} ", text.trim_end())
+}
+
+/// Returns the software versions that generated the tokens of a text, without repetitions.
+pub fn versions_in(text: &str) -> BTreeSet<&str> {
+    let versions = text
+        .split_whitespace()
+        .filter_map(|token| token.rsplit_once(VERSION_SEPARATOR));
+    versions.map(|(_, version)| version).collect()
+}
+
 /// Returns the number of tokens of the complete output for `prompt`, from 16 to 63.
 pub fn natural_length(prompt: &str) -> u32 {
     (MIN_ANSWER_TOKENS + hash(prompt) % ANSWER_LENGTH_RANGE) as u32
--- a/crates/swiftshunt-lab/src/harness/fleet.rs
+++ b/crates/swiftshunt-lab/src/harness/fleet.rs
@@ -170,6 +170,10 @@
         let weights = self.weights_process.announced("address");
         let mut arguments = vec!["engine", "--weights", weights];
         arguments.extend(self.options.engine_flags.iter().map(String::as_str));
+        let versions = &self.options.engine_software;
+        if let Some(position) = index.checked_rem(versions.len()) {
+            arguments.extend(["--software", versions[position]]);
+        }
         let process = start_lab_process(&self.binaries, &self.work_directory, &name, &arguments)?;
         let in_first_pool = index < self.options.engines - self.options.engines_in_second_pool;
         let pool = if in_first_pool {
--- a/crates/swiftshunt-lab/src/harness/options.rs
+++ b/crates/swiftshunt-lab/src/harness/options.rs
@@ -81,6 +81,8 @@
     pub engines_in_second_pool: usize,
     /// Additional command-line flags of each engine.
     pub engine_flags: Vec<String>,
+    /// Software versions of the engines, assigned in turn by index. If empty, the engines name none.
+    pub engine_software: Vec<&'static str>,
     /// Number of submission workers, distributed over the zones in turn.
     pub workers: usize,
     /// Lag with which updates of the machine list become visible.
@@ -101,6 +103,7 @@
             engines: 3,
             engines_in_second_pool: 0,
             engine_flags: Vec::new(),
+            engine_software: Vec::new(),
             workers: 2,
             list_lag: Duration::ZERO,
             log_level: "debug",
--- a/crates/swiftshunt-lab/src/main.rs
+++ b/crates/swiftshunt-lab/src/main.rs
@@ -16,6 +16,7 @@
 use swiftshunt_lab::{
     experiment, log_service, machine_list, platform, quickstart, soak, weight_store,
 };
+use swiftshunt_types::SoftwareVersion;
 
 /// Run stand-ins, experiments and the soak test for swiftshunt.
 #[derive(FromArgs)]
@@ -61,6 +62,9 @@
     /// address of the weight store from which ordered models are fetched; without it, they are served at once
     #[argh(option)]
     weights: Option<SocketAddr>,
+    /// software version, which each token names; without it, tokens name none
+    #[argh(option)]
+    software: Option<String>,
     /// model that is loaded at the start (repeatable); without one, every model is served until an order loads one
     #[argh(option)]
     model: Vec<String>,
@@ -243,6 +247,7 @@
             report_lag: Duration::from_millis(self.report_lag_ms),
             duplicate_event_interval: self.duplicate_every,
             weight_store: self.weights,
+            software: self.software.as_deref().map(SoftwareVersion::from),
             models: self.model.iter().map(|name| name.as_str().into()).collect(),
             ..EngineSettings::default()
         }
--- a/crates/swiftshunt-lab/tests/engine.rs
+++ b/crates/swiftshunt-lab/tests/engine.rs
@@ -22,6 +22,7 @@
         max_tokens: 1000,
         priority,
         resume_from,
+        software: None,
     }
 }
 
--- a/crates/swiftshunt-node/src/batch/item.rs
+++ b/crates/swiftshunt-node/src/batch/item.rs
@@ -9,7 +9,7 @@
 use serde_json::{Value, json};
 use swiftshunt_backends::engine::{EngineError, FinishReason, GenerateRequest, TokenEvent};
 use swiftshunt_http::SendPermit;
-use swiftshunt_types::{ErrorKind, Failure, PoolName, Priority, RequestId};
+use swiftshunt_types::{ErrorKind, Failure, PoolName, Priority, RequestId, SoftwareVersion};
 use tokio_util::sync::CancellationToken;
 
 use super::files::ItemResult;
@@ -140,6 +140,7 @@
                 max_tokens,
                 priority: Priority::Batch,
                 resume_from: 0,
+                software: None,
             },
             pool,
             is_chat,
@@ -147,7 +148,7 @@
     }
 
     async fn run_item(&self, item: Item, remaining: u32) -> Option<ItemResult> {
-        let mut partial = AnswerText::empty();
+        let mut partial = PartialAnswer::empty();
         loop {
             let slot = tokio::select! {
                 slot = self.context.batch.acquire(&self.job, &item.pool, self.deadline, remaining) => slot?,
@@ -155,8 +156,8 @@
             };
             match self.run_in_slot(&item, &slot, &mut partial).await {
                 SlotOutcome::Completed(finish) => {
-                    partial.finish = finish;
-                    return Some(self.result(&item, &partial));
+                    partial.answer.finish = finish;
+                    return Some(self.result(&item, &partial.answer));
                 }
                 SlotOutcome::Interrupted => {}
                 SlotOutcome::Stopped => return None,
@@ -174,9 +175,15 @@
     }
 
     /// Generates in one slot until the answer is complete or the slot is lost.
-    async fn run_in_slot(&self, item: &Item, slot: &Slot, partial: &mut AnswerText) -> SlotOutcome {
+    async fn run_in_slot(
+        &self,
+        item: &Item,
+        slot: &Slot,
+        partial: &mut PartialAnswer,
+    ) -> SlotOutcome {
         let request = GenerateRequest {
-            resume_from: partial.tokens,
+            resume_from: partial.answer.tokens,
+            software: partial.software.clone(),
             ..item.request.clone()
         };
         if self.stopped.is_cancelled() {
@@ -194,6 +201,12 @@
         let mut stream = match opened {
             Ok(stream) => stream,
             Err(EngineError::Refused { reason }) => return SlotOutcome::Refused(reason),
+            Err(EngineError::OtherSoftware { reason }) => {
+                log::info!(item = request.request.as_str(), worker = slot.worker.as_str(),
+                    tokens = partial.answer.tokens, reason; "an item begins anew at an engine of another version");
+                *partial = PartialAnswer::empty();
+                return SlotOutcome::Interrupted;
+            }
             Err(_) => {
                 tokio::time::sleep(FAILURE_RETRY_DELAY).await;
                 return SlotOutcome::Interrupted;
@@ -258,6 +271,22 @@
     }
 }
 
+/// The tokens of an item so far, and the version that generated them.
+struct PartialAnswer {
+    answer: AnswerText,
+    /// Software version of the engine; `None` without tokens, and if the engine names none.
+    software: Option<SoftwareVersion>,
+}
+
+impl PartialAnswer {
+    fn empty() -> Self {
+        Self {
+            answer: AnswerText::empty(),
+            software: None,
+        }
+    }
+}
+
 /// Effect of an event on the partial answer.
 enum EventEffect {
     Continue,
@@ -267,16 +296,24 @@
 }
 
 /// Appends the token of an event to the partial answer if it is the next one. A repeated token is skipped.
-fn apply_event(event: &TokenEvent, request: &RequestId, partial: &mut AnswerText) -> EventEffect {
-    if event.request != *request || event.index > partial.tokens {
+fn apply_event(
+    event: &TokenEvent,
+    request: &RequestId,
+    partial: &mut PartialAnswer,
+) -> EventEffect {
+    let PartialAnswer { answer, software } = partial;
+    if event.request != *request || event.index > answer.tokens {
         return EventEffect::Unusable;
     }
     match event.finish {
         Some(FinishReason::Cancelled) => EventEffect::Unusable,
-        Some(finish) if event.index == partial.tokens => EventEffect::Finished(finish),
-        None if event.index == partial.tokens => {
-            partial.text.push_str(&event.text);
-            partial.tokens += 1;
+        Some(finish) if event.index == answer.tokens => EventEffect::Finished(finish),
+        None if event.index == answer.tokens => {
+            answer.text.push_str(&event.text);
+            answer.tokens += 1;
+            if software.is_none() {
+                software.clone_from(&event.software);
+            }
             EventEffect::Continue
         }
         _ => EventEffect::Continue,
--- a/crates/swiftshunt-node/src/online/answer.rs
+++ b/crates/swiftshunt-node/src/online/answer.rs
@@ -15,7 +15,8 @@
 use swiftshunt_http::SendPermit;
 use swiftshunt_scheduler::placement::{NoWorker, PlacementRequest, choose};
 use swiftshunt_types::{
-    ErrorKind, Failure, ModelName, Monotonic, PoolName, Priority, RequestId, WorkerId,
+    ErrorKind, Failure, ModelName, Monotonic, PoolName, Priority, RequestId, SoftwareVersion,
+    WorkerId,
 };
 use tokio::sync::mpsc;
 
@@ -82,7 +83,9 @@
         context: Arc::clone(context),
         request,
         next_index: 0,
+        software: None,
         excluded: Vec::new(),
+        is_software_gone: false,
         may_have_started: false,
         started_at: context.clock.now(),
     };
@@ -116,8 +119,12 @@
     request: AnswerRequest,
     /// Index of the next token to relay.
     next_index: u32,
-    /// Workers that failed this request and are not chosen again.
+    /// Software version of the engine that began the answer; `None` before the first token, and if the engine names none.
+    software: Option<SoftwareVersion>,
+    /// Workers that failed this request, or cannot resume it, and are not chosen again.
     excluded: Vec<WorkerId>,
+    /// Whether an engine refused to resume the answer, since it has another software version.
+    is_software_gone: bool,
     /// Whether any engine may have started to run the request.
     may_have_started: bool,
     started_at: Monotonic,
@@ -152,6 +159,13 @@
                 Err(EngineError::Refused { reason }) => {
                     return Err(Failure::not_run(ErrorKind::InvalidRequest, reason));
                 }
+                Err(EngineError::OtherSoftware { reason }) => {
+                    // The engine is sound and did no work, so the retry budget is not charged.
+                    self.record_decision(format!("pass over worker {worker}"), reason);
+                    self.excluded.push(worker);
+                    self.is_software_gone = true;
+                    continue;
+                }
                 Err(EngineError::NotStarted { reason }) => {
                     let now = self.context.clock.now();
                     lock(&self.context.workers).record_connection_failure(&worker, now);
@@ -187,6 +201,10 @@
         };
         match choose(&workers, placement, &self.context.settings.scheduler, now) {
             Ok(worker) => Ok((worker.machine.id.clone(), worker.machine.address)),
+            Err(NoWorker::AllFull) if self.is_software_gone => Err(self.failure(
+                ErrorKind::Unavailable,
+                "no engine of the software version that began the answer takes it",
+            )),
             Err(NoWorker::AllFull) => {
                 Err(self.failure(ErrorKind::Overloaded, "every engine of the pool is full"))
             }
@@ -210,6 +228,7 @@
             max_tokens: self.request.max_tokens,
             priority: Priority::Online,
             resume_from: self.next_index,
+            software: self.software.clone(),
         };
         self.record_decision(
             format!("send to worker {worker} from token {}", self.next_index),
@@ -306,6 +325,9 @@
             if event.finish == Some(FinishReason::Cancelled) {
                 return RelayEnd::Broken("the engine cancelled it".to_owned());
             }
+            if self.software.is_none() {
+                self.software.clone_from(&event.software);
+            }
             let finished = event.finish.is_some();
             self.count_token(finished);
             if sender.send(Ok(event)).await.is_err() || finished {
