Gateway: evidence of the versions that served counts while the log is away, if two gateways agree

While the log is away for all, no worker can be listed; one gateway that does not read it may merely be cut off. So such evidence counts if two gateways agree and none that reads the directory contradicts.

--- a/crates/swiftshunt-gateway/src/origins/evidence.rs
+++ b/crates/swiftshunt-gateway/src/origins/evidence.rs
@@ -62,13 +62,18 @@
         if versions.len() > 1 {
             return Evidence::Several;
         }
+        let Some(software) = versions.pop().filter(|_| knows_all_since(since)) else {
+            return Evidence::Unsure;
+        };
+        let origin = OutputOrigin {
+            service: service.to_owned(),
+            software,
+        };
         let is_recent = now < self.fleet_state.directory_confirmed_at() + MAX_DIRECTORY_AGE;
-        match versions.pop() {
-            Some(software) if is_recent && knows_all_since(since) => Evidence::Sole(OutputOrigin {
-                service: service.to_owned(),
-                software,
-            }),
-            _ => Evidence::Unsure,
+        if is_recent || self.members.others().is_empty() {
+            Evidence::Sole(origin)
+        } else {
+            Evidence::SoleBefore(origin)
         }
     }
 
--- a/crates/swiftshunt-scheduler/src/origins/resolution.rs
+++ b/crates/swiftshunt-scheduler/src/origins/resolution.rs
@@ -1,14 +1,21 @@
 //! Decides what a stream that a caller takes up is bound to, from what gateways know of it.
 
+use std::collections::BTreeSet;
+
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use swiftshunt_types::OutputOrigin;
 
+/// Number of gateways that must agree if none has read the directory recently.
+const MIN_AGREEING: usize = 2;
+
 /// What a gateway without a record of a stream knows of the versions that may have begun it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Evidence {
     /// No other version has served the stream's route since before the stream can have begun.
     Sole(OutputOrigin),
+    /// The same, up to the last time at which the gateway read the directory, which was not recently.
+    SoleBefore(OutputOrigin),
     /// Several versions may have begun it.
     Several,
     /// The gateway has not watched the directory for long enough, or has not read it recently.
@@ -43,34 +50,53 @@
 }
 
 /// Decides what a stream is bound to, from the knowledge of the gateways that were asked and of the asking one. A record
-/// decides; without one, the versions that served are evidence, and a gateway that knows of several outweighs others.
+/// decides; without one, the versions that served are evidence.
 pub fn resolve(knowledge: &[OriginKnowledge]) -> Result<OutputOrigin, UnknownOrigin> {
-    let mut recorded = None;
-    let mut sole = None;
-    let mut is_several = false;
+    let mut recorded = BTreeSet::new();
+    let mut evidence = Vec::new();
     for known in knowledge {
-        let (agreed, origin) = match known {
+        match known {
             OriginKnowledge::Conflicting => return Err(UnknownOrigin::Conflicting),
-            OriginKnowledge::Recorded(origin) => (&mut recorded, origin),
-            OriginKnowledge::Unrecorded(Evidence::Sole(origin)) => (&mut sole, origin),
-            OriginKnowledge::Unrecorded(Evidence::Several) => {
-                is_several = true;
-                continue;
+            OriginKnowledge::Recorded(origin) => drop(recorded.insert(origin)),
+            OriginKnowledge::Unrecorded(unrecorded) => evidence.push(unrecorded),
+        }
+    }
+    if recorded.len() > 1 {
+        return Err(UnknownOrigin::Conflicting);
+    }
+    match recorded.pop_first() {
+        Some(origin) => Ok(origin.clone()),
+        None => resolve_by_evidence(&evidence),
+    }
+}
+
+/// Decides by the versions that have served. A gateway that knows of several outweighs others. Gateways that do not
+/// read the directory now count if two of them agree: the log is then away for others, too, and no worker can be listed.
+fn resolve_by_evidence(evidence: &[&Evidence]) -> Result<OutputOrigin, UnknownOrigin> {
+    let mut origins = BTreeSet::new();
+    let mut is_recent = false;
+    let mut agreeing = 0;
+    for known in evidence {
+        match known {
+            Evidence::Sole(origin) => {
+                origins.insert(origin);
+                is_recent = true;
             }
-            OriginKnowledge::Unrecorded(Evidence::Unsure) => continue,
-        };
-        let agreed = agreed.get_or_insert(origin);
-        if *agreed != origin {
-            match known {
-                OriginKnowledge::Recorded(_) => return Err(UnknownOrigin::Conflicting),
-                _ => is_several = true,
+            Evidence::SoleBefore(origin) => {
+                origins.insert(origin);
+                agreeing += 1;
             }
+            Evidence::Several => return Err(UnknownOrigin::Several),
+            Evidence::Unsure => {}
         }
     }
-    match (recorded, sole) {
-        (Some(origin), _) => Ok(origin.clone()),
-        (None, _) if is_several => Err(UnknownOrigin::Several),
-        (None, Some(origin)) => Ok(origin.clone()),
-        (None, None) => Err(UnknownOrigin::Unsure),
+    if origins.len() > 1 {
+        return Err(UnknownOrigin::Several);
+    }
+    let origin = origins.pop_first().ok_or(UnknownOrigin::Unsure)?;
+    if is_recent || agreeing >= MIN_AGREEING {
+        Ok(origin.clone())
+    } else {
+        Err(UnknownOrigin::Unsure)
     }
 }
--- a/crates/swiftshunt-scheduler/tests/origins.rs
+++ b/crates/swiftshunt-scheduler/tests/origins.rs
@@ -44,6 +44,10 @@
     OriginKnowledge::Unrecorded(Evidence::Sole(output(software)))
 }
 
+fn sole_before(software: &str) -> OriginKnowledge {
+    OriginKnowledge::Unrecorded(Evidence::SoleBefore(output(software)))
+}
+
 const SEVERAL: OriginKnowledge = OriginKnowledge::Unrecorded(Evidence::Several);
 const UNSURE: OriginKnowledge = OriginKnowledge::Unrecorded(Evidence::Unsure);
 
@@ -54,6 +58,10 @@
 #[test_case(&[UNSURE, sole("v1"), sole("v1")], Ok("v1"); "a version that alone has served")]
 #[test_case(&[sole("v1"), SEVERAL], Err(UnknownOrigin::Several); "a gateway that knows of another version")]
 #[test_case(&[sole("v1"), sole("v2")], Err(UnknownOrigin::Several); "gateways that know of different versions")]
+#[test_case(&[sole_before("v1"), sole_before("v1"), UNSURE], Ok("v1"); "gateways that agree while the log is away")]
+#[test_case(&[sole_before("v1"), UNSURE], Err(UnknownOrigin::Unsure); "a single gateway that does not read the directory")]
+#[test_case(&[sole_before("v1"), sole("v2")], Err(UnknownOrigin::Several); "a gateway that has learned of another version")]
+#[test_case(&[sole_before("v1"), sole("v1")], Ok("v1"); "a gateway that reads the directory agrees")]
 #[test_case(&[UNSURE, UNSURE], Err(UnknownOrigin::Unsure); "nobody has watched for long enough")]
 #[test_case(&[], Err(UnknownOrigin::Unsure); "nobody answered")]
 fn a_stream_is_bound_only_to_a_version_that_is_certain(
--- a/crates/swiftshunt/tests/gateway_software_versions.rs
+++ b/crates/swiftshunt/tests/gateway_software_versions.rs
@@ -7,10 +7,12 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use gateway::{ExclusiveFleet, listed_results, start, submit, wait_for_all_results};
+use gateway::{
+    ExclusiveFleet, listed_results, start, submit, unresponsive_log, wait_for_all_results,
+};
 use hyper::StatusCode;
 use swiftshunt_lab::platform::caller::{StreamPart, item_id};
-use swiftshunt_lab::platform::fleet::{PlatformOptions, STREAM, eventually};
+use swiftshunt_lab::platform::fleet::{PlatformOptions, STREAM, eventually, first_configuration};
 use swiftshunt_lab::platform::worker::{
     Worker, WorkerBehaviour, versioned_event_data, versions_in,
 };
@@ -248,6 +250,27 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_goes_on_at_another_gateway_while_the_log_is_away() {
+    let mut configuration = first_configuration();
+    for route in &mut configuration.routes {
+        route.timeout_ms = 1_000.0;
+    }
+    let mut fleet = start(options(&["v1"])).await;
+    fleet.configure(configuration);
+    // The gateways learn that no other version has served for as long as a stream and a pause of its caller may last.
+    tokio::time::sleep(Duration::from_secs(14)).await;
+    for gateway in &fleet.gateways {
+        gateway.store_listener.set_faults(unresponsive_log());
+    }
+    // Longer than gateways rely on their last read of the directory.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let begun = begin_streams(&fleet, &[0, 1, 2], 12).await;
+    let outcomes = take_up_all(&fleet, &[1, 2, 0], &begun).await;
+    outcomes.assert_unmixed();
+    outcomes.assert_continued();
+}
+
 /// Asserts that each item of the job is completed with all of its events, made by one version.
 async fn assert_items_of_one_version(
     fleet: &ExclusiveFleet,
