Gateway: a stream bound to one version neither holds up late requests nor waits for gateways that do not answer

A late request waits in a queue in which only the first one looks for a slot. A stream that may only go on at one version could stand there for seconds while other workers had slots for those behind it; it looks for its slot beside the queue now.

--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -193,7 +193,13 @@
         let timeout = context.deadline.saturating_sub(context.arrived);
         let yields_until = context.arrived + timeout.mul_f64(LATE_WAIT_SHARE);
         let wait_for_slot = async {
-            let _turn = self.late_queue.lock().await;
+            // A stream bound to one version must not hold up requests that other workers could serve.
+            let is_bound = context.outgoing.demand.scope.origin.is_some();
+            let _turn = if is_bound {
+                None
+            } else {
+                Some(self.late_queue.lock().await)
+            };
             loop {
                 match self.place_within(context, Some(Duration::ZERO)).await {
                     PlacementOutcome::Worker(chosen) => return Some(chosen),
--- a/crates/swiftshunt-gateway/src/origins/mod.rs
+++ b/crates/swiftshunt-gateway/src/origins/mod.rs
@@ -277,7 +277,9 @@
             }
             let ask_again_at = tokio::time::Instant::now() + ASK_AGAIN_INTERVAL;
             let until = ask_again_at.min(deadline);
-            while let Ok(Some((from, known))) = tokio::time::timeout_at(until, answers.recv()).await
+            while !unanswered.is_empty()
+                && let Ok(Some((from, known))) =
+                    tokio::time::timeout_at(until, answers.recv()).await
             {
                 unanswered.retain(|holder| *holder != from);
                 let is_recorded = !matches!(known, OriginKnowledge::Unrecorded(_));
@@ -285,12 +287,12 @@
                 if is_recorded {
                     return knowledge;
                 }
-                if unanswered
-                    .iter()
-                    .all(|holder| self.members.is_suspected(*holder))
-                {
-                    return knowledge;
-                }
+            }
+            if unanswered
+                .iter()
+                .all(|holder| self.members.is_suspected(*holder))
+            {
+                return knowledge;
             }
         }
         for holder in unanswered {
