Batch: an item asks for certain workers only while other versions serve

Cause: every item with a part of its output asked for a slot at its own version and began anew after a second without one, also where one version alone serves. With each worker breaking streams off, workers are avoided for up to 5 s after each break; the item lost its text each time and never came to its end.

Change: where no worker of another version or service could take the item, it waits in the common queue as before, and keeps its text; any slot that it is granted is one of its version. Where others serve, nothing changes.

--- a/crates/swiftshunt-gateway/src/batch/item_output.rs
+++ b/crates/swiftshunt-gateway/src/batch/item_output.rs
@@ -47,7 +47,7 @@
     VersionUnknown,
     /// No worker of the version that wrote it can be offered the item.
     VersionGone,
-    /// The item has waited as long for a slot at that version as it had run.
+    /// The item has waited as long for a slot at that version as it had run, and other versions serve.
     NoSlot,
 }
 
@@ -96,6 +96,9 @@
         if !is_served || !selector.has_eligible_worker(&origin.service, scope) {
             return Some(Restart::VersionGone);
         }
+        if !selector.has_worker_of_other_origin(&origin.service, scope) {
+            return None;
+        }
         let now = self.dispatcher.clock.now();
         let longest_wait = output.ran.max(MIN_BOUND_WAIT);
         let has_waited = output
@@ -104,7 +107,8 @@
         has_waited.then_some(Restart::NoSlot)
     }
 
-    /// Waits for a slot for an item's next attempt. Returns `None` if there was none within a short time.
+    /// Waits for a slot for an item's next attempt, in the queue if any worker of the service may run it. Returns `None`
+    /// if there was none within a short time.
     pub(super) async fn acquire_slot(
         &self,
         service: &str,
@@ -113,7 +117,12 @@
         output: &mut ItemOutput,
     ) -> Option<ChosenWorker> {
         let slots = &self.dispatcher.slots;
-        if demand.scope.origin.is_none() {
+        let fleet_state = &self.dispatcher.fleet_state;
+        let needs_certain_workers = fleet_state
+            .selector()
+            .has_worker_of_other_origin(service, &demand.scope);
+        if !needs_certain_workers {
+            output.bound_since = None;
             let slot = slots.wait_for_slot(service, times, &demand.scope);
             return tokio::time::timeout(MAX_SLOT_WAIT, slot).await.ok();
         }
--- a/crates/swiftshunt-scheduler/src/eligibility.rs
+++ b/crates/swiftshunt-scheduler/src/eligibility.rs
@@ -124,6 +124,17 @@
         self.eligible_workers(service, scope).next().is_some()
     }
 
+    /// Returns whether the service has a worker that may be offered the request only if it drops the output that it
+    /// continues.
+    pub fn has_worker_of_other_origin(&self, service: &str, scope: &OfferScope) -> bool {
+        let without_output = OfferScope::within(scope.residency.clone());
+        let Some(origin) = &scope.origin else {
+            return false;
+        };
+        self.eligible_workers(service, &without_output)
+            .any(|candidate| !candidate.is_of(origin))
+    }
+
     /// Returns why a request may not be offered to any of the service's ready workers. Returns
     /// `None` if it may be offered to one, or if no worker is ready.
     pub fn service_obstacle(
--- a/crates/swiftshunt-scheduler/tests/offers.rs
+++ b/crates/swiftshunt-scheduler/tests/offers.rs
@@ -358,6 +358,16 @@
     assert_eq!(selector.choose("s", &demand, &tried, START), None);
 }
 
+#[test]
+fn an_output_has_workers_of_other_origin_only_while_other_versions_serve() {
+    let mut selector = two_versions();
+    let scope = begun_by("s", "v1");
+    assert!(selector.has_worker_of_other_origin("s", &scope));
+    assert!(!selector.has_worker_of_other_origin("s", &OfferScope::anywhere()));
+    selector.remove_unlisted(&["two".to_owned()].into(), None);
+    assert!(!selector.has_worker_of_other_origin("s", &scope));
+}
+
 #[test]
 fn an_output_whose_version_is_gone_meets_its_own_obstacle() {
     let mut selector = two_versions();
