Batch: an item gives up its text for want of a slot only if another version could run it now

The same cause, looked for where several versions serve: with every worker avoided after breaks, an item dropped its text after a second, although no other version would have taken it sooner. A worker of another version now counts only if requests do not avoid it.

--- a/crates/swiftshunt-gateway/src/batch/item_output.rs
+++ b/crates/swiftshunt-gateway/src/batch/item_output.rs
@@ -47,7 +47,7 @@
     VersionUnknown,
     /// No worker of the version that wrote it can be offered the item.
     VersionGone,
-    /// The item has waited as long for a slot at that version as it had run, and other versions serve.
+    /// The item has waited as long for a slot at that version as it had run, and another version could run it.
     NoSlot,
 }
 
@@ -96,10 +96,10 @@
         if !is_served || !selector.has_eligible_worker(&origin.service, scope) {
             return Some(Restart::VersionGone);
         }
-        if !selector.has_worker_of_other_origin(&origin.service, scope) {
+        let now = self.dispatcher.clock.now();
+        if !selector.has_sound_worker_of_other_origin(&origin.service, scope, now) {
             return None;
         }
-        let now = self.dispatcher.clock.now();
         let longest_wait = output.ran.max(MIN_BOUND_WAIT);
         let has_waited = output
             .bound_since
--- a/crates/swiftshunt-scheduler/src/eligibility.rs
+++ b/crates/swiftshunt-scheduler/src/eligibility.rs
@@ -127,12 +127,31 @@
     /// Returns whether the service has a worker that may be offered the request only if it drops the output that it
     /// continues.
     pub fn has_worker_of_other_origin(&self, service: &str, scope: &OfferScope) -> bool {
+        self.workers_of_other_origin(service, scope)
+            .next()
+            .is_some()
+    }
+
+    /// Returns whether there is such a worker that requests do not avoid after failures.
+    pub fn has_sound_worker_of_other_origin(
+        &self,
+        service: &str,
+        scope: &OfferScope,
+        now: Duration,
+    ) -> bool {
+        self.workers_of_other_origin(service, scope)
+            .any(|candidate| candidate.ejected_until <= now)
+    }
+
+    fn workers_of_other_origin<'s>(
+        &'s self,
+        service: &str,
+        scope: &OfferScope,
+    ) -> impl Iterator<Item = &'s Candidate> + use<'s> {
         let without_output = OfferScope::within(scope.residency.clone());
-        let Some(origin) = &scope.origin else {
-            return false;
-        };
+        let origin = scope.origin.clone();
         self.eligible_workers(service, &without_output)
-            .any(|candidate| !candidate.is_of(origin))
+            .filter(move |candidate| origin.as_ref().is_some_and(|it| !candidate.is_of(it)))
     }
 
     /// Returns why a request may not be offered to any of the service's ready workers. Returns
--- a/crates/swiftshunt/tests/gateway_software_versions.rs
+++ b/crates/swiftshunt/tests/gateway_software_versions.rs
@@ -308,6 +308,17 @@
     assert_items_of_one_version(&fleet, gateway, "job", 24).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_batch_item_ends_although_every_worker_of_two_versions_breaks_streams_off() {
+    let fleet = two_versions().await;
+    for worker in &fleet.engine_workers {
+        worker.set_behaviour(WorkerBehaviour::TruncateStreamAfter(5));
+    }
+    let gateway = fleet.gateways[0].callers;
+    submit(&fleet, gateway, "job", 3).await;
+    assert_items_of_one_version(&fleet, gateway, "job", 3).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_batch_item_handed_to_another_gateway_holds_the_output_of_one_version() {
     let options = PlatformOptions {
