--- a/crates/swiftshunt-scheduler/src/origins/resolution.rs
+++ b/crates/swiftshunt-scheduler/src/origins/resolution.rs
@@ -18,7 +18,7 @@
     SoleBefore(OutputOrigin),
     /// Several versions may have begun it.
     Several,
-    /// The gateway has not watched the directory for long enough, or has not read it recently.
+    /// The gateway has not watched the directory for long enough.
     Unsure,
 }
 
--- a/crates/swiftshunt/tests/gateway_version_waves.rs
+++ b/crates/swiftshunt/tests/gateway_version_waves.rs
@@ -267,6 +267,18 @@
 /// The directory names the earlier life of a worker for a while after the worker has restarted with other software.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_a_restarted_worker_began_under_its_earlier_life_joins_no_other_version() {
+    assert_unmixed_after_late_news(Duration::ZERO).await;
+}
+
+/// The same where the directory lists the later life only after seconds.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_begun_seconds_before_the_news_of_a_restart_joins_no_other_version() {
+    assert_unmixed_after_late_news(Duration::from_secs(3)).await;
+}
+
+/// Begins streams at a worker that has restarted with other software, lists its new life after `news_delay`, and takes
+/// the streams up.
+async fn assert_unmixed_after_late_news(news_delay: Duration) {
     let mut fleet = start(options(3, 2)).await;
     let replaced = fleet.replace_engine_software(0, "v2").await;
     replaced.expect("the worker did not start");
@@ -286,6 +298,7 @@
         begun.len() > 5,
         "too few streams began at the restarted worker"
     );
+    tokio::time::sleep(news_delay).await;
     fleet.list(&fleet.engine_workers[0], "engine", values::READY);
     // Gateways learn of the restart.
     tokio::time::sleep(Duration::from_millis(900)).await;
