Quarantine: lines for probes that show nothing, ends that others report and the gateways that are known

The logs could not tell why a request ended a fourth worker: whether the third end was reported late, to whom, or not at all. A worker's end now names the number of gateways known; a gateway says when it records an end that another one reports, when the list of gateways changes, when a probe shows nothing, and when the end of a worker stays in doubt.

Twelve failed plays of a_request_that_ends_three_workers_is_not_sent_again (four at once beside six busy processes, 8 cores; 8 of some 770 plays of the code as found, 4 of some 300 with these lines), traced:

- nine: the gateway that saw the third end, and the one asked next, did not know each other (a worker's end names 2 gateways of 3).
The news reached the latter through the third gateway, 1 to 3 ms after the caller's next attempt.
- three: all gateways knew each other, and one of the ends was recorded nowhere as its check showed nothing: in the play with these lines `Connection reset by peer` from a listener that was being closed.

Ruled out in these plays: a datagram that arrived before the attempt and was handled after it; a check that took too long.

--- a/crates/swiftshunt-gateway/src/peers.rs
+++ b/crates/swiftshunt-gateway/src/peers.rs
@@ -313,6 +313,9 @@
             if let Ok(changes) = changes {
                 let has_changed = self.apply(changes);
                 self.members.mark_list_loaded();
+                if has_changed {
+                    log::info!(gateways = self.members.count(); "the list of gateways changed");
+                }
                 if !is_announced {
                     self.announce_start();
                     is_announced = true;
--- a/crates/swiftshunt-gateway/src/quarantine/mod.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/mod.rs
@@ -257,6 +257,8 @@
     pub(crate) fn handle_message(self: &Arc<Self>, message: QuarantineMessage, from: SocketAddr) {
         match message {
             QuarantineMessage::Ended { fingerprint, end } => {
+                log::info!(fingerprint:% = fingerprint, worker = end.worker.0, from = from.to_string().as_str();
+                    "another gateway reports the end of a worker");
                 self.record_end(&fingerprint, end);
             }
             QuarantineMessage::RanWell { fingerprint } => {
--- a/crates/swiftshunt-gateway/src/quarantine/probe.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/probe.rs
@@ -96,6 +96,11 @@
     match tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(_)) => Sight::Takes,
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Sight::Refuses,
-        Ok(Err(_)) | Err(_) => Sight::Nothing,
+        Ok(Err(error)) => {
+            log::info!(address = address.to_string().as_str(), error:% = error;
+                "a probe of a worker failed, which does not show whether the worker has ended");
+            Sight::Nothing
+        }
+        Err(_) => Sight::Nothing,
     }
 }
--- a/crates/swiftshunt-gateway/src/quarantine/worker_ends.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/worker_ends.rs
@@ -160,6 +160,9 @@
 
     fn add_doubted_worker(&self, chosen: ChosenWorker, ends: Vec<(Fingerprint, WorkerEnd)>) {
         let since = self.clock.now();
+        let fingerprints: Vec<Fingerprint> = ends.iter().map(|(request, _)| *request).collect();
+        log::info!(worker = chosen.incarnation.as_str(), fingerprints:? = fingerprints;
+            "the check of a worker did not show whether it has ended; waiting for the directory to prove it");
         let mut doubted = lock(&self.doubted);
         doubted.retain(|worker| since < worker.since + SUSPECTED_END_TTL);
         if doubted.len() < MAX_DOUBTED_WORKERS {
@@ -208,7 +211,7 @@
     fn report_ended(&self, chosen: &ChosenWorker, ends: &[(Fingerprint, WorkerEnd)]) {
         let fingerprints: Vec<Fingerprint> = ends.iter().map(|(request, _)| *request).collect();
         log::info!(worker = chosen.incarnation.as_str(), address = chosen.address.to_string().as_str(),
-            fingerprints:? = fingerprints; "a worker ended while it ran requests");
+            fingerprints:? = fingerprints, gateways = self.members.count(); "a worker ended while it ran requests");
         self.publish_ends(ends);
     }
 }
