Quarantine: a probe whose connection is reset is repeated

What callers saw: a request ended four workers; later ones were refused only seconds later, if at all.

Cause: a gateway looks whether a worker has ended by opening a connection to it. A process that ends closes its listening socket, and connections that wait there are reset. A probe that met this moment counted as showing nothing: the end was in doubt and recorded nowhere.

The unit test closes the listening socket between the two polls of the probe: on the code before it fails each time (`Nothing` instead of `Refuses`).

Change: a reset is tried again, five times with 2 ms between them. The next connection is refused if the process has ended. A path that resets every connection shows nothing, as before.

--- a/crates/swiftshunt-gateway/src/quarantine/probe.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/probe.rs
@@ -23,6 +23,10 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time to wait for the answer of a gateway that was asked for a probe.
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(120);
+/// Pause before a probe whose connection was reset is repeated.
+const RESET_RETRY_DELAY: Duration = Duration::from_millis(2);
+/// Number of repetitions of a probe whose connection is reset each time.
+const MAX_RESET_RETRIES: u32 = 5;
 /// Number of gateways that are asked for a probe. Two, since one of them may be unavailable.
 const MAX_WITNESSES: usize = 2;
 
@@ -91,16 +95,42 @@
     }
 }
 
-/// Tries a connection to an address and returns what it shows.
+/// Tries a connection to an address and returns what it shows. A connection that is reset has reached a listening
+/// socket that was being closed, as by a process that ends: the next one shows whether it is.
 pub(super) async fn probe_connection(address: SocketAddr) -> Sight {
-    match tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(_)) => Sight::Takes,
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Sight::Refuses,
-        Ok(Err(error)) => {
+    let mut resets = 0;
+    loop {
+        let connecting = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address));
+        let error = match connecting.await {
+            Ok(Ok(_)) => return Sight::Takes,
+            Ok(Err(error)) => error,
+            Err(_) => return Sight::Nothing,
+        };
+        if error.kind() == ErrorKind::ConnectionRefused {
+            return Sight::Refuses;
+        }
+        if error.kind() != ErrorKind::ConnectionReset || resets == MAX_RESET_RETRIES {
             log::info!(address = address.to_string().as_str(), error:% = error;
                 "a probe of a worker failed, which does not show whether the worker has ended");
-            Sight::Nothing
+            return Sight::Nothing;
         }
-        Err(_) => Sight::Nothing,
+        resets += 1;
+        tokio::time::sleep(RESET_RETRY_DELAY).await;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A process that ends closes its listening socket, which resets the connections that wait there.
+    #[tokio::test]
+    async fn a_probe_that_reaches_a_listener_being_closed_shows_that_it_refuses() {
+        let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("cannot listen");
+        let address = listener.local_addr().expect("the listener has no address");
+        // The probe's connection waits in the listener's queue when the probe is polled first.
+        let close = async { drop(listener) };
+        let (sight, ()) = tokio::join!(biased; probe_connection(address), close);
+        assert_eq!(sight, Sight::Refuses);
     }
 }
