Gateway: the list of gateways is read after the own registration, and callers come after both

What callers saw: a request ended four workers, the fourth at a gateway that started together with the one that had seen the third end.

Cause: a gateway registers itself and reads the list at the same time. Of two that start together, each could read the list before the other one was in it; neither announced itself to the other, and an empty list is read again only four seconds later. The gateway with the third end did not know whom to tell: the news took a second hop through a third gateway, and the caller's next attempt was there first.

Change: the list is read once the own registration is acknowledged, or after 500 ms; so the one that registers later finds the other one and announces itself to it. `/readyz` answers 200 only after that, or 1.5 s after the start, so that a gateway without a log is ready nevertheless.

Not covered: a start is announced to as many gateways as the budget of notices allows, 40 at once; beyond that the others learn of it from the list, within some seconds.

--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -268,6 +268,7 @@
             tokio::spawn(serve_ready(
                 ready_listener,
                 Arc::clone(&fleet_state),
+                Arc::clone(&other_gateways),
                 stop.clone(),
             )),
             tokio::spawn(serve_peers(
--- a/crates/swiftshunt-gateway/src/peers.rs
+++ b/crates/swiftshunt-gateway/src/peers.rs
@@ -6,6 +6,7 @@
 //! less well, and nothing else follows.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use swiftshunt_journal::{Change, Log, Topic};
 use swiftshunt_scheduler::limits::TokenBucket;
 use swiftshunt_scheduler::prefix_cache::PromptPart;
+use tokio::sync::watch;
 
 use crate::clock::Clock;
 use crate::datagrams::{Datagrams, MAX_DATAGRAM_BYTES};
@@ -47,6 +49,11 @@
 const REGISTRATION_INTERVAL: Duration = Duration::from_secs(60);
 /// Pause after a registration that failed.
 const REGISTRATION_RETRY_DELAY: Duration = Duration::from_secs(2);
+/// Longest wait for the first registration before the list is read.
+const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after the start of the process from which this gateway takes callers although it has announced itself to no
+/// other: the log may be unavailable.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Timing of reads of the list. Long waits suffice, since the list changes seldom and a stale list does little harm.
 const LIST_TIMING: TailTiming = TailTiming {
     wait: Duration::from_secs(20),
@@ -114,6 +121,9 @@
     /// Limits the rate of notices of prompts and of this gateway's start.
     budget: Mutex<TokenBucket>,
     starts: Mutex<GatewayStarts>,
+    /// Whether this gateway has been registered since its start.
+    is_registered: watch::Sender<bool>,
+    is_announced: AtomicBool,
 }
 
 impl Peers {
@@ -138,6 +148,8 @@
             clock,
             budget: Mutex::new(TokenBucket::full(NOTICE_BURST, clock.now())),
             starts: Mutex::default(),
+            is_registered: watch::Sender::new(false),
+            is_announced: AtomicBool::new(false),
         }
     }
 
@@ -182,6 +194,19 @@
         self.datagrams.send(&notice, others);
     }
 
+    /// Whether this gateway has announced itself to the others, or has tried for [`ANNOUNCEMENT_TIMEOUT`]. A gateway
+    /// that others do not know is not told of requests that they hold.
+    pub(crate) fn is_introduced(&self) -> bool {
+        self.is_announced.load(Ordering::Relaxed) || self.clock.now() >= ANNOUNCEMENT_TIMEOUT
+    }
+
+    /// Waits until this gateway is registered, for [`REGISTRATION_TIMEOUT`] at most.
+    async fn wait_until_registered(&self) {
+        let mut is_registered = self.is_registered.subscribe();
+        let registered = is_registered.wait_for(|is_registered| *is_registered);
+        drop(tokio::time::timeout(REGISTRATION_TIMEOUT, registered).await);
+    }
+
     /// Returns the other gateways to which requests may be sent: the listed ones, or the seeds if none is
     /// listed.
     pub(crate) fn reachable(&self) -> Vec<SocketAddr> {
@@ -284,7 +309,10 @@
             };
             let appended = log.append(Topic::Gateways, 0, vec![self.record(record.encoded())]);
             let pause = match appended.await {
-                swiftshunt_journal::AppendOutcome::Done { .. } => REGISTRATION_INTERVAL,
+                swiftshunt_journal::AppendOutcome::Done { .. } => {
+                    self.is_registered.send_replace(true);
+                    REGISTRATION_INTERVAL
+                }
                 _ => REGISTRATION_RETRY_DELAY,
             };
             tokio::time::sleep(pause).await;
@@ -302,11 +330,13 @@
         (key, value)
     }
 
-    /// Follows the list of gateways until the process ends.
+    /// Follows the list of gateways until the process ends. It is read only after this gateway's own registration: of
+    /// two gateways that start together, the one that registers later finds the other one in the list and announces
+    /// itself to it.
     pub(crate) async fn follow_membership(self: Arc<Self>, log: Arc<dyn Log>) {
+        self.wait_until_registered().await;
         let mut follower = TopicFollower::new(Topic::Gateways, self.clock);
         let mut backoff = LogBackoff::new("gateways", 0);
-        let mut is_announced = false;
         loop {
             let changes = follower.next_changes(log.as_ref(), LIST_TIMING).await;
             backoff.backoff_on_error(&changes).await;
@@ -316,9 +346,9 @@
                 if has_changed {
                     log::info!(gateways = self.members.count(); "the list of gateways changed");
                 }
-                if !is_announced {
+                if !self.is_announced.load(Ordering::Relaxed) {
                     self.announce_start();
-                    is_announced = true;
+                    self.is_announced.store(true, Ordering::Relaxed);
                 }
                 tokio::time::sleep(if has_changed {
                     READ_PAUSE_AFTER_CHANGE
--- a/crates/swiftshunt-gateway/src/server.rs
+++ b/crates/swiftshunt-gateway/src/server.rs
@@ -23,6 +23,7 @@
 use crate::log_relay::{self, RelayedLog};
 use crate::metrics::Metrics;
 use crate::online::OnlineHandler;
+use crate::peers::Peers;
 use crate::protocol::Protocol;
 use crate::tails::{self, SharedTails};
 
@@ -197,9 +198,15 @@
 }
 
 /// Serves readiness checks until the process ends.
-pub(crate) async fn serve_ready(listener: TcpListener, fleet_state: Arc<FleetState>, stop: Stop) {
+pub(crate) async fn serve_ready(
+    listener: TcpListener,
+    fleet_state: Arc<FleetState>,
+    peers: Arc<Peers>,
+    stop: Stop,
+) {
     serve_any_path(listener, move || {
-        let ready = fleet_state.is_complete() && !stop.draining.is_cancelled();
+        let is_known = fleet_state.is_complete() && peers.is_introduced();
+        let ready = is_known && !stop.draining.is_cancelled();
         if ready {
             plain(StatusCode::OK, "ready")
         } else {
