Quarantine: the caller of a broken request is answered once the end of its worker is recorded elsewhere

What callers saw: a request ended four workers. The caller had the answer that tells of the third end, and the gateway that it asked next did not know of it.

Cause: the answer waited until the datagrams with the end were handed to the socket. Nothing told whether they arrived. The gateway with the third end need not know that it is the third; then a collector tells the others, one hop later.

Evidence: a test fills the receive buffer of a paused gateway, so that the report of the third end is lost, and resumes it 60 ms after the third crash; the caller then asks that gateway.

An end is reported to the collectors, whose acknowledgement names all ends of a request that is held. A hold is then reported to all gateways. Rounds are counted, not time, so that a pause of the process does not end the wait. The time limit of 150 ms for the check of a worker goes: after a pause it was over before the check was.

Ruled out: waiting for the record in the log (nothing while the log is away, and followers learn of it later than of a datagram); asking the collectors before each send (a round trip for every request).

--- a/crates/swiftshunt-gateway/src/earlier_builds/values.rs
+++ b/crates/swiftshunt-gateway/src/earlier_builds/values.rs
@@ -250,11 +250,17 @@
     let ended = QuarantineMessage::Ended {
         fingerprint,
         end: end(),
+        report: None,
     };
     entry("ended", ended);
     entry("ran-well", QuarantineMessage::RanWell { fingerprint });
     let ends = vec![end(), suspected_end(10, 1, 2)];
-    entry("held", QuarantineMessage::Held { fingerprint, ends });
+    let held = QuarantineMessage::Held {
+        fingerprint,
+        ends,
+        report: None,
+    };
+    entry("held", held);
 }
 
 fn log_calls(visitor: &mut impl Visitor) {
--- a/crates/swiftshunt-gateway/src/messages/quarantine.rs
+++ b/crates/swiftshunt-gateway/src/messages/quarantine.rs
@@ -16,6 +16,9 @@
         fingerprint: Fingerprint,
         /// The end of the worker.
         end: WorkerEnd,
+        /// Identifies the report in the answer; `None` if the sender does not wait for one.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        report: Option<u64>,
     },
     /// Tells the collectors of a request that one of its runs succeeded.
     RanWell {
@@ -28,6 +31,19 @@
         fingerprint: Fingerprint,
         /// All known ends of workers that ran the request.
         ends: Vec<WorkerEnd>,
+        /// Identifies the report in the answer; `None` if the sender does not wait for one.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        report: Option<u64>,
+    },
+    /// The answer to [`Self::Ended`] and [`Self::Held`]: the receiver has recorded what they tell.
+    Recorded {
+        /// The identifier of the report.
+        report: u64,
+        /// The fingerprint of the request.
+        fingerprint: Fingerprint,
+        /// All ends that the sender knows if it holds the request, otherwise none.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        ends: Vec<WorkerEnd>,
     },
     /// Asks a gateway near a worker to probe the worker.
     Look {
@@ -63,3 +79,32 @@
     /// There was no answer, or the connection failed in another way.
     Nothing,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::datagrams::MAX_DATAGRAM_BYTES;
+    use crate::messages::Notice;
+
+    /// Number of ends that a gateway remembers of one request.
+    const MAX_ENDS: usize = 16;
+
+    #[test]
+    fn a_report_with_all_ends_of_a_request_fits_into_a_datagram() {
+        let end = WorkerEnd {
+            worker: WorkerKey(u64::MAX),
+            sent_unix_ms: u64::MAX,
+            ended_unix_ms: u64::MAX,
+            evidence: Evidence::Proved,
+        };
+        let held = QuarantineMessage::Held {
+            fingerprint: "ff".repeat(16).parse().expect("not a fingerprint"),
+            ends: vec![end; MAX_ENDS],
+            report: Some(u64::MAX),
+        };
+        let mut datagram = Vec::new();
+        ciborium::into_writer(&Notice::Quarantine(held), &mut datagram).expect("cannot encode it");
+        println!("{} bytes", datagram.len());
+        assert!(datagram.len() <= MAX_DATAGRAM_BYTES);
+    }
+}
--- a/crates/swiftshunt-gateway/src/metrics/mod.rs
+++ b/crates/swiftshunt-gateway/src/metrics/mod.rs
@@ -61,6 +61,7 @@
     pub(crate) workers_ended: Counter,
     pub(crate) ends_refuted: Counter,
     pub(crate) requests_held: Counter,
+    pub(crate) reports_unacknowledged: Counter,
     pub(crate) records_unreadable: Counter,
     pub(crate) first_event_seconds: Histogram,
     pub(crate) retry_after_seconds: Histogram,
@@ -258,6 +259,10 @@
             "requests_held",
             "Requests quarantined because workers ended while they ran them",
         );
+        let reports_unacknowledged = counter(
+            "reports_unacknowledged",
+            "Reports of ended workers that some gateways did not acknowledge in time",
+        );
         let records_unreadable = counter(
             "records_unreadable",
             "Records of the log that could not be read and were skipped",
@@ -302,6 +307,7 @@
             workers_ended,
             ends_refuted,
             requests_held,
+            reports_unacknowledged,
             records_unreadable,
             requests,
             attempts,
--- a/crates/swiftshunt-gateway/src/quarantine/mod.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/mod.rs
@@ -4,12 +4,14 @@
 //! The end of a worker has to be known after the attempt has failed, when the caller retries, and when the gateway that
 //! saw it is gone. Each end is therefore a record in the log, keyed by request, worker and time, which all gateways
 //! follow and which gateways that start later read. Datagrams carry it as well, because they are faster and work
-//! without the log: to the two gateways that are first in the request's order, and from these to all gateways once the
-//! request is held. While no worker ends, nothing is sent, recorded or hashed.
+//! without the log: to the two gateways that are first in the request's order, and to all gateways once the request is held.
+//! The caller of a request that broke off gets its answer once the gateways concerned have acknowledged the end
+//! ([`reports`]). While no worker ends, nothing is sent, recorded or hashed.
 
 mod directory;
 mod probe;
 mod records;
+mod reports;
 mod request_content;
 mod worker_ends;
 
@@ -36,13 +38,16 @@
 use crate::metrics::Metrics;
 use crate::unreadable::UnreadableRecords;
 use records::PendingRecords;
+use reports::Reports;
 pub(crate) use request_content::RequestContent;
 use worker_ends::{Check, DoubtedWorker};
 
 /// Number of gateways that collect the ends of one request by datagram. Two, since one of them may be unavailable.
 const MAX_COLLECTORS: usize = 2;
-/// Longest wait for a check whether a worker has ended, before the request is sent to another worker.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(150);
+/// Interval at which a request looks again whether the checks and reports of its ends are finished.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(250);
+/// Number of these intervals after which a request goes on regardless: checks and reports take less time.
+const MAX_SETTLE_INTERVALS: u32 = 10;
 /// Time after the start of the process within which requests wait until the records in the log are read. If all
 /// gateways start together, the requests that they ran before are retried at once. Listing the log takes some ten
 /// milliseconds.
@@ -73,8 +78,10 @@
     checks: Mutex<HashMap<String, Check>>,
     /// Workers at which requests recently broke off, and whose checks did not show whether they have ended.
     doubted: Mutex<Vec<DoubtedWorker>>,
-    /// Notifies tasks that wait for the end of a check.
-    check_finished: Notify,
+    /// Ends that are being reported to other gateways.
+    reports: Reports,
+    /// Notifies tasks that wait for the end of a check or a report.
+    progress: Notify,
     /// Workers whose directory entries lapsed recently.
     lapsed_workers: Mutex<LapsedWorkers>,
     renewal_tracker: Mutex<RenewalTracker>,
@@ -108,7 +115,8 @@
             table: Mutex::default(),
             checks: Mutex::default(),
             doubted: Mutex::default(),
-            check_finished: Notify::new(),
+            reports: Reports::default(),
+            progress: Notify::new(),
             lapsed_workers: Mutex::default(),
             renewal_tracker: Mutex::default(),
             pending_probes: Mutex::default(),
@@ -120,42 +128,52 @@
     }
 
     /// Returns the hold of a request, or `None` if the request may be sent now. Callers check before each send, since
-    /// another attempt may have ended a worker meanwhile. Waits for a running check of a worker at which the request
-    /// broke off.
+    /// another attempt may have ended a worker meanwhile. Waits for running checks of workers at which the request
+    /// broke off and for reports of their ends, whose answers may tell that the request is held.
     pub(crate) async fn find_hold(
         &self,
         request_content: &RequestContent,
     ) -> Option<QuarantineHold> {
         self.wait_until_read().await;
-        if lock(&self.table).is_empty() && lock(&self.checks).is_empty() {
+        if lock(&self.table).is_empty() && self.is_settled() {
             return None;
         }
         let fingerprint = request_content.fingerprint();
-        self.wait_until_checked(&fingerprint).await;
+        self.wait_until_settled(&fingerprint).await;
         self.current_hold(&fingerprint)
     }
 
-    /// Waits until the end of a worker at which a request broke off is reported to other gateways. Used before the
-    /// answer to the caller, who may then send the request to another gateway.
+    /// Waits until other gateways have recorded the end of a worker at which a request broke off, if it has ended. Used
+    /// before the caller learns of the failure, since it may then send the request to another gateway.
     pub(crate) async fn wait_until_reported(&self, request_content: &RequestContent) {
-        if !lock(&self.checks).is_empty() {
-            self.wait_until_checked(&request_content.fingerprint())
+        if !self.is_settled() {
+            self.wait_until_settled(&request_content.fingerprint())
                 .await;
         }
     }
 
-    /// Waits until no worker at which the request broke off is being checked, for [`CHECK_TIMEOUT`] at most.
-    async fn wait_until_checked(&self, fingerprint: &Fingerprint) {
-        let checks_finished = async {
-            loop {
-                let checked = self.check_finished.notified();
-                if !self.is_being_checked(fingerprint) {
-                    return;
-                }
-                checked.await;
+    /// Whether no worker is being checked and no end is being reported.
+    fn is_settled(&self) -> bool {
+        lock(&self.checks).is_empty() && self.reports.is_idle()
+    }
+
+    /// Waits until no worker at which the request broke off is being checked and no end of one is being reported.
+    async fn wait_until_settled(&self, fingerprint: &Fingerprint) {
+        let mut intervals = 0;
+        while intervals < MAX_SETTLE_INTERVALS {
+            let progress = self.progress.notified();
+            if !self.is_being_checked(fingerprint) && !self.reports.is_under_way(fingerprint) {
+                return;
             }
-        };
-        drop(tokio::time::timeout(CHECK_TIMEOUT, checks_finished).await);
+            if tokio::time::timeout(SETTLE_INTERVAL, progress)
+                .await
+                .is_err()
+            {
+                intervals += 1;
+            }
+        }
+        log::error!(fingerprint:% = fingerprint;
+            "the check of a worker or the report of its end did not finish; the request goes on regardless");
     }
 
     /// Waits until the records in the log are read, for [`INITIAL_READ_TIMEOUT`] after the start at most.
@@ -196,19 +214,42 @@
         self.notify_collectors(fingerprint, QuarantineMessage::RanWell { fingerprint });
     }
 
-    /// Records the ends of workers seen by this gateway, here and in the log, and reports them to the collectors.
+    /// Records ends that the directory proves, here and in the log, and tells the collectors.
     fn publish_ends(&self, ends: &[(Fingerprint, WorkerEnd)]) {
         for (fingerprint, end) in ends.iter().copied() {
             let end = lock(&self.table).attribute(end);
             self.pending_records.add_end(fingerprint, end);
-            self.record_end(&fingerprint, end);
-            self.notify_collectors(fingerprint, QuarantineMessage::Ended { fingerprint, end });
+            self.collect_end(&fingerprint, end);
+            let message = QuarantineMessage::Ended {
+                fingerprint,
+                end,
+                report: None,
+            };
+            self.notify_collectors(fingerprint, message);
         }
     }
 
     /// Adds the end of a worker to the table. If the request is held from now on and this gateway is one of its
-    /// collectors, tells all other gateways.
-    fn record_end(&self, fingerprint: &Fingerprint, end: WorkerEnd) {
+    /// collectors, tells all other gateways: the gateway that reported the end may have been lost.
+    fn collect_end(&self, fingerprint: &Fingerprint, end: WorkerEnd) {
+        let is_held_now = self.record_end(fingerprint, end);
+        if is_held_now
+            && self
+                .collectors(fingerprint)
+                .contains(&self.members.own_address())
+        {
+            let ends = lock(&self.table).ends(fingerprint).collect();
+            let message = QuarantineMessage::Held {
+                fingerprint: *fingerprint,
+                ends,
+                report: None,
+            };
+            self.send(message, self.members.others());
+        }
+    }
+
+    /// Adds the end of a worker to the table. Returns whether the request is held because of it and was not before.
+    fn record_end(&self, fingerprint: &Fingerprint, end: WorkerEnd) -> bool {
         let was_held = self.current_hold(fingerprint).is_some();
         let now = self.clock.now();
         let is_new = {
@@ -221,32 +262,26 @@
         };
         let held = self.current_hold(fingerprint);
         let Some(held) = held.filter(|_| is_new && !was_held) else {
-            return;
+            return false;
         };
         self.metrics.requests_held.inc();
         log::warn!(fingerprint:% = fingerprint, ends = held.ends,
             for_s = held.time_left.as_secs(); "a request ended its workers and is no longer sent");
-        if self
-            .collectors(fingerprint)
-            .contains(&self.members.own_address())
-        {
-            let ends = lock(&self.table).ends(fingerprint).collect();
-            let message = QuarantineMessage::Held {
-                fingerprint: *fingerprint,
-                ends,
-            };
-            self.send(message, self.members.others());
-        }
+        true
     }
 
     fn collectors(&self, fingerprint: &Fingerprint) -> Vec<SocketAddr> {
         self.members.ranked_gateways(fingerprint, MAX_COLLECTORS)
     }
 
-    fn notify_collectors(&self, fingerprint: Fingerprint, message: QuarantineMessage) {
-        let mut collectors = self.collectors(&fingerprint);
+    fn other_collectors(&self, fingerprint: &Fingerprint) -> Vec<SocketAddr> {
+        let mut collectors = self.collectors(fingerprint);
         collectors.retain(|gateway| *gateway != self.members.own_address());
-        self.send(message, collectors);
+        collectors
+    }
+
+    fn notify_collectors(&self, fingerprint: Fingerprint, message: QuarantineMessage) {
+        self.send(message, self.other_collectors(&fingerprint));
     }
 
     fn send(&self, message: QuarantineMessage, to: Vec<SocketAddr>) {
@@ -256,19 +291,38 @@
     /// Handles a message from another gateway.
     pub(crate) fn handle_message(self: &Arc<Self>, message: QuarantineMessage, from: SocketAddr) {
         match message {
-            QuarantineMessage::Ended { fingerprint, end } => {
+            QuarantineMessage::Ended {
+                fingerprint,
+                end,
+                report,
+            } => {
                 log::info!(fingerprint:% = fingerprint, worker = end.worker.0, from = from.to_string().as_str();
                     "another gateway reports the end of a worker");
-                self.record_end(&fingerprint, end);
+                self.collect_end(&fingerprint, end);
+                if let Some(report) = report {
+                    self.acknowledge_end(report, fingerprint, from);
+                }
             }
             QuarantineMessage::RanWell { fingerprint } => {
                 lock(&self.table).clear(&fingerprint);
             }
-            QuarantineMessage::Held { fingerprint, ends } => {
+            QuarantineMessage::Held {
+                fingerprint,
+                ends,
+                report,
+            } => {
                 for end in ends {
-                    self.record_end(&fingerprint, end);
+                    self.collect_end(&fingerprint, end);
+                }
+                if let Some(report) = report {
+                    self.acknowledge_hold(report, fingerprint, from);
                 }
             }
+            QuarantineMessage::Recorded {
+                report,
+                fingerprint,
+                ends,
+            } => self.handle_acknowledgement(report, &fingerprint, ends, from),
             QuarantineMessage::Look { ask, address } => self.probe_for_peer(from, ask, address),
             QuarantineMessage::Looked { ask, sight } => self.deliver_probe_result(ask, sight),
             QuarantineMessage::Refuted { worker, evidence } => {
--- a/crates/swiftshunt-gateway/src/quarantine/records.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/records.rs
@@ -152,7 +152,7 @@
     fn apply(&self, change: Change) {
         match change {
             Change::Set(record) => match decode_record(&record.key, &record.value) {
-                Ok((fingerprint, end)) => self.record_end(&fingerprint, end),
+                Ok((fingerprint, end)) => self.collect_end(&fingerprint, end),
                 Err(error) => {
                     self.unreadable
                         .record_unreadable(Topic::Quarantine, &record.key, &error)
--- a/crates/swiftshunt-gateway/src/quarantine/worker_ends.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/worker_ends.rs
@@ -112,8 +112,8 @@
             return self.add_doubted_worker(chosen, ends);
         }
         self.report_ended(&chosen, &ends);
-        self.check_finished.notify_waiters();
-        // The suspicion is published before the witnesses answer, since attempts of one request follow each other
+        self.progress.notify_waiters();
+        // The suspicion is reported before the witnesses answer, since attempts of one request follow each other
         // within milliseconds.
         match self.ask_witnesses(&chosen).await {
             Sight::Refuses => {
@@ -173,7 +173,7 @@
             });
         }
         drop(doubted);
-        self.check_finished.notify_waiters();
+        self.progress.notify_waiters();
     }
 
     /// Removes a worker that is proved to have ended from the doubted workers. Returns its ends as proved, unless it was
@@ -207,11 +207,13 @@
             .collect()
     }
 
-    /// Logs and publishes the ends of a worker that ran requests.
-    fn report_ended(&self, chosen: &ChosenWorker, ends: &[(Fingerprint, WorkerEnd)]) {
+    /// Logs and reports the ends of a worker that ran requests.
+    fn report_ended(self: &Arc<Self>, chosen: &ChosenWorker, ends: &[(Fingerprint, WorkerEnd)]) {
         let fingerprints: Vec<Fingerprint> = ends.iter().map(|(request, _)| *request).collect();
         log::info!(worker = chosen.incarnation.as_str(), address = chosen.address.to_string().as_str(),
             fingerprints:? = fingerprints, gateways = self.members.count(); "a worker ended while it ran requests");
-        self.publish_ends(ends);
+        for (fingerprint, end) in ends {
+            self.report_end(*fingerprint, *end);
+        }
     }
 }
--- a/crates/swiftshunt/tests/gateway_quarantine_order.rs
+++ b/crates/swiftshunt/tests/gateway_quarantine_order.rs
@@ -2,28 +2,36 @@
 //! send the request again.
 //!
 //! Guards against a fourth crashed worker in attempts that follow each other at different gateways. Each test holds
-//! back the report of a crash where luck would have it be late: by gateways that start while the log is slow.
+//! back the report of a crash where luck would have it be late: by gateways that start while the log is slow, and a
+//! gateway that loses its datagrams.
 
 mod gateway;
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
 
 use gateway::{ExclusiveFleet, start, unresponsive_log};
 use hyper::StatusCode;
 use swiftshunt_http::{HttpAnswer, HttpError};
 use swiftshunt_lab::platform::fleet::{
-    ONCE, PlatformOptions, eventually,
+    ASK, ONCE, PlatformOptions, STREAM_ONCE, eventually, first_configuration,
 };
 use swiftshunt_lab::platform::store::StoreFaults;
 use swiftshunt_platform::words::topics;
+use test_case::test_case;
 
 /// The body of a request that crashes each worker that runs it.
 const HARMFUL: &str = "a question that ends its worker";
 /// Number of crashed workers after which a request is quarantined.
 const MAX_CRASHES: usize = 3;
+/// Number of datagrams that fill a gateway's receive buffer, so that those of other gateways are lost.
+const FLOOD_DATAGRAMS: usize = 4_000;
 /// Time that the log takes for an append.
 const APPEND_DELAY: Duration = Duration::from_millis(200);
+/// Time after a crash within which its worker is found to have ended and the first report of that is sent.
+const REPORT_TIME: Duration = Duration::from_millis(60);
+/// Name of the metric that tells the version of the configuration in force.
+const CONFIGURATION_VERSION: &str = "swiftshunt_configuration_version";
 
 async fn start_fleet(gateways: usize, workers: usize) -> ExclusiveFleet {
     start(PlatformOptions {
@@ -65,6 +73,14 @@
     answer.status
 }
 
+/// Waits until `crashes` workers have crashed.
+async fn until_crashed(fleet: &ExclusiveFleet, crashes: usize) {
+    eventually("the worker crashes", || async {
+        crashed_workers(fleet) == crashes
+    })
+    .await;
+}
+
 /// Two gateways start while the log takes long for appends, so that each may read the list of gateways before the other
 /// one is in it. Neither would then tell the other one of a crash.
 #[tokio::test(flavor = "multi_thread")]
@@ -101,3 +117,106 @@
     let refused = &statuses[MAX_CRASHES..];
     assert_eq!(refused, [StatusCode::SERVICE_UNAVAILABLE; 3]);
 }
+
+/// Of six gateways, most know of none or one of the ends. The gateway at which the third worker ends has to learn from
+/// the collectors that the request is held, and all others have to know it before the caller is answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn attempts_at_changing_gateways_end_three_workers() {
+    let gateways = 6;
+    let requests = 8;
+    let fleet = start_fleet(gateways, MAX_CRASHES * requests + 4).await;
+    for gateway in &fleet.gateways {
+        gateway.store_listener.set_faults(unresponsive_log());
+    }
+    for request in 0..requests {
+        let path = format!("{ONCE}{request}");
+        let mut statuses = Vec::new();
+        for attempt in 0..MAX_CRASHES + 1 {
+            let gateway = fleet.gateways[(request + attempt) % gateways].callers;
+            let id = format!("harmful-{request}-{attempt}");
+            statuses.push(status_of_attempt(&fleet, gateway, &path, &id).await);
+        }
+        println!("{path}: {statuses:?}");
+        let crashes = (request + 1) * MAX_CRASHES;
+        assert_eq!(crashed_workers(&fleet), crashes, "{path}");
+        assert_eq!(statuses[MAX_CRASHES], StatusCode::SERVICE_UNAVAILABLE);
+    }
+}
+
+/// A request that a gateway may send twice has ended two workers at another gateway. Its first worker here is the third
+/// one: the gateway has to learn that from the collectors before it sends the request again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_retry_is_not_sent_before_the_collectors_have_answered() {
+    let gateways = 6;
+    let requests = 6;
+    let mut fleet = start_fleet(gateways, MAX_CRASHES * requests + 4).await;
+    let mut configuration = first_configuration();
+    for route in &mut configuration.routes {
+        route.max_attempts = 2;
+    }
+    fleet.configure(configuration);
+    for gateway in &fleet.gateways {
+        eventually("the configuration is in force", || async {
+            let version = fleet
+                .caller
+                .metric_value(gateway.metrics, CONFIGURATION_VERSION);
+            version.await >= 2.0
+        })
+        .await;
+    }
+    for request in 0..requests {
+        let path = format!("{ASK}{request}");
+        let mut statuses = Vec::new();
+        for attempt in 0..3 {
+            let gateway = fleet.gateways[(request + attempt) % gateways].callers;
+            let id = format!("harmful-{request}-{attempt}");
+            statuses.push(status_of_attempt(&fleet, gateway, &path, &id).await);
+        }
+        println!("{path}: {statuses:?}");
+        let crashes = (request + 1) * MAX_CRASHES;
+        assert_eq!(crashed_workers(&fleet), crashes, "{path}");
+        assert_eq!(statuses[2], StatusCode::SERVICE_UNAVAILABLE);
+    }
+}
+
+/// Sends datagrams to a gateway that it cannot read.
+fn send_unreadable_datagrams(gateway: SocketAddr, count: usize) {
+    let socket = UdpSocket::bind(("127.0.0.1", 0)).expect("cannot open a socket");
+    for _ in 0..count {
+        socket
+            .send_to(&[0], gateway)
+            .expect("cannot send a datagram");
+    }
+}
+
+/// The report of the third crash is lost on its way to the gateway that the caller asks next. The caller must not be
+/// answered before that gateway has recorded the crash.
+#[test_case(ONCE; "whole answers")]
+#[test_case(STREAM_ONCE; "streams")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_report_of_the_third_crash_is_repeated_before_the_caller_is_answered(path: &str) {
+    let fleet = start_fleet(3, 8).await;
+    for gateway in &fleet.gateways {
+        gateway.store_listener.set_faults(unresponsive_log());
+    }
+    for attempt in 0..2 {
+        let gateway = fleet.gateways[attempt].callers;
+        let id = format!("harmful-{attempt}");
+        status_of_attempt(&fleet, gateway, path, &id).await;
+    }
+    let next = &fleet.gateways[2];
+    next.process.pause();
+    send_unreadable_datagrams(next.peers, FLOOD_DATAGRAMS);
+    let third = send(&fleet, fleet.gateways[0].callers, path, "harmful-2");
+    until_crashed(&fleet, MAX_CRASHES).await;
+    tokio::time::sleep(REPORT_TIME).await;
+    next.process.resume();
+    let third = third
+        .await
+        .expect("the task panicked")
+        .expect("no response");
+    assert_eq!(third.status, StatusCode::BAD_GATEWAY);
+    let status = status_of_attempt(&fleet, next.callers, path, "harmful-3").await;
+    assert_eq!(crashed_workers(&fleet), MAX_CRASHES);
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+}
