Gateway: a request is decided after the datagrams that arrived before it

What callers saw: a request ended a fourth worker at a gateway that had been paused, although the report of the third end had reached its socket.

Cause: datagrams and callers' connections are read by different tasks. The one that reads datagrams yields after 128 of them; behind a longer backlog, as after a pause, a request that arrived later is checked and sent first.

Evidence: a test pauses a gateway, sends it 200 datagrams, lets three workers end at the others, sends the next attempt while it is paused and resumes it.

Change: before a request is checked, the gateway looks whether a datagram waits in its socket, and yields to the task that handles them until none does. One system call a check.

--- a/crates/swiftshunt-gateway/src/datagrams.rs
+++ b/crates/swiftshunt-gateway/src/datagrams.rs
@@ -1,9 +1,11 @@
 //! The socket over which gateways send each other datagrams. Sending does not block: a datagram that does not fit
 //! into the socket's buffer is dropped.
 
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use socket2::SockRef;
 use tokio::net::UdpSocket;
 
 use crate::members::Members;
@@ -12,6 +14,8 @@
 
 /// Largest datagram that is received, in bytes.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// Number of times that a task yields to the one that handles datagrams. At each, that task handles a hundred or more.
+const MAX_YIELDS: usize = 64;
 
 /// Sends and receives datagrams, and counts those that are sent or dropped.
 pub(crate) struct Datagrams {
@@ -49,6 +53,23 @@
         }
     }
 
+    /// Waits until the datagrams that have arrived before this call are handled. The task that handles them may run
+    /// after one whose connection was written to later.
+    pub(crate) async fn wait_until_handled(&self) {
+        for _ in 0..MAX_YIELDS {
+            if !self.has_unhandled() {
+                return;
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Whether a datagram waits in the socket's buffer. The runtime's own view is as old as its last poll.
+    fn has_unhandled(&self) -> bool {
+        let mut first_byte = [MaybeUninit::uninit()];
+        SockRef::from(&self.socket).peek(&mut first_byte).is_ok()
+    }
+
     /// Waits for a datagram and returns its length and its sender.
     pub(crate) async fn receive(&self, buffer: &mut [u8]) -> std::io::Result<(usize, SocketAddr)> {
         self.socket.recv_from(buffer).await
--- a/crates/swiftshunt-gateway/src/quarantine/mod.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/mod.rs
@@ -135,6 +135,8 @@
         request_content: &RequestContent,
     ) -> Option<QuarantineHold> {
         self.wait_until_read().await;
+        // A datagram that arrived before the request may tell that it is held.
+        self.datagrams.wait_until_handled().await;
         if lock(&self.table).is_empty() && self.is_settled() {
             return None;
         }
--- a/crates/swiftshunt/tests/gateway_quarantine_order.rs
+++ b/crates/swiftshunt/tests/gateway_quarantine_order.rs
@@ -2,8 +2,8 @@
 //! send the request again.
 //!
 //! Guards against a fourth crashed worker in attempts that follow each other at different gateways. Each test holds
-//! back the report of a crash where luck would have it be late: by gateways that start while the log is slow, and a
-//! gateway that loses its datagrams.
+//! back the report of a crash where luck would have it be late: by gateways that start while the log is slow, a gateway
+//! that loses its datagrams, and one that is paused.
 
 mod gateway;
 
@@ -26,10 +26,14 @@
 const MAX_CRASHES: usize = 3;
 /// Number of datagrams that fill a gateway's receive buffer, so that those of other gateways are lost.
 const FLOOD_DATAGRAMS: usize = 4_000;
+/// Number of datagrams that a gateway does not handle in one go, and that leave room in its receive buffer.
+const BACKLOG_DATAGRAMS: usize = 200;
 /// Time that the log takes for an append.
 const APPEND_DELAY: Duration = Duration::from_millis(200);
 /// Time after a crash within which its worker is found to have ended and the first report of that is sent.
 const REPORT_TIME: Duration = Duration::from_millis(60);
+/// Time after which failed sends of a gateway no longer suggest a fault of that gateway.
+const LOCAL_FAULT_WINDOW: Duration = Duration::from_millis(400);
 /// Name of the metric that tells the version of the configuration in force.
 const CONFIGURATION_VERSION: &str = "swiftshunt_configuration_version";
 
@@ -220,3 +224,48 @@
     assert_eq!(crashed_workers(&fleet), MAX_CRASHES);
     assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
 }
+
+/// A gateway that was paused finds the report of the third crash and the caller's next attempt side by side, in any
+/// order. The caller of the third attempt must be answered although the paused gateway acknowledges nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_that_was_paused_handles_reports_before_requests() {
+    let requests = 4;
+    let fleet = start_fleet(3, MAX_CRASHES * requests + 4).await;
+    for gateway in &fleet.gateways {
+        gateway.store_listener.set_faults(unresponsive_log());
+    }
+    let paused = &fleet.gateways[2];
+    for request in 0..requests {
+        let path = format!("{ONCE}{request}");
+        // The caller's next attempt then arrives on a connection that is open.
+        let warm_up = fleet
+            .caller
+            .ask_with_body(paused.callers, ONCE, "other", "another");
+        assert_eq!(warm_up.await.expect("no response").status, StatusCode::OK);
+        paused.process.pause();
+        send_unreadable_datagrams(paused.peers, BACKLOG_DATAGRAMS);
+        for attempt in 0..MAX_CRASHES {
+            let gateway = fleet.gateways[attempt % 2].callers;
+            let id = format!("harmful-{request}-{attempt}");
+            let status = status_of_attempt(&fleet, gateway, &path, &id).await;
+            assert_eq!(status, StatusCode::BAD_GATEWAY);
+        }
+        let next = send(
+            &fleet,
+            paused.callers,
+            &path,
+            &format!("harmful-{request}-next"),
+        );
+        tokio::time::sleep(REPORT_TIME).await;
+        paused.process.resume();
+        let next = next.await.expect("the task panicked").expect("no response");
+        assert_eq!(
+            crashed_workers(&fleet),
+            (request + 1) * MAX_CRASHES,
+            "{path}"
+        );
+        assert_eq!(next.status, StatusCode::SERVICE_UNAVAILABLE);
+        // Failures at many workers in quick succession would count as a fault of the gateway itself.
+        tokio::time::sleep(LOCAL_FAULT_WINDOW).await;
+    }
+}
