Gateway: a stream breaks off at its caller after the end of its worker is reported

What callers saw: a stream that ended its worker after the first event ended a fourth worker at the next gateway.

Cause: an answer waits for the check of the worker and for the reports of its end; a stream that broke off after its first event did not. It was aborted at once, also while the check still ran.

Change: a stream that is given up waits as an answer does. One whose time is over does not, since no worker is suspected then.

--- a/crates/swiftshunt-gateway/src/relay.rs
+++ b/crates/swiftshunt-gateway/src/relay.rs
@@ -220,25 +220,31 @@
         let began_at = (self.answer.as_ref())
             .map(|answer| answer.in_flight.chosen.software.to_string())
             .unwrap_or_default();
+        let mut request_content = None;
         if let Some(mut answer) = self.answer.take() {
             log::info!(request = self.id.as_str(), failure:% = failure, last_event:? = last,
                 worker = answer.in_flight.chosen.incarnation.as_str(),
                 fingerprint:% = answer.in_flight.request_content.fingerprint(); "a stream broke off");
             record_failure(&mut answer, &failure);
-        }
-        let broken = || -> BodyError { format!("the stream broke off: {failure:?}").into() };
-        if matches!(failure, SendFailure::OutOfTime) {
-            return Err(broken());
+            request_content = Some(answer.in_flight.request_content.clone());
         }
         let dispatcher = Arc::clone(&self.dispatcher);
         let deadline = self.deadline;
-        let Some(resume) = &mut self.resume else {
-            return Err(broken());
+        let continuation = match &mut self.resume {
+            Some(resume) if !matches!(failure, SendFailure::OutOfTime) => {
+                resume.framer.discard_partial();
+                resume.find_continuation(&dispatcher, deadline).await
+            }
+            _ => None,
         };
-        resume.framer.discard_partial();
-        let answer = resume.find_continuation(&dispatcher, deadline).await;
-        let Some(answer) = answer else {
-            return Err(broken());
+        let Some(answer) = continuation else {
+            if let Some(request_content) = request_content {
+                dispatcher
+                    .quarantine
+                    .wait_until_reported(&request_content)
+                    .await;
+            }
+            return Err(format!("the stream broke off: {failure:?}").into());
         };
         log::info!(request = self.id.as_str(), last_event:? = last,
             began_at, software = answer.in_flight.chosen.software.as_str(),
--- a/crates/swiftshunt-lab/src/platform/server.rs
+++ b/crates/swiftshunt-lab/src/platform/server.rs
@@ -24,6 +24,23 @@
 /// A response body that can end early with [`BrokenOff`], which closes the connection.
 pub(crate) type Body = UnsyncBoxBody<Bytes, BrokenOff>;
 
+/// Closes the sockets of a server.
+#[derive(Clone, Default)]
+pub(crate) struct ServerStop {
+    /// Cancelled to close open connections, and each new one at once.
+    pub(crate) connections: CancellationToken,
+    /// Cancelled to close the listening socket.
+    pub(crate) listener: CancellationToken,
+}
+
+impl ServerStop {
+    /// Closes all sockets.
+    pub(crate) fn cancel(&self) {
+        self.connections.cancel();
+        self.listener.cancel();
+    }
+}
+
 /// Returns the loopback address with port 0: the system chooses a free port.
 pub(crate) fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
@@ -36,11 +53,11 @@
         .boxed_unsync()
 }
 
-/// Serves at `listen` in background tasks until `stop` is cancelled, which also closes open connections.
-/// Returns the bound address, or an error if `listen` cannot be bound.
+/// Serves at `listen` in background tasks until `stop` is cancelled. Returns the bound address, or an error if
+/// `listen` cannot be bound.
 pub(crate) async fn serve<Handler, Answer>(
     listen: SocketAddr,
-    stop: CancellationToken,
+    stop: ServerStop,
     handler: Handler,
 ) -> std::io::Result<SocketAddr>
 where
@@ -53,7 +70,7 @@
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                () = stop.cancelled() => return,
+                () = stop.listener.cancelled() => return,
             };
             let Ok((stream, _)) = accepted else {
                 continue;
@@ -65,7 +82,7 @@
             tokio::spawn(async move {
                 tokio::select! {
                     ended = connection => drop(ended),
-                    () = stop.cancelled() => {}
+                    () = stop.connections.cancelled() => {}
                 }
             });
         }
--- a/crates/swiftshunt-lab/src/platform/store.rs
+++ b/crates/swiftshunt-lab/src/platform/store.rs
@@ -26,12 +26,11 @@
 };
 use swiftshunt_platform::words::{paths, queries, topics};
 use tokio::sync::watch;
-use tokio_util::sync::CancellationToken;
 
 pub use self::control::{CONTROL_DROP_HISTORY_PATH, CONTROL_FAULTS_PATH, CONTROL_REASSIGN_PATH};
 use self::wire::{Query, decode, json_answer, status_answer, topic_partition};
 use super::groups::Group;
-use super::server::{Body, BrokenOff, any_port, full_body, serve};
+use super::server::{Body, BrokenOff, ServerStop, any_port, full_body, serve};
 use crate::stand_in::lock;
 
 /// How a store that is down responds to calls.
@@ -165,7 +164,7 @@
 /// The store stand-in. Dropping it stops all its listeners.
 pub struct Store {
     shared: Arc<Shared>,
-    stop: CancellationToken,
+    stop: ServerStop,
 }
 
 impl Drop for Store {
@@ -185,7 +184,7 @@
         };
         Self {
             shared: Arc::new(shared),
-            stop: CancellationToken::new(),
+            stop: ServerStop::default(),
         }
     }
 
--- a/crates/swiftshunt-lab/src/platform/worker.rs
+++ b/crates/swiftshunt-lab/src/platform/worker.rs
@@ -14,9 +14,8 @@
 use serde::{Deserialize, Serialize};
 use swiftshunt_platform::words::headers;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio_util::sync::CancellationToken;
 
-use super::server::{Body, BrokenOff, any_port, full_body, serve};
+use super::server::{Body, BrokenOff, ServerStop, any_port, full_body, serve};
 use crate::stand_in::lock;
 
 /// How a worker processes the requests that it receives from then on.
@@ -137,7 +136,7 @@
     behaviour: Mutex<WorkerBehaviour>,
     runs: Mutex<Vec<Run>>,
     slots: Arc<Semaphore>,
-    stop: CancellationToken,
+    stop: ServerStop,
 }
 
 impl Shared {
@@ -164,7 +163,7 @@
     /// The bound address.
     pub address: SocketAddr,
     shared: Arc<Shared>,
-    stop: CancellationToken,
+    stop: ServerStop,
 }
 
 impl Drop for Worker {
@@ -186,7 +185,7 @@
         settings: WorkerSettings,
         watcher: RunWatcher,
     ) -> std::io::Result<Self> {
-        let stop = CancellationToken::new();
+        let stop = ServerStop::default();
         let shared = Arc::new(Shared {
             slots: Arc::new(Semaphore::new(settings.slots)),
             settings,
@@ -234,7 +233,7 @@
 
     /// Whether the worker has stopped, by [`Worker::crash`] or by a request body that crashes it.
     pub fn has_crashed(&self) -> bool {
-        self.stop.is_cancelled()
+        self.stop.connections.is_cancelled()
     }
 
     /// Returns the number of occupied slots.
@@ -246,6 +245,17 @@
     pub fn crash(&self) {
         self.stop.cancel();
     }
+
+    /// Ends all connections and runs of the worker at once, and closes its listening socket after a delay, as a process
+    /// may that takes long to exit.
+    pub fn crash_with_listener_delay(&self, delay: Duration) {
+        self.stop.connections.cancel();
+        let listener = self.stop.listener.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            listener.cancel();
+        });
+    }
 }
 
 fn header_text<'h>(headers: &'h HeaderMap, name: &str) -> Option<&'h str> {
--- a/crates/swiftshunt/tests/gateway_quarantine_order.rs
+++ b/crates/swiftshunt/tests/gateway_quarantine_order.rs
@@ -3,7 +3,7 @@
 //!
 //! Guards against a fourth crashed worker in attempts that follow each other at different gateways. Each test holds
 //! back the report of a crash where luck would have it be late: by gateways that start while the log is slow, a gateway
-//! that loses its datagrams, and one that is paused.
+//! that loses its datagrams, one that is paused, and a listening socket that is closed late.
 
 mod gateway;
 
@@ -17,6 +17,7 @@
     ASK, ONCE, PlatformOptions, STREAM_ONCE, eventually, first_configuration,
 };
 use swiftshunt_lab::platform::store::StoreFaults;
+use swiftshunt_lab::platform::worker::Worker;
 use swiftshunt_platform::words::topics;
 use test_case::test_case;
 
@@ -32,6 +33,11 @@
 const APPEND_DELAY: Duration = Duration::from_millis(200);
 /// Time after a crash within which its worker is found to have ended and the first report of that is sent.
 const REPORT_TIME: Duration = Duration::from_millis(60);
+/// Time after the start of a stream in which its first events reach the caller.
+const FIRST_EVENTS: Duration = Duration::from_millis(80);
+/// Time from the end of a worker's connections to the close of its listening socket. Shorter than the pause between two
+/// probes, so that the second one is refused.
+const LISTENER_DELAY: Duration = Duration::from_millis(4);
 /// Time after which failed sends of a gateway no longer suggest a fault of that gateway.
 const LOCAL_FAULT_WINDOW: Duration = Duration::from_millis(400);
 /// Name of the metric that tells the version of the configuration in force.
@@ -269,3 +275,38 @@
         tokio::time::sleep(LOCAL_FAULT_WINDOW).await;
     }
 }
+
+/// Streams break off after their first event, each at a worker whose listening socket is closed some milliseconds
+/// later, so that its end is found late. The caller must not see the stream break off before the end is reported.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_breaks_off_at_its_caller_after_the_end_of_its_worker_is_reported() {
+    let fleet = start(PlatformOptions {
+        gateways: 3,
+        workers: 6,
+        event_interval: Duration::from_millis(30),
+        ..PlatformOptions::default()
+    })
+    .await;
+    for gateway in &fleet.gateways {
+        gateway.store_listener.set_faults(unresponsive_log());
+    }
+    for attempt in 0..MAX_CRASHES {
+        let gateway = fleet.gateways[attempt].callers;
+        let id = format!("harmful-{attempt}");
+        let stream = send(&fleet, gateway, STREAM_ONCE, &id);
+        let runs = |worker: &&Worker| worker.running() > 0 && !worker.has_crashed();
+        let running = || fleet.engine_workers.iter().find(runs);
+        eventually("the stream runs", || async { running().is_some() }).await;
+        tokio::time::sleep(FIRST_EVENTS).await;
+        let worker = running().expect("no worker runs the stream");
+        worker.crash_with_listener_delay(LISTENER_DELAY);
+        let stream = stream.await.expect("the task panicked");
+        assert!(stream.is_err(), "the stream of attempt {attempt} is whole");
+    }
+    for gateway in &fleet.gateways {
+        let id = format!("next-{}", gateway.callers);
+        let status = status_of_attempt(&fleet, gateway.callers, STREAM_ONCE, &id).await;
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(fleet.runs_of(&id).is_empty());
+    }
+}
