--- a/crates/swiftshunt-gateway/src/quarantine/mod.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/mod.rs
@@ -4,9 +4,9 @@
 //! The end of a worker has to be known after the attempt has failed, when the caller retries, and when the gateway that
 //! saw it is gone. Each end is therefore a record in the log, keyed by request, worker and time, which all gateways
 //! follow and which gateways that start later read. Datagrams carry it as well, because they are faster and work
-//! without the log: to the two gateways that are first in the request's order, and to all gateways once the request is held.
-//! The caller of a request that broke off gets its answer once the gateways concerned have acknowledged the end
-//! ([`reports`]). While no worker ends, nothing is sent, recorded or hashed.
+//! without the log: to the two gateways that are first in the request's order, its collectors, and to all gateways
+//! once the request is held. The caller of a request that broke off gets its answer once these gateways have
+//! acknowledged the end ([`reports`]). While no worker ends, nothing is sent, recorded or hashed.
 
 mod directory;
 mod probe;
@@ -44,7 +44,7 @@
 
 /// Number of gateways that collect the ends of one request by datagram. Two, since one of them may be unavailable.
 const MAX_COLLECTORS: usize = 2;
-/// Interval at which a request looks again whether the checks and reports of its ends are finished.
+/// Interval after which a request that waits for checks and reports of its ends looks again whether they are finished.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of these intervals after which a request goes on regardless: checks and reports take less time.
 const MAX_SETTLE_INTERVALS: u32 = 10;
@@ -159,7 +159,8 @@
         lock(&self.checks).is_empty() && self.reports.is_idle()
     }
 
-    /// Waits until no worker at which the request broke off is being checked and no end of one is being reported.
+    /// Waits until no worker at which the request broke off is being checked and no end of one is being reported. Both
+    /// end by themselves; the wait is bounded in case that one of their tasks fails.
     async fn wait_until_settled(&self, fingerprint: &Fingerprint) {
         let mut intervals = 0;
         while intervals < MAX_SETTLE_INTERVALS {
--- a/crates/swiftshunt-gateway/src/quarantine/reports.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/reports.rs
@@ -142,7 +142,7 @@
         tokio::spawn(async move {
             let quarantine = &under_way.quarantine;
             quarantine.report_to_collectors(fingerprint, end).await;
-            // Whoever recorded an earlier end that led to the hold reports the hold.
+            // A hold from before this end has been reported by the gateway that noticed the end which led to it.
             if !was_held && quarantine.current_hold(&fingerprint).is_some() {
                 quarantine.report_hold(fingerprint).await;
             }
@@ -179,8 +179,9 @@
     }
 
     /// Sends a message to the gateways that `recipients` returns until each has acknowledged it, for about
-    /// `within_region`, and longer if some are in another region. Gateways that join meanwhile get it, too. Those that
-    /// are not awaited get it without being waited for. Returns the awaited ones that have not acknowledged it.
+    /// `within_region`, and longer if some are in another region. `recipients` is called before each round, so that
+    /// gateways that join meanwhile are included. Gateways for which `is_awaited` is false get the message but are not
+    /// waited for. Returns the awaited ones that have not acknowledged it.
     async fn deliver(
         &self,
         recipients: impl Fn() -> Vec<SocketAddr>,
--- a/crates/swiftshunt/tests/gateway_quarantine_order.rs
+++ b/crates/swiftshunt/tests/gateway_quarantine_order.rs
@@ -83,6 +83,24 @@
     answer.status
 }
 
+/// Sends the harmful request `attempts` times, to each gateway in turn from the one at index `first`, and returns the
+/// statuses of the answers.
+async fn statuses_in_turn(
+    fleet: &ExclusiveFleet,
+    path: &str,
+    first: usize,
+    attempts: usize,
+) -> Vec<StatusCode> {
+    let mut statuses = Vec::new();
+    for attempt in 0..attempts {
+        let index = (first + attempt) % fleet.gateways.len();
+        let gateway = fleet.gateways[index].callers;
+        let id = format!("harmful-{first}-{attempt}");
+        statuses.push(status_of_attempt(fleet, gateway, path, &id).await);
+    }
+    statuses
+}
+
 /// Waits until `crashes` workers have crashed.
 async fn until_crashed(fleet: &ExclusiveFleet, crashes: usize) {
     eventually("the worker crashes", || async {
@@ -116,12 +134,7 @@
     for gateway in &fleet.gateways {
         gateway.store_listener.set_faults(unresponsive_log());
     }
-    let mut statuses = Vec::new();
-    for number in 0..6 {
-        let gateway = fleet.gateways[number % 2].callers;
-        let id = format!("harmful-{number}");
-        statuses.push(status_of_attempt(&fleet, gateway, ONCE, &id).await);
-    }
+    let statuses = statuses_in_turn(&fleet, ONCE, 0, 2 * MAX_CRASHES).await;
     println!("{statuses:?}");
     assert_eq!(crashed_workers(&fleet), MAX_CRASHES);
     let refused = &statuses[MAX_CRASHES..];
@@ -132,20 +145,14 @@
 /// the collectors that the request is held, and all others have to know it before the caller is answered.
 #[tokio::test(flavor = "multi_thread")]
 async fn attempts_at_changing_gateways_end_three_workers() {
-    let gateways = 6;
     let requests = 8;
-    let fleet = start_fleet(gateways, MAX_CRASHES * requests + 4).await;
+    let fleet = start_fleet(6, MAX_CRASHES * requests + 4).await;
     for gateway in &fleet.gateways {
         gateway.store_listener.set_faults(unresponsive_log());
     }
     for request in 0..requests {
         let path = format!("{ONCE}{request}");
-        let mut statuses = Vec::new();
-        for attempt in 0..MAX_CRASHES + 1 {
-            let gateway = fleet.gateways[(request + attempt) % gateways].callers;
-            let id = format!("harmful-{request}-{attempt}");
-            statuses.push(status_of_attempt(&fleet, gateway, &path, &id).await);
-        }
+        let statuses = statuses_in_turn(&fleet, &path, request, MAX_CRASHES + 1).await;
         println!("{path}: {statuses:?}");
         let crashes = (request + 1) * MAX_CRASHES;
         assert_eq!(crashed_workers(&fleet), crashes, "{path}");
@@ -157,9 +164,8 @@
 /// one: the gateway has to learn that from the collectors before it sends the request again.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_retry_is_not_sent_before_the_collectors_have_answered() {
-    let gateways = 6;
     let requests = 6;
-    let mut fleet = start_fleet(gateways, MAX_CRASHES * requests + 4).await;
+    let mut fleet = start_fleet(6, MAX_CRASHES * requests + 4).await;
     let mut configuration = first_configuration();
     for route in &mut configuration.routes {
         route.max_attempts = 2;
@@ -176,12 +182,7 @@
     }
     for request in 0..requests {
         let path = format!("{ASK}{request}");
-        let mut statuses = Vec::new();
-        for attempt in 0..3 {
-            let gateway = fleet.gateways[(request + attempt) % gateways].callers;
-            let id = format!("harmful-{request}-{attempt}");
-            statuses.push(status_of_attempt(&fleet, gateway, &path, &id).await);
-        }
+        let statuses = statuses_in_turn(&fleet, &path, request, 3).await;
         println!("{path}: {statuses:?}");
         let crashes = (request + 1) * MAX_CRASHES;
         assert_eq!(crashed_workers(&fleet), crashes, "{path}");
