--- a/crates/swiftshunt-gateway/src/server.rs
+++ b/crates/swiftshunt-gateway/src/server.rs
@@ -205,8 +205,8 @@
     stop: Stop,
 ) {
     serve_any_path(listener, move || {
-        let is_known = fleet_state.is_complete() && peers.is_introduced();
-        let ready = is_known && !stop.draining.is_cancelled();
+        let can_serve = fleet_state.is_complete() && peers.is_introduced();
+        let ready = can_serve && !stop.draining.is_cancelled();
         if ready {
             plain(StatusCode::OK, "ready")
         } else {
