Gateway: the end of each worker's stream is logged and counted, with framing, events and bytes

The position in the events is followed while a stream is read, so that an end inside an event can be told from one behind an event. Before, neither logs nor metrics named the framing of an answer or how its body ended, and the three hypotheses could not be told apart.

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{HeaderMap, Request, StatusCode};
-use swiftshunt_http::{PermitOver, PermittedBody, SendPermit};
+use swiftshunt_http::{EventStreamBody, PermitOver, PermittedBody, SendPermit, StreamEnd};
 use swiftshunt_routing::Configuration;
 use swiftshunt_scheduler::eligibility::Withheld;
 use swiftshunt_scheduler::selection::{AttemptOutcome, ChosenWorker, Demand};
@@ -147,7 +147,7 @@
 pub(crate) struct Answer {
     pub(crate) head: response::Parts,
     pub(crate) facts: AnswerFacts,
-    pub(crate) body: Incoming,
+    pub(crate) body: EventStreamBody,
     pub(crate) in_flight: InFlight,
     sender: Sender,
 }
@@ -183,10 +183,24 @@
             .return_idle(incarnation, sender, facts.keep_alive, now);
     }
 
+    /// Returns how the stream ended, after its body has ended without an error; logs and counts it.
+    pub(crate) fn stream_end(&self, dispatcher: &Dispatcher, request: &str) -> StreamEnd {
+        let end = self.body.end();
+        let framing = self.body.framing();
+        dispatcher.metrics.record_stream_end(framing, end);
+        if end != StreamEnd::Complete {
+            log::info!(request, worker = self.in_flight.chosen.incarnation.as_str(), end:? = end, framing:% = framing,
+                events = self.body.events(), bytes = self.body.received(),
+                waited_ms = self.in_flight.time_at_worker().as_millis() as u64;
+                "the body of a worker's stream ended, which does not show that the stream is complete");
+        }
+        end
+    }
+
     /// Reads the whole body, up to `limit` bytes.
     pub(crate) async fn read_body(&mut self, limit: usize) -> Result<Bytes, String> {
         let mut whole = bytes::BytesMut::new();
-        while let Some(frame) = self.body.frame().await {
+        while let Some(frame) = self.body.as_incoming().frame().await {
             let frame = frame.map_err(|error| error.to_string())?;
             let Ok(data) = frame.into_data() else {
                 continue;
@@ -252,6 +266,7 @@
             self.metrics.record_attempt(metric_label(&failure));
             return Err(failure);
         }
+        let body = EventStreamBody::new(&head.headers, body, last_event.is_some());
         Ok(Answer {
             head,
             facts,
--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -5,7 +5,6 @@
 
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
-use http_body_util::BodyExt;
 use hyper::{Method, Uri};
 use rand::RngCore;
 use swiftshunt_http::SendPermit;
@@ -217,7 +216,7 @@
                 .send(chosen, outgoing, output.last_event, limits)
                 .await;
             match sent {
-                Ok(answer) => self.read_answer(answer, output).await,
+                Ok(answer) => self.read_answer(item, answer, output).await,
                 Err(failure) => {
                     log::debug!(item, failure:% = failure; "an item's send failed");
                     if failure.did_not_run() {
@@ -289,7 +288,12 @@
         })
     }
 
-    async fn read_answer(&self, mut answer: Answer, output: &mut ItemOutput) -> Attempt {
+    async fn read_answer(
+        &self,
+        item: &str,
+        mut answer: Answer,
+        output: &mut ItemOutput,
+    ) -> Attempt {
         let status = answer.head.status;
         if !status.is_success() {
             let attempt = match status.as_u16() {
@@ -309,6 +313,7 @@
         }
         match self.read_events(&mut answer, output).await {
             Ok(()) => {
+                answer.stream_end(&self.dispatcher, item);
                 answer.finish(&self.dispatcher);
                 Attempt::Whole
             }
@@ -329,7 +334,11 @@
         let Answer {
             body, in_flight, ..
         } = answer;
-        let mut events = body.into_data_stream().eventsource();
+        let bytes = futures_util::stream::unfold(body, |body| async move {
+            let chunk = body.next_chunk().await?;
+            Some((chunk.map(|chunk| chunk.bytes), body))
+        });
+        let mut events = std::pin::pin!(bytes.eventsource());
         loop {
             let event = match tokio::time::timeout(SILENCE_TIMEOUT, events.next()).await {
                 Ok(event) => event,
--- a/crates/swiftshunt-gateway/src/in_flight.rs
+++ b/crates/swiftshunt-gateway/src/in_flight.rs
@@ -74,6 +74,11 @@
         selector.record_first_event(&self.chosen, now - self.sent_at, now);
     }
 
+    /// Returns the time since the request was sent.
+    pub(crate) fn time_at_worker(&self) -> Duration {
+        self.clock.now().saturating_sub(self.sent_at)
+    }
+
     /// Counts received bytes of the answer.
     pub(crate) fn record_received(&self, bytes: usize) {
         self.traffic
@@ -89,7 +94,7 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         let now = self.clock.now();
-        let time_at_worker = now.saturating_sub(self.sent_at);
+        let time_at_worker = self.time_at_worker();
         self.fleet_state.selector().record_outcome(
             &self.chosen,
             self.class,
--- a/crates/swiftshunt-gateway/src/metrics/labels.rs
+++ b/crates/swiftshunt-gateway/src/metrics/labels.rs
@@ -1,6 +1,7 @@
 //! Labels of a gateway's metrics.
 
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use swiftshunt_http::StreamEnd;
 use swiftshunt_routing::Rejected;
 use swiftshunt_scheduler::admission::Obstacle;
 use swiftshunt_scheduler::origins::resolution::UnknownOrigin;
@@ -25,6 +26,36 @@
     pub(crate) end: RequestEnd,
 }
 
+/// Labels of a worker's stream whose body ended without an error.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct StreamEndLabels {
+    /// What ended the body.
+    pub(crate) framing: String,
+    /// What the end says about the stream.
+    pub(crate) end: StreamEndKind,
+}
+
+/// What the end of a worker's stream says about it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum StreamEndKind {
+    /// It is complete.
+    Complete,
+    /// It ended with its connection, behind an event.
+    Unconfirmed,
+    /// It broke off.
+    BrokenOff,
+}
+
+impl From<StreamEnd> for StreamEndKind {
+    fn from(end: StreamEnd) -> Self {
+        match end {
+            StreamEnd::Complete => Self::Complete,
+            StreamEnd::Unconfirmed => Self::Unconfirmed,
+            StreamEnd::BrokenOff(_) => Self::BrokenOff,
+        }
+    }
+}
+
 /// How the slot of a request was decided.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub(crate) enum SlotAnswer {
--- a/crates/swiftshunt-gateway/src/metrics/mod.rs
+++ b/crates/swiftshunt-gateway/src/metrics/mod.rs
@@ -12,6 +12,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
+use swiftshunt_http::{Framing, StreamEnd};
 use swiftshunt_routing::Rejected;
 use swiftshunt_scheduler::slots::allocator::SlotUsage;
 
@@ -20,7 +21,7 @@
 pub(crate) use labels::{Basis, OriginSource, RateAnswer, Refusal, RequestEnd, SlotAnswer};
 use labels::{
     LimitLabels, OutcomeLabels, RateLabels, RefusalLabels, RejectedLabels, RequestLabels,
-    SlotLabels, SlotUse, TakeUpLabels, TenantLabels, UseLabels, ZoneLabels,
+    SlotLabels, SlotUse, StreamEndLabels, TakeUpLabels, TenantLabels, UseLabels, ZoneLabels,
 };
 
 /// Largest number of tenants with a label value of their own; later tenants share [`OTHER_TENANTS`].
@@ -37,6 +38,7 @@
     pub(crate) appends: Family<OutcomeLabels, Counter>,
     pub(crate) items: Family<OutcomeLabels, Counter>,
     take_ups: Family<TakeUpLabels, Counter>,
+    stream_ends: Family<StreamEndLabels, Counter>,
     pub(crate) slot_questions: Family<SlotLabels, Counter>,
     pub(crate) slots: Family<UseLabels, Gauge>,
     pub(crate) refusals: Family<RefusalLabels, Counter>,
@@ -97,6 +99,12 @@
             "Streams that callers take up, by what showed the version that began them, or why it is not known",
             take_ups.clone(),
         );
+        let stream_ends = Family::default();
+        registry.register(
+            "stream_ends",
+            "Streams of workers whose body ended without an error, by what ended it and whether they are complete",
+            stream_ends.clone(),
+        );
         let slot_questions = Family::default();
         registry.register(
             "slot_questions",
@@ -314,6 +322,7 @@
             appends,
             items,
             take_ups,
+            stream_ends,
             first_event_seconds,
             in_flight,
             configuration_version,
@@ -423,6 +432,15 @@
         self.take_ups.get_or_create(&TakeUpLabels { origin }).inc();
     }
 
+    /// Counts a worker's stream whose body ended without an error.
+    pub(crate) fn record_stream_end(&self, framing: Framing, end: StreamEnd) {
+        let labels = StreamEndLabels {
+            framing: framing.to_string(),
+            end: end.into(),
+        };
+        self.stream_ends.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn record_append(&self, outcome: impl std::fmt::Debug) {
         self.appends.get_or_create(&outcome_labels(outcome)).inc();
     }
--- a/crates/swiftshunt-gateway/src/relay.rs
+++ b/crates/swiftshunt-gateway/src/relay.rs
@@ -7,6 +7,7 @@
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
+use swiftshunt_http::BodyChunk;
 use swiftshunt_scheduler::selection::AttemptOutcome;
 
 use crate::answers::{AnswerBody, BodyError};
@@ -20,7 +21,7 @@
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 enum StreamChunk {
-    Bytes(Bytes),
+    Bytes(BodyChunk),
     End,
 }
 
@@ -34,7 +35,7 @@
     let prefill = answer.in_flight.chosen.expected_prefill;
     let silence = may_resume.then(|| context.silence_limit() + prefill);
     match read_chunk(dispatcher, answer, context.deadline, silence).await? {
-        StreamChunk::Bytes(bytes) => Ok(bytes),
+        StreamChunk::Bytes(chunk) => Ok(chunk.bytes),
         StreamChunk::End => Ok(Bytes::new()),
     }
 }
@@ -79,22 +80,20 @@
             None => deadline - now,
         };
         let pause = pause.min(deadline - now);
-        let Ok(frame) = tokio::time::timeout(pause, answer.body.frame()).await else {
+        let Ok(chunk) = tokio::time::timeout(pause, answer.body.next_chunk()).await else {
             continue;
         };
-        match frame {
+        match chunk {
             None => return Ok(StreamChunk::End),
             Some(Err(error)) => {
                 return Err(SendFailure::Broken {
                     reason: error.to_string(),
                 });
             }
-            Some(Ok(frame)) => {
+            Some(Ok(chunk)) => {
                 answer.in_flight.record_progress();
-                if let Ok(bytes) = frame.into_data() {
-                    answer.in_flight.record_received(bytes.len());
-                    return Ok(StreamChunk::Bytes(bytes));
-                }
+                answer.in_flight.record_received(chunk.bytes.len());
+                return Ok(StreamChunk::Bytes(chunk));
             }
         }
     }
@@ -173,14 +172,17 @@
             let resumable = self.resume.as_ref().filter(|resume| resume.runs_left > 0);
             let silence = resumable.map(|resume| resume.silence);
             let chunk = match self.first.take() {
-                Some(first) => Ok(StreamChunk::Bytes(first)),
+                Some(first) => Ok(StreamChunk::Bytes(BodyChunk {
+                    whole_events: None,
+                    bytes: first,
+                })),
                 None => read_chunk(&self.dispatcher, answer, self.deadline, silence).await,
             };
             match chunk {
-                Ok(StreamChunk::Bytes(bytes)) => {
+                Ok(StreamChunk::Bytes(chunk)) => {
                     let complete = match &mut self.resume {
-                        Some(resume) => resume.framer.push(&bytes),
-                        None => bytes,
+                        Some(resume) => resume.framer.push(&chunk.bytes),
+                        None => chunk.bytes,
                     };
                     if !complete.is_empty() {
                         self.pauses.record_chunk(self.dispatcher.clock.now());
@@ -189,6 +191,7 @@
                 }
                 Ok(StreamChunk::End) => {
                     if let Some(answer) = self.answer.take() {
+                        answer.stream_end(&self.dispatcher, &self.id);
                         self.log_pauses(&answer);
                         answer.finish(&self.dispatcher);
                     }
--- /dev/null
+++ b/crates/swiftshunt-http/src/event_stream.rs
@@ -0,0 +1,262 @@
+//! The body of a response that may be a server-sent event stream, and how it ended.
+//!
+//! The HTTP library reports the end of a body without an error whenever the framing is satisfied. A response with neither
+//! a length nor chunks ends with its connection, whatever the reason for which that was closed, so the events have to tell
+//! whether the stream is whole.
+
+use bytes::Bytes;
+use derive_more::Display;
+use http_body_util::BodyExt;
+use hyper::HeaderMap;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+
+/// Content type of event streams.
+const EVENT_STREAM: &str = "text/event-stream";
+/// The byte order mark that may precede the first line of an event stream.
+const BYTE_ORDER_MARK: [u8; 3] = [0xef, 0xbb, 0xbf];
+
+/// What ends the body of a response.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Framing {
+    /// The number of bytes that its length states.
+    #[display("length")]
+    Length,
+    /// The last chunk.
+    #[display("chunked")]
+    Chunked,
+    /// The end of its connection.
+    #[display("connection")]
+    ConnectionClose,
+}
+
+impl Framing {
+    /// Returns the framing that the headers of a response state.
+    pub fn of(headers: &HeaderMap) -> Self {
+        if headers.contains_key(TRANSFER_ENCODING) {
+            Self::Chunked
+        } else if headers.contains_key(CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::ConnectionClose
+        }
+    }
+}
+
+/// How an event stream ended whose body ended without an error.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// The framing and the events are complete.
+    Complete,
+    /// The connection ended behind an event: a sender that ended between two events leaves the same bytes.
+    Unconfirmed,
+    /// Something is missing.
+    BrokenOff(StreamBreak),
+}
+
+/// What shows that an event stream broke off although its body ended without an error.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum StreamBreak {
+    /// The last event is incomplete.
+    #[display("it ended inside an event")]
+    InsideEvent,
+    /// The connection ended before the first event.
+    #[display("its connection ended before the first event")]
+    BeforeFirstEvent,
+    /// The connection ended, and so did its sender's process.
+    #[display("its connection ended with the worker")]
+    SenderEnded,
+}
+
+/// The position in an event stream: inside an event or between two.
+#[derive(Clone, Debug, Default)]
+pub struct EventPosition {
+    /// Progress in the byte order mark that may precede the first line.
+    mark: MarkState,
+    /// Whether the current line has a byte.
+    in_line: bool,
+    /// Whether the current line is a comment.
+    in_comment: bool,
+    /// Whether a field has begun since the last event.
+    in_event: bool,
+    /// Whether the last byte was a carriage return, whose line feed may follow.
+    after_carriage_return: bool,
+    events: u64,
+}
+
+/// Progress in the byte order mark.
+#[derive(Clone, Copy, Debug)]
+enum MarkState {
+    /// This number of its bytes were seen, and nothing else.
+    Seen(usize),
+    /// Other bytes were seen.
+    Over,
+}
+
+impl Default for MarkState {
+    fn default() -> Self {
+        Self::Seen(0)
+    }
+}
+
+impl EventPosition {
+    /// Advances over `bytes`. Returns the number of them up to the last place that lies between two events; `None` if
+    /// there is no such place behind the first byte.
+    pub fn advance(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut last_boundary = None;
+        for (index, byte) in bytes.iter().enumerate() {
+            if self.advance_byte(*byte) {
+                last_boundary = Some(index + 1);
+            }
+        }
+        last_boundary
+    }
+
+    /// Whether everything so far belongs to whole events or comments.
+    pub fn is_between_events(&self) -> bool {
+        !self.in_line && !self.in_event
+    }
+
+    /// Returns the number of whole events so far.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
+    /// Returns whether the byte ends a line behind which no event is open.
+    fn advance_byte(&mut self, byte: u8) -> bool {
+        if self.skip_mark(byte) {
+            return false;
+        }
+        let ends_carriage_return = self.after_carriage_return && byte == b'\n';
+        self.after_carriage_return = byte == b'\r';
+        if ends_carriage_return {
+            return self.is_between_events();
+        }
+        if byte == b'\n' || byte == b'\r' {
+            self.end_line();
+            return self.is_between_events();
+        }
+        if !self.in_line {
+            self.in_line = true;
+            self.in_comment = byte == b':';
+            self.in_event |= !self.in_comment;
+        }
+        false
+    }
+
+    fn end_line(&mut self) {
+        if !self.in_line && self.in_event {
+            self.in_event = false;
+            self.events += 1;
+        }
+        self.in_line = false;
+    }
+
+    /// Returns whether the byte belongs to the byte order mark.
+    fn skip_mark(&mut self, byte: u8) -> bool {
+        let MarkState::Seen(seen) = self.mark else {
+            return false;
+        };
+        if BYTE_ORDER_MARK.get(seen) == Some(&byte) {
+            self.mark = MarkState::Seen(seen + 1);
+            return true;
+        }
+        self.mark = MarkState::Over;
+        false
+    }
+}
+
+/// The next bytes of a body.
+#[derive(Clone, Debug)]
+pub struct BodyChunk {
+    /// The bytes, as they arrived.
+    pub bytes: Bytes,
+    /// Number of the bytes up to the last place between two events; `None` if there is none behind the first byte.
+    pub whole_events: Option<usize>,
+}
+
+/// The body of a response, read as an event stream.
+#[derive(Debug)]
+pub struct EventStreamBody {
+    body: Incoming,
+    framing: Framing,
+    /// Whether the headers leave open that the body is an event stream.
+    has_events: bool,
+    /// Whether the stream continues behind events that the receiver already has, so that none may be left.
+    is_continuation: bool,
+    position: EventPosition,
+    received: u64,
+}
+
+impl EventStreamBody {
+    /// Creates the reader of a response's body.
+    pub fn new(headers: &HeaderMap, body: Incoming, is_continuation: bool) -> Self {
+        let content_type = headers.get(CONTENT_TYPE);
+        let content_type = content_type.map(|value| value.as_bytes().to_ascii_lowercase());
+        Self {
+            body,
+            framing: Framing::of(headers),
+            has_events: content_type.is_none_or(|value| value.starts_with(EVENT_STREAM.as_bytes())),
+            is_continuation,
+            position: EventPosition::default(),
+            received: 0,
+        }
+    }
+
+    /// Returns the next bytes; `None` at the end of the body.
+    pub async fn next_chunk(&mut self) -> Option<Result<BodyChunk, hyper::Error>> {
+        loop {
+            let frame = match self.body.frame().await? {
+                Ok(frame) => frame,
+                Err(error) => return Some(Err(error)),
+            };
+            let Ok(bytes) = frame.into_data() else {
+                continue;
+            };
+            self.received += bytes.len() as u64;
+            let whole_events = if self.has_events {
+                self.position.advance(&bytes)
+            } else {
+                Some(bytes.len())
+            };
+            return Some(Ok(BodyChunk {
+                bytes,
+                whole_events,
+            }));
+        }
+    }
+
+    /// Returns the body, to be read without regard to events.
+    pub fn as_incoming(&mut self) -> &mut Incoming {
+        &mut self.body
+    }
+
+    /// Returns how the stream ended, once [`Self::next_chunk`] has returned `None`.
+    pub fn end(&self) -> StreamEnd {
+        if self.has_events && !self.position.is_between_events() {
+            return StreamEnd::BrokenOff(StreamBreak::InsideEvent);
+        }
+        if self.framing != Framing::ConnectionClose {
+            return StreamEnd::Complete;
+        }
+        if self.has_events && self.position.events() == 0 && !self.is_continuation {
+            return StreamEnd::BrokenOff(StreamBreak::BeforeFirstEvent);
+        }
+        StreamEnd::Unconfirmed
+    }
+
+    /// Returns the framing of the body.
+    pub fn framing(&self) -> Framing {
+        self.framing
+    }
+
+    /// Returns the number of whole events so far.
+    pub fn events(&self) -> u64 {
+        self.position.events()
+    }
+
+    /// Returns the number of bytes so far.
+    pub fn received(&self) -> u64 {
+        self.received
+    }
+}
--- a/crates/swiftshunt-http/src/lib.rs
+++ b/crates/swiftshunt-http/src/lib.rs
@@ -5,12 +5,16 @@
 mod cbor;
 mod client;
 mod endpoint;
+mod event_stream;
 mod send_permit;
 mod serve;
 
 pub use cbor::{decode_cbor, encode_cbor};
 pub use client::{CBOR, HttpAnswer, HttpClient, HttpError, HttpRequest, JSON, retry_after};
 pub use endpoint::{Call, Endpoint, ObserveFailure, Reply, endpoint};
+pub use event_stream::{
+    BodyChunk, EventPosition, EventStreamBody, Framing, StreamBreak, StreamEnd,
+};
 pub use salvo::Router;
 pub use send_permit::{PermitOver, PermittedBody, SendPermit};
 pub use serve::{BindError, ServeHandle, bind, serve};
