Test: streams that end inside an event while their framing is complete, known red

The stand-in for workers ends streams inside an event under any framing (chunks, a length, the end of the connection), serves whole streams without framing, and crashes inside an event of an unframed stream. Its streams have a module of their own.

--- a/crates/swiftshunt-lab/src/platform/worker.rs
+++ b/crates/swiftshunt-lab/src/platform/worker.rs
@@ -1,15 +1,15 @@
 //! A stand-in for a worker that speaks the platform's protocol, with injected faults and a record of its runs.
 
-use std::collections::BTreeSet;
+mod streams;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::StreamExt;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
-use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderName, HeaderValue};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use swiftshunt_platform::words::headers;
@@ -17,6 +17,10 @@
 
 use super::server::{Body, BrokenOff, ServerStop, any_port, full_body, serve};
 use crate::stand_in::lock;
+pub use streams::{
+    CutPlace, StreamCut, StreamFraming, event_data, versioned_event_data, versions_in,
+};
+use streams::{StreamRun, stream_answer};
 
 /// How a worker processes the requests that it receives from then on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -43,6 +47,13 @@
     /// event at which it was resumed. Other responses are not affected.
     #[serde(rename = "break_after")]
     TruncateStreamAfter(u64),
+    /// Runs them and ends the bodies of streams inside an event, while their framing is complete. Other responses are
+    /// not affected.
+    #[serde(rename = "end_inside_event")]
+    EndStreamInsideEvent(StreamCut),
+    /// Runs them and sends streams with neither a length nor chunks. Other responses are not affected.
+    #[serde(rename = "unframed")]
+    UnframedStreams,
     /// Does not run them, and responds with 503 and the header which states that.
     Decline,
     /// Runs them and sends a signed response with status 200 and the identifier of another request.
@@ -82,7 +93,8 @@
     pub events: Option<u64>,
     /// Delay before a response that is not streamed, and before each event of a stream.
     pub answer_delay: Duration,
-    /// A request body that crashes the worker: it stops `answer_delay` after such a request began to run.
+    /// A request body that crashes the worker: it stops `answer_delay` after such a request began to run, or inside the
+    /// second event of a stream with neither a length nor chunks.
     pub crash_on_body: Option<String>,
     /// Start time in milliseconds since the Unix epoch, if the worker reports one in the directory.
     pub started_unix_ms: Option<u64>,
@@ -359,9 +371,12 @@
         runs.push(run);
         runs.len() - 1
     };
-    if let Some(body) = &shared.settings.crash_on_body
-        && has_body(request, body).await
-    {
+    let crashes = match &shared.settings.crash_on_body {
+        Some(body) => has_body(request, body).await,
+        None => false,
+    };
+    let crashes_in_stream = crashes && behaviour == WorkerBehaviour::UnframedStreams;
+    if crashes && !crashes_in_stream {
         tokio::time::sleep(shared.settings.answer_delay).await;
         shared.stop.cancel();
         return Err(BrokenOff);
@@ -412,11 +427,16 @@
         };
         return Ok(answer_with(StatusCode::OK, &answer_headers, body));
     };
-    let body = event_stream_body(&shared, slot, index, &id, events, last_event, behaviour);
-    let mut answer = answer_with(StatusCode::OK, &answer_headers, body);
-    let content_type = HeaderValue::from_static("text/event-stream");
-    answer.headers_mut().insert(CONTENT_TYPE, content_type);
-    Ok(answer)
+    let answer = answer_with(StatusCode::OK, &answer_headers, full_body(Bytes::new()));
+    let stream = StreamRun {
+        id: id.clone(),
+        index,
+        last_event,
+        events,
+        behaviour,
+        crashes: crashes_in_stream,
+    };
+    Ok(stream_answer(&shared, slot, stream, answer).await)
 }
 
 /// Whether the request's body equals `expected`.
@@ -433,71 +453,3 @@
     ];
     answer_with(status, &answer_headers, full_body("the worker's own words"))
 }
-
-/// Returns the data of a stream's event. It depends only on its arguments, so that a stream can be resumed at any
-/// worker.
-pub fn event_data(id: &str, event: u64) -> String {
-    format!("{id}-piece-{event}")
-}
-
-/// Separates the data of an event from the software version that made it.
-const VERSION_SEPARATOR: char = '@';
-
-/// Returns the data of an event that a worker of a software version makes.
-pub fn versioned_event_data(id: &str, event: u64, software: Option<&str>) -> String {
-    let data = event_data(id, event);
-    match software {
-        Some(software) => format!("{data}{VERSION_SEPARATOR}{software}"),
-        None => data,
-    }
-}
-
-/// Returns the software versions that made the events of a text, one event a line, without repetitions.
-pub fn versions_in(text: &str) -> BTreeSet<&str> {
-    let versions = text
-        .lines()
-        .filter_map(|line| line.rsplit_once(VERSION_SEPARATOR));
-    versions.map(|(_, version)| version).collect()
-}
-
-fn event_stream_body(
-    shared: &Arc<Shared>,
-    slot: HeldSlot,
-    index: usize,
-    id: &str,
-    events: u64,
-    last_event: Option<u64>,
-    behaviour: WorkerBehaviour,
-) -> Body {
-    let first = last_event.map_or(0, |last| last + 1);
-    let shared = Arc::clone(shared);
-    let id = id.to_owned();
-    // The slot is released after the last event, or when the sender closes the connection.
-    let slot = Arc::new(slot);
-    let frames = futures_util::stream::iter(first..=events).then(move |event| {
-        let shared = Arc::clone(&shared);
-        let id = id.clone();
-        let slot = Arc::clone(&slot);
-        async move {
-            let _held_slot = slot;
-            if let WorkerBehaviour::TruncateStreamAfter(limit) = behaviour
-                && event >= first + limit
-            {
-                // The delay lets the events sent so far reach the sender before the connection is closed.
-                tokio::time::sleep(shared.settings.answer_delay).await;
-                return Err(BrokenOff);
-            }
-            if event == events {
-                lock(&shared.runs)[index].completed = true;
-                return Ok(Frame::data(Bytes::new()));
-            }
-            tokio::time::sleep(shared.settings.answer_delay).await;
-            let data = versioned_event_data(&id, event, shared.settings.software.as_deref());
-            let text = format!("id: {event}\ndata: {data}\n\n");
-            Ok(Frame::data(Bytes::from(text)))
-        }
-    });
-    StreamBody::new(frames)
-        .map_err(|error: BrokenOff| error)
-        .boxed_unsync()
-}
--- /dev/null
+++ b/crates/swiftshunt/tests/gateway_torn_streams.rs
@@ -0,0 +1,160 @@
+//! Answers that break off while their framing is complete, or that have none.
+
+mod gateway;
+
+use gateway::{
+    EVENTS, ExclusiveFleet, assert_all_events, assert_completed, listed_results, start, submit,
+    wait_for_all_results,
+};
+use hyper::StatusCode;
+use std::time::Duration;
+use swiftshunt_http::{HttpAnswer, HttpError};
+use swiftshunt_lab::platform::fleet::{PlatformOptions, STREAM, STREAM_ONCE};
+use swiftshunt_lab::platform::worker::{
+    CutPlace, StreamCut, StreamFraming, WorkerBehaviour, event_data,
+};
+use test_case::test_case;
+
+const DEADLINE: Duration = Duration::from_secs(10);
+
+fn set_behaviour(fleet: &ExclusiveFleet, behaviour: WorkerBehaviour) {
+    for worker in &fleet.engine_workers {
+        worker.set_behaviour(behaviour);
+    }
+}
+
+/// Whether a caller takes the response for a whole stream although events are missing.
+fn looks_complete_and_is_not(answer: &Result<HttpAnswer, HttpError>, id: &str) -> bool {
+    let Ok(answer) = answer else {
+        return false;
+    };
+    let text = String::from_utf8_lossy(&answer.body);
+    let whole: String = (0..EVENTS)
+        .map(|event| format!("id: {event}\ndata: {}\n\n", event_data(id, event)))
+        .collect();
+    answer.status.is_success() && text != whole
+}
+
+#[test_case(STREAM, StreamFraming::ConnectionClose; "resumable without framing")]
+#[test_case(STREAM, StreamFraming::Chunked; "resumable in chunks")]
+#[test_case(STREAM, StreamFraming::Length; "resumable with a length")]
+#[test_case(STREAM_ONCE, StreamFraming::ConnectionClose; "not resumable without framing")]
+#[test_case(STREAM_ONCE, StreamFraming::Chunked; "not resumable in chunks")]
+#[test_case(STREAM_ONCE, StreamFraming::Length; "not resumable with a length")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_ends_inside_an_event_does_not_look_complete(
+    path: &str,
+    framing: StreamFraming,
+) {
+    let fleet = start(PlatformOptions::default()).await;
+    let mut torn = Vec::new();
+    for place in [CutPlace::InsideField, CutPlace::BeforeEmptyLine] {
+        for events in [0, 1] {
+            let cut = StreamCut {
+                events,
+                place,
+                framing,
+            };
+            set_behaviour(&fleet, WorkerBehaviour::EndStreamInsideEvent(cut));
+            let id = format!("torn-{place:?}-{events}");
+            let gateway = fleet.gateways[0].callers;
+            let answer = fleet.caller.ask(gateway, path, &id, DEADLINE).await;
+            assert!(!fleet.runs_of(&id).is_empty(), "{id} did not run");
+            if looks_complete_and_is_not(&answer, &id) {
+                torn.push(id);
+            }
+        }
+    }
+    assert!(torn.is_empty(), "look complete and are not: {torn:?}");
+}
+
+#[test_case(StreamFraming::ConnectionClose; "without framing")]
+#[test_case(StreamFraming::Chunked; "in chunks")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_ends_inside_an_event_is_resumed_at_another_worker(framing: StreamFraming) {
+    let fleet = start(PlatformOptions::default()).await;
+    let cut = StreamCut {
+        events: 3,
+        place: CutPlace::InsideField,
+        framing,
+    };
+    fleet.engine_workers[0].set_behaviour(WorkerBehaviour::EndStreamInsideEvent(cut));
+    for number in 0..12 {
+        let id = format!("s{number}");
+        let gateway = fleet.gateways[number % 2].callers;
+        let answer = fleet.caller.ask(gateway, STREAM, &id, DEADLINE).await;
+        let answer = answer.expect("no complete response");
+        assert_eq!(answer.status, StatusCode::OK, "{id}");
+        assert_all_events(&answer.body, &id, EVENTS);
+    }
+    let resumed = fleet.engine_workers[1].runs();
+    assert!(
+        resumed.iter().any(|run| run.last_event == Some(2)),
+        "no stream was resumed: {resumed:?}"
+    );
+}
+
+#[test_case(StreamFraming::ConnectionClose; "without framing")]
+#[test_case(StreamFraming::Chunked; "in chunks")]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_whose_stream_ends_inside_an_event_is_completed_with_its_whole_text(
+    framing: StreamFraming,
+) {
+    let fleet = start(PlatformOptions::default()).await;
+    let cut = StreamCut {
+        events: 3,
+        place: CutPlace::BeforeEmptyLine,
+        framing,
+    };
+    set_behaviour(&fleet, WorkerBehaviour::EndStreamInsideEvent(cut));
+    let gateway = fleet.gateways[0].callers;
+    submit(&fleet, gateway, "job-1", 4).await;
+    wait_for_all_results(&fleet, gateway, "job-1", 4).await;
+    assert_completed(&listed_results(&fleet, gateway, "job-1").await, "job-1", 4);
+}
+
+#[test_case(STREAM; "resumable")]
+#[test_case(STREAM_ONCE; "not resumable")]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unframed_stream_that_ends_behind_an_event_arrives_whole(path: &str) {
+    let fleet = start(PlatformOptions::default()).await;
+    set_behaviour(&fleet, WorkerBehaviour::UnframedStreams);
+    for number in 0..6 {
+        let id = format!("s{number}");
+        let gateway = fleet.gateways[number % 2].callers;
+        let answer = fleet.caller.ask(gateway, path, &id, DEADLINE).await;
+        let answer = answer.expect("no complete response");
+        assert_eq!(answer.status, StatusCode::OK, "{id}");
+        assert_all_events(&answer.body, &id, EVENTS);
+        assert_eq!(fleet.runs_of(&id).len(), 1, "{id}");
+    }
+}
+
+/// Body of a request that crashes its workers.
+const HARMFUL: &str = "a question that ends its worker";
+/// Number of crashed workers after which a request is quarantined.
+const MAX_CRASHES: usize = 3;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_unframed_streams_end_with_their_workers_is_quarantined() {
+    let fleet = start(PlatformOptions {
+        gateways: 3,
+        workers: 8,
+        crash_workers_on_body: Some(HARMFUL.to_owned()),
+        ..PlatformOptions::default()
+    })
+    .await;
+    set_behaviour(&fleet, WorkerBehaviour::UnframedStreams);
+    for number in 0..8 {
+        let gateway = fleet.gateways[number % 3].callers;
+        let id = format!("harmful-{number}");
+        let answer = fleet
+            .caller
+            .ask_with_body(gateway, STREAM_ONCE, &id, HARMFUL)
+            .await;
+        println!("{id}: {:?}", answer.map(|answer| answer.status));
+    }
+    let crashed = fleet.engine_workers.iter();
+    let crashed = crashed.filter(|worker| worker.has_crashed()).count();
+    assert!(crashed <= MAX_CRASHES, "{crashed} workers crashed");
+}
