Gateway: a stream whose body ends inside an event has broken off, whatever its framing

Batch items were listed as completed with a part of their text.

Cause: "no error of the library" was taken for "complete". A body with neither a length nor chunks ends with its connection, and so does one whose sender crashes: the relay passed the remainder on and ended the caller's answer regularly, the first bytes took an end before any byte for an empty stream, and the item's parser dropped the partial event. Since such a run counted as one that ended well, it also cleared its request in the quarantine. Class: the end of a transport is taken for the end of what it carries.

Change: one place, Answer::check_stream_end, says how a stream ended, from the position in the events, the framing and what is known of the worker; relays, first bytes, resumptions and items ask it. A break is a failed send like any other: resumed where the route allows it, aborted otherwise, told to the quarantine and the slot owner. Bytes of streams that may not be resumed still pass as they arrive. Ends of events are those of the format (also \r\r and mixed), not two byte patterns. Behind an event an unframed stream still ends whole, unless its worker is known to have ended; before any event it is a failed attempt.

Ruled out: an error that the relay loses (chunked streams that fail are aborted or resumed on the code as found). The nodes' engines name the end of a generation in an event, which the node demands.

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -9,7 +9,9 @@
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{HeaderMap, Request, StatusCode};
-use swiftshunt_http::{EventStreamBody, PermitOver, PermittedBody, SendPermit, StreamEnd};
+use swiftshunt_http::{
+    EventStreamBody, PermitOver, PermittedBody, SendPermit, StreamBreak, StreamEnd,
+};
 use swiftshunt_routing::Configuration;
 use swiftshunt_scheduler::eligibility::Withheld;
 use swiftshunt_scheduler::selection::{AttemptOutcome, ChosenWorker, Demand};
@@ -183,18 +185,31 @@
             .return_idle(incarnation, sender, facts.keep_alive, now);
     }
 
-    /// Returns how the stream ended, after its body has ended without an error; logs and counts it.
-    pub(crate) fn stream_end(&self, dispatcher: &Dispatcher, request: &str) -> StreamEnd {
-        let end = self.body.end();
+    /// Checks, after the body of a stream has ended without an error, that the stream did not break off. Logs and counts
+    /// its end.
+    pub(crate) fn check_stream_end(&self, dispatcher: &Dispatcher) -> Result<(), SendFailure> {
+        let incarnation = self.in_flight.chosen.incarnation.as_str();
+        let end = match self.body.end() {
+            StreamEnd::Unconfirmed if dispatcher.quarantine.is_known_ended(incarnation) => {
+                StreamEnd::BrokenOff(StreamBreak::SenderEnded)
+            }
+            end => end,
+        };
         let framing = self.body.framing();
         dispatcher.metrics.record_stream_end(framing, end);
         if end != StreamEnd::Complete {
-            log::info!(request, worker = self.in_flight.chosen.incarnation.as_str(), end:? = end, framing:% = framing,
+            let request = self.facts.request_id.as_deref().unwrap_or("");
+            log::info!(request, worker = incarnation, end:? = end, framing:% = framing,
                 events = self.body.events(), bytes = self.body.received(),
                 waited_ms = self.in_flight.time_at_worker().as_millis() as u64;
                 "the body of a worker's stream ended, which does not show that the stream is complete");
         }
-        end
+        match end {
+            StreamEnd::Complete | StreamEnd::Unconfirmed => Ok(()),
+            StreamEnd::BrokenOff(shown_by) => Err(SendFailure::Broken {
+                reason: format!("the stream is not complete: {shown_by}"),
+            }),
+        }
     }
 
     /// Reads the whole body, up to `limit` bytes.
--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -216,7 +216,7 @@
                 .send(chosen, outgoing, output.last_event, limits)
                 .await;
             match sent {
-                Ok(answer) => self.read_answer(item, answer, output).await,
+                Ok(answer) => self.read_answer(answer, output).await,
                 Err(failure) => {
                     log::debug!(item, failure:% = failure; "an item's send failed");
                     if failure.did_not_run() {
@@ -288,12 +288,7 @@
         })
     }
 
-    async fn read_answer(
-        &self,
-        item: &str,
-        mut answer: Answer,
-        output: &mut ItemOutput,
-    ) -> Attempt {
+    async fn read_answer(&self, mut answer: Answer, output: &mut ItemOutput) -> Attempt {
         let status = answer.head.status;
         if !status.is_success() {
             let attempt = match status.as_u16() {
@@ -311,9 +306,10 @@
             answer.in_flight.set_outcome(AttemptOutcome::Broken);
             return Attempt::BrokenOff;
         }
-        match self.read_events(&mut answer, output).await {
+        let read = self.read_events(&mut answer, output).await;
+        let whole = read.and_then(|()| answer.check_stream_end(&self.dispatcher));
+        match whole {
             Ok(()) => {
-                answer.stream_end(&self.dispatcher, item);
                 answer.finish(&self.dispatcher);
                 Attempt::Whole
             }
@@ -324,7 +320,7 @@
         }
     }
 
-    /// Appends events to the output until the stream has ended completely.
+    /// Appends events to the output until the body of the stream has ended.
     async fn read_events(
         &self,
         answer: &mut Answer,
--- a/crates/swiftshunt-gateway/src/events.rs
+++ b/crates/swiftshunt-gateway/src/events.rs
@@ -1,6 +1,7 @@
 //! Event boundaries in a server-sent event stream that is forwarded unchanged.
 
 use bytes::{Bytes, BytesMut};
+use swiftshunt_http::BodyChunk;
 
 /// Buffers a partial event until the rest of it arrives.
 #[derive(Debug, Default)]
@@ -11,12 +12,15 @@
 
 impl EventFramer {
     /// Adds bytes to the buffer, and returns all complete events in it.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Bytes {
-        self.pending.extend_from_slice(bytes);
-        let Some(end) = end_of_last_event(&self.pending) else {
+    pub(crate) fn push(&mut self, chunk: &BodyChunk) -> Bytes {
+        let Some(end) = chunk.whole_events else {
+            self.pending.extend_from_slice(&chunk.bytes);
             return Bytes::new();
         };
-        let complete = self.pending.split_to(end).freeze();
+        let (whole, partial) = chunk.bytes.split_at(end);
+        self.pending.extend_from_slice(whole);
+        let complete = self.pending.split().freeze();
+        self.pending.extend_from_slice(partial);
         if let Some(id) = last_identifier(&complete) {
             self.last_id = Some(id);
         }
@@ -39,18 +43,9 @@
     }
 }
 
-/// Returns the position behind the last empty line, which ends an event.
-fn end_of_last_event(bytes: &[u8]) -> Option<usize> {
-    let lf_end = bytes.windows(2).rposition(|pair| pair == b"\n\n");
-    let crlf_end = bytes.windows(4).rposition(|window| window == b"\r\n\r\n");
-    let lf_end = lf_end.map(|at| at + 2);
-    let crlf_end = crlf_end.map(|at| at + 4);
-    lf_end.max(crlf_end)
-}
-
 /// Returns the value of the last `id:` field.
 fn last_identifier(bytes: &[u8]) -> Option<u64> {
-    let lines = bytes.split(|byte| *byte == b'\n');
+    let lines = bytes.split(|byte| matches!(byte, b'\n' | b'\r'));
     let value = lines.rev().find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -362,7 +362,7 @@
         context: &mut RequestContext,
         mut answer: Answer,
     ) -> Option<CallerAnswer> {
-        let first = relay::first_bytes(&self.dispatcher, context, &mut answer).await;
+        let first = relay::first_chunk(&self.dispatcher, context, &mut answer).await;
         match first {
             Ok(first) => {
                 self.record_origin(context, &answer);
--- a/crates/swiftshunt-gateway/src/quarantine/worker_ends.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/worker_ends.rs
@@ -89,6 +89,15 @@
         })
     }
 
+    /// Returns whether a recent check found that the worker has ended.
+    pub(crate) fn is_known_ended(&self, incarnation: &str) -> bool {
+        let now = self.clock.now();
+        match lock(&self.checks).get(incarnation) {
+            Some(Check::Ended(at)) => now < *at + ENDED_CHECK_TTL,
+            Some(Check::UnderWay(_)) | None => false,
+        }
+    }
+
     /// Records a failure, and returns whether requests fail at so many workers that the cause is likely to be this
     /// gateway.
     fn is_local_fault(&self, chosen: &ChosenWorker) -> bool {
--- a/crates/swiftshunt-gateway/src/relay.rs
+++ b/crates/swiftshunt-gateway/src/relay.rs
@@ -20,24 +20,23 @@
 /// Interval between two checks of a worker whose stream is silent.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-enum StreamChunk {
+/// What is read next of a worker's stream.
+pub(crate) enum StreamChunk {
     Bytes(BodyChunk),
+    /// The regular end of the stream.
     End,
 }
 
-/// Waits for the first bytes of a stream's body.
-pub(crate) async fn first_bytes(
+/// Waits for the first bytes of a stream's body, or its end.
+pub(crate) async fn first_chunk(
     dispatcher: &Dispatcher,
     context: &RequestContext,
     answer: &mut Answer,
-) -> Result<Bytes, SendFailure> {
+) -> Result<StreamChunk, SendFailure> {
     let may_resume = context.route.resumable && context.runs + 1 < context.route.max_attempts;
     let prefill = answer.in_flight.chosen.expected_prefill;
     let silence = may_resume.then(|| context.silence_limit() + prefill);
-    match read_chunk(dispatcher, answer, context.deadline, silence).await? {
-        StreamChunk::Bytes(chunk) => Ok(chunk.bytes),
-        StreamChunk::End => Ok(Bytes::new()),
-    }
+    read_chunk(dispatcher, answer, context.deadline, silence).await
 }
 
 /// Records the failure of a stream as the outcome of the attempt at its worker.
@@ -49,8 +48,8 @@
     });
 }
 
-/// Waits for the next bytes of a stream. Fails at `deadline`, and once both the stream and its worker have been
-/// silent for `silence`.
+/// Waits for the next bytes of a stream, or its end. Fails if the stream breaks off, at `deadline`, and once both the
+/// stream and its worker have been silent for `silence`.
 async fn read_chunk(
     dispatcher: &Dispatcher,
     answer: &mut Answer,
@@ -84,7 +83,10 @@
             continue;
         };
         match chunk {
-            None => return Ok(StreamChunk::End),
+            None => {
+                answer.check_stream_end(dispatcher)?;
+                return Ok(StreamChunk::End);
+            }
             Some(Err(error)) => {
                 return Err(SendFailure::Broken {
                     reason: error.to_string(),
@@ -104,7 +106,7 @@
     dispatcher: Arc<Dispatcher>,
     resume: Option<Resume>,
     answer: Option<Answer>,
-    first: Option<Bytes>,
+    first: Option<StreamChunk>,
     deadline: Duration,
     id: String,
     pauses: StreamPauses,
@@ -127,7 +129,7 @@
     dispatcher: Arc<Dispatcher>,
     context: &mut RequestContext,
     answer: Answer,
-    first: Bytes,
+    first: StreamChunk,
 ) -> AnswerBody {
     let id = context.outgoing.id.clone().unwrap_or_default();
     let origin = answer.in_flight.chosen.origin();
@@ -172,16 +174,13 @@
             let resumable = self.resume.as_ref().filter(|resume| resume.runs_left > 0);
             let silence = resumable.map(|resume| resume.silence);
             let chunk = match self.first.take() {
-                Some(first) => Ok(StreamChunk::Bytes(BodyChunk {
-                    whole_events: None,
-                    bytes: first,
-                })),
+                Some(first) => Ok(first),
                 None => read_chunk(&self.dispatcher, answer, self.deadline, silence).await,
             };
             match chunk {
                 Ok(StreamChunk::Bytes(chunk)) => {
                     let complete = match &mut self.resume {
-                        Some(resume) => resume.framer.push(&chunk.bytes),
+                        Some(resume) => resume.framer.push(&chunk),
                         None => chunk.bytes,
                     };
                     if !complete.is_empty() {
@@ -191,7 +190,6 @@
                 }
                 Ok(StreamChunk::End) => {
                     if let Some(answer) = self.answer.take() {
-                        answer.stream_end(&self.dispatcher, &self.id);
                         self.log_pauses(&answer);
                         answer.finish(&self.dispatcher);
                     }
