Gateway: the length that a worker states for a stream is not forwarded

What callers saw: a stream that its worker cut inside an event, with exactly the length that it had stated, was complete by its length although the gateway aborted it behind the last byte. One that was resumed would have had more bytes than its length.

Cause: the length is a matter of the worker's connection, as chunks are, and passed to the caller with the other headers. Whole answers drop it already. Streams are sent in chunks now.

--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -372,6 +372,8 @@
                 let mut forwarded = Response::new(body);
                 *forwarded.status_mut() = head.status;
                 *forwarded.headers_mut() = end_to_end_headers(&head.headers);
+                // A stream that breaks off or is resumed has another length than the worker's answer states.
+                forwarded.headers_mut().remove(CONTENT_LENGTH);
                 Some(forwarded)
             }
             Err(failure) => {
