Gateway: an answer that breaks off is reset at a caller that knows no chunks

Where the gateway aborted it, the connection was closed regularly, which has the bytes of a whole answer.

Change: the connection of such a caller is closed by a reset if it fails. Callers of HTTP/1.1, also those that ask for a close, get chunks; a test shows that theirs lack the last one.

--- a/crates/swiftshunt-gateway/src/server.rs
+++ b/crates/swiftshunt-gateway/src/server.rs
@@ -4,13 +4,14 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, StatusCode};
+use hyper::{Request, StatusCode, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
@@ -114,9 +115,12 @@
         .unwrap_or_default();
     let draining = stop.draining.clone();
     let closing = stop.closing.clone();
+    let lacks_chunks = Arc::new(AtomicBool::new(false));
+    let caller_lacks_chunks = Arc::clone(&lacks_chunks);
     let service = service_fn(move |request: Request<Incoming>| {
         let online = Arc::clone(&online);
         let draining = draining.clone();
+        lacks_chunks.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
         // A request that arrives in the closing stage might not end within the grace period.
         let is_closing = closing.is_cancelled();
         async move {
@@ -142,20 +146,30 @@
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), service);
     async move {
-        let mut connection = std::pin::pin!(connection);
+        let mut connection = connection;
         let outcome = tokio::select! {
-            outcome = connection.as_mut() => outcome,
+            outcome = &mut connection => outcome,
             () = stop.closing.cancelled(), if !accepted_while_closing => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
+                Pin::new(&mut connection).graceful_shutdown();
+                (&mut connection).await
             }
         };
         if let Err(error) = outcome {
             log::debug!("connection of a caller failed: {error}");
+            if caller_lacks_chunks.load(Ordering::Relaxed) {
+                reset(connection.into_parts().io.into_inner());
+            }
         }
     }
 }
 
+/// Closes a connection by a reset. To a caller that knows no chunks, a regular close would complete the answer.
+fn reset(stream: TcpStream) {
+    if let Err(error) = SockRef::from(&stream).set_linger(Some(Duration::ZERO)) {
+        log::warn!("cannot reset the connection of a caller whose answer broke off: {error}");
+    }
+}
+
 /// Serves the calls of other gateways until the process ends: calls about jobs, relayed calls to the log, and reads
 /// of the log's tails.
 pub(crate) async fn serve_peers(
--- a/crates/swiftshunt/tests/gateway_torn_streams.rs
+++ b/crates/swiftshunt/tests/gateway_torn_streams.rs
@@ -6,14 +6,20 @@
     EVENTS, ExclusiveFleet, assert_all_events, assert_completed, listed_results, start, submit,
     wait_for_all_results,
 };
-use hyper::StatusCode;
+use std::net::SocketAddr;
 use std::time::Duration;
+
+use hyper::StatusCode;
 use swiftshunt_http::{HttpAnswer, HttpError};
+use swiftshunt_lab::platform::caller::HOST;
 use swiftshunt_lab::platform::fleet::{PlatformOptions, STREAM, STREAM_ONCE};
 use swiftshunt_lab::platform::worker::{
     CutPlace, StreamCut, StreamFraming, WorkerBehaviour, event_data,
 };
+use swiftshunt_platform::words::headers;
 use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 const DEADLINE: Duration = Duration::from_secs(10);
 
@@ -158,3 +164,52 @@
     let crashed = crashed.filter(|worker| worker.has_crashed()).count();
     assert!(crashed <= MAX_CRASHES, "{crashed} workers crashed");
 }
+
+/// Sends a request of this HTTP version that asks for the connection to be closed, and reads until it ends. The error is
+/// that of the connection.
+async fn read_until_closed(
+    gateway: SocketAddr,
+    path: &str,
+    id: &str,
+    version: &str,
+) -> (String, std::io::Result<()>) {
+    let mut connection = TcpStream::connect(gateway).await.expect("no connection");
+    let request = format!(
+        "POST {path} HTTP/{version}\r\nhost: {HOST}\r\n{}: {id}\r\n{}: 8000\r\ncontent-length: 1\r\n\
+         connection: close\r\n\r\n?",
+        headers::REQUEST_ID,
+        headers::DEADLINE
+    );
+    let sent = connection.write_all(request.as_bytes()).await;
+    sent.expect("the request was not sent");
+    let mut bytes = Vec::new();
+    let read = tokio::time::timeout(DEADLINE, connection.read_to_end(&mut bytes)).await;
+    let read = read.expect("the connection stays open");
+    (
+        String::from_utf8_lossy(&bytes).into_owned(),
+        read.map(|_| ()),
+    )
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_breaks_off_does_not_look_complete_to_a_caller_without_chunks() {
+    let fleet = start(PlatformOptions::default()).await;
+    let gateway = fleet.gateways[0].callers;
+    let (whole, ended) = read_until_closed(gateway, STREAM_ONCE, "whole", "1.0").await;
+    assert!(ended.is_ok(), "{ended:?}");
+    assert!(whole.contains(&event_data("whole", EVENTS - 1)), "{whole}");
+    set_behaviour(&fleet, WorkerBehaviour::TruncateStreamAfter(3));
+    let (broken, ended) = read_until_closed(gateway, STREAM_ONCE, "broken", "1.0").await;
+    assert!(broken.contains(&event_data("broken", 2)), "{broken}");
+    assert!(ended.is_err(), "ends regularly: {broken}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_breaks_off_has_no_last_chunk_for_a_caller_that_asks_for_a_close() {
+    let fleet = start(PlatformOptions::default()).await;
+    set_behaviour(&fleet, WorkerBehaviour::TruncateStreamAfter(3));
+    let gateway = fleet.gateways[0].callers;
+    let (broken, _) = read_until_closed(gateway, STREAM_ONCE, "broken", "1.1").await;
+    assert!(broken.contains(&event_data("broken", 2)), "{broken}");
+    assert!(!broken.ends_with("0\r\n\r\n"), "{broken}");
+}
