Gateway: an unframed stream is complete only if its worker takes a new connection right after it

Change: the gateway replaces the connection that ended with the stream, which the next request to that worker needs anyway. A worker that refuses has ended with its stream, which is then resumed or aborted. One that is draining, unlisted or does not answer shows nothing, and the stream passes as whole, as before: a planned stop may end the process right behind its last answer. A run clears its request only if its end is confirmed; where ends are recorded for it, whole answers are confirmed by a probe.

Weighed: a probe of its own for each unframed stream (a connection that nobody uses); a look at idle connections of the pool (they close in any order within the same moment); the quarantine's last check alone (the check begins with a break, and here there is none).

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -10,10 +10,10 @@
 use hyper::http::response;
 use hyper::{HeaderMap, Request, StatusCode};
 use swiftshunt_http::{
-    EventStreamBody, PermitOver, PermittedBody, SendPermit, StreamBreak, StreamEnd,
+    EventStreamBody, Framing, PermitOver, PermittedBody, SendPermit, StreamBreak, StreamEnd,
 };
 use swiftshunt_routing::Configuration;
-use swiftshunt_scheduler::eligibility::Withheld;
+use swiftshunt_scheduler::eligibility::{OfferScope, Withheld};
 use swiftshunt_scheduler::selection::{AttemptOutcome, ChosenWorker, Demand};
 use swiftshunt_types::OutputOrigin;
 
@@ -151,6 +151,8 @@
     pub(crate) facts: AnswerFacts,
     pub(crate) body: EventStreamBody,
     pub(crate) in_flight: InFlight,
+    /// Whether the end of the body shows that the answer is complete, as far as it was read.
+    is_confirmed: bool,
     sender: Sender,
 }
 
@@ -169,14 +171,18 @@
             head,
             facts,
             mut in_flight,
+            is_confirmed,
             sender,
             ..
         } = self;
         in_flight.set_outcome(outcome_by_status(head.status));
         if head.status.is_success() {
-            dispatcher
-                .quarantine
-                .record_success(&in_flight.request_content);
+            let (quarantine, content) = (&dispatcher.quarantine, &in_flight.request_content);
+            if is_confirmed {
+                quarantine.record_success(content);
+            } else {
+                quarantine.confirm_success(content, &in_flight.chosen);
+            }
         }
         let now = dispatcher.clock.now();
         let incarnation = &in_flight.chosen.incarnation;
@@ -187,20 +193,21 @@
 
     /// Checks, after the body of a stream has ended without an error, that the stream did not break off. Logs and counts
     /// its end.
-    pub(crate) fn check_stream_end(&self, dispatcher: &Dispatcher) -> Result<(), SendFailure> {
-        let incarnation = self.in_flight.chosen.incarnation.as_str();
+    pub(crate) async fn check_stream_end(
+        &mut self,
+        dispatcher: &Dispatcher,
+    ) -> Result<(), SendFailure> {
         let end = match self.body.end() {
-            StreamEnd::Unconfirmed if dispatcher.quarantine.is_known_ended(incarnation) => {
-                StreamEnd::BrokenOff(StreamBreak::SenderEnded)
-            }
+            StreamEnd::Unconfirmed => dispatcher.confirm_end(&self.in_flight.chosen).await,
             end => end,
         };
+        self.is_confirmed = end == StreamEnd::Complete;
         let framing = self.body.framing();
         dispatcher.metrics.record_stream_end(framing, end);
         if end != StreamEnd::Complete {
             let request = self.facts.request_id.as_deref().unwrap_or("");
-            log::info!(request, worker = incarnation, end:? = end, framing:% = framing,
-                events = self.body.events(), bytes = self.body.received(),
+            log::info!(request, worker = self.in_flight.chosen.incarnation.as_str(), end:? = end,
+                framing:% = framing, events = self.body.events(), bytes = self.body.received(),
                 waited_ms = self.in_flight.time_at_worker().as_millis() as u64;
                 "the body of a worker's stream ended, which does not show that the stream is complete");
         }
@@ -283,6 +290,7 @@
         }
         let body = EventStreamBody::new(&head.headers, body, last_event.is_some());
         Ok(Answer {
+            is_confirmed: body.framing() != Framing::ConnectionClose,
             head,
             facts,
             body,
@@ -291,6 +299,30 @@
         })
     }
 
+    /// Returns how a stream ended that ended with its connection, behind an event. The connection is replaced, which the
+    /// next request to the worker needs anyway, and a worker that refuses has ended together with the stream. One that
+    /// is to get no requests may be leaving as planned, right behind its last answer.
+    async fn confirm_end(&self, chosen: &ChosenWorker) -> StreamEnd {
+        let scope = OfferScope::default();
+        let offered = self
+            .fleet_state
+            .selector()
+            .may_offer(&chosen.incarnation, &scope);
+        if offered.is_err() {
+            return StreamEnd::Unconfirmed;
+        }
+        match self.upstream.connect(chosen.address).await {
+            Ok(sender) => {
+                let now = self.clock.now();
+                self.upstream
+                    .return_idle(&chosen.incarnation, sender, None, now);
+                StreamEnd::Complete
+            }
+            Err(error) if error.is_refused => StreamEnd::BrokenOff(StreamBreak::SenderEnded),
+            Err(_) => StreamEnd::Unconfirmed,
+        }
+    }
+
     /// Returns a failure if the worker declined the request or the answer belongs to another request.
     fn refuse_answer(
         &self,
--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -307,7 +307,10 @@
             return Attempt::BrokenOff;
         }
         let read = self.read_events(&mut answer, output).await;
-        let whole = read.and_then(|()| answer.check_stream_end(&self.dispatcher));
+        let whole = match read {
+            Ok(()) => answer.check_stream_end(&self.dispatcher).await,
+            Err(failure) => Err(failure),
+        };
         match whole {
             Ok(()) => {
                 answer.finish(&self.dispatcher);
--- a/crates/swiftshunt-gateway/src/quarantine/worker_ends.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/worker_ends.rs
@@ -81,6 +81,30 @@
         }
     }
 
+    /// Records that a run of a request succeeded whose answer ended with its connection, if ends are recorded for the
+    /// request and the worker still takes connections.
+    pub(crate) fn confirm_success(
+        self: &Arc<Self>,
+        request_content: &RequestContent,
+        chosen: &ChosenWorker,
+    ) {
+        let has_ends = {
+            let table = lock(&self.table);
+            !table.is_empty() && table.has_ends(&request_content.fingerprint())
+        };
+        if !has_ends {
+            return;
+        }
+        let quarantine = Arc::clone(self);
+        let request_content = request_content.clone();
+        let address = chosen.address;
+        tokio::spawn(async move {
+            if probe_connection(address).await == Sight::Takes {
+                quarantine.record_success(&request_content);
+            }
+        });
+    }
+
     /// Returns whether a worker at which the request broke off is being checked.
     pub(super) fn is_being_checked(&self, fingerprint: &Fingerprint) -> bool {
         lock(&self.checks).values().any(|check| match check {
@@ -89,15 +113,6 @@
         })
     }
 
-    /// Returns whether a recent check found that the worker has ended.
-    pub(crate) fn is_known_ended(&self, incarnation: &str) -> bool {
-        let now = self.clock.now();
-        match lock(&self.checks).get(incarnation) {
-            Some(Check::Ended(at)) => now < *at + ENDED_CHECK_TTL,
-            Some(Check::UnderWay(_)) | None => false,
-        }
-    }
-
     /// Records a failure, and returns whether requests fail at so many workers that the cause is likely to be this
     /// gateway.
     fn is_local_fault(&self, chosen: &ChosenWorker) -> bool {
--- a/crates/swiftshunt-gateway/src/relay.rs
+++ b/crates/swiftshunt-gateway/src/relay.rs
@@ -84,7 +84,7 @@
         };
         match chunk {
             None => {
-                answer.check_stream_end(dispatcher)?;
+                answer.check_stream_end(dispatcher).await?;
                 return Ok(StreamChunk::End);
             }
             Some(Err(error)) => {
--- a/crates/swiftshunt-gateway/src/upstream.rs
+++ b/crates/swiftshunt-gateway/src/upstream.rs
@@ -1,6 +1,7 @@
 //! Connections to workers: opening, a pool of idle ones, and their removal when they time out or fail.
 
 use std::collections::{HashMap, VecDeque};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -40,6 +41,8 @@
 pub(crate) struct ConnectError {
     pub(crate) address: SocketAddr,
     pub(crate) reason: String,
+    /// Whether the address refuses connections, as that of a process that has ended does.
+    pub(crate) is_refused: bool,
 }
 
 struct IdleConnection {
@@ -124,11 +127,18 @@
 
     /// Opens a connection.
     pub(crate) async fn connect(&self, address: SocketAddr) -> Result<Sender, ConnectError> {
-        let failed = |reason: String| ConnectError { address, reason };
+        let failed = |reason: String| ConnectError {
+            address,
+            reason,
+            is_refused: false,
+        };
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = match stream {
             Err(_) => return Err(failed("timed out".to_owned())),
-            Ok(stream) => stream.map_err(|error| failed(error.to_string()))?,
+            Ok(stream) => stream.map_err(|error| ConnectError {
+                is_refused: error.kind() == ErrorKind::ConnectionRefused,
+                ..failed(error.to_string())
+            })?,
         };
         set_socket_options(&stream);
         let handshake = http1::Builder::new()
--- a/crates/swiftshunt-scheduler/src/quarantine/table.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/table.rs
@@ -130,6 +130,11 @@
         self.requests.is_empty()
     }
 
+    /// Returns whether an end is known for a request.
+    pub fn has_ends(&self, request: &Fingerprint) -> bool {
+        self.requests.contains_key(request)
+    }
+
     /// Returns the number of requests for which an end is known.
     pub fn len(&self) -> usize {
         self.requests.len()
--- a/crates/swiftshunt/tests/gateway_torn_streams.rs
+++ b/crates/swiftshunt/tests/gateway_torn_streams.rs
@@ -12,7 +12,7 @@
 use hyper::StatusCode;
 use swiftshunt_http::{HttpAnswer, HttpError};
 use swiftshunt_lab::platform::caller::HOST;
-use swiftshunt_lab::platform::fleet::{PlatformOptions, STREAM, STREAM_ONCE};
+use swiftshunt_lab::platform::fleet::{PlatformOptions, STREAM, STREAM_ONCE, eventually};
 use swiftshunt_lab::platform::worker::{
     CutPlace, StreamCut, StreamFraming, WorkerBehaviour, event_data,
 };
@@ -213,3 +213,29 @@
     assert!(broken.contains(&event_data("broken", 2)), "{broken}");
     assert!(!broken.ends_with("0\r\n\r\n"), "{broken}");
 }
+
+#[test_case(STREAM; "resumable")]
+#[test_case(STREAM_ONCE; "not resumable")]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unframed_stream_whose_worker_ends_behind_an_event_does_not_look_complete(path: &str) {
+    let fleet = start(PlatformOptions {
+        workers: 4,
+        event_interval: Duration::from_millis(50),
+        ..PlatformOptions::default()
+    })
+    .await;
+    set_behaviour(&fleet, WorkerBehaviour::UnframedStreams);
+    for number in 0..3 {
+        let id = format!("s{number}");
+        let gateway = fleet.gateways[number % 2].callers;
+        let crash = async {
+            let running = || fleet.engine_workers.iter().find(|one| one.running() > 0);
+            eventually("the stream runs", || async { running().is_some() }).await;
+            // Some events have been sent by then, and some have not.
+            tokio::time::sleep(Duration::from_millis(175)).await;
+            running().expect("the stream ended too early").crash();
+        };
+        let (answer, ()) = tokio::join!(fleet.caller.ask(gateway, path, &id, DEADLINE), crash);
+        assert!(!looks_complete_and_is_not(&answer, &id), "{answer:?}");
+    }
+}
