Soak: workers end streams inside an event, and serve streams without framing

The ways in which an engine's streams break off take turns: inside an event with the end of the connection or the last chunk, between two events with an error, and whole streams that end with their connection. The draws of a plan stay in their order. The history compares each answer and item with its whole body, so a torn one breaks a promise.

--- a/crates/swiftshunt-lab/src/soak/plan.rs
+++ b/crates/swiftshunt-lab/src/soak/plan.rs
@@ -9,7 +9,7 @@
 
 use crate::platform::caller::ITEM_TOKENS;
 use crate::platform::store::{StoreFaults, StoreOutage};
-use crate::platform::worker::WorkerBehaviour;
+use crate::platform::worker::{CutPlace, StreamCut, StreamFraming, WorkerBehaviour};
 use crate::proxy::Fault;
 
 /// Time without faults at the start of a round, in which the gateways discover each other.
@@ -440,13 +440,12 @@
 }
 
 fn draw_manner(service: Service, random: &mut StdRng) -> WorkerBehaviour {
-    let delayed =
-        WorkerBehaviour::DelayAnswer(Duration::from_millis(random.random_range(50..2_500)));
-    let truncated = WorkerBehaviour::TruncateStreamAfter(random.random_range(0..6));
+    let delay_ms = random.random_range(50..2_500);
+    let stream_break = stream_break(random.random_range(0..6), delay_ms);
     let common = [
         WorkerBehaviour::Hang,
         WorkerBehaviour::HangEverySecond,
-        delayed,
+        WorkerBehaviour::DelayAnswer(Duration::from_millis(delay_ms)),
         WorkerBehaviour::CloseWithoutAnswer,
         WorkerBehaviour::Decline,
         WorkerBehaviour::AnswerOtherRequestId,
@@ -455,12 +454,30 @@
     ];
     match service {
         // Engine workers never fail an item, so a gateway that gives one up before its time-out is at fault.
-        Service::Engine if random.random_bool(0.3) => truncated,
+        Service::Engine if random.random_bool(0.3) => stream_break,
         Service::Whole if random.random_bool(0.2) => WorkerBehaviour::Fail,
         _ => *common.choose(random).unwrap_or(&WorkerBehaviour::Hang),
     }
 }
 
+/// Returns a way in which streams break off after `events` events, or end with their connection.
+fn stream_break(events: u64, variant: u64) -> WorkerBehaviour {
+    let cut = |place, framing| {
+        WorkerBehaviour::EndStreamInsideEvent(StreamCut {
+            events,
+            place,
+            framing,
+        })
+    };
+    match variant % 5 {
+        0 => cut(CutPlace::InsideField, StreamFraming::ConnectionClose),
+        1 => cut(CutPlace::BeforeEmptyLine, StreamFraming::ConnectionClose),
+        2 => cut(CutPlace::InsideField, StreamFraming::Chunked),
+        3 => WorkerBehaviour::UnframedStreams,
+        _ => WorkerBehaviour::TruncateStreamAfter(events),
+    }
+}
+
 fn draw_store_faults(random: &mut StdRng) -> StoreFaults {
     let mut faults = StoreFaults::default();
     match random.random_range(0..6) {
