Test: requests that share a part of their prompts and end worker after worker, known red

The stand-in for workers ends inside the second event of a stream whose request names a part (not the last), with chunks and without framing, and is replaced after 2 s; callers send such requests, alike in nothing else, and sound ones that share their first part.

--- a/crates/swiftshunt-lab/src/platform/caller.rs
+++ b/crates/swiftshunt-lab/src/platform/caller.rs
@@ -222,16 +222,25 @@
         path: &str,
         id: &str,
         parts: &[(u64, u32)],
+    ) -> Result<HttpAnswer, HttpError> {
+        self.ask_with_prompt_and_body(gateway, path, id, parts, "a question")
+            .await
+    }
+
+    /// Sends a request with the given body whose prompt consists of `parts`, as [`Self::ask_with_parts`] does.
+    pub async fn ask_with_prompt_and_body(
+        &self,
+        gateway: SocketAddr,
+        path: &str,
+        id: &str,
+        parts: &[(u64, u32)],
+        body: &str,
     ) -> Result<HttpAnswer, HttpError> {
         let tokens: u32 = parts.iter().map(|(_, tokens)| tokens).sum();
-        let part_texts: Vec<String> = parts
-            .iter()
-            .map(|(part, tokens)| format!("{part:x}:{tokens}"))
-            .collect();
         let request = self
-            .text_request(gateway, path, id, CALL_TIMEOUT)
+            .text_request_with_body(gateway, path, id, CALL_TIMEOUT, body)
             .with_header(headers::TOKENS, format!("{tokens},10"))
-            .with_header(headers::PROMPT, part_texts.join(","));
+            .with_header(headers::PROMPT, prompt_text(parts));
         self.client.exchange(request, CALL_TIMEOUT).await
     }
 
@@ -267,10 +276,22 @@
         job: &str,
         bodies: impl Iterator<Item = String>,
     ) -> Result<StatusCode, HttpError> {
-        let items = bodies.enumerate().map(|(item, body)| ItemDocument {
+        let items = bodies.map(|body| (body, Vec::new()));
+        self.submit_prompts(gateway, path, job, items).await
+    }
+
+    /// Submits a batch job with one item for each body and the parts of its prompt, which may be empty.
+    pub async fn submit_prompts(
+        &self,
+        gateway: SocketAddr,
+        path: &str,
+        job: &str,
+        items: impl Iterator<Item = (String, Vec<(u64, u32)>)>,
+    ) -> Result<StatusCode, HttpError> {
+        let items = items.enumerate().map(|(item, (body, parts))| ItemDocument {
             id: item_id(job, item),
             path: format!("{path}{item}"),
-            headers: BTreeMap::new(),
+            headers: prompt_headers(&parts),
             body: STANDARD.encode(body),
             tokens: ITEM_TOKENS as f64,
         });
@@ -357,6 +378,21 @@
     }
 }
 
+/// Returns the value of the header that names the parts of a prompt.
+fn prompt_text(parts: &[(u64, u32)]) -> String {
+    let part_texts: Vec<String> = parts
+        .iter()
+        .map(|(part, tokens)| format!("{part:x}:{tokens}"))
+        .collect();
+    part_texts.join(",")
+}
+
+/// Returns the headers of an item with this prompt.
+fn prompt_headers(parts: &[(u64, u32)]) -> BTreeMap<String, String> {
+    let prompt = (!parts.is_empty()).then(|| (headers::PROMPT.to_owned(), prompt_text(parts)));
+    prompt.into_iter().collect()
+}
+
 /// Identifier of the item with index `item` in a job.
 pub fn item_id(job: &str, item: usize) -> String {
     format!("{job}-item-{item}")
--- a/crates/swiftshunt-lab/src/platform/fleet.rs
+++ b/crates/swiftshunt-lab/src/platform/fleet.rs
@@ -94,6 +94,8 @@
     pub whole_workers: Vec<Worker>,
     /// Workers of the service `engine`, whose responses are streamed.
     pub engine_workers: Vec<Worker>,
+    /// Workers that others have replaced.
+    pub replaced_workers: Vec<Worker>,
     /// The gateways by index; the index is part of their names.
     pub gateways: Vec<RunningGateway>,
     /// A caller without an API key.
@@ -131,6 +133,8 @@
     pub extra_directory_settings: String,
     /// A request body that crashes each worker that begins to run it.
     pub crash_workers_on_body: Option<String>,
+    /// A part of prompts that crashes each worker that streams the answer to a request with it.
+    pub crash_workers_on_prompt_part: Option<u64>,
     /// Whether workers report their start times in the directory, which tells a restarted worker from its
     /// predecessor under the same identifier.
     pub report_start_times: bool,
@@ -160,6 +164,7 @@
             extra_settings: String::new(),
             extra_directory_settings: String::new(),
             crash_workers_on_body: None,
+            crash_workers_on_prompt_part: None,
             report_start_times: false,
             zone_layout: ZoneLayout::default(),
             programs: Vec::new(),
@@ -189,6 +194,7 @@
                 events,
                 answer_delay,
                 crash_on_body: options.crash_workers_on_body.clone(),
+                crash_on_prompt_part: options.crash_workers_on_prompt_part,
                 started_unix_ms: options.report_start_times.then(unix_ms),
                 zone: options.zone_layout.zone(index).to_owned(),
                 software: software_at(&options.software, index),
@@ -205,6 +211,7 @@
             store,
             whole_workers,
             engine_workers,
+            replaced_workers: Vec::new(),
             gateways: Vec::new(),
             caller: PlatformCaller::default(),
             programs: options.programs,
@@ -416,6 +423,7 @@
             events: None,
             answer_delay: PlatformOptions::default().answer_delay,
             crash_on_body: None,
+            crash_on_prompt_part: None,
             started_unix_ms: None,
             zone: self.zone_layout.zone(0).to_owned(),
             software: None,
@@ -463,6 +471,27 @@
         Ok(())
     }
 
+    /// Starts a worker of the service `engine` in place of one that has crashed, at its address and with its behaviour, and
+    /// lists it instead. The runs of the crashed one are kept.
+    pub async fn replace_engine_worker(
+        &mut self,
+        index: usize,
+        incarnation: &str,
+    ) -> std::io::Result<()> {
+        let old = &self.engine_workers[index];
+        let settings = WorkerSettings {
+            incarnation: incarnation.to_owned(),
+            ..old.settings().clone()
+        };
+        let worker = start_worker_at(old.address, settings).await?;
+        worker.set_behaviour(old.behaviour());
+        self.unlist(old);
+        self.list(&worker, "engine", values::READY);
+        let old = std::mem::replace(&mut self.engine_workers[index], worker);
+        self.replaced_workers.push(old);
+        Ok(())
+    }
+
     /// Removes a worker from the directory.
     pub fn unlist(&self, worker: &Worker) {
         let nothing = bytes::Bytes::new();
@@ -472,9 +501,16 @@
 
     /// Returns the runs of a request at all workers.
     pub fn runs_of(&self, id: &str) -> Vec<super::worker::Run> {
+        let mut runs = self.runs();
+        runs.retain(|run| run.id == id);
+        runs
+    }
+
+    /// Returns the runs at all workers.
+    pub fn runs(&self) -> Vec<super::worker::Run> {
         let workers = self.whole_workers.iter().chain(&self.engine_workers);
-        let runs = workers.flat_map(Worker::runs);
-        runs.filter(|run| run.id == id).collect()
+        let workers = workers.chain(&self.replaced_workers);
+        workers.flat_map(Worker::runs).collect()
     }
 
     /// Directory of the gateways' settings and log files.
--- a/crates/swiftshunt-lab/src/platform/process.rs
+++ b/crates/swiftshunt-lab/src/platform/process.rs
@@ -91,6 +91,7 @@
         events: arguments.events,
         answer_delay: Duration::from_millis(arguments.pause_ms),
         crash_on_body: None,
+        crash_on_prompt_part: None,
         started_unix_ms: None,
         zone: "zone-a".to_owned(),
         software: None,
--- a/crates/swiftshunt-lab/src/platform/worker.rs
+++ b/crates/swiftshunt-lab/src/platform/worker.rs
@@ -96,6 +96,9 @@
     /// A request body that crashes the worker: it stops `answer_delay` after such a request began to run, or inside the
     /// second event of a stream with neither a length nor chunks.
     pub crash_on_body: Option<String>,
+    /// A part of prompts, except the last, that crashes the worker: it stops inside the second event of a stream whose
+    /// request names the part.
+    pub crash_on_prompt_part: Option<u64>,
     /// Start time in milliseconds since the Unix epoch, if the worker reports one in the directory.
     pub started_unix_ms: Option<u64>,
     /// Name of the worker's zone.
@@ -238,6 +241,11 @@
         *lock(&self.shared.behaviour) = behaviour;
     }
 
+    /// Returns the behaviour that was set last.
+    pub fn behaviour(&self) -> WorkerBehaviour {
+        *lock(&self.shared.behaviour)
+    }
+
     /// Returns the runs so far, in the order in which they began.
     pub fn runs(&self) -> Vec<Run> {
         lock(&self.shared.runs).clone()
@@ -371,6 +379,8 @@
         runs.push(run);
         runs.len() - 1
     };
+    let has_part = |part| shares_prompt_part(request.headers(), part);
+    let crashes_on_part = shared.settings.crash_on_prompt_part.is_some_and(has_part);
     let crashes = match &shared.settings.crash_on_body {
         Some(body) => has_body(request, body).await,
         None => false,
@@ -434,11 +444,19 @@
         last_event,
         events,
         behaviour,
-        crashes: crashes_in_stream,
+        crashes: crashes_in_stream || crashes_on_part,
     };
     Ok(stream_answer(&shared, slot, stream, answer).await)
 }
 
+/// Whether the request's prompt has this part before its last one.
+fn shares_prompt_part(request_headers: &HeaderMap, part: u64) -> bool {
+    let prompt = header_text(request_headers, headers::PROMPT).unwrap_or("");
+    let shared_parts = prompt.rsplit(',').skip(1);
+    let mut parts = shared_parts.filter_map(|part| part.split_once(':'));
+    parts.any(|(id, _)| u64::from_str_radix(id, 16).is_ok_and(|id| id == part))
+}
+
 /// Whether the request's body equals `expected`.
 async fn has_body(request: Request<Incoming>, expected: &str) -> bool {
     let body = request.into_body().collect().await;
