Quarantine: a part of prompts that ends worker after worker is held, whatever requests share it

Cause: ends of workers were counted for each whole request alone. What ended the workers was a part that prompts share, so that each request had one end and nothing added up. Class: a cause that requests share is counted for each of them alone.

Change: each end accuses the shared parts (all but the last) of the requests that broke off as well. These ends go to three gateways that compare them: the part whose runs end most often explains the lives that it ended, and what it explains accuses no other part and no whole request. The measure is the share of other runs that end (Chernoff's bound), so that neither a popular first part nor a failing service leads to a hold; gateways count their good runs by part for that and tell them with each end. A part that is held is asked for before each send, at requests, resumptions and items; it is told to all, recorded in the log, and freed if its runs end well after all.

Weighed: a threshold of ends without comparison (holds the first part of all prompts); clearing by one good run (a part that ends most workers would never be held); collectors for each part (the first part and the harmful one would be judged apart); requests that are held explaining their lives together (three tries of each request hide the part; found by a test of the table).

--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -11,6 +11,7 @@
 use swiftshunt_jobs::{ItemOutcome, ItemSpec, JobSpec, Settled};
 use swiftshunt_routing::Route;
 use swiftshunt_scheduler::eligibility::OfferScope;
+use swiftshunt_scheduler::prefix_cache::PromptPart;
 use swiftshunt_scheduler::selection::{AttemptOutcome, ChosenWorker, Class, Demand};
 use swiftshunt_scheduler::slots::ItemTimes;
 use swiftshunt_topology::Residency;
@@ -66,7 +67,8 @@
             return;
         };
         // Built once, since its digest reads the whole body.
-        let request_content = request_content(spec, item);
+        let prompt = self.dispatcher.protocol.item_facts(item).prompt;
+        let request_content = request_content(spec, item, &prompt);
         loop {
             let route = self
                 .dispatcher
@@ -370,7 +372,11 @@
 }
 
 /// The content that identifies an item over all its sends; `None` if its path is not a valid URI.
-fn request_content(spec: &JobSpec, item: &ItemSpec) -> Option<RequestContent> {
+fn request_content(
+    spec: &JobSpec,
+    item: &ItemSpec,
+    prompt: &[PromptPart],
+) -> Option<RequestContent> {
     let identity = match &spec.tenant {
         Some(tenant) => Identity::Tenant(tenant.clone()),
         None => Identity::Unchecked,
@@ -383,6 +389,7 @@
         Method::POST,
         target,
         body,
+        prompt,
     ))
 }
 
--- a/crates/swiftshunt-gateway/src/earlier_builds/values.rs
+++ b/crates/swiftshunt-gateway/src/earlier_builds/values.rs
@@ -250,10 +250,15 @@
     let ended = QuarantineMessage::Ended {
         fingerprint,
         end: end(),
+        runs: None,
         report: None,
     };
     entry("ended", ended);
-    entry("ran-well", QuarantineMessage::RanWell { fingerprint });
+    let ran_well = QuarantineMessage::RanWell {
+        fingerprint,
+        runs: None,
+    };
+    entry("ran-well", ran_well);
     let ends = vec![end(), suspected_end(10, 1, 2)];
     let held = QuarantineMessage::Held {
         fingerprint,
@@ -476,5 +481,6 @@
         sent_unix_ms,
         ended_unix_ms,
         evidence: Evidence::Suspected,
+        part: None,
     }
 }
--- a/crates/swiftshunt-gateway/src/entry.rs
+++ b/crates/swiftshunt-gateway/src/entry.rs
@@ -278,7 +278,14 @@
             id: facts.id.clone(),
             headers,
             demand,
-            request_content: RequestContent::new(identity, &route.host, head.method, target, body),
+            request_content: RequestContent::new(
+                identity,
+                &route.host,
+                head.method,
+                target,
+                body,
+                &facts.prompt,
+            ),
             permit: SendPermit::always(),
         };
         RequestContext {
--- a/crates/swiftshunt-gateway/src/messages/quarantine.rs
+++ b/crates/swiftshunt-gateway/src/messages/quarantine.rs
@@ -3,31 +3,40 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
-use swiftshunt_scheduler::quarantine::{Evidence, Fingerprint, WorkerEnd};
+use swiftshunt_scheduler::quarantine::{Evidence, Fingerprint, RunCounts, WorkerEnd};
 use swiftshunt_scheduler::slots::WorkerKey;
 
 /// A message about the quarantine of requests. Each is one datagram and may be lost, duplicated or late; the ends of
 /// workers are also recorded in the log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum QuarantineMessage {
-    /// Tells the collectors of a request that a worker ended while it ran the request.
+    /// Tells the collectors of a request, or of prompt parts, that a worker ended while it ran the request, or one with
+    /// the part.
     Ended {
-        /// The fingerprint of the request.
+        /// The fingerprint of the request or part.
         fingerprint: Fingerprint,
         /// The end of the worker.
         end: WorkerEnd,
+        /// The recent runs at the sender, if the end accuses a part.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        runs: Option<RunCounts>,
         /// Identifies the report in the answer; `None` if the sender does not wait for one.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         report: Option<u64>,
     },
-    /// Tells the collectors of a request that one of its runs succeeded.
+    /// Tells that the ends recorded for a request or part are void, since it ran well; or, with `runs`, tells the
+    /// collectors of parts how often requests with a part did.
     RanWell {
-        /// The fingerprint of the request.
+        /// The fingerprint of the request or part.
         fingerprint: Fingerprint,
+        /// The recent runs at the sender; `None` if the ends are void.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        runs: Option<RunCounts>,
     },
-    /// Tells all gateways that a request has ended so many workers that it must not be sent any more.
+    /// Tells all gateways that a request, or each one with a part, has ended so many workers that it must not be sent any
+    /// more.
     Held {
-        /// The fingerprint of the request.
+        /// The fingerprint of the request or part.
         fingerprint: Fingerprint,
         /// All known ends of workers that ran the request.
         ends: Vec<WorkerEnd>,
@@ -96,6 +105,7 @@
             sent_unix_ms: u64::MAX,
             ended_unix_ms: u64::MAX,
             evidence: Evidence::Proved,
+            part: Some(u8::MAX),
         };
         let held = QuarantineMessage::Held {
             fingerprint: "ff".repeat(16).parse().expect("not a fingerprint"),
--- a/crates/swiftshunt-gateway/src/metrics/mod.rs
+++ b/crates/swiftshunt-gateway/src/metrics/mod.rs
@@ -63,6 +63,8 @@
     pub(crate) workers_ended: Counter,
     pub(crate) ends_refuted: Counter,
     pub(crate) requests_held: Counter,
+    pub(crate) parts_held: Counter,
+    pub(crate) parts_freed: Counter,
     pub(crate) reports_unacknowledged: Counter,
     pub(crate) records_unreadable: Counter,
     pub(crate) first_event_seconds: Histogram,
@@ -267,6 +269,14 @@
             "requests_held",
             "Requests quarantined because workers ended while they ran them",
         );
+        let parts_held = counter(
+            "prompt_parts_held",
+            "Prompt parts held because workers ended while they ran requests with them",
+        );
+        let parts_freed = counter(
+            "prompt_parts_freed",
+            "Prompt parts that this gateway freed because requests with them ran well",
+        );
         let reports_unacknowledged = counter(
             "reports_unacknowledged",
             "Reports of ended workers that some gateways did not acknowledge in time",
@@ -315,6 +325,8 @@
             workers_ended,
             ends_refuted,
             requests_held,
+            parts_held,
+            parts_freed,
             reports_unacknowledged,
             records_unreadable,
             requests,
--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -454,7 +454,7 @@
     /// treat that as final, even if the request was not what ended the workers.
     fn refuse_quarantined(&self, context: &RequestContext, held: QuarantineHold) -> CallerAnswer {
         log::info!(request = context.id(), fingerprint:% = context.outgoing.request_content.fingerprint(),
-            ends = held.ends, held_for_ms = held.time_left.as_millis() as u64, runs = context.runs;
+            held:% = held.fingerprint, ends = held.ends, held_for_ms = held.time_left.as_millis() as u64, runs = context.runs;
             "request is in quarantine, since workers ended while they ran it; refusing it");
         let reason =
             "workers ended while they ran this request, and it is not sent to more of them";
--- a/crates/swiftshunt-gateway/src/quarantine/mod.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/mod.rs
@@ -10,6 +10,7 @@
 
 mod directory;
 mod probe;
+mod prompt_parts;
 mod records;
 mod reports;
 mod request_content;
@@ -37,6 +38,7 @@
 use crate::messages::quarantine::{QuarantineMessage, Sight};
 use crate::metrics::Metrics;
 use crate::unreadable::UnreadableRecords;
+use prompt_parts::RunCounters;
 use records::PendingRecords;
 use reports::Reports;
 pub(crate) use request_content::RequestContent;
@@ -58,7 +60,9 @@
 /// The state of a request that must not be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct QuarantineHold {
-    /// Number of workers that have ended while they ran the request.
+    /// What is held: the request, or a part of its prompt.
+    pub(crate) fingerprint: Fingerprint,
+    /// Number of workers that have ended while they ran the request, or requests with the part.
     pub(crate) ends: usize,
     /// Remaining time for which the request is held.
     pub(crate) time_left: Duration,
@@ -89,6 +93,7 @@
     pending_probes: Mutex<HashMap<u64, mpsc::UnboundedSender<Sight>>>,
     last_probe: AtomicU64,
     local_faults: Mutex<LocalFaultDetector>,
+    run_counts: RunCounters,
     pending_records: PendingRecords,
     /// Whether the records in the log were read since the start of the process.
     is_read: watch::Sender<bool>,
@@ -122,6 +127,7 @@
             pending_probes: Mutex::default(),
             last_probe: AtomicU64::new(0),
             local_faults: Mutex::default(),
+            run_counts: RunCounters::default(),
             pending_records: PendingRecords::default(),
             is_read: watch::Sender::new(false),
         }
@@ -142,7 +148,9 @@
         }
         let fingerprint = request_content.fingerprint();
         self.wait_until_settled(&fingerprint).await;
-        self.current_hold(&fingerprint)
+        let parts = request_content.shared_parts().iter();
+        let held_part = || parts.into_iter().find_map(|part| self.current_hold(part));
+        self.current_hold(&fingerprint).or_else(held_part)
     }
 
     /// Waits until other gateways have recorded the end of a worker at which a request broke off, if it has ended. Used
@@ -193,14 +201,17 @@
         let now = self.clock.now();
         match lock(&self.table).status(fingerprint, now) {
             QuarantineStatus::Allowed => None,
-            QuarantineStatus::Quarantined { ends, time_left } => {
-                Some(QuarantineHold { ends, time_left })
-            }
+            QuarantineStatus::Quarantined { ends, time_left } => Some(QuarantineHold {
+                fingerprint: *fingerprint,
+                ends,
+                time_left,
+            }),
         }
     }
 
     /// Records that a run of a request succeeded, and removes the ends that were recorded for it.
     pub(crate) fn record_success(&self, request_content: &RequestContent) {
+        self.count_good_run(request_content);
         if lock(&self.table).is_empty() {
             return;
         }
@@ -214,40 +225,69 @@
         for end in cleared {
             self.pending_records.add_removal(fingerprint, &end);
         }
-        self.notify_collectors(fingerprint, QuarantineMessage::RanWell { fingerprint });
+        let message = QuarantineMessage::RanWell {
+            fingerprint,
+            runs: None,
+        };
+        let collectors = self.members.ranked_gateways(&fingerprint, MAX_COLLECTORS);
+        self.send(message, self.without_self(collectors));
     }
 
     /// Records ends that the directory proves, here and in the log, and tells the collectors.
     fn publish_ends(&self, ends: &[(Fingerprint, WorkerEnd)]) {
         for (fingerprint, end) in ends.iter().copied() {
             let end = lock(&self.table).attribute(end);
-            self.pending_records.add_end(fingerprint, end);
             self.collect_end(&fingerprint, end);
+            self.log_end(fingerprint, end);
             let message = QuarantineMessage::Ended {
                 fingerprint,
                 end,
+                runs: self.runs_to_report(&fingerprint, &end),
                 report: None,
             };
-            self.notify_collectors(fingerprint, message);
+            self.send(message, self.other_collectors(&fingerprint, &end));
+        }
+    }
+
+    /// Adds an end to the log. Of parts, only those that were found harmful are recorded there.
+    fn log_end(&self, fingerprint: Fingerprint, end: WorkerEnd) {
+        if end.part.is_none() || lock(&self.table).is_harmful_part(&fingerprint) {
+            self.pending_records.add_end(fingerprint, end);
         }
     }
 
-    /// Adds the end of a worker to the table. If the request is held from now on and this gateway is one of its
-    /// collectors, tells all other gateways: the gateway that reported the end may have been lost.
+    /// Adds the end of a worker to the table. If this gateway is one of the collectors, finds out what is held because of
+    /// it, and tells all other gateways: the gateway that reported the end may have been lost.
     fn collect_end(&self, fingerprint: &Fingerprint, end: WorkerEnd) {
         let is_held_now = self.record_end(fingerprint, end);
-        if is_held_now
-            && self
-                .collectors(fingerprint)
-                .contains(&self.members.own_address())
-        {
-            let ends = lock(&self.table).ends(fingerprint).collect();
-            let message = QuarantineMessage::Held {
-                fingerprint: *fingerprint,
-                ends,
-                report: None,
-            };
-            self.send(message, self.members.others());
+        if !self.is_collector(fingerprint, &end) {
+            return;
+        }
+        if end.part.is_some() {
+            self.judge_parts();
+        } else if is_held_now {
+            self.announce_hold(fingerprint);
+        }
+    }
+
+    /// Tells all other gateways that a request, or each one with a part, must not be sent any more.
+    fn announce_hold(&self, fingerprint: &Fingerprint) {
+        let ends = lock(&self.table).ends(fingerprint).collect();
+        let message = QuarantineMessage::Held {
+            fingerprint: *fingerprint,
+            ends,
+            report: None,
+        };
+        self.send(message, self.members.others());
+    }
+
+    /// Records the ends of a request or part that another gateway holds.
+    fn record_hold(&self, fingerprint: &Fingerprint, ends: Vec<WorkerEnd>) {
+        for end in ends {
+            self.record_end(fingerprint, end);
+            if end.part.is_some() {
+                self.mark_harmful(fingerprint);
+            }
         }
     }
 
@@ -273,18 +313,26 @@
         true
     }
 
-    fn collectors(&self, fingerprint: &Fingerprint) -> Vec<SocketAddr> {
-        self.members.ranked_gateways(fingerprint, MAX_COLLECTORS)
+    /// Returns the gateways that collect the ends of a request, or of all prompt parts, which are compared in one place.
+    fn collectors(&self, fingerprint: &Fingerprint, end: &WorkerEnd) -> Vec<SocketAddr> {
+        match end.part {
+            None => self.members.ranked_gateways(fingerprint, MAX_COLLECTORS),
+            Some(_) => self.part_collectors(),
+        }
+    }
+
+    fn is_collector(&self, fingerprint: &Fingerprint, end: &WorkerEnd) -> bool {
+        let collectors = self.collectors(fingerprint, end);
+        collectors.contains(&self.members.own_address())
     }
 
-    fn other_collectors(&self, fingerprint: &Fingerprint) -> Vec<SocketAddr> {
-        let mut collectors = self.collectors(fingerprint);
-        collectors.retain(|gateway| *gateway != self.members.own_address());
-        collectors
+    fn other_collectors(&self, fingerprint: &Fingerprint, end: &WorkerEnd) -> Vec<SocketAddr> {
+        self.without_self(self.collectors(fingerprint, end))
     }
 
-    fn notify_collectors(&self, fingerprint: Fingerprint, message: QuarantineMessage) {
-        self.send(message, self.other_collectors(&fingerprint));
+    fn without_self(&self, mut gateways: Vec<SocketAddr>) -> Vec<SocketAddr> {
+        gateways.retain(|gateway| *gateway != self.members.own_address());
+        gateways
     }
 
     fn send(&self, message: QuarantineMessage, to: Vec<SocketAddr>) {
@@ -297,26 +345,38 @@
             QuarantineMessage::Ended {
                 fingerprint,
                 end,
+                runs,
                 report,
             } => {
-                log::info!(fingerprint:% = fingerprint, worker = end.worker.0, from = from.to_string().as_str();
-                    "another gateway reports the end of a worker");
+                log::info!(fingerprint:% = fingerprint, worker = end.worker.0, from = from.to_string().as_str(),
+                    part = end.part; "another gateway reports the end of a worker");
+                self.record_reported_runs(&fingerprint, from, runs);
                 self.collect_end(&fingerprint, end);
                 if let Some(report) = report {
                     self.acknowledge_end(report, fingerprint, from);
                 }
             }
-            QuarantineMessage::RanWell { fingerprint } => {
+            QuarantineMessage::RanWell {
+                fingerprint,
+                runs: None,
+            } => {
                 lock(&self.table).clear(&fingerprint);
             }
+            QuarantineMessage::RanWell { fingerprint, runs } => {
+                self.record_reported_runs(&fingerprint, from, runs);
+                self.acquit(&fingerprint);
+            }
             QuarantineMessage::Held {
                 fingerprint,
                 ends,
                 report,
             } => {
-                for end in ends {
-                    self.collect_end(&fingerprint, end);
+                for end in &ends {
+                    if end.part.is_none() {
+                        self.collect_end(&fingerprint, *end);
+                    }
                 }
+                self.record_hold(&fingerprint, ends);
                 if let Some(report) = report {
                     self.acknowledge_hold(report, fingerprint, from);
                 }
@@ -341,7 +401,8 @@
             tokio::time::sleep(EXPIRY_INTERVAL).await;
             let expired = lock(&self.table).remove_expired(self.clock.now());
             for (fingerprint, end) in expired {
-                if self.collectors(&fingerprint).first() == Some(&self.members.own_address()) {
+                let collectors = self.collectors(&fingerprint, &end);
+                if collectors.first() == Some(&self.members.own_address()) {
                     self.pending_records.add_removal(fingerprint, &end);
                 }
             }
--- a/crates/swiftshunt-gateway/src/quarantine/records.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/records.rs
@@ -152,6 +152,9 @@
     fn apply(&self, change: Change) {
         match change {
             Change::Set(record) => match decode_record(&record.key, &record.value) {
+                Ok((fingerprint, end)) if end.part.is_some() => {
+                    self.record_hold(&fingerprint, vec![end]);
+                }
                 Ok((fingerprint, end)) => self.collect_end(&fingerprint, end),
                 Err(error) => {
                     self.unreadable
--- a/crates/swiftshunt-gateway/src/quarantine/reports.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/reports.rs
@@ -136,8 +136,11 @@
     pub(super) fn report_end(self: &Arc<Self>, fingerprint: Fingerprint, end: WorkerEnd) {
         let was_held = self.current_hold(&fingerprint).is_some();
         let end = lock(&self.table).attribute(end);
-        self.pending_records.add_end(fingerprint, end);
         self.record_end(&fingerprint, end);
+        self.log_end(fingerprint, end);
+        if end.part.is_some() && self.is_collector(&fingerprint, &end) {
+            self.judge_parts();
+        }
         let under_way = ReportUnderWay::new(Arc::clone(self), fingerprint);
         tokio::spawn(async move {
             let quarantine = &under_way.quarantine;
@@ -150,7 +153,8 @@
     }
 
     async fn report_to_collectors(&self, fingerprint: Fingerprint, end: WorkerEnd) {
-        let collectors = || self.other_collectors(&fingerprint);
+        let runs = self.runs_to_report(&fingerprint, &end);
+        let collectors = || self.other_collectors(&fingerprint, &end);
         let is_awaited = |gateway: SocketAddr| {
             let now = self.clock.now();
             !self.members.is_suspected(gateway) && !self.reports.is_unresponsive(gateway, now)
@@ -158,12 +162,17 @@
         let message = |report| QuarantineMessage::Ended {
             fingerprint,
             end,
+            runs,
             report: Some(report),
         };
         let missing = self.deliver(collectors, is_awaited, COLLECTOR_TIMEOUT, message);
         let missing = missing.await;
         self.reports.mark_unresponsive(&missing, self.clock.now());
         self.log_unacknowledged(&fingerprint, &missing, "the end of a worker");
+        let is_alone = !missing.is_empty() && missing.len() == collectors().len();
+        if end.part.is_some() && is_alone {
+            self.judge_parts();
+        }
     }
 
     async fn report_hold(&self, fingerprint: Fingerprint) {
@@ -279,9 +288,7 @@
         ends: Vec<WorkerEnd>,
         from: SocketAddr,
     ) {
-        for end in ends {
-            self.record_end(fingerprint, end);
-        }
+        self.record_hold(fingerprint, ends);
         self.reports.record_acknowledgement(report, from);
     }
 }
--- a/crates/swiftshunt-gateway/src/quarantine/request_content.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/request_content.rs
@@ -5,10 +5,14 @@
 
 use bytes::Bytes;
 use hyper::{Method, Uri};
+use swiftshunt_scheduler::prefix_cache::PromptPart;
 use swiftshunt_scheduler::quarantine::{Fingerprint, RequestIdentity};
 
 use crate::protocol::Identity;
 
+/// Most shared parts of a prompt that are looked at; parts further behind are shared by fewer requests.
+const MAX_SHARED_PARTS: usize = 8;
+
 /// The content of a request, which is the same in all its attempts.
 #[derive(Clone, Debug)]
 pub(crate) struct RequestContent(Arc<Parts>);
@@ -20,7 +24,10 @@
     method: Method,
     target: Uri,
     body: Bytes,
+    /// Identifiers of the parts of the prompt that other requests may share: all but the last.
+    shared_parts: Vec<u64>,
     fingerprint: OnceLock<Fingerprint>,
+    part_fingerprints: OnceLock<Vec<Fingerprint>>,
 }
 
 impl RequestContent {
@@ -30,14 +37,19 @@
         method: Method,
         target: Uri,
         body: Bytes,
+        prompt: &[PromptPart],
     ) -> Self {
+        let shared = prompt.split_last().map_or(&[][..], |(_, shared)| shared);
+        let shared = shared.iter().take(MAX_SHARED_PARTS);
         Self(Arc::new(Parts {
             identity,
             host: host.to_owned(),
             method,
             target,
             body,
+            shared_parts: shared.map(|part| part.id).collect(),
             fingerprint: OnceLock::new(),
+            part_fingerprints: OnceLock::new(),
         }))
     }
 
@@ -86,4 +98,13 @@
             })
         })
     }
+
+    /// Returns the fingerprints of the parts of the prompt that other requests may share, in the order of the prompt.
+    pub(crate) fn shared_parts(&self) -> &[Fingerprint] {
+        let parts = &self.0;
+        parts.part_fingerprints.get_or_init(|| {
+            let parts = parts.shared_parts.iter();
+            parts.map(|id| Fingerprint::of_prompt_part(*id)).collect()
+        })
+    }
 }
--- a/crates/swiftshunt-gateway/src/quarantine/worker_ends.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/worker_ends.rs
@@ -6,6 +6,7 @@
 //! to have ended. A worker that has restarted before the check accepts the connection. Whatever the check shows, the
 //! directory proves the end if it soon lists another incarnation at the worker's address ([`super::directory`]).
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -64,17 +65,18 @@
             sent_unix_ms: ended_unix_ms.saturating_sub(ago.as_millis() as u64),
             ended_unix_ms,
             evidence: Evidence::Suspected,
+            part: None,
         };
-        let end = (request_content.fingerprint(), end);
+        let accused = accused_by(request_content, end);
         let mut checks = lock(&self.checks);
         match checks.get_mut(&chosen.incarnation) {
-            Some(Check::UnderWay(ends)) => ends.push(end),
+            Some(Check::UnderWay(ends)) => ends.extend(accused),
             Some(Check::Ended(at)) if now < *at + ENDED_CHECK_TTL => {
                 drop(checks);
-                self.report_ended(chosen, &[end]);
+                self.report_ended(chosen, &accused);
             }
             Some(Check::Ended(_)) | None => {
-                let check = Check::UnderWay(vec![end]);
+                let check = Check::UnderWay(accused);
                 checks.insert(chosen.incarnation.clone(), check);
                 tokio::spawn(Arc::clone(self).check(chosen.clone()));
             }
@@ -236,8 +238,29 @@
         let fingerprints: Vec<Fingerprint> = ends.iter().map(|(request, _)| *request).collect();
         log::info!(worker = chosen.incarnation.as_str(), address = chosen.address.to_string().as_str(),
             fingerprints:? = fingerprints, gateways = self.members.count(); "a worker ended while it ran requests");
+        self.count_ended_runs(ends);
+        let mut reported_parts = BTreeSet::new();
         for (fingerprint, end) in ends {
-            self.report_end(*fingerprint, *end);
+            // One report tells the end for all requests with the part.
+            if end.part.is_none() || reported_parts.insert(*fingerprint) {
+                self.report_end(*fingerprint, *end);
+            }
         }
     }
 }
+
+/// Returns the ends to record if the worker has ended: of the request, and of each part of its prompt that other requests
+/// may share.
+fn accused_by(request_content: &RequestContent, end: WorkerEnd) -> Vec<(Fingerprint, WorkerEnd)> {
+    let parts = (0..).zip(request_content.shared_parts());
+    let part_ends = parts.map(|(depth, part)| {
+        let part_end = WorkerEnd {
+            part: Some(depth),
+            ..end
+        };
+        (*part, part_end)
+    });
+    std::iter::once((request_content.fingerprint(), end))
+        .chain(part_ends)
+        .collect()
+}
--- a/crates/swiftshunt-scheduler/src/quarantine/fingerprint.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/fingerprint.rs
@@ -11,9 +11,11 @@
 const FINGERPRINT_BYTES: usize = 16;
 /// Key derivation context that keeps these digests apart from all others.
 const FINGERPRINT_CONTEXT: &str = "swiftshunt fingerprint of a request";
+/// Key derivation context of the digests of prompt parts.
+const PART_CONTEXT: &str = "swiftshunt fingerprint of a prompt part";
 
-/// Digest of a request's identity, equal for all tries of the request. The request cannot be
-/// derived from it.
+/// Digest of a request's identity, equal for all tries of the request, or of a prompt part's
+/// identifier. Neither can be derived from it.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Fingerprint([u8; FINGERPRINT_BYTES]);
@@ -49,6 +51,17 @@
             hasher.update(part.as_bytes());
         }
         hasher.update(identity.body);
+        Self::finish(&hasher)
+    }
+
+    /// Computes the fingerprint of a prompt part, whichever requests share it.
+    pub fn of_prompt_part(id: u64) -> Self {
+        let mut hasher = blake3::Hasher::new_derive_key(PART_CONTEXT);
+        hasher.update(&id.to_le_bytes());
+        Self::finish(&hasher)
+    }
+
+    fn finish(hasher: &blake3::Hasher) -> Self {
         let mut fingerprint = [0; FINGERPRINT_BYTES];
         hasher.finalize_xof().fill(&mut fingerprint);
         Self(fingerprint)
--- a/crates/swiftshunt-scheduler/src/quarantine/mod.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/mod.rs
@@ -13,6 +13,8 @@
 //! - An end does not count for a request if another request that ran on the worker has ended more
 //!   workers: the other request explains it.
 //! - A run that ends well clears a request.
+//! - A part that many prompts share is accused by each end as well, and is held if it explains the
+//!   ends ([`parts`]). Whole requests that it explains are free again.
 //! - A fact expires after [`PROVED_END_TTL`].
 //! - A refused connection looks like the end of a process, but may be a network fault. It is only a
 //!   suspicion, which expires after [`SUSPECTED_END_TTL`] unless the end is proved ([`Evidence`]).
@@ -21,7 +23,9 @@
 mod evidence;
 mod fingerprint;
 mod lapsed_workers;
+mod parts;
 mod proved_lives;
+mod recent_runs;
 mod renewal_tracker;
 mod table;
 
@@ -34,7 +38,9 @@
 pub use evidence::Evidence;
 pub use fingerprint::{Fingerprint, ParseFingerprintError, RequestIdentity};
 pub use lapsed_workers::{LAPSE_SETTLE_DELAY, LapsedWorkers};
+pub use parts::PART_THRESHOLD;
 pub use proved_lives::NextLife;
+pub use recent_runs::{COMPARISON_WINDOW, RecentRuns, RunCounts};
 pub use renewal_tracker::RenewalTracker;
 pub use table::Quarantine;
 
@@ -53,7 +59,7 @@
 /// earlier end. Ends with one cause are noticed within a few round trips of a region.
 pub const SIMULTANEITY_WINDOW: Duration = Duration::from_millis(30);
 
-/// The end of a worker while it ran a request.
+/// The end of a worker while it ran a request, or a request whose prompt has a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerEnd {
     /// The worker.
@@ -65,6 +71,10 @@
     /// Evidence for the end; a message without it stands for a refused connection.
     #[serde(default, skip_serializing_if = "Evidence::is_suspicion")]
     pub evidence: Evidence,
+    /// Position of the part in the prompt, from 0, if the end accuses a part that prompts share; `None` if it accuses a
+    /// whole request.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub part: Option<u8>,
 }
 
 impl WorkerEnd {
@@ -75,7 +85,7 @@
     }
 }
 
-/// Whether a request may be sent, by the ends of workers that ran it.
+/// Whether a request, or one with a part, may be sent, by the ends of workers that ran it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QuarantineStatus {
     /// The request may be sent.
--- a/crates/swiftshunt-scheduler/src/quarantine/table.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/table.rs
@@ -1,11 +1,13 @@
-//! Table of the workers that ended while they ran a request.
+//! Table of the workers that ended while they ran a request or one with a part.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
+use super::parts::AccusedParts;
 use super::proved_lives::{NextLife, ProvedLives};
 use super::{
-    Evidence, Fingerprint, QUARANTINE_THRESHOLD, QuarantineStatus, SIMULTANEITY_WINDOW, WorkerEnd,
+    COMPARISON_WINDOW, Evidence, Fingerprint, PART_THRESHOLD, QUARANTINE_THRESHOLD,
+    QuarantineStatus, SIMULTANEITY_WINDOW, WorkerEnd,
 };
 use crate::slots::WorkerKey;
 
@@ -23,6 +25,8 @@
 /// Most ends of one worker that are remembered for one request. Many sends to a worker that has
 /// ended must leave room for the ends of other workers.
 const MAX_ENDS_PER_WORKER: usize = 6;
+/// Most ends of one worker that are remembered for one part: many requests with it may run there.
+const MAX_ENDS_PER_WORKER_OF_PART: usize = 1;
 
 /// A recorded end and its expiry.
 #[derive(Clone, Copy, Debug)]
@@ -30,6 +34,8 @@
     end: WorkerEnd,
     /// When the end is forgotten.
     expires_at: Duration,
+    /// When the end no longer counts for a part that was not found harmful.
+    compared_until: Duration,
 }
 
 /// A worker that has ended.
@@ -41,12 +47,13 @@
     requests: BTreeSet<Fingerprint>,
 }
 
-/// Ends of workers by request.
+/// Ends of workers by request and by prompt part.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     requests: HashMap<Fingerprint, Vec<KnownEnd>>,
     workers: HashMap<WorkerKey, EndedWorker>,
     proved_lives: ProvedLives,
+    pub(super) parts: AccusedParts,
 }
 
 impl Quarantine {
@@ -73,16 +80,22 @@
             }
             return is_stronger;
         }
-        if left.is_zero() || !self.has_room_for(&request, end.worker) {
+        if left.is_zero() || !self.has_room_for(&request, &end) {
             self.forget_if_empty(&request);
             return false;
         }
         if self.requests.len() > MAX_REQUESTS {
             self.evict_next_to_expire(&request);
         }
-        let expires_at = now + left;
-        let known = KnownEnd { end, expires_at };
+        let known = KnownEnd {
+            end,
+            expires_at: now + left,
+            compared_until: now + COMPARISON_WINDOW.saturating_sub(age),
+        };
         self.requests.entry(request).or_default().push(known);
+        if let Some(depth) = end.part {
+            self.parts.accuse(request, depth);
+        }
         let ended_worker = self.workers.entry(end.worker).or_insert(EndedWorker {
             ended_unix_ms: end.ended_unix_ms,
             requests: BTreeSet::new(),
@@ -92,9 +105,13 @@
         true
     }
 
-    fn has_room_for(&self, request: &Fingerprint, worker: WorkerKey) -> bool {
-        let of_worker = self.ends(request).filter(|end| end.worker == worker);
-        self.ends(request).count() < MAX_ENDS_PER_REQUEST && of_worker.count() < MAX_ENDS_PER_WORKER
+    fn has_room_for(&self, request: &Fingerprint, end: &WorkerEnd) -> bool {
+        let of_worker = self.ends(request).filter(|it| it.worker == end.worker);
+        let max_of_worker = match end.part {
+            Some(_) => MAX_ENDS_PER_WORKER_OF_PART,
+            None => MAX_ENDS_PER_WORKER,
+        };
+        self.ends(request).count() < MAX_ENDS_PER_REQUEST && of_worker.count() < max_of_worker
     }
 
     /// Returns the end as that of the life that the request reached, by the proofs that are known.
@@ -102,20 +119,28 @@
         self.proved_lives.attribute(end)
     }
 
-    /// Returns whether a request may be sent.
+    /// Returns whether a request, or one with a part, may be sent.
     pub fn status(&self, request: &Fingerprint, now: Duration) -> QuarantineStatus {
         let Some(known) = self.requests.get(request) else {
             return QuarantineStatus::Allowed;
         };
+        let part = self.parts.get(request);
+        if part.is_some_and(|part| !part.is_harmful) {
+            return QuarantineStatus::Allowed;
+        }
         let known = self.one_end_per_life(known);
         let ends = known.len();
         let unexplained = known.into_iter().filter(|one| {
-            one.expires_at > now && !self.is_explained(request, &one.end.worker, ends)
+            let is_explained =
+                || part.is_none() && self.is_explained(request, &one.end.worker, ends);
+            one.expires_at > now && !is_explained()
         });
-        let mut expiries = self.counted_expiries(request, unexplained);
+        let threshold = part.map_or(QUARANTINE_THRESHOLD, |_| PART_THRESHOLD);
+        let counted = self.counted_ends(request, unexplained);
+        let mut expiries: Vec<Duration> = counted.iter().map(|known| known.expires_at).collect();
         expiries.sort_unstable();
         // Quarantined until fewer ends than the threshold remain.
-        let deciding_index = expiries.len().checked_sub(QUARANTINE_THRESHOLD);
+        let deciding_index = expiries.len().checked_sub(threshold);
         match deciding_index.and_then(|index| expiries.get(index)) {
             Some(until) => QuarantineStatus::Quarantined {
                 ends,
@@ -125,6 +150,26 @@
         }
     }
 
+    /// Returns the requests and parts that may not be sent now.
+    pub(super) fn held(&self, now: Duration) -> Vec<Fingerprint> {
+        let with_ends = self.requests.iter();
+        let candidates = with_ends.filter(|(_, known)| known.len() >= QUARANTINE_THRESHOLD);
+        candidates
+            .map(|(request, _)| *request)
+            .filter(|request| self.status(request, now) != QuarantineStatus::Allowed)
+            .collect()
+    }
+
+    /// Returns the lives that ended recently while they ran a part, without those that ended together with many for
+    /// another cause.
+    pub(super) fn recent_lives(&self, part: &Fingerprint, now: Duration) -> HashSet<WorkerKey> {
+        let known = self.requests.get(part).map_or(&[][..], Vec::as_slice);
+        let known = self.one_end_per_life(known);
+        let is_recent = |known: &KnownEnd| known.expires_at > now && known.compared_until > now;
+        let counted = self.counted_ends(part, known.into_iter().filter(is_recent));
+        counted.into_iter().map(|known| known.end.worker).collect()
+    }
+
     /// Returns whether no end is known.
     pub fn is_empty(&self) -> bool {
         self.requests.is_empty()
@@ -168,6 +213,7 @@
     fn forget_if_empty(&mut self, request: &Fingerprint) {
         if self.requests.get(request).is_some_and(Vec::is_empty) {
             self.requests.remove(request);
+            self.parts.remove(request);
         }
     }
 
@@ -252,22 +298,26 @@
         ends
     }
 
-    /// Removes the expired ends and returns them.
+    /// Removes the expired ends. Returns those that the log may hold: of requests, and of parts that were found harmful.
     pub fn remove_expired(&mut self, now: Duration) -> Vec<(Fingerprint, WorkerEnd)> {
         self.proved_lives.remove_expired(now);
         let all = self.requests.iter().flat_map(|(request, known)| {
-            let expired = known.iter().filter(|known| known.expires_at <= now);
-            expired.map(|known| (*request, known.end))
+            let is_suspect = self.is_accused_part(request) && !self.is_harmful_part(request);
+            let expired = known.iter().filter(move |known| {
+                known.expires_at <= now || is_suspect && known.compared_until <= now
+            });
+            expired.map(move |known| (*request, known.end, is_suspect))
         });
         let expired: Vec<_> = all.collect();
-        for (request, end) in &expired {
+        for (request, end, _) in &expired {
             self.forget(request, end.worker, end.ended_unix_ms);
         }
-        expired
+        let logged = expired.into_iter().filter(|(_, _, is_suspect)| !is_suspect);
+        logged.map(|(request, end, _)| (request, end)).collect()
     }
 
-    /// Returns whether another request that ran on the worker has ended enough workers to be
-    /// quarantined, and more than this one.
+    /// Returns whether another request that ran on the worker, or a harmful part, has ended enough
+    /// workers to be quarantined, and more than this one.
     fn is_explained(
         &self,
         request: &Fingerprint,
@@ -282,7 +332,11 @@
                 .requests
                 .get(other)
                 .map_or(0, |known| self.one_end_per_life(known).len());
-            other != request && ends >= QUARANTINE_THRESHOLD && ends > ends_of_request
+            let may_explain = !self.is_accused_part(other) || self.is_harmful_part(other);
+            other != request
+                && may_explain
+                && ends >= QUARANTINE_THRESHOLD
+                && ends > ends_of_request
         })
     }
 
@@ -309,13 +363,13 @@
         lives
     }
 
-    /// Returns the expiry times of the ends that count for a request. Of simultaneous ends with
-    /// another cause, only the first counts.
-    fn counted_expiries(
+    /// Returns the ends that count for a request. Of simultaneous ends with another cause, only the
+    /// first counts.
+    fn counted_ends(
         &self,
         request: &Fingerprint,
         ends: impl Iterator<Item = KnownEnd>,
-    ) -> Vec<Duration> {
+    ) -> Vec<KnownEnd> {
         let mut counting: Vec<KnownEnd> = Vec::new();
         for known in ends {
             let last = counting.last();
@@ -324,7 +378,7 @@
                 counting.push(known);
             }
         }
-        counting.into_iter().map(|known| known.expires_at).collect()
+        counting
     }
 
     /// Returns whether many workers ended at the same moment as this one, of which too few ran the
--- a/crates/swiftshunt-scheduler/tests/quarantine.rs
+++ b/crates/swiftshunt-scheduler/tests/quarantine.rs
@@ -36,6 +36,7 @@
         sent_unix_ms: UNIX_MS + at - 50,
         ended_unix_ms: UNIX_MS + at,
         evidence: Evidence::Proved,
+        part: None,
     }
 }
 
@@ -137,6 +138,7 @@
         sent_unix_ms: UNIX_MS + sent,
         ended_unix_ms: UNIX_MS + ended,
         evidence: Evidence::Proved,
+        part: None,
     };
     record_end(
         &mut quarantine,
--- /dev/null
+++ b/crates/swiftshunt-scheduler/tests/quarantine_parts.rs
@@ -0,0 +1,286 @@
+//! Prompt parts that end workers, among parts of sound requests.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use swiftshunt_scheduler::quarantine::{
+    COMPARISON_WINDOW, Evidence, Fingerprint, PART_THRESHOLD, Quarantine, QuarantineStatus,
+    RecentRuns, RequestIdentity, RunCounts, WorkerEnd,
+};
+use swiftshunt_scheduler::slots::WorkerKey;
+
+const NOW: Duration = Duration::from_secs(1_000);
+const UNIX_MS: u64 = 1_700_000_000_000;
+const FIRST_PART: u64 = 1;
+const HARMFUL_PART: u64 = 2;
+/// Interval between two ends of workers, in milliseconds.
+const INTERVAL_MS: u64 = 300;
+
+fn part(id: u64) -> Fingerprint {
+    Fingerprint::of_prompt_part(id)
+}
+
+fn gateway(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 1))
+}
+
+fn end(worker: u64, at: u64, part: Option<u8>) -> WorkerEnd {
+    WorkerEnd {
+        worker: WorkerKey(worker),
+        sent_unix_ms: UNIX_MS + at - 50,
+        ended_unix_ms: UNIX_MS + at,
+        evidence: Evidence::Proved,
+        part,
+    }
+}
+
+/// Records that a worker ended at a moment while it ran requests with these parts, each with its position.
+fn end_worker(quarantine: &mut Quarantine, worker: u64, at: u64, parts: &[(u64, u8)]) {
+    for (id, depth) in parts {
+        let end = end(worker, at, Some(*depth));
+        quarantine.record_end(part(*id), end, end.ended_unix_ms, NOW);
+    }
+}
+
+fn counts(good: u32, ended: u32) -> RunCounts {
+    RunCounts {
+        good,
+        ended,
+        all_good: 300,
+        all_ended: 30,
+    }
+}
+
+fn record_runs(quarantine: &mut Quarantine, id: u64, counts: RunCounts) {
+    quarantine.record_runs(&part(id), gateway(1), counts, NOW);
+}
+
+fn is_held(quarantine: &Quarantine, id: u64) -> bool {
+    quarantine.status(&part(id), NOW) != QuarantineStatus::Allowed
+}
+
+/// Ends `workers` workers one after the other, each of which ran the harmful part, its first part, and rare ones.
+fn end_by_harmful_part(quarantine: &mut Quarantine, workers: u64) {
+    for worker in 1..=workers {
+        let rare = [(100 + worker, 1), (200 + worker, 1)];
+        let parts = [&[(FIRST_PART, 0), (HARMFUL_PART, 1)][..], &rare].concat();
+        end_worker(quarantine, worker, 1_000 + worker * INTERVAL_MS, &parts);
+    }
+}
+
+#[test]
+fn the_part_that_explains_the_ends_is_held_and_no_other() {
+    let mut quarantine = Quarantine::default();
+    end_by_harmful_part(&mut quarantine, 6);
+    record_runs(&mut quarantine, FIRST_PART, counts(20, 8));
+    record_runs(&mut quarantine, HARMFUL_PART, counts(0, 7));
+    assert_eq!(quarantine.find_harmful_parts(NOW), [part(HARMFUL_PART)]);
+    assert!(is_held(&quarantine, HARMFUL_PART));
+    assert!(!is_held(&quarantine, FIRST_PART));
+    assert!((100..300).all(|rare| !is_held(&quarantine, rare)));
+    assert!(quarantine.find_harmful_parts(NOW).is_empty());
+}
+
+#[test]
+fn of_two_parts_with_the_same_ends_the_one_that_fewer_requests_share_is_held() {
+    let mut quarantine = Quarantine::default();
+    end_by_harmful_part(&mut quarantine, 8);
+    assert_eq!(quarantine.find_harmful_parts(NOW), [part(HARMFUL_PART)]);
+}
+
+#[test]
+fn a_good_run_does_not_protect_a_part_that_ends_most_workers() {
+    let mut quarantine = Quarantine::default();
+    end_by_harmful_part(&mut quarantine, 8);
+    record_runs(&mut quarantine, FIRST_PART, counts(20, 8));
+    record_runs(&mut quarantine, HARMFUL_PART, counts(2, 8));
+    assert_eq!(quarantine.find_harmful_parts(NOW), [part(HARMFUL_PART)]);
+}
+
+#[test]
+fn three_harmful_parts_at_once_are_all_held() {
+    let mut quarantine = Quarantine::default();
+    for worker in 0..24 {
+        let harmful = HARMFUL_PART + worker % 3;
+        let parts = [(FIRST_PART, 0), (harmful, 1), (100 + worker, 1)];
+        end_worker(&mut quarantine, worker, 1_000 + worker * 100, &parts);
+    }
+    record_runs(&mut quarantine, FIRST_PART, counts(20, 24));
+    let mut found = quarantine.find_harmful_parts(NOW);
+    found.sort();
+    let mut expected: Vec<Fingerprint> = (0..3).map(|it| part(HARMFUL_PART + it)).collect();
+    expected.sort();
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn a_popular_part_is_not_held_for_workers_that_end_one_after_the_other() {
+    let mut quarantine = Quarantine::default();
+    for worker in 0..12 {
+        let parts = [(FIRST_PART, 0), (100 + worker, 1), (FIRST_PART + 10, 0)];
+        end_worker(
+            &mut quarantine,
+            worker,
+            1_000 + worker * INTERVAL_MS,
+            &parts,
+        );
+    }
+    record_runs(&mut quarantine, FIRST_PART, counts(24, 12));
+    record_runs(&mut quarantine, FIRST_PART + 10, counts(30, 12));
+    assert!(quarantine.find_harmful_parts(NOW).is_empty());
+}
+
+#[test]
+fn workers_of_a_rack_accuse_no_part() {
+    let mut quarantine = Quarantine::default();
+    for worker in 0..40 {
+        let first = worker % 20;
+        let parts = [(first, 0), (1_000 + worker, 1), (2_000, 1)];
+        let parts = if worker % 2 == 0 { &parts } else { &parts[..2] };
+        end_worker(&mut quarantine, worker, 1_000 + worker / 8, parts);
+    }
+    assert!(quarantine.find_harmful_parts(NOW).is_empty());
+}
+
+/// While a whole service fails, all its parts look alike.
+#[test]
+fn no_part_is_held_while_nearly_all_runs_end_their_workers() {
+    let mut quarantine = Quarantine::default();
+    for worker in 0..20 {
+        let parts = [(worker % 3, 0), (100 + worker % 4, 1)];
+        end_worker(
+            &mut quarantine,
+            worker,
+            1_000 + worker * INTERVAL_MS,
+            &parts,
+        );
+    }
+    let all_ended = RunCounts {
+        good: 0,
+        ended: 6,
+        all_good: 10,
+        all_ended: 200,
+    };
+    for id in (0..3).chain(100..104) {
+        record_runs(&mut quarantine, id, all_ended);
+    }
+    assert!(quarantine.find_harmful_parts(NOW).is_empty());
+}
+
+#[test]
+fn a_request_that_a_part_explains_is_free_again() {
+    let mut quarantine = Quarantine::default();
+    end_by_harmful_part(&mut quarantine, 9);
+    let neighbour = Fingerprint::of(&RequestIdentity {
+        caller: "tenant",
+        host: "host",
+        method: "POST",
+        path: "/a/",
+        body: b"sound",
+    });
+    for worker in 1..=3 {
+        let end = end(worker, 1_000 + worker * INTERVAL_MS, None);
+        quarantine.record_end(neighbour, end, end.ended_unix_ms, NOW);
+    }
+    let status = |quarantine: &Quarantine| quarantine.status(&neighbour, NOW);
+    assert_ne!(status(&quarantine), QuarantineStatus::Allowed);
+    record_runs(&mut quarantine, HARMFUL_PART, counts(0, 7));
+    quarantine.find_harmful_parts(NOW);
+    assert_eq!(status(&quarantine), QuarantineStatus::Allowed);
+}
+
+/// Each request that is sent again and again is held by itself.
+#[test]
+fn requests_that_are_held_do_not_hide_the_part_that_they_share() {
+    let mut quarantine = Quarantine::default();
+    end_by_harmful_part(&mut quarantine, 12);
+    for number in 0..4_u8 {
+        let body = [number];
+        let request = Fingerprint::of(&RequestIdentity {
+            caller: "tenant",
+            host: "host",
+            method: "POST",
+            path: "/a/",
+            body: &body,
+        });
+        for worker in 1..=3 {
+            let worker = u64::from(number) * 3 + worker;
+            let end = end(worker, 1_000 + worker * INTERVAL_MS, None);
+            quarantine.record_end(request, end, end.ended_unix_ms, NOW);
+        }
+        assert_ne!(quarantine.status(&request, NOW), QuarantineStatus::Allowed);
+    }
+    record_runs(&mut quarantine, FIRST_PART, counts(20, 12));
+    record_runs(&mut quarantine, HARMFUL_PART, counts(0, 12));
+    assert_eq!(quarantine.find_harmful_parts(NOW), [part(HARMFUL_PART)]);
+}
+
+/// The part need not be held as well.
+#[test]
+fn a_request_that_alone_explains_the_ends_of_its_part_is_held_alone() {
+    let mut quarantine = Quarantine::default();
+    end_by_harmful_part(&mut quarantine, 6);
+    let request = Fingerprint::of(&RequestIdentity {
+        caller: "tenant",
+        host: "host",
+        method: "POST",
+        path: "/a/",
+        body: b"harmful",
+    });
+    for worker in 1..=6 {
+        let end = end(worker, 1_000 + worker * INTERVAL_MS, None);
+        quarantine.record_end(request, end, end.ended_unix_ms, NOW);
+    }
+    record_runs(&mut quarantine, HARMFUL_PART, counts(0, 6));
+    assert!(quarantine.find_harmful_parts(NOW).is_empty());
+}
+
+#[test]
+fn a_part_whose_runs_end_well_after_it_was_held_is_acquitted() {
+    let mut quarantine = Quarantine::default();
+    end_by_harmful_part(&mut quarantine, 6);
+    record_runs(&mut quarantine, HARMFUL_PART, counts(0, 7));
+    quarantine.find_harmful_parts(NOW);
+    record_runs(&mut quarantine, HARMFUL_PART, counts(2, 7));
+    assert!(!quarantine.is_acquitted(&part(HARMFUL_PART), NOW));
+    record_runs(&mut quarantine, HARMFUL_PART, counts(7, 7));
+    assert!(quarantine.is_acquitted(&part(HARMFUL_PART), NOW));
+}
+
+#[test]
+fn ends_that_accuse_a_part_are_forgotten_once_nothing_is_compared_with_them() {
+    let mut quarantine = Quarantine::default();
+    end_by_harmful_part(&mut quarantine, PART_THRESHOLD as u64 - 1);
+    let later = NOW + COMPARISON_WINDOW + Duration::from_secs(1);
+    assert!(quarantine.remove_expired(later).is_empty());
+    assert!(quarantine.is_empty());
+}
+
+#[test]
+fn ends_of_a_part_that_is_held_are_remembered_as_those_of_a_request() {
+    let mut quarantine = Quarantine::default();
+    end_by_harmful_part(&mut quarantine, 6);
+    record_runs(&mut quarantine, HARMFUL_PART, counts(0, 7));
+    quarantine.find_harmful_parts(NOW);
+    let later = NOW + COMPARISON_WINDOW + Duration::from_secs(1);
+    quarantine.remove_expired(later);
+    assert_ne!(
+        quarantine.status(&part(HARMFUL_PART), later),
+        QuarantineStatus::Allowed
+    );
+}
+
+#[test]
+fn recent_runs_are_counted_by_part_and_forgotten() {
+    let mut runs = RecentRuns::default();
+    runs.record_good(&[part(1), part(2)], NOW);
+    runs.record_good(&[part(1)], NOW + Duration::from_secs(31));
+    runs.record_ended(&[part(2)], NOW + Duration::from_secs(31));
+    let counts = runs.counts(&part(1), NOW + Duration::from_secs(32));
+    assert_eq!((counts.good, counts.ended), (2, 0));
+    assert_eq!((counts.all_good, counts.all_ended), (2, 1));
+    let counts = runs.counts(&part(2), NOW + Duration::from_secs(32));
+    assert_eq!((counts.good, counts.ended), (1, 1));
+    let counts = runs.counts(&part(1), NOW + Duration::from_secs(200));
+    assert_eq!(counts, RunCounts::default());
+}
