Quarantine: the ends of a part fit into a datagram

Cause: each end that accuses a part is seven bytes larger, so that the message of a hold with sixteen of them had 1,446 bytes, more than a datagram takes; it would have been dropped. Found by the test of the size. A part is remembered with fourteen ends (1,334 bytes at most), far more than hold it. The test of a request's ends is as it was; parts have one of their own.

--- a/crates/swiftshunt-gateway/src/messages/quarantine.rs
+++ b/crates/swiftshunt-gateway/src/messages/quarantine.rs
@@ -95,21 +95,31 @@
     use crate::datagrams::MAX_DATAGRAM_BYTES;
     use crate::messages::Notice;
 
-    /// Number of ends that a gateway remembers of one request.
+    /// Number of ends that a gateway remembers of one request, and of one part.
     const MAX_ENDS: usize = 16;
+    const MAX_ENDS_OF_PART: usize = 14;
 
     #[test]
     fn a_report_with_all_ends_of_a_request_fits_into_a_datagram() {
+        assert_fits_into_a_datagram(MAX_ENDS, None);
+    }
+
+    #[test]
+    fn a_report_with_all_ends_of_a_part_fits_into_a_datagram() {
+        assert_fits_into_a_datagram(MAX_ENDS_OF_PART, Some(u8::MAX));
+    }
+
+    fn assert_fits_into_a_datagram(ends: usize, part: Option<u8>) {
         let end = WorkerEnd {
             worker: WorkerKey(u64::MAX),
             sent_unix_ms: u64::MAX,
             ended_unix_ms: u64::MAX,
             evidence: Evidence::Proved,
-            part: Some(u8::MAX),
+            part,
         };
         let held = QuarantineMessage::Held {
             fingerprint: "ff".repeat(16).parse().expect("not a fingerprint"),
-            ends: vec![end; MAX_ENDS],
+            ends: vec![end; ends],
             report: Some(u64::MAX),
         };
         let mut datagram = Vec::new();
--- a/crates/swiftshunt-scheduler/src/quarantine/table.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/table.rs
@@ -20,8 +20,11 @@
 /// Share of the workers that ended at one moment which must have run a request for it to be the
 /// cause. The others may have ended by chance or run a second such request.
 const MIN_CAUSE_SHARE: f64 = 0.75;
-/// Most worker ends that are remembered for one request.
+/// Most worker ends that are remembered for one request. All of them fit into a datagram.
 const MAX_ENDS_PER_REQUEST: usize = 16;
+/// Most worker ends that are remembered for one part. They are a little larger than those of a
+/// request.
+const MAX_ENDS_PER_PART: usize = 14;
 /// Most ends of one worker that are remembered for one request. Many sends to a worker that has
 /// ended must leave room for the ends of other workers.
 const MAX_ENDS_PER_WORKER: usize = 6;
@@ -107,11 +110,11 @@
 
     fn has_room_for(&self, request: &Fingerprint, end: &WorkerEnd) -> bool {
         let of_worker = self.ends(request).filter(|it| it.worker == end.worker);
-        let max_of_worker = match end.part {
-            Some(_) => MAX_ENDS_PER_WORKER_OF_PART,
-            None => MAX_ENDS_PER_WORKER,
+        let (max_of_worker, max_ends) = match end.part {
+            Some(_) => (MAX_ENDS_PER_WORKER_OF_PART, MAX_ENDS_PER_PART),
+            None => (MAX_ENDS_PER_WORKER, MAX_ENDS_PER_REQUEST),
         };
-        self.ends(request).count() < MAX_ENDS_PER_REQUEST && of_worker.count() < max_of_worker
+        self.ends(request).count() < max_ends && of_worker.count() < max_of_worker
     }
 
     /// Returns the end as that of the life that the request reached, by the proofs that are known.
