--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -3,17 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use derive_more::Display;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::http::response;
-use hyper::{HeaderMap, Request, StatusCode};
-use swiftshunt_http::{
-    EventStreamBody, Framing, PermitOver, PermittedBody, SendPermit, StreamBreak, StreamEnd,
-};
+use hyper::{HeaderMap, Request};
+use swiftshunt_http::{EventStreamBody, PermitOver, PermittedBody, SendPermit};
 use swiftshunt_routing::Configuration;
-use swiftshunt_scheduler::eligibility::{OfferScope, Withheld};
+use swiftshunt_scheduler::eligibility::Withheld;
 use swiftshunt_scheduler::selection::{AttemptOutcome, ChosenWorker, Demand};
 use swiftshunt_types::OutputOrigin;
 
@@ -29,6 +25,7 @@
 use crate::slots::Slots;
 use crate::start_permits::{StartPermit, StartPermits};
 use crate::upstream::{Sender, Upstream};
+use crate::worker_answer::Answer;
 
 /// Sends requests to workers; shared by all sends of this gateway.
 pub(crate) struct Dispatcher {
@@ -145,99 +142,6 @@
     }
 }
 
-/// A worker's answer whose head has arrived.
-pub(crate) struct Answer {
-    pub(crate) head: response::Parts,
-    pub(crate) facts: AnswerFacts,
-    pub(crate) body: EventStreamBody,
-    pub(crate) in_flight: InFlight,
-    /// Whether the end of the body shows that the answer is complete, as far as it was read.
-    is_confirmed: bool,
-    sender: Sender,
-}
-
-impl Answer {
-    /// Whether the status is a success, the worker signed the answer, and the body has no content encoding that
-    /// an intermediary may have applied.
-    pub(crate) fn is_signed_success(&self) -> bool {
-        self.head.status.is_success()
-            && self.facts.signed
-            && !self.head.headers.contains_key("content-encoding")
-    }
-
-    /// Records an answer that was read to its end, and returns its connection to the pool.
-    pub(crate) fn finish(self, dispatcher: &Dispatcher) {
-        let Self {
-            head,
-            facts,
-            mut in_flight,
-            is_confirmed,
-            sender,
-            ..
-        } = self;
-        in_flight.set_outcome(outcome_by_status(head.status));
-        if head.status.is_success() {
-            let (quarantine, content) = (&dispatcher.quarantine, &in_flight.request_content);
-            if is_confirmed {
-                quarantine.record_success(content);
-            } else {
-                quarantine.confirm_success(content, &in_flight.chosen);
-            }
-        }
-        let now = dispatcher.clock.now();
-        let incarnation = &in_flight.chosen.incarnation;
-        dispatcher
-            .upstream
-            .return_idle(incarnation, sender, facts.keep_alive, now);
-    }
-
-    /// Checks, after the body of a stream has ended without an error, that the stream did not break off. Logs and counts
-    /// its end.
-    pub(crate) async fn check_stream_end(
-        &mut self,
-        dispatcher: &Dispatcher,
-    ) -> Result<(), SendFailure> {
-        let end = match self.body.end() {
-            StreamEnd::Unconfirmed => dispatcher.confirm_end(&self.in_flight.chosen).await,
-            end => end,
-        };
-        self.is_confirmed = end == StreamEnd::Complete;
-        let framing = self.body.framing();
-        dispatcher.metrics.record_stream_end(framing, end);
-        if end != StreamEnd::Complete {
-            let request = self.facts.request_id.as_deref().unwrap_or("");
-            log::info!(request, worker = self.in_flight.chosen.incarnation.as_str(), end:? = end,
-                framing:% = framing, events = self.body.events(), bytes = self.body.received(),
-                waited_ms = self.in_flight.time_at_worker().as_millis() as u64;
-                "the body of a worker's stream ended, which does not show that the stream is complete");
-        }
-        match end {
-            StreamEnd::Complete | StreamEnd::Unconfirmed => Ok(()),
-            StreamEnd::BrokenOff(shown_by) => Err(SendFailure::Broken {
-                reason: format!("the stream is not complete: {shown_by}"),
-            }),
-        }
-    }
-
-    /// Reads the whole body, up to `limit` bytes.
-    pub(crate) async fn read_body(&mut self, limit: usize) -> Result<Bytes, String> {
-        let mut whole = bytes::BytesMut::new();
-        while let Some(frame) = self.body.as_incoming().frame().await {
-            let frame = frame.map_err(|error| error.to_string())?;
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            self.in_flight.record_progress();
-            self.in_flight.record_received(data.len());
-            if whole.len() + data.len() > limit {
-                return Err("the answer is too long".to_owned());
-            }
-            whole.extend_from_slice(&data);
-        }
-        Ok(whole.freeze())
-    }
-}
-
 /// Multiple of the silence limit after which a request fails if its worker has begun requests that were sent
 /// later. A lower multiple would fail long prompts, which are overtaken while the worker still reads them.
 const OVERTAKEN_SILENCE_LIMITS: u32 = 4;
@@ -289,38 +193,7 @@
             return Err(failure);
         }
         let body = EventStreamBody::new(&head.headers, body, last_event.is_some());
-        Ok(Answer {
-            is_confirmed: body.framing() != Framing::ConnectionClose,
-            head,
-            facts,
-            body,
-            in_flight,
-            sender,
-        })
-    }
-
-    /// Returns how a stream ended that ended with its connection, behind an event. The connection is replaced, which the
-    /// next request to the worker needs anyway, and a worker that refuses has ended together with the stream. One that
-    /// is to get no requests may be leaving as planned, right behind its last answer.
-    async fn confirm_end(&self, chosen: &ChosenWorker) -> StreamEnd {
-        let scope = OfferScope::default();
-        let offered = self
-            .fleet_state
-            .selector()
-            .may_offer(&chosen.incarnation, &scope);
-        if offered.is_err() {
-            return StreamEnd::Unconfirmed;
-        }
-        match self.upstream.connect(chosen.address).await {
-            Ok(sender) => {
-                let now = self.clock.now();
-                self.upstream
-                    .return_idle(&chosen.incarnation, sender, None, now);
-                StreamEnd::Complete
-            }
-            Err(error) if error.is_refused => StreamEnd::BrokenOff(StreamBreak::SenderEnded),
-            Err(_) => StreamEnd::Unconfirmed,
-        }
+        Ok(Answer::new(head, facts, body, in_flight, sender))
     }
 
     /// Returns a failure if the worker declined the request or the answer belongs to another request.
@@ -495,17 +368,6 @@
     SendFailure::Withheld { why }
 }
 
-/// Returns the outcome of an attempt that was answered with a status. Server errors count as failures of the
-/// worker, also where the answer is forwarded: otherwise, a worker that fails at once would look idle and
-/// attract requests.
-fn outcome_by_status(status: StatusCode) -> AttemptOutcome {
-    if status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT {
-        AttemptOutcome::Failed
-    } else {
-        AttemptOutcome::Answered
-    }
-}
-
 /// Returns the failure of a request that was handed to a connection.
 fn send_failure(error: &hyper::Error) -> SendFailure {
     if PermitOver::caused(error) {
--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -19,11 +19,12 @@
 
 use super::Batch;
 use super::item_output::ItemOutput;
-use crate::attempt::{Answer, OutgoingRequest, SendFailure, SendLimits};
+use crate::attempt::{OutgoingRequest, SendFailure, SendLimits};
 use crate::fleet_state::lock;
 use crate::protocol::Identity;
 use crate::quarantine::RequestContent;
 use crate::running::ItemId;
+use crate::worker_answer::Answer;
 
 /// Pause before checking again whether items of a partition may be sent.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -48,6 +48,7 @@
 mod unreadable;
 mod upstream;
 mod waiting_limits;
+mod worker_answer;
 mod zone_latencies;
 
 pub use gateway::{Gateway, StartError};
--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -11,7 +11,7 @@
 use swiftshunt_scheduler::selection::ChosenWorker;
 
 use crate::answers::{CallerAnswer, end_to_end_headers, full_body, not_run, plain};
-use crate::attempt::{Answer, Dispatcher, SendFailure, SendLimits};
+use crate::attempt::{Dispatcher, SendFailure, SendLimits};
 use crate::batch::Batch;
 use crate::metrics::{Refusal, RequestEnd};
 use crate::origins::TakenUpStream;
@@ -20,6 +20,7 @@
 use crate::relay;
 use crate::request_context::RequestContext;
 use crate::slots::{PlacementOutcome, PlacementQuery};
+use crate::worker_answer::Answer;
 
 /// Serves online requests.
 pub(crate) struct OnlineHandler {
@@ -455,9 +456,9 @@
     fn refuse_quarantined(&self, context: &RequestContext, held: QuarantineHold) -> CallerAnswer {
         log::info!(request = context.id(), fingerprint:% = context.outgoing.request_content.fingerprint(),
             held:% = held.fingerprint, ends = held.ends, held_for_ms = held.time_left.as_millis() as u64, runs = context.runs;
-            "request is in quarantine, since workers ended while they ran it; refusing it");
-        let reason =
-            "workers ended while they ran this request, and it is not sent to more of them";
+            "request is in quarantine, since workers ended while they ran it or others with a part of its prompt; refusing it");
+        let reason = "workers ended while they ran this request or others with a part of its prompt, \
+                      and it is not sent to more of them";
         self.give_up(context, Refusal::Held, reason, held.time_left)
     }
 
--- a/crates/swiftshunt-gateway/src/relay.rs
+++ b/crates/swiftshunt-gateway/src/relay.rs
@@ -11,11 +11,12 @@
 use swiftshunt_scheduler::selection::AttemptOutcome;
 
 use crate::answers::{AnswerBody, BodyError};
-use crate::attempt::{Answer, Dispatcher, OutgoingRequest, SendFailure, SendLimits};
+use crate::attempt::{Dispatcher, OutgoingRequest, SendFailure, SendLimits};
 use crate::events::EventFramer;
 use crate::pauses::StreamPauses;
 use crate::request_context::RequestContext;
 use crate::slots::{PlacementOutcome, PlacementQuery};
+use crate::worker_answer::Answer;
 
 /// Interval between two checks of a worker whose stream is silent.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
