Quarantine: good runs without framing count for the parts of their prompts

Cause: a whole answer that ends with its connection clears nothing unless its worker still takes connections, and with that its parts had no good run where a service states no length. Where no end of the request is known there is nothing to clear, and the run counts.

--- a/crates/swiftshunt-gateway/src/quarantine/mod.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/mod.rs
@@ -371,12 +371,13 @@
                 ends,
                 report,
             } => {
-                for end in &ends {
-                    if end.part.is_none() {
-                        self.collect_end(&fingerprint, *end);
+                if ends.iter().any(|end| end.part.is_some()) {
+                    self.record_hold(&fingerprint, ends);
+                } else {
+                    for end in ends {
+                        self.collect_end(&fingerprint, end);
                     }
                 }
-                self.record_hold(&fingerprint, ends);
                 if let Some(report) = report {
                     self.acknowledge_hold(report, fingerprint, from);
                 }
--- a/crates/swiftshunt-gateway/src/quarantine/worker_ends.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/worker_ends.rs
@@ -83,8 +83,8 @@
         }
     }
 
-    /// Records that a run of a request succeeded whose answer ended with its connection, if ends are recorded for the
-    /// request and the worker still takes connections.
+    /// Records that a run of a request succeeded whose answer ended with its connection. If ends are recorded for the
+    /// request, they are removed only if the worker still takes connections.
     pub(crate) fn confirm_success(
         self: &Arc<Self>,
         request_content: &RequestContent,
@@ -95,7 +95,7 @@
             !table.is_empty() && table.has_ends(&request_content.fingerprint())
         };
         if !has_ends {
-            return;
+            return self.count_good_run(request_content);
         }
         let quarantine = Arc::clone(self);
         let request_content = request_content.clone();
