Quarantine: the ends of a part are compared with the time that its runs were at workers

Change: the measure is the rate of ends for the time at workers (a Poisson bound in place of a binomial one), and workers that end within 100 ms count as one moment. A part that was acquitted is not held again for 60 s, and late records of its ends are removed from the log.

--- a/crates/swiftshunt-gateway/src/in_flight.rs
+++ b/crates/swiftshunt-gateway/src/in_flight.rs
@@ -104,6 +104,8 @@
             now,
         );
         self.fleet_state.load_changed.notify_one();
+        self.quarantine
+            .count_exposure(&self.request_content, time_at_worker);
         if let AttemptOutcome::Unreachable | AttemptOutcome::Broken | AttemptOutcome::TimedOut =
             self.outcome
         {
--- a/crates/swiftshunt-gateway/src/quarantine/mod.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/mod.rs
@@ -360,7 +360,12 @@
                 fingerprint,
                 runs: None,
             } => {
-                lock(&self.table).clear(&fingerprint);
+                let mut table = lock(&self.table);
+                if table.is_harmful_part(&fingerprint) {
+                    table.acquit(&fingerprint, self.clock.now());
+                } else {
+                    table.clear(&fingerprint);
+                }
             }
             QuarantineMessage::RanWell { fingerprint, runs } => {
                 self.record_reported_runs(&fingerprint, from, runs);
--- a/crates/swiftshunt-gateway/src/quarantine/prompt_parts.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/prompt_parts.rs
@@ -2,8 +2,8 @@
 //! ([`swiftshunt_scheduler::quarantine`]).
 //!
 //! All ends that accuse parts go to the same few gateways, since the part that explains them is found by comparison.
-//! Gateways count their runs by part all the time and tell the counts together with an end, and now and then while a
-//! part of their good runs is accused.
+//! Gateways count their runs and the time of these at workers all the time, by part, and tell the counts together with an
+//! end, and now and then while a part of their good runs is accused.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -50,6 +50,13 @@
             .ranked_gateways(&COLLECTORS_SUBJECT, MAX_PART_COLLECTORS)
     }
 
+    /// Counts the time that a run of a request was at its worker, however it ended.
+    pub(crate) fn count_exposure(&self, request_content: &RequestContent, exposure: Duration) {
+        let now = self.clock.now();
+        let parts = request_content.shared_parts();
+        lock(&self.run_counts.runs).record_exposure(parts, exposure, now);
+    }
+
     /// Counts a run that ended well, and tells the collectors if a part of its prompt is accused.
     pub(super) fn count_good_run(&self, request_content: &RequestContent) {
         let now = self.clock.now();
@@ -132,7 +139,7 @@
 
     /// Holds a part that another gateway has found to be harmful.
     pub(super) fn mark_harmful(&self, part: &Fingerprint) {
-        let is_new = lock(&self.table).mark_harmful(part);
+        let is_new = lock(&self.table).mark_harmful(part, self.clock.now());
         if is_new {
             self.log_held_part(part);
         }
@@ -151,10 +158,10 @@
         let now = self.clock.now();
         let cleared = {
             let mut table = lock(&self.table);
-            if !table.is_acquitted(part, now) {
+            if !table.is_innocent(part, now) {
                 return;
             }
-            table.clear(part)
+            table.acquit(part, now)
         };
         log::warn!(part:% = part, ends = cleared.len();
             "requests with a part of prompts run well; sending them again");
--- a/crates/swiftshunt-gateway/src/quarantine/records.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/records.rs
@@ -153,7 +153,7 @@
         match change {
             Change::Set(record) => match decode_record(&record.key, &record.value) {
                 Ok((fingerprint, end)) if end.part.is_some() => {
-                    self.record_hold(&fingerprint, vec![end]);
+                    self.apply_part_end(fingerprint, end);
                 }
                 Ok((fingerprint, end)) => self.collect_end(&fingerprint, end),
                 Err(error) => {
@@ -173,6 +173,19 @@
     }
 }
 
+impl Quarantine {
+    /// Applies the record of an end of a part that is held. One that arrives after the part was acquitted is removed.
+    fn apply_part_end(&self, fingerprint: Fingerprint, end: WorkerEnd) {
+        let was_acquitted = lock(&self.table).was_acquitted(&fingerprint, self.clock.now());
+        if !was_acquitted {
+            return self.record_hold(&fingerprint, vec![end]);
+        }
+        if self.is_collector(&fingerprint, &end) {
+            self.pending_records.add_removal(fingerprint, &end);
+        }
+    }
+}
+
 impl EndKey {
     fn of(fingerprint: Fingerprint, end: &WorkerEnd) -> Self {
         Self {
--- a/crates/swiftshunt-scheduler/src/quarantine/parts.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/parts.rs
@@ -1,37 +1,41 @@
 //! Prompt parts that end workers: a cause that requests share which are alike in nothing else.
 //!
 //! Each end of a worker accuses all parts of the requests that it ran, sound ones as well. A part is
-//! found harmful if its runs end with their workers far more often than other runs do, and if no
-//! smaller explanation covers these ends:
+//! found harmful if workers end more often while they run requests with it than can be chance, and if
+//! no smaller explanation covers these ends:
 //!
-//! - A life that a part already held has ended counts for no other part, nor do those of the one
-//!   held request that explains most. The part whose runs end most often is taken first; among
-//!   equals, the one with more ends, then the one further behind in the prompt, which fewer requests
-//!   share.
-//! - The rest of the runs is the measure. While many of them end as well, as in an outage of a whole
-//!   service, it takes many more ends to single out a part.
-//! - Good runs count against it, before and after the first end. A part whose runs end well more
-//!   often than not is acquitted.
+//! - The measure is the time at workers: the longer the runs with a part take, the more ends they meet
+//!   by chance. While many other runs end as well, as in an outage of a service, it takes more ends to
+//!   single out a part.
+//! - Workers that end at one moment count once: a rack, or a crowd that meets one.
+//! - A life that a part already held has ended counts for no other part, nor do those of the one held
+//!   request that explains most. The least likely chance is taken first; among equals, the part further
+//!   behind in the prompt, which fewer requests share.
+//! - A part whose runs end well more often than they end workers is not held, and is acquitted if it
+//!   was.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::table::Quarantine;
-use super::{COMPARISON_WINDOW, Fingerprint, RunCounts};
+use super::{COMPARISON_WINDOW, Fingerprint, RunCounts, WorkerEnd};
 use crate::slots::WorkerKey;
 
-/// Number of workers' lives from which a part can be found harmful. One more than for a request,
-/// which explains its ends if it is sent again and again.
+/// Number of moments at which workers ended from which a part can be found harmful. One more than for
+/// a request, which explains its ends if it is sent again and again.
 pub const PART_THRESHOLD: usize = 4;
-/// Least share of a harmful part's runs that end their workers.
-const MIN_HARMFUL_SHARE: f64 = 0.5;
-/// Probability with which the runs of a sound part may end as often by chance.
-const CHANCE: f64 = 1e-3;
-/// Good runs that are assumed beside those that are known, so that few known runs prove little.
-const ASSUMED_GOOD_RUNS: f64 = 10.0;
-/// Ended runs that are assumed beside those that are known.
+/// Ends within this time of each other count as one moment for a part.
+const MOMENT: Duration = Duration::from_millis(100);
+/// Probability below which the ends of a part are no chance.
+const MAX_CHANCE: f64 = 1e-4;
+/// Time at workers that is assumed beside the known one, so that few known runs prove little.
+const ASSUMED_EXPOSURE_SECONDS: f64 = 10.0;
+/// Ended runs that are assumed beside the known ones.
 const ASSUMED_ENDED_RUNS: f64 = 1.0;
+/// Time for which an acquitted part is not held again. Records of its ends that are on their way to
+/// the log arrive within it.
+const ACQUITTAL_TTL: Duration = Duration::from_secs(60);
 
 /// What is known of a part with ends.
 #[derive(Debug)]
@@ -46,8 +50,8 @@
 /// All runs that a gateway has seen.
 #[derive(Clone, Copy, Debug)]
 struct Totals {
-    good: u32,
     ended: u32,
+    exposure_ms: u64,
     at: Duration,
 }
 
@@ -56,6 +60,8 @@
 pub(super) struct AccusedParts {
     parts: HashMap<Fingerprint, AccusedPart>,
     totals: HashMap<SocketAddr, Totals>,
+    /// Until when parts that were acquitted are not held.
+    acquitted: HashMap<Fingerprint, Duration>,
 }
 
 impl AccusedParts {
@@ -75,77 +81,106 @@
         self.parts.remove(part);
     }
 
-    /// Returns the good and the ended runs that gateways have told recently.
+    pub(super) fn remove_expired(&mut self, now: Duration) {
+        self.acquitted.retain(|_, until| now < *until);
+        self.totals
+            .retain(|_, totals| now < totals.at + COMPARISON_WINDOW);
+    }
+
+    /// Returns the ended runs that gateways have told recently, and the seconds of all runs at workers.
     fn totals(&self, now: Duration) -> (f64, f64) {
         let recent = self
             .totals
             .values()
             .filter(|totals| now < totals.at + COMPARISON_WINDOW);
-        recent.fold((0.0, 0.0), |(good, ended), totals| {
-            (
-                good + f64::from(totals.good),
-                ended + f64::from(totals.ended),
-            )
+        recent.fold((0.0, 0.0), |(ended, seconds), totals| {
+            let more_seconds = totals.exposure_ms as f64 / 1_000.0;
+            (ended + f64::from(totals.ended), seconds + more_seconds)
         })
     }
 }
 
 impl AccusedPart {
-    fn good_runs(&self) -> f64 {
-        sum(self.runs.values().map(|counts| counts.good))
+    fn good_runs(&self) -> usize {
+        let runs = self.runs.values().map(|counts| counts.good as usize);
+        runs.sum()
     }
 
     fn ended_runs(&self) -> f64 {
-        sum(self.runs.values().map(|counts| counts.ended))
+        self.runs
+            .values()
+            .map(|counts| f64::from(counts.ended))
+            .sum()
     }
-}
 
-fn sum(counts: impl Iterator<Item = u32>) -> f64 {
-    counts.map(f64::from).sum()
+    fn exposure_seconds(&self) -> f64 {
+        let milliseconds = self.runs.values().map(|counts| counts.exposure_ms as f64);
+        milliseconds.sum::<f64>() / 1_000.0
+    }
 }
 
 /// A part that may be found harmful.
 struct Candidate {
     part: Fingerprint,
     depth: u8,
-    /// The lives that ended while they ran it.
-    lives: HashSet<WorkerKey>,
-    share: f64,
-    /// The share of other runs whose workers ended.
-    other_share: f64,
+    /// The ends of workers that ran it, in order of time, one for each life.
+    ends: Vec<WorkerEnd>,
+    good_runs: usize,
+    /// Number of its runs that meet an end by chance, as often as other runs do.
+    expected_ends: f64,
 }
 
 impl Candidate {
+    fn chance(&self) -> f64 {
+        chance(count_moments(&self.ends), self.expected_ends)
+    }
+
     fn is_before(&self, other: &Self) -> bool {
-        let own = (self.share, self.lives.len(), self.depth);
-        own > (other.share, other.lives.len(), other.depth)
+        let (own, others) = (self.chance(), other.chance());
+        own < others || own <= others && self.depth > other.depth
     }
 
-    /// Whether `ends` of its runs are too many for a sound part.
-    fn is_harmful(&self, ends: usize) -> bool {
-        ends >= PART_THRESHOLD
-            && self.share >= MIN_HARMFUL_SHARE
-            && chance(ends as f64, self.share, self.other_share) <= CHANCE
+    /// Whether ends of workers at `moments` are too many for a sound part.
+    fn is_harmful(&self, moments: usize) -> bool {
+        moments >= PART_THRESHOLD
+            && moments >= self.good_runs
+            && chance(moments, self.expected_ends) <= MAX_CHANCE
     }
 }
 
-/// Returns an upper bound of the probability that `ends` or more of a part's runs end by chance, by
-/// Chernoff's inequality: `ends` are the share `share` of the runs, and each ends with the
-/// probability `other_share`.
-fn chance(ends: f64, share: f64, other_share: f64) -> f64 {
-    if share <= other_share {
+/// Returns an upper bound of the probability that `ends` or more occur where `expected` do on average,
+/// by Chernoff's inequality for a Poisson distribution.
+fn chance(ends: usize, expected: f64) -> f64 {
+    let ends = ends as f64;
+    if ends <= expected {
         return 1.0;
     }
-    let runs = ends / share;
-    let term = |observed: f64, expected: f64| {
-        if observed > 0.0 {
-            observed * (observed / expected).ln()
-        } else {
-            0.0
+    (ends - expected - ends * (ends / expected).ln()).exp()
+}
+
+/// Returns the time for which the workers that ended had the runs, in seconds.
+fn run_seconds(ends: &[WorkerEnd]) -> f64 {
+    let milliseconds = ends
+        .iter()
+        .map(|end| end.ended_unix_ms.saturating_sub(end.sent_unix_ms).max(1) as f64);
+    milliseconds.sum::<f64>() / 1_000.0
+}
+
+/// Returns the number of moments at which workers ended, by their ends in order of time.
+fn count_moments<'e>(ends: impl IntoIterator<Item = &'e WorkerEnd>) -> usize {
+    let mut moments = 0;
+    let mut last: Option<u64> = None;
+    for end in ends {
+        let is_new = last.is_none_or(|last| {
+            let gap = Duration::from_millis(end.ended_unix_ms.saturating_sub(last));
+            gap >= MOMENT
+        });
+        if is_new {
+            moments += 1;
+            last = Some(end.ended_unix_ms);
         }
-    };
-    let divergence = term(share, other_share) + term(1.0 - share, 1.0 - other_share);
-    (-runs * divergence).exp()
+    }
+    moments
 }
 
 impl Quarantine {
@@ -167,8 +202,8 @@
             .collect()
     }
 
-    /// Records the runs that a gateway has counted for a part with ends. Counts that are told again replace the earlier
-    /// ones.
+    /// Records the runs that a gateway has counted for a part with ends. Counts that are told again
+    /// replace the earlier ones.
     pub fn record_runs(
         &mut self,
         part: &Fingerprint,
@@ -177,8 +212,8 @@
         now: Duration,
     ) {
         let totals = Totals {
-            good: counts.all_good,
             ended: counts.all_ended,
+            exposure_ms: counts.all_exposure_ms,
             at: now,
         };
         self.parts.totals.insert(gateway, totals);
@@ -187,15 +222,20 @@
         }
     }
 
-    /// Marks a part as harmful that another gateway has found to be. Returns whether it was not known to be.
-    pub fn mark_harmful(&mut self, part: &Fingerprint) -> bool {
+    /// Marks a part as harmful that another gateway has found to be, unless it was acquitted since.
+    /// Returns whether it was not known to be.
+    pub fn mark_harmful(&mut self, part: &Fingerprint, now: Duration) -> bool {
+        if self.was_acquitted(part, now) {
+            return false;
+        }
         let Some(part) = self.parts.parts.get_mut(part) else {
             return false;
         };
         !std::mem::replace(&mut part.is_harmful, true)
     }
 
-    /// Finds the parts that explain ends of workers which nothing explains yet. Marks them as harmful and returns them.
+    /// Finds the parts that explain ends of workers which nothing explains yet. Marks them as harmful
+    /// and returns them.
     pub fn find_harmful_parts(&mut self, now: Duration) -> Vec<Fingerprint> {
         let mut candidates = self.candidates(now);
         if candidates.is_empty() {
@@ -205,66 +245,81 @@
             .held(now)
             .into_iter()
             .partition(|held| self.is_accused_part(held));
+        let held_requests: Vec<HashSet<WorkerKey>> = held_requests
+            .iter()
+            .map(|request| self.lives(request))
+            .collect();
         let mut explained: HashSet<WorkerKey> = held_parts
             .iter()
             .flat_map(|part| self.lives(part))
             .collect();
         let mut found = Vec::new();
         while let Some(candidate) = take_first(&mut candidates) {
-            let unexplained: HashSet<WorkerKey> =
-                candidate.lives.difference(&explained).copied().collect();
-            let of_one_request = held_requests.iter().map(|request| {
-                let lives = self.lives(request);
-                lives.filter(|life| unexplained.contains(life)).count()
+            let unexplained = candidate.ends.iter();
+            let unexplained: Vec<WorkerEnd> = unexplained
+                .filter(|end| !explained.contains(&end.worker))
+                .copied()
+                .collect();
+            let beside_any_request = held_requests.iter().map(|lives| {
+                let ends = unexplained.iter();
+                count_moments(ends.filter(|end| !lives.contains(&end.worker)))
             });
-            let of_one_request = of_one_request.max().unwrap_or(0);
-            if !candidate.is_harmful(unexplained.len() - of_one_request) {
-                continue;
+            let moments = beside_any_request
+                .min()
+                .unwrap_or_else(|| count_moments(&unexplained));
+            if candidate.is_harmful(moments) && self.mark_harmful(&candidate.part, now) {
+                explained.extend(candidate.ends.iter().map(|end| end.worker));
+                found.push(candidate.part);
             }
-            self.mark_harmful(&candidate.part);
-            explained.extend(&candidate.lives);
-            found.push(candidate.part);
         }
         found
     }
 
-    /// Returns whether a harmful part is harmful no longer, since more of its runs ended well than ended workers.
-    pub fn is_acquitted(&self, part: &Fingerprint, now: Duration) -> bool {
+    /// Returns whether a part is held although more of its runs ended well than ended workers.
+    pub fn is_innocent(&self, part: &Fingerprint, now: Duration) -> bool {
         let Some(accused) = self.parts.get(part) else {
             return false;
         };
-        let lives = self.recent_lives(part, now).len() as f64;
-        accused.is_harmful && accused.good_runs() > lives / MIN_HARMFUL_SHARE - lives
+        accused.is_harmful && accused.good_runs() > count_moments(&self.recent_ends(part, now))
+    }
+
+    /// Frees a part, and removes and returns its ends. It is not held again for some time.
+    pub fn acquit(&mut self, part: &Fingerprint, now: Duration) -> Vec<WorkerEnd> {
+        self.parts.acquitted.insert(*part, now + ACQUITTAL_TTL);
+        self.clear(part)
+    }
+
+    /// Returns whether the part was acquitted recently.
+    pub fn was_acquitted(&self, part: &Fingerprint, now: Duration) -> bool {
+        let until = self.parts.acquitted.get(part);
+        until.is_some_and(|until| now < *until)
     }
 
     fn candidates(&self, now: Duration) -> Vec<Candidate> {
-        let (good, ended) = self.parts.totals(now);
+        let (ended, seconds) = self.parts.totals(now);
         let accused = self.parts.parts.iter();
         let candidates = accused.filter_map(|(part, accused)| {
             if accused.is_harmful || self.ends(part).count() < PART_THRESHOLD {
                 return None;
             }
-            let lives = self.recent_lives(part, now);
-            let own_good = accused.good_runs();
-            let own_ended = accused.ended_runs();
-            let other_good = (good - own_good).max(0.0) + ASSUMED_GOOD_RUNS;
-            let other_ended = (ended - own_ended).max(0.0) + ASSUMED_ENDED_RUNS;
-            let own_lives = lives.len() as f64;
+            let ends = self.recent_ends(part, now);
+            let own_seconds = accused.exposure_seconds().max(run_seconds(&ends));
+            let other_ended = (ended - accused.ended_runs()).max(0.0) + ASSUMED_ENDED_RUNS;
+            let other_seconds = (seconds - own_seconds).max(0.0) + ASSUMED_EXPOSURE_SECONDS;
             Some(Candidate {
                 part: *part,
                 depth: accused.depth,
-                share: own_lives / (own_lives + own_good),
-                other_share: other_ended / (other_ended + other_good),
-                lives,
+                ends,
+                good_runs: accused.good_runs(),
+                expected_ends: other_ended / other_seconds * own_seconds,
             })
         });
         candidates.collect()
     }
 
-    /// Returns the lives that ended while they ran a request or one with a part, each once.
-    fn lives(&self, request: &Fingerprint) -> impl Iterator<Item = WorkerKey> {
-        let lives: HashSet<WorkerKey> = self.ends(request).map(|end| end.worker).collect();
-        lives.into_iter()
+    /// Returns the lives that ended while they ran a request or one with a part.
+    fn lives(&self, request: &Fingerprint) -> HashSet<WorkerKey> {
+        self.ends(request).map(|end| end.worker).collect()
     }
 }
 
--- a/crates/swiftshunt-scheduler/src/quarantine/recent_runs.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/recent_runs.rs
@@ -22,10 +22,12 @@
     pub good: u32,
     /// Runs with the part whose worker ended.
     pub ended: u32,
-    /// All runs that ended well.
-    pub all_good: u32,
+    /// Total time of the runs with the part at their workers, in milliseconds.
+    pub exposure_ms: u64,
     /// All runs whose worker ended.
     pub all_ended: u32,
+    /// Total time of all runs at their workers, in milliseconds.
+    pub all_exposure_ms: u64,
 }
 
 #[derive(Debug, Default)]
@@ -38,6 +40,17 @@
 struct PartRuns {
     good: u32,
     ended: u32,
+    exposure: Duration,
+}
+
+impl PartRuns {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            good: self.good + other.good,
+            ended: self.ended + other.ended,
+            exposure: self.exposure + other.exposure,
+        }
+    }
 }
 
 impl Generation {
@@ -66,7 +79,13 @@
 }
 
 impl RecentRuns {
-    /// Counts a run that ended well, with these shared parts of its prompt.
+    /// Counts the time that a run was at its worker, however it ended. `parts` are the shared parts of its prompt.
+    pub fn record_exposure(&mut self, parts: &[Fingerprint], exposure: Duration, now: Duration) {
+        self.rotate(now);
+        self.current.record(parts, |runs| runs.exposure += exposure);
+    }
+
+    /// Counts a run that ended well.
     pub fn record_good(&mut self, parts: &[Fingerprint], now: Duration) {
         self.rotate(now);
         self.current.record(parts, |runs| runs.good += 1);
@@ -82,12 +101,14 @@
     pub fn counts(&mut self, part: &Fingerprint, now: Duration) -> RunCounts {
         self.rotate(now);
         let (current, previous) = (&self.current, &self.previous);
-        let (newer, older) = (current.runs_of(part), previous.runs_of(part));
+        let of_part = current.runs_of(part).plus(previous.runs_of(part));
+        let all = current.all.plus(previous.all);
         RunCounts {
-            good: newer.good + older.good,
-            ended: newer.ended + older.ended,
-            all_good: current.all.good + previous.all.good,
-            all_ended: current.all.ended + previous.all.ended,
+            good: of_part.good,
+            ended: of_part.ended,
+            exposure_ms: of_part.exposure.as_millis() as u64,
+            all_ended: all.ended,
+            all_exposure_ms: all.exposure.as_millis() as u64,
         }
     }
 
--- a/crates/swiftshunt-scheduler/src/quarantine/table.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/table.rs
@@ -1,6 +1,6 @@
 //! Table of the workers that ended while they ran a request or one with a part.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use super::parts::AccusedParts;
@@ -163,14 +163,14 @@
             .collect()
     }
 
-    /// Returns the lives that ended recently while they ran a part, without those that ended together with many for
-    /// another cause.
-    pub(super) fn recent_lives(&self, part: &Fingerprint, now: Duration) -> HashSet<WorkerKey> {
+    /// Returns the recent ends of workers that ran a part, in order of time, one for each life, and
+    /// without those that ended together with many for another cause.
+    pub(super) fn recent_ends(&self, part: &Fingerprint, now: Duration) -> Vec<WorkerEnd> {
         let known = self.requests.get(part).map_or(&[][..], Vec::as_slice);
         let known = self.one_end_per_life(known);
         let is_recent = |known: &KnownEnd| known.expires_at > now && known.compared_until > now;
         let counted = self.counted_ends(part, known.into_iter().filter(is_recent));
-        counted.into_iter().map(|known| known.end.worker).collect()
+        counted.into_iter().map(|known| known.end).collect()
     }
 
     /// Returns whether no end is known.
@@ -304,6 +304,7 @@
     /// Removes the expired ends. Returns those that the log may hold: of requests, and of parts that were found harmful.
     pub fn remove_expired(&mut self, now: Duration) -> Vec<(Fingerprint, WorkerEnd)> {
         self.proved_lives.remove_expired(now);
+        self.parts.remove_expired(now);
         let all = self.requests.iter().flat_map(|(request, known)| {
             let is_suspect = self.is_accused_part(request) && !self.is_harmful_part(request);
             let expired = known.iter().filter(move |known| {
