Quarantine: parts that end many workers within a moment, or several at once, are held

Cause: a part was remembered with fourteen ends, so that one that ends a hundred workers a second filled them within one moment and was never held; and where three parts ended workers at once, the first part that they share had the most ends and was taken for the cause.

Change: 64 ends of a part are remembered, the newest fourteen told in a datagram; the part whose runs meet ends at the highest rate goes first, which a part that sound requests share as well cannot have.

--- a/crates/swiftshunt-gateway/src/messages/quarantine.rs
+++ b/crates/swiftshunt-gateway/src/messages/quarantine.rs
@@ -6,6 +6,9 @@
 use swiftshunt_scheduler::quarantine::{Evidence, Fingerprint, RunCounts, WorkerEnd};
 use swiftshunt_scheduler::slots::WorkerKey;
 
+/// Most ends of a part that one message tells. The rest is in the log.
+pub(crate) const MAX_TOLD_ENDS: usize = 14;
+
 /// A message about the quarantine of requests. Each is one datagram and may be lost, duplicated or late; the ends of
 /// workers are also recorded in the log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -95,9 +98,8 @@
     use crate::datagrams::MAX_DATAGRAM_BYTES;
     use crate::messages::Notice;
 
-    /// Number of ends that a gateway remembers of one request, and of one part.
+    /// Number of ends that a gateway remembers of one request.
     const MAX_ENDS: usize = 16;
-    const MAX_ENDS_OF_PART: usize = 14;
 
     #[test]
     fn a_report_with_all_ends_of_a_request_fits_into_a_datagram() {
@@ -105,8 +107,8 @@
     }
 
     #[test]
-    fn a_report_with_all_ends_of_a_part_fits_into_a_datagram() {
-        assert_fits_into_a_datagram(MAX_ENDS_OF_PART, Some(u8::MAX));
+    fn a_report_with_the_ends_of_a_part_fits_into_a_datagram() {
+        assert_fits_into_a_datagram(MAX_TOLD_ENDS, Some(u8::MAX));
     }
 
     fn assert_fits_into_a_datagram(ends: usize, part: Option<u8>) {
--- a/crates/swiftshunt-gateway/src/quarantine/mod.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/mod.rs
@@ -35,7 +35,7 @@
 use crate::local_faults::LocalFaultDetector;
 use crate::members::Members;
 use crate::messages::Notice;
-use crate::messages::quarantine::{QuarantineMessage, Sight};
+use crate::messages::quarantine::{MAX_TOLD_ENDS, QuarantineMessage, Sight};
 use crate::metrics::Metrics;
 use crate::unreadable::UnreadableRecords;
 use prompt_parts::RunCounters;
@@ -272,15 +272,24 @@
 
     /// Tells all other gateways that a request, or each one with a part, must not be sent any more.
     fn announce_hold(&self, fingerprint: &Fingerprint) {
-        let ends = lock(&self.table).ends(fingerprint).collect();
         let message = QuarantineMessage::Held {
             fingerprint: *fingerprint,
-            ends,
+            ends: self.ends_to_tell(fingerprint),
             report: None,
         };
         self.send(message, self.members.others());
     }
 
+    /// Returns the known ends of a request or part, the newest if they do not fit into a datagram.
+    fn ends_to_tell(&self, fingerprint: &Fingerprint) -> Vec<WorkerEnd> {
+        let mut ends: Vec<WorkerEnd> = lock(&self.table).ends(fingerprint).collect();
+        if ends.len() > MAX_TOLD_ENDS && ends.iter().any(|end| end.part.is_some()) {
+            ends.sort_unstable_by_key(|end| std::cmp::Reverse(end.ended_unix_ms));
+            ends.truncate(MAX_TOLD_ENDS);
+        }
+        ends
+    }
+
     /// Records the ends of a request or part that another gateway holds.
     fn record_hold(&self, fingerprint: &Fingerprint, ends: Vec<WorkerEnd>) {
         for end in ends {
--- a/crates/swiftshunt-gateway/src/quarantine/reports.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/reports.rs
@@ -176,7 +176,7 @@
     }
 
     async fn report_hold(&self, fingerprint: Fingerprint) {
-        let ends: Vec<WorkerEnd> = lock(&self.table).ends(&fingerprint).collect();
+        let ends = self.ends_to_tell(&fingerprint);
         let message = |report| QuarantineMessage::Held {
             fingerprint,
             ends: ends.clone(),
@@ -253,7 +253,7 @@
     pub(super) fn acknowledge_end(&self, report: u64, fingerprint: Fingerprint, from: SocketAddr) {
         let is_held = self.current_hold(&fingerprint).is_some();
         let ends = if is_held {
-            lock(&self.table).ends(&fingerprint).collect()
+            self.ends_to_tell(&fingerprint)
         } else {
             Vec::new()
         };
--- a/crates/swiftshunt-scheduler/src/quarantine/parts.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/parts.rs
@@ -9,8 +9,8 @@
 //!   single out a part.
 //! - Workers that end at one moment count once: a rack, or a crowd that meets one.
 //! - A life that a part already held has ended counts for no other part, nor do those of the one held
-//!   request that explains most. The least likely chance is taken first; among equals, the part further
-//!   behind in the prompt, which fewer requests share.
+//!   request that explains most. The part whose runs meet ends at the highest rate is taken first; among
+//!   equals, the one further behind in the prompt, which fewer requests share.
 //! - A part whose runs end well more often than they end workers is not held, and is acquitted if it
 //!   was.
 
@@ -126,18 +126,22 @@
     /// The ends of workers that ran it, in order of time, one for each life.
     ends: Vec<WorkerEnd>,
     good_runs: usize,
+    /// Time of its runs at workers.
+    seconds: f64,
     /// Number of its runs that meet an end by chance, as often as other runs do.
     expected_ends: f64,
 }
 
 impl Candidate {
-    fn chance(&self) -> f64 {
-        chance(count_moments(&self.ends), self.expected_ends)
+    /// Returns how often workers end while they run it.
+    fn ends_per_second(&self) -> f64 {
+        count_moments(&self.ends) as f64 / self.seconds
     }
 
+    /// Whether it explains the ends better: a part that sound requests share as well has a lower rate.
     fn is_before(&self, other: &Self) -> bool {
-        let (own, others) = (self.chance(), other.chance());
-        own < others || own <= others && self.depth > other.depth
+        let (own, others) = (self.ends_per_second(), other.ends_per_second());
+        own > others || own >= others && self.depth > other.depth
     }
 
     /// Whether ends of workers at `moments` are too many for a sound part.
@@ -311,6 +315,7 @@
                 depth: accused.depth,
                 ends,
                 good_runs: accused.good_runs(),
+                seconds: own_seconds,
                 expected_ends: other_ended / other_seconds * own_seconds,
             })
         });
--- a/crates/swiftshunt-scheduler/src/quarantine/table.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/table.rs
@@ -22,9 +22,9 @@
 const MIN_CAUSE_SHARE: f64 = 0.75;
 /// Most worker ends that are remembered for one request. All of them fit into a datagram.
 const MAX_ENDS_PER_REQUEST: usize = 16;
-/// Most worker ends that are remembered for one part. They are a little larger than those of a
-/// request.
-const MAX_ENDS_PER_PART: usize = 14;
+/// Most worker ends that are remembered for one part: many requests with it may end many workers
+/// within a moment, and the ends have to span several moments.
+const MAX_ENDS_PER_PART: usize = 64;
 /// Most ends of one worker that are remembered for one request. Many sends to a worker that has
 /// ended must leave room for the ends of other workers.
 const MAX_ENDS_PER_WORKER: usize = 6;
--- a/crates/swiftshunt-scheduler/tests/quarantine_parts.rs
+++ b/crates/swiftshunt-scheduler/tests/quarantine_parts.rs
@@ -99,6 +99,18 @@
     assert_eq!(quarantine.find_harmful_parts(NOW), [part(HARMFUL_PART)]);
 }
 
+#[test]
+fn a_part_that_ends_a_hundred_workers_a_second_is_held() {
+    let mut quarantine = Quarantine::default();
+    for worker in 0..90 {
+        let parts = [(FIRST_PART, 0), (HARMFUL_PART, 1), (100 + worker, 1)];
+        end_worker(&mut quarantine, worker, 1_000 + worker * 10, &parts);
+    }
+    record_runs(&mut quarantine, FIRST_PART, counts(40, 150));
+    record_runs(&mut quarantine, HARMFUL_PART, counts(0, 100));
+    assert_eq!(quarantine.find_harmful_parts(NOW), [part(HARMFUL_PART)]);
+}
+
 #[test]
 fn three_harmful_parts_at_once_are_all_held() {
     let mut quarantine = Quarantine::default();
