Quarantine: suspicions that accuse a part last as long as they are compared

Cause: with the log away nothing proves ends, and their suspicions lapsed after 8 s, all at about the same time; the part was then free until four more workers had ended. Whether the test met that depended on how many workers ended at first.

Change: suspicions that accuse a part last for the 60 s of the comparison; one of them alone holds nothing.

--- a/crates/swiftshunt-scheduler/src/quarantine/mod.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/mod.rs
@@ -78,6 +78,15 @@
 }
 
 impl WorkerEnd {
+    /// Returns how long the end is remembered. Suspicions that accuse a part are kept as long as they
+    /// are compared: while the log is away nothing proves them, and one of them alone holds nothing.
+    pub fn ttl(&self) -> Duration {
+        match self.part {
+            None => self.evidence.ttl(),
+            Some(_) => self.evidence.ttl().max(COMPARISON_WINDOW),
+        }
+    }
+
     /// Returns whether both are the same end, regardless of the evidence.
     pub fn is_same(&self, other: &Self) -> bool {
         (self.worker, self.sent_unix_ms, self.ended_unix_ms)
--- a/crates/swiftshunt-scheduler/src/quarantine/table.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/table.rs
@@ -73,7 +73,7 @@
     ) -> bool {
         let end = self.attribute(end);
         let age = Duration::from_millis(unix_ms.saturating_sub(end.ended_unix_ms));
-        let left = end.evidence.ttl().saturating_sub(age);
+        let left = end.ttl().saturating_sub(age);
         let mut ends = self.requests.entry(request).or_default().iter_mut();
         if let Some(known) = ends.find(|known| known.end.is_same(&end)) {
             let is_stronger = end.evidence > known.end.evidence;
