Quarantine: a part that ends a whole service is told from the runs beside it

Cause: the rate of ends of other runs is the measure of chance, and where the part keeps ending all workers, the runs beside it meet ends as often as its own.

Change: a second measure, by presence: how likely it is that runs with the part are among those that end at each moment, by their share of the time at workers. A part with a small share that is there each time is no chance, however many runs end beside it.

Tried first: not counting the ends beside the part.

--- a/crates/swiftshunt-scheduler/src/quarantine/parts.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/parts.rs
@@ -130,6 +130,10 @@
     seconds: f64,
     /// Number of its runs that meet an end by chance, as often as other runs do.
     expected_ends: f64,
+    /// Number of moments at which workers ended that ran requests with any part.
+    all_moments: usize,
+    /// Probability that one of its runs is among those that end at a moment, by its share of the time at workers.
+    presence: f64,
 }
 
 impl Candidate {
@@ -146,9 +150,15 @@
 
     /// Whether ends of workers at `moments` are too many for a sound part.
     fn is_harmful(&self, moments: usize) -> bool {
-        moments >= PART_THRESHOLD
-            && moments >= self.good_runs
-            && chance(moments, self.expected_ends) <= MAX_CHANCE
+        moments >= PART_THRESHOLD && moments >= self.good_runs && self.chance(moments) <= MAX_CHANCE
+    }
+
+    /// Returns the probability that ends at `moments` are chance: that so many are met at all, or, where
+    /// most runs meet an end, that it is there at so many of them.
+    fn chance(&self, moments: usize) -> f64 {
+        let all_moments = self.all_moments.max(moments);
+        let is_met = chance(moments, self.expected_ends);
+        is_met.min(chance_of_presence(moments, all_moments, self.presence))
     }
 }
 
@@ -162,6 +172,24 @@
     (ends - expected - ends * (ends / expected).ln()).exp()
 }
 
+/// Returns an upper bound of the probability that something is there at `present` or more of `all`
+/// moments, where it is there with the probability `probability`, by Chernoff's inequality.
+fn chance_of_presence(present: usize, all: usize, probability: f64) -> f64 {
+    let share = present as f64 / all as f64;
+    if share <= probability {
+        return 1.0;
+    }
+    let term = |observed: f64, expected: f64| {
+        if observed > 0.0 {
+            observed * (observed / expected).ln()
+        } else {
+            0.0
+        }
+    };
+    let divergence = term(share, probability) + term(1.0 - share, 1.0 - probability);
+    (-(all as f64) * divergence).exp()
+}
+
 /// Returns the time for which the workers that ended had the runs, in seconds.
 fn run_seconds(ends: &[WorkerEnd]) -> f64 {
     let milliseconds = ends
@@ -301,6 +329,8 @@
 
     fn candidates(&self, now: Duration) -> Vec<Candidate> {
         let (ended, seconds) = self.parts.totals(now);
+        let all_moments = self.moments_of_parts();
+        let ended_at_moment = ended / all_moments.max(1) as f64;
         let accused = self.parts.parts.iter();
         let candidates = accused.filter_map(|(part, accused)| {
             if accused.is_harmful || self.ends(part).count() < PART_THRESHOLD {
@@ -317,11 +347,21 @@
                 good_runs: accused.good_runs(),
                 seconds: own_seconds,
                 expected_ends: other_ended / other_seconds * own_seconds,
+                all_moments,
+                presence: 1.0 - (-ended_at_moment * own_seconds / seconds.max(own_seconds)).exp(),
             })
         });
         candidates.collect()
     }
 
+    /// Returns the number of moments at which workers ended that ran requests with any part.
+    fn moments_of_parts(&self) -> usize {
+        let parts = self.parts.parts.keys();
+        let mut ends: Vec<WorkerEnd> = parts.flat_map(|part| self.ends(part)).collect();
+        ends.sort_unstable_by_key(|end| end.ended_unix_ms);
+        count_moments(&ends)
+    }
+
     /// Returns the lives that ended while they ran a request or one with a part.
     fn lives(&self, request: &Fingerprint) -> HashSet<WorkerKey> {
         self.ends(request).map(|end| end.worker).collect()
--- a/crates/swiftshunt-scheduler/tests/quarantine_parts.rs
+++ b/crates/swiftshunt-scheduler/tests/quarantine_parts.rs
@@ -5,7 +5,7 @@
 
 use swiftshunt_scheduler::quarantine::{
     COMPARISON_WINDOW, Evidence, Fingerprint, PART_THRESHOLD, Quarantine, QuarantineStatus,
-    RecentRuns, RequestIdentity, RunCounts, WorkerEnd,
+    RecentRuns, RequestIdentity, RunCounts, SUSPECTED_END_TTL, WorkerEnd,
 };
 use swiftshunt_scheduler::slots::WorkerKey;
 
@@ -111,6 +111,23 @@
     assert_eq!(quarantine.find_harmful_parts(NOW), [part(HARMFUL_PART)]);
 }
 
+/// Nearly all runs of the service meet an end, all of them beside the part.
+#[test]
+fn a_part_that_ends_a_whole_service_is_held() {
+    let mut quarantine = Quarantine::default();
+    end_by_harmful_part(&mut quarantine, 25);
+    let devastated = |good, ended| RunCounts {
+        good,
+        ended,
+        exposure_ms: u64::from(good + ended) * 40,
+        all_ended: 160,
+        all_exposure_ms: 8_000,
+    };
+    record_runs(&mut quarantine, FIRST_PART, devastated(20, 160));
+    record_runs(&mut quarantine, HARMFUL_PART, devastated(0, 14));
+    assert_eq!(quarantine.find_harmful_parts(NOW), [part(HARMFUL_PART)]);
+}
+
 #[test]
 fn three_harmful_parts_at_once_are_all_held() {
     let mut quarantine = Quarantine::default();
@@ -337,6 +354,28 @@
     );
 }
 
+/// While the log is away, nothing proves the ends.
+#[test]
+fn a_part_is_held_for_longer_than_the_suspicion_of_a_single_end_lasts() {
+    let mut quarantine = Quarantine::default();
+    for worker in 1..=6 {
+        let proved = end(worker, 1_000 + worker * INTERVAL_MS, Some(1));
+        let suspected = WorkerEnd {
+            evidence: Evidence::Suspected,
+            ..proved
+        };
+        quarantine.record_end(part(HARMFUL_PART), suspected, proved.ended_unix_ms, NOW);
+    }
+    record_runs(&mut quarantine, HARMFUL_PART, counts(0, 7));
+    quarantine.find_harmful_parts(NOW);
+    let later = NOW + SUSPECTED_END_TTL * 2;
+    quarantine.remove_expired(later);
+    assert_ne!(
+        quarantine.status(&part(HARMFUL_PART), later),
+        QuarantineStatus::Allowed
+    );
+}
+
 #[test]
 fn recent_runs_are_counted_by_part_and_forgotten() {
     let mut runs = RecentRuns::default();
