Gateway: runs that end neither with an answer nor with a broken connection are logged and counted

No line told how the attempts ended that accuse nobody, so that 'the evidence left with its caller' could not be told from 'nobody looked'. One line and one count for each, after the request was handed to a connection; no hash, no message. No change of logic.

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -166,7 +166,7 @@
         let missing = chosen.missing_tokens;
         self.peers
             .notify_prompt(&chosen.service, &chosen.incarnation, prompt, missing);
-        let sent = self.exchange(chosen, outgoing, last_event, limits);
+        let sent = self.exchange(&in_flight, outgoing, last_event, limits);
         let outcome = tokio::select! {
             outcome = sent => outcome,
             failure = self.wait_until_limit(chosen, limits) => Err(failure),
@@ -225,17 +225,19 @@
 
     async fn exchange(
         &self,
-        chosen: &ChosenWorker,
+        in_flight: &InFlight,
         outgoing: &OutgoingRequest,
         last_event: Option<u64>,
         limits: SendLimits,
     ) -> Result<(hyper::Response<Incoming>, Sender), SendFailure> {
+        let chosen = &in_flight.chosen;
         let permit = Some(self.ensure_start_permit(chosen, outgoing, None).await?);
         let idle = self
             .upstream
             .take_idle(&chosen.incarnation, self.clock.now());
         if let Some(mut sender) = idle {
             let request = self.build_request(chosen, outgoing, last_event, limits);
+            in_flight.record_sent();
             match sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, sender)),
                 // If no byte of the request was sent, a new connection is tried below.
@@ -257,6 +259,7 @@
         }
         self.ensure_start_permit(chosen, outgoing, permit).await?;
         let request = self.build_request(chosen, outgoing, last_event, limits);
+        in_flight.record_sent();
         match sender.try_send_request(request).await {
             Ok(response) => Ok((response, sender)),
             Err(mut error) => {
--- a/crates/swiftshunt-gateway/src/in_flight.rs
+++ b/crates/swiftshunt-gateway/src/in_flight.rs
@@ -1,6 +1,7 @@
 //! Accounting for a request while it is at a worker.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use swiftshunt_scheduler::selection::{AttemptOutcome, ChosenWorker, Class};
@@ -9,6 +10,7 @@
 use crate::attempt::{Dispatcher, OutgoingRequest};
 use crate::clock::Clock;
 use crate::fleet_state::FleetState;
+use crate::metrics::Metrics;
 use crate::quarantine::{Quarantine, RequestContent};
 use crate::slots::Slots;
 use crate::traffic::{Content, Traffic};
@@ -18,6 +20,9 @@
     fleet_state: Arc<FleetState>,
     slots: Arc<Slots>,
     quarantine: Arc<Quarantine>,
+    metrics: Arc<Metrics>,
+    /// Identifier of the attempt, for logs.
+    id: String,
     pub(crate) request_content: RequestContent,
     clock: Clock,
     pub(crate) chosen: ChosenWorker,
@@ -25,6 +30,8 @@
     traffic: Traffic,
     class: Class,
     sent_at: Duration,
+    /// Whether the request was handed to a connection, so that the worker may run it.
+    was_sent: AtomicBool,
     had_first_event: bool,
     outcome: AttemptOutcome,
 }
@@ -50,6 +57,8 @@
             fleet_state: Arc::clone(&dispatcher.fleet_state),
             slots: Arc::clone(&dispatcher.slots),
             quarantine: Arc::clone(&dispatcher.quarantine),
+            metrics: Arc::clone(&dispatcher.metrics),
+            id: outgoing.id.clone().unwrap_or_default(),
             request_content: outgoing.request_content.clone(),
             clock: dispatcher.clock,
             chosen: chosen.clone(),
@@ -57,11 +66,17 @@
             traffic,
             class: demand.class,
             sent_at: now,
+            was_sent: AtomicBool::new(false),
             had_first_event: false,
             outcome: AttemptOutcome::Cancelled,
         }
     }
 
+    /// Records that the request is handed to a connection.
+    pub(crate) fn record_sent(&self) {
+        self.was_sent.store(true, Ordering::Relaxed);
+    }
+
     /// Records that a part of the answer arrived; the first one counts as the first event.
     pub(crate) fn record_progress(&mut self) {
         let now = self.clock.now();
@@ -89,6 +104,24 @@
     pub(crate) fn set_outcome(&mut self, outcome: AttemptOutcome) {
         self.outcome = outcome;
     }
+
+    /// Whether the worker may have begun the run, which neither succeeded nor broke off.
+    fn is_inconclusive(&self) -> bool {
+        let was_sent = self.was_sent.load(Ordering::Relaxed);
+        was_sent
+            && matches!(
+                self.outcome,
+                AttemptOutcome::Failed | AttemptOutcome::TimedOut | AttemptOutcome::Cancelled
+            )
+    }
+
+    /// Logs and counts a run whose end shows neither that it succeeded nor that its worker failed.
+    fn record_inconclusive_run(&self, time_at_worker: Duration) {
+        self.metrics.record_inconclusive_run(self.outcome);
+        log::info!(request = self.id.as_str(), worker = self.chosen.incarnation.as_str(),
+            outcome:? = self.outcome, waited_ms = time_at_worker.as_millis() as u64;
+            "the run of a request is inconclusive, since it did not end with an answer or a broken connection");
+    }
 }
 
 impl Drop for InFlight {
@@ -115,5 +148,8 @@
             self.quarantine
                 .check_after_break(&self.request_content, &self.chosen, time_at_worker);
         }
+        if self.is_inconclusive() {
+            self.record_inconclusive_run(time_at_worker);
+        }
     }
 }
--- a/crates/swiftshunt-gateway/src/metrics/mod.rs
+++ b/crates/swiftshunt-gateway/src/metrics/mod.rs
@@ -14,6 +14,7 @@
 use prometheus_client::registry::Registry;
 use swiftshunt_http::{Framing, StreamEnd};
 use swiftshunt_routing::Rejected;
+use swiftshunt_scheduler::selection::AttemptOutcome;
 use swiftshunt_scheduler::slots::allocator::SlotUsage;
 
 use crate::fleet_state::lock;
@@ -35,6 +36,7 @@
     pub(crate) traffic: Traffic,
     pub(crate) requests: Family<RequestLabels, Counter>,
     pub(crate) attempts: Family<OutcomeLabels, Counter>,
+    inconclusive_runs: Family<OutcomeLabels, Counter>,
     pub(crate) appends: Family<OutcomeLabels, Counter>,
     pub(crate) items: Family<OutcomeLabels, Counter>,
     take_ups: Family<TakeUpLabels, Counter>,
@@ -91,6 +93,12 @@
         registry.register("requests", "Requests by route and end", requests.clone());
         let attempts = Family::default();
         registry.register("attempts", "Sends to workers by outcome", attempts.clone());
+        let inconclusive_runs = Family::default();
+        registry.register(
+            "inconclusive_runs",
+            "Runs that ended neither with an answer nor with a broken connection, by outcome",
+            inconclusive_runs.clone(),
+        );
         let appends = Family::default();
         registry.register("appends", "Journal appends by outcome", appends.clone());
         let items = Family::default();
@@ -331,6 +339,7 @@
             records_unreadable,
             requests,
             attempts,
+            inconclusive_runs,
             appends,
             items,
             take_ups,
@@ -453,6 +462,12 @@
         self.stream_ends.get_or_create(&labels).inc();
     }
 
+    /// Counts a run whose end shows neither that it succeeded nor that its worker failed.
+    pub(crate) fn record_inconclusive_run(&self, outcome: AttemptOutcome) {
+        let labels = outcome_labels(outcome);
+        self.inconclusive_runs.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn record_append(&self, outcome: impl std::fmt::Debug) {
         self.appends.get_or_create(&outcome_labels(outcome)).inc();
     }
