--- a/crates/swiftshunt-lab/src/platform/caller.rs
+++ b/crates/swiftshunt-lab/src/platform/caller.rs
@@ -256,6 +256,22 @@
         drop(tokio::time::timeout(leave_after, asked).await);
     }
 
+    /// Sends a request with the given body and deadline, and closes the connection after `leave_after` if the response
+    /// is not complete by then. Returns the response if it is.
+    pub async fn ask_with_body_and_disconnect(
+        &self,
+        gateway: SocketAddr,
+        path: &str,
+        id: &str,
+        body: &str,
+        deadline: Duration,
+        leave_after: Duration,
+    ) -> Option<Result<HttpAnswer, HttpError>> {
+        let request = self.text_request_with_body(gateway, path, id, deadline, body);
+        let exchange = self.client.exchange(request, CALL_TIMEOUT);
+        tokio::time::timeout(leave_after, exchange).await.ok()
+    }
+
     /// Submits a batch job with `items` items whose bodies are those of [`item_body`].
     pub async fn submit(
         &self,
--- a/crates/swiftshunt-lab/src/platform/worker.rs
+++ b/crates/swiftshunt-lab/src/platform/worker.rs
@@ -93,8 +93,8 @@
     pub events: Option<u64>,
     /// Delay before a response that is not streamed, and before each event of a stream.
     pub answer_delay: Duration,
-    /// A request body that crashes the worker: it stops `answer_delay` after such a request began to run, or inside the
-    /// second event of a stream with neither a length nor chunks.
+    /// A request body that crashes the worker: it stops `answer_delay` after such a request began to run, cancelled or
+    /// not, or inside the second event of a stream with neither a length nor chunks.
     pub crash_on_body: Option<String>,
     /// A part of prompts, except the last, that crashes the worker: it stops inside the second event of a stream whose
     /// request names the part.
@@ -158,6 +158,15 @@
     fn running(&self) -> usize {
         self.settings.slots - self.slots.available_permits()
     }
+
+    /// Stops the worker after a delay, also if the request that crashes it is cancelled meanwhile.
+    fn crash_after(&self, delay: Duration) {
+        let stop = self.stop.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            stop.cancel();
+        });
+    }
 }
 
 /// An occupied slot. Dropping it releases the slot and reports the end of the run.
@@ -387,9 +396,8 @@
     };
     let crashes_in_stream = crashes && behaviour == WorkerBehaviour::UnframedStreams;
     if crashes && !crashes_in_stream {
-        tokio::time::sleep(shared.settings.answer_delay).await;
-        shared.stop.cancel();
-        return Err(BrokenOff);
+        shared.crash_after(shared.settings.answer_delay);
+        return std::future::pending().await;
     }
     match behaviour {
         WorkerBehaviour::Hang => return std::future::pending().await,
--- a/crates/swiftshunt/tests/gateway/mod.rs
+++ b/crates/swiftshunt/tests/gateway/mod.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::ops::{Deref, DerefMut};
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::StatusCode;
 use swiftshunt_lab::platform::caller::item_id;
@@ -127,3 +127,44 @@
     let status = fleet.caller.submit(gateway, BATCH, job, items).await;
     assert_eq!(status.expect("no response"), StatusCode::ACCEPTED);
 }
+
+/// Replaces the workers of the service `engine` some time after they have crashed.
+pub struct CrashedWorkerReplacer {
+    delay: Duration,
+    /// When each worker that is not replaced yet was found to have crashed.
+    crashed_at: Vec<Option<Instant>>,
+    replaced: usize,
+}
+
+impl CrashedWorkerReplacer {
+    pub fn new(workers: usize, delay: Duration) -> Self {
+        Self {
+            delay,
+            crashed_at: vec![None; workers],
+            replaced: 0,
+        }
+    }
+
+    /// Replaces the workers whose delay is over. To be called often.
+    pub async fn replace_crashed(&mut self, fleet: &mut ExclusiveFleet) {
+        for index in 0..self.crashed_at.len() {
+            if !fleet.engine_workers[index].has_crashed() {
+                continue;
+            }
+            let crashed_at = *self.crashed_at[index].get_or_insert_with(Instant::now);
+            if crashed_at.elapsed() >= self.delay {
+                self.replaced += 1;
+                let incarnation = format!("engine-{index}-{}", self.replaced);
+                let replaced = fleet.replace_engine_worker(index, &incarnation);
+                replaced.await.expect("the worker did not start");
+                self.crashed_at[index] = None;
+            }
+        }
+    }
+}
+
+/// Returns the number of workers of the service `engine` that have crashed, replaced or not.
+pub fn crashed_engine_workers(fleet: &ExclusiveFleet) -> usize {
+    let running = fleet.engine_workers.iter();
+    running.filter(|worker| worker.has_crashed()).count() + fleet.replaced_workers.len()
+}
--- a/crates/swiftshunt/tests/gateway_harmful_parts.rs
+++ b/crates/swiftshunt/tests/gateway_harmful_parts.rs
@@ -6,7 +6,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use gateway::{EVENTS, ExclusiveFleet, listed_results, start, unresponsive_log};
+use gateway::{
+    CrashedWorkerReplacer, EVENTS, ExclusiveFleet, crashed_engine_workers, listed_results, start,
+    unresponsive_log,
+};
 use hyper::StatusCode;
 use swiftshunt_lab::platform::caller::item_id;
 use swiftshunt_lab::platform::fleet::{
@@ -57,7 +60,7 @@
     fleet: ExclusiveFleet,
     path: &'static str,
     number: u64,
-    crashed_at: Vec<Option<Instant>>,
+    replacer: CrashedWorkerReplacer,
     /// Whether each sound request had a whole answer.
     sound: Arc<Mutex<Vec<bool>>>,
 }
@@ -71,7 +74,7 @@
             fleet,
             path,
             number: 0,
-            crashed_at: vec![None; WORKERS],
+            replacer: CrashedWorkerReplacer::new(WORKERS, RESTART_DELAY),
             sound: Arc::default(),
         }
     }
@@ -84,7 +87,7 @@
             let sound = [(FIRST_PART, 10), (0x1000 + self.number % SOUND_PARTS, 10)];
             self.send("sound", &sound);
         }
-        self.replace_crashed_workers().await;
+        self.replacer.replace_crashed(&mut self.fleet).await;
         tokio::time::sleep(INTERVAL).await;
     }
 
@@ -126,24 +129,8 @@
         });
     }
 
-    async fn replace_crashed_workers(&mut self) {
-        for index in 0..WORKERS {
-            if !self.fleet.engine_workers[index].has_crashed() {
-                continue;
-            }
-            let crashed_at = *self.crashed_at[index].get_or_insert_with(Instant::now);
-            if crashed_at.elapsed() >= RESTART_DELAY {
-                let incarnation = format!("engine-{index}-{}", self.number);
-                let replaced = self.fleet.replace_engine_worker(index, &incarnation);
-                replaced.await.expect("the worker did not start");
-                self.crashed_at[index] = None;
-            }
-        }
-    }
-
     fn ended_workers(&self) -> usize {
-        let running = self.fleet.engine_workers.iter();
-        running.filter(|worker| worker.has_crashed()).count() + self.fleet.replaced_workers.len()
+        crashed_engine_workers(&self.fleet)
     }
 
     fn harmful_runs(&self) -> usize {
