Quarantine: a run that ended for its gateway a moment before its worker did is accused

Callers saw: a request under which three workers had ended was sent to workers again and again; with each of them the answers of others broke off. Cause: evidence was taken from how an attempt ended for the gateway. A caller that leaves, a deadline, a silent worker, an attempt that the gateway itself cancels: the gateway closes the connection, the worker ends of what it had begun, and nobody is accused. The class: evidence of what a run did to its worker was taken from the end of the run, not from the end of the worker. Change: each gateway keeps the runs that it sent and that ended neither with an answer nor with a broken connection (1.5 s, 512 runs, 4 MiB; no hash, message or probe). Whoever notices that a worker has ended tells all, by two collectors of the worker, once others see it refuse, too; the runs that it may have worked on (sent before, left at most 0.5 s before the end: a closed connection stops a run by then) are accused like those that broke off, parts included; their time at workers counts 0.5 s longer, as that is the time in which an end accuses them. If ends of the request are known, the worker of such a run is probed 0.25 s later, since nobody else may look. Why it works: the accusation no longer depends on which attempt saw the end, nor on the gateway that saw it.

--- a/crates/swiftshunt-gateway/src/in_flight.rs
+++ b/crates/swiftshunt-gateway/src/in_flight.rs
@@ -137,19 +137,22 @@
             now,
         );
         self.fleet_state.load_changed.notify_one();
-        self.quarantine
-            .count_exposure(&self.request_content, time_at_worker);
         if let AttemptOutcome::Unreachable | AttemptOutcome::Broken | AttemptOutcome::TimedOut =
             self.outcome
         {
             self.slots.report_send_failure(&self.chosen);
         }
-        if self.outcome == AttemptOutcome::Broken {
-            self.quarantine
-                .check_after_break(&self.request_content, &self.chosen, time_at_worker);
-        }
+        let (content, chosen) = (&self.request_content, &self.chosen);
         if self.is_inconclusive() {
             self.record_inconclusive_run(time_at_worker);
+            self.quarantine
+                .record_inconclusive_run(content, chosen, time_at_worker);
+            return;
+        }
+        self.quarantine.count_exposure(content, time_at_worker);
+        if self.outcome == AttemptOutcome::Broken {
+            self.quarantine
+                .check_after_break(content, chosen, time_at_worker);
         }
     }
 }
--- a/crates/swiftshunt-gateway/src/messages/quarantine.rs
+++ b/crates/swiftshunt-gateway/src/messages/quarantine.rs
@@ -57,6 +57,13 @@
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         ends: Vec<WorkerEnd>,
     },
+    /// Tells that a worker has ended: its collectors, which tell all gateways.
+    WorkerEnded {
+        /// The key of the worker's incarnation.
+        worker: WorkerKey,
+        /// Milliseconds since its end was noticed.
+        ago_ms: u64,
+    },
     /// Asks a gateway near a worker to probe the worker.
     Look {
         /// Identifies the probe in the answer.
--- a/crates/swiftshunt-gateway/src/quarantine/directory.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/directory.rs
@@ -121,6 +121,7 @@
 
     /// Removes the ends of a worker up to the given evidence, here, in the log and at all other gateways.
     pub(super) fn refute_end(&self, worker: WorkerKey, evidence: Evidence, reason: &str) {
+        lock(&self.inconclusive_runs).forget_worker_end(worker);
         let refuted = lock(&self.table).refute(worker, evidence);
         if refuted.is_empty() {
             return;
--- a/crates/swiftshunt-gateway/src/quarantine/mod.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/mod.rs
@@ -9,6 +9,7 @@
 //! acknowledged the end ([`reports`]). While no worker ends, nothing is sent, recorded or hashed.
 
 mod directory;
+mod inconclusive_runs;
 mod probe;
 mod prompt_parts;
 mod records;
@@ -24,10 +25,10 @@
 
 use swiftshunt_journal::Log;
 use swiftshunt_scheduler::quarantine::{
-    Evidence, Fingerprint, LapsedWorkers, Quarantine as Table, QuarantineStatus, RenewalTracker,
-    WorkerEnd,
+    Evidence, Fingerprint, InconclusiveRuns, LapsedWorkers, Quarantine as Table, QuarantineStatus,
+    RenewalTracker, WorkerEnd,
 };
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{Notify, Semaphore, mpsc, watch};
 
 use crate::clock::Clock;
 use crate::datagrams::Datagrams;
@@ -38,6 +39,7 @@
 use crate::messages::quarantine::{MAX_TOLD_ENDS, QuarantineMessage, Sight};
 use crate::metrics::Metrics;
 use crate::unreadable::UnreadableRecords;
+use inconclusive_runs::{MAX_WATCHED_RUNS, RequestAtWorker};
 use prompt_parts::RunCounters;
 use records::PendingRecords;
 use reports::Reports;
@@ -94,6 +96,9 @@
     last_probe: AtomicU64,
     local_faults: Mutex<LocalFaultDetector>,
     run_counts: RunCounters,
+    inconclusive_runs: Mutex<InconclusiveRuns<RequestAtWorker>>,
+    /// Permits to watch workers after inconclusive runs of suspect requests.
+    watches: Arc<Semaphore>,
     pending_records: PendingRecords,
     /// Whether the records in the log were read since the start of the process.
     is_read: watch::Sender<bool>,
@@ -128,6 +133,8 @@
             last_probe: AtomicU64::new(0),
             local_faults: Mutex::default(),
             run_counts: RunCounters::default(),
+            inconclusive_runs: Mutex::default(),
+            watches: Arc::new(Semaphore::new(MAX_WATCHED_RUNS)),
             pending_records: PendingRecords::default(),
             is_read: watch::Sender::new(false),
         }
@@ -401,10 +408,14 @@
                 fingerprint,
                 ends,
             } => self.handle_acknowledgement(report, &fingerprint, ends, from),
+            QuarantineMessage::WorkerEnded { worker, ago_ms } => {
+                self.handle_worker_end(worker, ago_ms, from);
+            }
             QuarantineMessage::Look { ask, address } => self.probe_for_peer(from, ask, address),
             QuarantineMessage::Looked { ask, sight } => self.deliver_probe_result(ask, sight),
             QuarantineMessage::Refuted { worker, evidence } => {
                 lock(&self.table).refute(worker, evidence);
+                lock(&self.inconclusive_runs).forget_worker_end(worker);
             }
         }
     }
--- a/crates/swiftshunt-gateway/src/quarantine/worker_ends.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/worker_ends.rs
@@ -78,11 +78,29 @@
             Some(Check::Ended(_)) | None => {
                 let check = Check::UnderWay(accused);
                 checks.insert(chosen.incarnation.clone(), check);
-                tokio::spawn(Arc::clone(self).check(chosen.clone()));
+                tokio::spawn(Arc::clone(self).check(chosen.clone(), now));
             }
         }
     }
 
+    /// Starts a check of a worker that refused a connection after an inconclusive run, unless one is running or a recent
+    /// one found it ended.
+    pub(super) fn check_watched(self: &Arc<Self>, chosen: &ChosenWorker) {
+        let now = self.clock.now();
+        let mut checks = lock(&self.checks);
+        let is_checked = match checks.get(&chosen.incarnation) {
+            Some(Check::UnderWay(_)) => true,
+            Some(Check::Ended(at)) => now < *at + ENDED_CHECK_TTL,
+            None => false,
+        };
+        if is_checked {
+            return;
+        }
+        let check = Check::UnderWay(Vec::new());
+        checks.insert(chosen.incarnation.clone(), check);
+        tokio::spawn(Arc::clone(self).check(chosen.clone(), now));
+    }
+
     /// Records that a run of a request succeeded whose answer ended with its connection. If ends are recorded for the
     /// request, they are removed only if the worker still takes connections.
     pub(crate) fn confirm_success(
@@ -125,7 +143,8 @@
         failures.is_local_fault(workers)
     }
 
-    async fn check(self: Arc<Self>, chosen: ChosenWorker) {
+    /// Finds out whether a worker has ended, by what was noticed at `noticed_at`.
+    async fn check(self: Arc<Self>, chosen: ChosenWorker, noticed_at: Duration) {
         let mut sight = probe_connection(chosen.address).await;
         if sight == Sight::Takes {
             // A process that ends may close its connections before its listening socket.
@@ -133,10 +152,12 @@
             sight = probe_connection(chosen.address).await;
         }
         let refuses = sight == Sight::Refuses;
-        let ends = self.finish_check(&chosen, refuses);
+        let mut ends = self.finish_check(&chosen, refuses);
         if !refuses {
             return self.add_doubted_worker(chosen, ends);
         }
+        let worker = WorkerKey::of(&chosen.incarnation);
+        ends.extend(self.take_accused_runs(worker, noticed_at));
         self.report_ended(&chosen, &ends);
         self.progress.notify_waiters();
         // The suspicion is reported before the witnesses answer, since attempts of one request follow each other
@@ -144,16 +165,16 @@
         match self.ask_witnesses(&chosen).await {
             Sight::Refuses => {
                 self.metrics.workers_ended.inc();
-                return;
+                return self.announce_worker_end(worker, noticed_at);
             }
             Sight::Takes => {
-                let worker = WorkerKey::of(&chosen.incarnation);
                 let reason = "another gateway can connect to it";
                 self.refute_end(worker, Evidence::Suspected, reason);
             }
             // Other gateways may have stronger evidence, so only this gateway's own ends are removed.
             Sight::Nothing => self.retract_ends(&ends),
         }
+        lock(&self.inconclusive_runs).forget_worker_end(worker);
         lock(&self.checks).remove(&chosen.incarnation);
         self.add_doubted_worker(chosen, ends);
     }
@@ -234,7 +255,11 @@
     }
 
     /// Logs and reports the ends of a worker that ran requests.
-    fn report_ended(self: &Arc<Self>, chosen: &ChosenWorker, ends: &[(Fingerprint, WorkerEnd)]) {
+    pub(super) fn report_ended(
+        self: &Arc<Self>,
+        chosen: &ChosenWorker,
+        ends: &[(Fingerprint, WorkerEnd)],
+    ) {
         let fingerprints: Vec<Fingerprint> = ends.iter().map(|(request, _)| *request).collect();
         log::info!(worker = chosen.incarnation.as_str(), address = chosen.address.to_string().as_str(),
             fingerprints:? = fingerprints, gateways = self.members.count(); "a worker ended while it ran requests");
@@ -251,7 +276,10 @@
 
 /// Returns the ends to record if the worker has ended: of the request, and of each part of its prompt that other requests
 /// may share.
-fn accused_by(request_content: &RequestContent, end: WorkerEnd) -> Vec<(Fingerprint, WorkerEnd)> {
+pub(super) fn accused_by(
+    request_content: &RequestContent,
+    end: WorkerEnd,
+) -> Vec<(Fingerprint, WorkerEnd)> {
     let parts = (0..).zip(request_content.shared_parts());
     let part_ends = parts.map(|(depth, part)| {
         let part_end = WorkerEnd {
--- a/crates/swiftshunt-scheduler/src/quarantine/mod.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/mod.rs
@@ -15,6 +15,8 @@
 //! - A run that ends well clears a request.
 //! - A part that many prompts share is accused by each end as well, and is held if it explains the
 //!   ends ([`parts`]). Whole requests that it explains are free again.
+//! - A run that ended before it was seen what it does to its worker is accused if the worker ends a
+//!   moment later ([`InconclusiveRuns`]).
 //! - A fact expires after [`PROVED_END_TTL`].
 //! - A refused connection looks like the end of a process, but may be a network fault. It is only a
 //!   suspicion, which expires after [`SUSPECTED_END_TTL`] unless the end is proved ([`Evidence`]).
@@ -22,6 +24,7 @@
 
 mod evidence;
 mod fingerprint;
+mod inconclusive_runs;
 mod lapsed_workers;
 mod parts;
 mod proved_lives;
@@ -37,6 +40,7 @@
 
 pub use evidence::Evidence;
 pub use fingerprint::{Fingerprint, ParseFingerprintError, RequestIdentity};
+pub use inconclusive_runs::{AccusedRuns, InconclusiveRun, InconclusiveRuns, LINGER_TIME};
 pub use lapsed_workers::{LAPSE_SETTLE_DELAY, LapsedWorkers};
 pub use parts::PART_THRESHOLD;
 pub use proved_lives::NextLife;
