Quarantine: breaks at many workers accuse once other gateways see the workers refuse

Callers saw: a request that ends workers is sent on, if many other workers end within the same moments. Cause: a gateway whose sends fail at more than a quarter of the workers within 0.3 s suspects its own links and accused nobody, also where the workers had ended. Evidence that others have was not asked for. A gateway that has nobody to ask accuses nobody, as before. What did not refuse waits for the directory's proof. Why it works: a fault of the gateway's own links is not seen by another gateway; the end of a worker is.

--- a/crates/swiftshunt-gateway/src/quarantine/probe.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/probe.rs
@@ -45,6 +45,11 @@
         seen
     }
 
+    /// Whether there are gateways to ask for a probe of a worker in a zone.
+    pub(super) fn has_witnesses(&self, zone: &str) -> bool {
+        !self.witnesses(zone).is_empty()
+    }
+
     /// Returns the gateways to ask for a probe: gateways in the worker's zone, or any others if none is known there
     /// and this gateway is not in that zone itself.
     fn witnesses(&self, zone: &str) -> Vec<SocketAddr> {
--- a/crates/swiftshunt-gateway/src/quarantine/worker_ends.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/worker_ends.rs
@@ -46,18 +46,31 @@
     Ended(Duration),
 }
 
+/// What shows that a worker has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EndBasis {
+    /// It refuses connections from this gateway. Others are asked afterwards, and may refute it.
+    OwnProbe,
+    /// It refuses connections from other gateways as well. Requests of this gateway break off at so many workers that
+    /// its own links may be the cause.
+    OtherGateways,
+}
+
 impl Quarantine {
     /// Starts a check of a worker at which a request broke off, if none is running and no recent one found it ended. The
-    /// request was sent `ago` before this call. Does nothing if the cause seems to be this gateway.
+    /// request was sent `ago` before this call. If the cause seems to be this gateway, the worker counts as ended only if
+    /// another gateway sees that it refuses connections.
     pub(crate) fn check_after_break(
         self: &Arc<Self>,
         request_content: &RequestContent,
         chosen: &ChosenWorker,
         ago: Duration,
     ) {
-        if self.is_local_fault(chosen) {
-            return;
-        }
+        let basis = if self.is_local_fault(chosen) {
+            EndBasis::OtherGateways
+        } else {
+            EndBasis::OwnProbe
+        };
         let now = self.clock.now();
         let ended_unix_ms = Clock::unix_ms();
         let end = WorkerEnd {
@@ -78,7 +91,7 @@
             Some(Check::Ended(_)) | None => {
                 let check = Check::UnderWay(accused);
                 checks.insert(chosen.incarnation.clone(), check);
-                tokio::spawn(Arc::clone(self).check(chosen.clone(), now));
+                tokio::spawn(Arc::clone(self).check(chosen.clone(), now, basis));
             }
         }
     }
@@ -98,7 +111,7 @@
         }
         let check = Check::UnderWay(Vec::new());
         checks.insert(chosen.incarnation.clone(), check);
-        tokio::spawn(Arc::clone(self).check(chosen.clone(), now));
+        tokio::spawn(Arc::clone(self).check(chosen.clone(), now, EndBasis::OwnProbe));
     }
 
     /// Records that a run of a request succeeded whose answer ended with its connection. If ends are recorded for the
@@ -144,14 +157,11 @@
     }
 
     /// Finds out whether a worker has ended, by what was noticed at `noticed_at`.
-    async fn check(self: Arc<Self>, chosen: ChosenWorker, noticed_at: Duration) {
-        let mut sight = probe_connection(chosen.address).await;
-        if sight == Sight::Takes {
-            // A process that ends may close its connections before its listening socket.
-            tokio::time::sleep(PROBE_RETRY_DELAY).await;
-            sight = probe_connection(chosen.address).await;
+    async fn check(self: Arc<Self>, chosen: ChosenWorker, noticed_at: Duration, basis: EndBasis) {
+        let mut refuses = refuses_connections(&chosen).await;
+        if basis == EndBasis::OtherGateways {
+            refuses = refuses && self.refuses_others(&chosen).await;
         }
-        let refuses = sight == Sight::Refuses;
         let mut ends = self.finish_check(&chosen, refuses);
         if !refuses {
             return self.add_doubted_worker(chosen, ends);
@@ -160,13 +170,13 @@
         ends.extend(self.take_accused_runs(worker, noticed_at));
         self.report_ended(&chosen, &ends);
         self.progress.notify_waiters();
+        if basis == EndBasis::OtherGateways {
+            return self.confirm_end(worker, noticed_at);
+        }
         // The suspicion is reported before the witnesses answer, since attempts of one request follow each other
         // within milliseconds.
         match self.ask_witnesses(&chosen).await {
-            Sight::Refuses => {
-                self.metrics.workers_ended.inc();
-                return self.announce_worker_end(worker, noticed_at);
-            }
+            Sight::Refuses => return self.confirm_end(worker, noticed_at),
             Sight::Takes => {
                 let reason = "another gateway can connect to it";
                 self.refute_end(worker, Evidence::Suspected, reason);
@@ -179,6 +189,18 @@
         self.add_doubted_worker(chosen, ends);
     }
 
+    /// Whether other gateways see that a worker refuses connections, too. False if there are none to ask.
+    async fn refuses_others(&self, chosen: &ChosenWorker) -> bool {
+        log::info!(worker = chosen.incarnation.as_str();
+            "requests break off at many workers, and one of them refuses connections; it has ended only if others see that");
+        self.has_witnesses(&chosen.zone) && self.ask_witnesses(chosen).await == Sight::Refuses
+    }
+
+    fn confirm_end(&self, worker: WorkerKey, noticed_at: Duration) {
+        self.metrics.workers_ended.inc();
+        self.announce_worker_end(worker, noticed_at);
+    }
+
     /// Removes ends that only this gateway has seen and no other gateway confirmed.
     fn retract_ends(&self, ends: &[(Fingerprint, WorkerEnd)]) {
         for (fingerprint, end) in ends {
@@ -274,6 +296,17 @@
     }
 }
 
+/// Whether a worker refuses connections.
+async fn refuses_connections(chosen: &ChosenWorker) -> bool {
+    let mut sight = probe_connection(chosen.address).await;
+    if sight == Sight::Takes {
+        // A process that ends may close its connections before its listening socket.
+        tokio::time::sleep(PROBE_RETRY_DELAY).await;
+        sight = probe_connection(chosen.address).await;
+    }
+    sight == Sight::Refuses
+}
+
 /// Returns the ends to record if the worker has ended: of the request, and of each part of its prompt that other requests
 /// may share.
 pub(super) fn accused_by(
