Quarantine: a part that ends all workers within moments is found by the lives at which it is there

Callers saw: requests with one part of their prompts go on to end workers, if each of them ends several within a tenth of a second (resumable streams): 28 workers ended before and 28 after the bound, 13 to 28 of 200 sound requests were served. Cause, by the comparison's own figures (a trial with a line for each): all ends are noticed and accuse the part, but other runs at the same workers meet as many ends, so that the expected number grows with the found one (17 moments, 21 expected); and several lives end in each moment of 100 ms, so that its chance to be there at a moment is 0.93. Change: a third measure, the lives that ended, three of each moment at most: it is there at 56 of 56, by its share of the time at workers it would be at six in ten. At least four moments, and not more good runs than moments, are needed as before: a rack counts once.

--- a/crates/swiftshunt-scheduler/src/quarantine/parts.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/parts.rs
@@ -7,7 +7,9 @@
 //! - The measure is the time at workers: the longer the runs with a part take, the more ends they meet
 //!   by chance. While many other runs end as well, as in an outage of a service, it takes more ends to
 //!   single out a part.
-//! - Workers that end at one moment count once: a rack, or a crowd that meets one.
+//! - Workers that end at one moment count once: a rack, or a crowd that meets one. While workers end
+//!   faster than that, other runs meet as many ends. What remains is that the part is there at nearly
+//!   each life that ends, of which a few at a moment are compared.
 //! - A life that a part already held has ended counts for no other part, nor do those of the one held
 //!   request that explains most. The part whose runs meet ends at the highest rate is taken first; among
 //!   equals, the one further behind in the prompt, which fewer requests share.
@@ -27,6 +29,8 @@
 pub const PART_THRESHOLD: usize = 4;
 /// Ends within this time of each other count as one moment for a part.
 const MOMENT: Duration = Duration::from_millis(100);
+/// Most lives of workers that are compared of those that ended at one moment.
+const MAX_LIVES_AT_MOMENT: usize = 3;
 /// Probability below which the ends of a part are no chance.
 const MAX_CHANCE: f64 = 1e-4;
 /// Time at workers that is assumed beside the known one, so that few known runs prove little.
@@ -130,10 +134,37 @@
     seconds: f64,
     /// Number of its runs that meet an end by chance, as often as other runs do.
     expected_ends: f64,
-    /// Number of moments at which workers ended that ran requests with any part.
-    all_moments: usize,
-    /// Probability that one of its runs is among those that end at a moment, by its share of the time at workers.
-    presence: f64,
+    /// Whether it is there where workers end, by moments.
+    at_moments: Presence,
+    /// The same by lives of workers, of which a few are compared at each moment.
+    at_lives: Presence,
+}
+
+/// How often a part is there where workers end, and how often it would be by chance.
+#[derive(Clone, Copy, Debug)]
+struct Presence {
+    present: usize,
+    all: usize,
+    /// Probability that one of its runs is among those that end together, by its share of the time at workers.
+    probability: f64,
+}
+
+impl Presence {
+    /// Returns the presence of a part that has the share `share` of the time at workers, where `ended_runs` ended in
+    /// `ends` groups.
+    fn new(present: usize, all: usize, ended_runs: f64, ends: usize, share: f64) -> Self {
+        let runs = ended_runs / ends.max(1) as f64;
+        Self {
+            present,
+            all,
+            probability: 1.0 - (-runs * share).exp(),
+        }
+    }
+
+    /// Returns an upper bound of the probability that the part is there as often by chance.
+    fn chance(self) -> f64 {
+        chance_of_presence(self.present, self.all, self.probability)
+    }
 }
 
 impl Candidate {
@@ -156,9 +187,13 @@
     /// Returns the probability that ends at `moments` are chance: that so many are met at all, or, where
     /// most runs meet an end, that it is there at so many of them.
     fn chance(&self, moments: usize) -> f64 {
-        let all_moments = self.all_moments.max(moments);
+        let at_moments = Presence {
+            present: moments,
+            all: self.at_moments.all.max(moments),
+            ..self.at_moments
+        };
         let is_met = chance(moments, self.expected_ends);
-        is_met.min(chance_of_presence(moments, all_moments, self.presence))
+        is_met.min(at_moments.chance()).min(self.at_lives.chance())
     }
 }
 
@@ -200,17 +235,33 @@
 
 /// Returns the number of moments at which workers ended, by their ends in order of time.
 fn count_moments<'e>(ends: impl IntoIterator<Item = &'e WorkerEnd>) -> usize {
-    let mut moments = 0;
-    let mut last: Option<u64> = None;
-    for end in ends {
-        let is_new = last.is_none_or(|last| {
-            let gap = Duration::from_millis(end.ended_unix_ms.saturating_sub(last));
-            gap >= MOMENT
-        });
-        if is_new {
-            moments += 1;
-            last = Some(end.ended_unix_ms);
-        }
+    let ends: Vec<WorkerEnd> = ends.into_iter().copied().collect();
+    moments(&ends).len()
+}
+
+/// Returns how many lives of workers a part is compared by that ended at `ends`, and by how many of `all_ends`, in order
+/// of time: at most [`MAX_LIVES_AT_MOMENT`] of each moment, among which the part has its share of the moment's lives.
+fn compared_lives(ends: &[WorkerEnd], all_ends: &[WorkerEnd]) -> (usize, usize) {
+    let with_part: HashSet<WorkerKey> = ends.iter().map(|end| end.worker).collect();
+    let mut compared = (0, 0);
+    for moment in moments(all_ends) {
+        let lives = moment.len().min(MAX_LIVES_AT_MOMENT);
+        let present = moment.iter().filter(|end| with_part.contains(&end.worker));
+        compared.0 += lives * present.count() / moment.len();
+        compared.1 += lives;
+    }
+    compared
+}
+
+/// Splits ends in order of time into those of each moment.
+fn moments(ends: &[WorkerEnd]) -> Vec<&[WorkerEnd]> {
+    let mut moments = Vec::new();
+    let mut rest = ends;
+    while let Some(first) = rest.first() {
+        let until = first.ended_unix_ms + MOMENT.as_millis() as u64;
+        let (moment, later) = rest.split_at(rest.partition_point(|end| end.ended_unix_ms < until));
+        moments.push(moment);
+        rest = later;
     }
     moments
 }
@@ -329,8 +380,8 @@
 
     fn candidates(&self, now: Duration) -> Vec<Candidate> {
         let (ended, seconds) = self.parts.totals(now);
-        let all_moments = self.moments_of_parts();
-        let ended_at_moment = ended / all_moments.max(1) as f64;
+        let all_ends = self.ends_of_parts();
+        let all_moments = count_moments(&all_ends);
         let accused = self.parts.parts.iter();
         let candidates = accused.filter_map(|(part, accused)| {
             if accused.is_harmful || self.ends(part).count() < PART_THRESHOLD {
@@ -340,6 +391,9 @@
             let own_seconds = accused.exposure_seconds().max(run_seconds(&ends));
             let other_ended = (ended - accused.ended_runs()).max(0.0) + ASSUMED_ENDED_RUNS;
             let other_seconds = (seconds - own_seconds).max(0.0) + ASSUMED_EXPOSURE_SECONDS;
+            let share = own_seconds / seconds.max(own_seconds);
+            let moments = count_moments(&ends);
+            let (lives, all_lives) = compared_lives(&ends, &all_ends);
             Some(Candidate {
                 part: *part,
                 depth: accused.depth,
@@ -347,19 +401,21 @@
                 good_runs: accused.good_runs(),
                 seconds: own_seconds,
                 expected_ends: other_ended / other_seconds * own_seconds,
-                all_moments,
-                presence: 1.0 - (-ended_at_moment * own_seconds / seconds.max(own_seconds)).exp(),
+                at_moments: Presence::new(moments, all_moments, ended, all_moments, share),
+                at_lives: Presence::new(lives, all_lives, ended, all_ends.len(), share),
             })
         });
         candidates.collect()
     }
 
-    /// Returns the number of moments at which workers ended that ran requests with any part.
-    fn moments_of_parts(&self) -> usize {
+    /// Returns the ends of workers that ran requests with any part, one for each life, in order of time.
+    fn ends_of_parts(&self) -> Vec<WorkerEnd> {
         let parts = self.parts.parts.keys();
         let mut ends: Vec<WorkerEnd> = parts.flat_map(|part| self.ends(part)).collect();
         ends.sort_unstable_by_key(|end| end.ended_unix_ms);
-        count_moments(&ends)
+        let mut lives = HashSet::new();
+        ends.retain(|end| lives.insert(end.worker));
+        ends
     }
 
     /// Returns the lives that ended while they ran a request or one with a part.
--- a/crates/swiftshunt-scheduler/tests/quarantine_parts.rs
+++ b/crates/swiftshunt-scheduler/tests/quarantine_parts.rs
@@ -128,6 +128,29 @@
     assert_eq!(quarantine.find_harmful_parts(NOW), [part(HARMFUL_PART)]);
 }
 
+/// All workers end within half a second, are back and end again. With each moment several workers end, so that a part
+/// of many requests is there at most moments as well.
+#[test]
+fn a_part_that_ends_all_workers_within_moments_is_held() {
+    let mut quarantine = Quarantine::default();
+    for worker in 0..28 {
+        let at = 1_000 + worker * 36 + worker / 14 * 2_000;
+        let rare = 100 + worker % 20;
+        let parts = [(FIRST_PART, 0), (HARMFUL_PART, 1), (rare, 1)];
+        end_worker(&mut quarantine, worker, at, &parts);
+    }
+    let dense = |good, ended, exposure_ms| RunCounts {
+        good,
+        ended,
+        exposure_ms,
+        all_ended: 72,
+        all_exposure_ms: 5_500,
+    };
+    record_runs(&mut quarantine, FIRST_PART, dense(36, 72, 5_500));
+    record_runs(&mut quarantine, HARMFUL_PART, dense(0, 28, 1_100));
+    assert_eq!(quarantine.find_harmful_parts(NOW), [part(HARMFUL_PART)]);
+}
+
 #[test]
 fn three_harmful_parts_at_once_are_all_held() {
     let mut quarantine = Quarantine::default();
