Quarantine: ends of workers that no request of anybody shows are looked for after inconclusive runs

Callers saw: with nothing else at the service, a request whose callers leave ends worker after worker: nobody has a request that breaks off there. Cause: of the same class; the end of a worker was noticed only by runs that broke off. A refused connection and a lapsed entry were known and not used as evidence, since they do not tell when the worker ended. Change: a refused connection to a worker that should get a request is checked by other gateways, and ends found so accuse the runs of the half second before. If the directory lists a worker no longer (or only in a later life) whose end nobody has noticed and which did not say that it leaves, the workers of inconclusive runs are probed 0.25 s later for a minute, 32 at once at most: the entry itself accuses nobody, since a planned end or a dark rack looks the same. Cost: none while no worker ends; then a connection for each run that ends so at gateways.

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -249,8 +249,13 @@
             }
         }
         let connected = self.upstream.connect(chosen.address).await;
-        let mut sender = connected.map_err(|error| SendFailure::NotSent {
-            reason: error.to_string(),
+        let mut sender = connected.map_err(|error| {
+            if error.is_refused {
+                self.quarantine.check_after_refusal(chosen);
+            }
+            SendFailure::NotSent {
+                reason: error.to_string(),
+            }
         })?;
         if self.clock.now() >= limits.deadline {
             return Err(SendFailure::NotSent {
--- a/crates/swiftshunt-gateway/src/quarantine/directory.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/directory.rs
@@ -33,6 +33,7 @@
         }
         let before = before.filter(|before| *before != incarnation);
         if let Some(before) = before {
+            self.watch_after_unnoticed_end(before);
             let next = started_unix_ms.map(|started_unix_ms| NextLife {
                 worker: WorkerKey::of(incarnation),
                 started_unix_ms,
@@ -58,6 +59,9 @@
             lapsed_workers.record_lapse(key, &worker.zone, now);
         }
         drop(lapsed_workers);
+        for worker in lapsed.iter().filter(|worker| worker.was_ready) {
+            self.watch_after_unnoticed_end(&worker.incarnation);
+        }
         let quarantine = Arc::clone(self);
         let incarnations: Vec<String> = lapsed.iter().map(|it| it.incarnation.clone()).collect();
         tokio::spawn(async move {
--- a/crates/swiftshunt-gateway/src/quarantine/inconclusive_runs.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/inconclusive_runs.rs
@@ -15,7 +15,7 @@
 use swiftshunt_scheduler::slots::WorkerKey;
 
 use super::probe::probe_connection;
-use super::worker_ends::accused_by;
+use super::worker_ends::{EndBasis, accused_by};
 use super::{MAX_COLLECTORS, Quarantine, RequestContent};
 use crate::clock::Clock;
 use crate::fleet_state::lock;
@@ -24,6 +24,8 @@
 /// Time after an inconclusive run of a suspect request at which its worker is probed. A worker that it has ended is not
 /// back by then as a rule.
 const WATCH_DELAY: Duration = Duration::from_millis(250);
+/// Time after an unnoticed end of a worker in which the workers of all inconclusive runs are probed.
+const WATCH_ALL_TIME: Duration = Duration::from_secs(60);
 /// Most workers that are watched at once.
 pub(super) const MAX_WATCHED_RUNS: usize = 32;
 
@@ -64,18 +66,23 @@
         }
     }
 
-    /// Probes the worker of an inconclusive run a moment later, if workers have ended while they ran the request: nobody
-    /// else may notice that it has ended another one.
+    /// Whether the request of an inconclusive run may have ended its worker without anybody noticing: workers have ended
+    /// while they ran it, or a worker has ended lately and nobody knows why.
+    fn is_suspect(&self, request_content: &RequestContent) -> bool {
+        if self.clock.now() < *lock(&self.watch_all_until) {
+            return true;
+        }
+        let table = lock(&self.table);
+        !table.is_empty() && table.has_ends(&request_content.fingerprint())
+    }
+
+    /// Probes the worker of an inconclusive run of a suspect request a moment later.
     fn watch_suspect(self: &Arc<Self>, request_content: &RequestContent, chosen: &ChosenWorker) {
-        let has_ends = {
-            let table = lock(&self.table);
-            !table.is_empty() && table.has_ends(&request_content.fingerprint())
-        };
-        if !has_ends {
+        if !self.is_suspect(request_content) {
             return;
         }
         let Ok(permit) = Arc::clone(&self.watches).try_acquire_owned() else {
-            log::warn!(worker = chosen.incarnation.as_str(), watched = MAX_WATCHED_RUNS;
+            log::info!(worker = chosen.incarnation.as_str(), watched = MAX_WATCHED_RUNS;
                 "too many workers are watched after inconclusive runs of suspect requests; not watching one more");
             return;
         };
@@ -84,12 +91,24 @@
         tokio::spawn(async move {
             tokio::time::sleep(WATCH_DELAY).await;
             if probe_connection(chosen.address).await == Sight::Refuses {
-                quarantine.check_watched(&chosen);
+                quarantine.check_refusing(&chosen, EndBasis::OwnProbe);
             }
             drop(permit);
         });
     }
 
+    /// Handles a worker that the directory lists no longer, or only in a later life. If nobody has noticed its end,
+    /// watches the workers of inconclusive runs for some time.
+    pub(super) fn watch_after_unnoticed_end(&self, incarnation: &str) {
+        let worker = WorkerKey::of(incarnation);
+        if lock(&self.inconclusive_runs).has_worker_end(worker) {
+            return;
+        }
+        log::info!(worker = incarnation, for_s = WATCH_ALL_TIME.as_secs();
+            "the directory lists a worker no longer, and nobody has noticed its end; probing workers after inconclusive runs");
+        *lock(&self.watch_all_until) = self.clock.now() + WATCH_ALL_TIME;
+    }
+
     /// Records the end of a worker that this gateway has noticed. Returns the ends to record of the inconclusive runs that
     /// the worker may have worked on.
     pub(super) fn take_accused_runs(
--- a/crates/swiftshunt-gateway/src/quarantine/mod.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/mod.rs
@@ -97,6 +97,8 @@
     local_faults: Mutex<LocalFaultDetector>,
     run_counts: RunCounters,
     inconclusive_runs: Mutex<InconclusiveRuns<RequestAtWorker>>,
+    /// Until when the workers of all inconclusive runs are watched.
+    watch_all_until: Mutex<Duration>,
     /// Permits to watch workers after inconclusive runs of suspect requests.
     watches: Arc<Semaphore>,
     pending_records: PendingRecords,
@@ -134,6 +136,7 @@
             local_faults: Mutex::default(),
             run_counts: RunCounters::default(),
             inconclusive_runs: Mutex::default(),
+            watch_all_until: Mutex::default(),
             watches: Arc::new(Semaphore::new(MAX_WATCHED_RUNS)),
             pending_records: PendingRecords::default(),
             is_read: watch::Sender::new(false),
--- a/crates/swiftshunt-gateway/src/quarantine/worker_ends.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/worker_ends.rs
@@ -48,11 +48,11 @@
 
 /// What shows that a worker has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum EndBasis {
-    /// It refuses connections from this gateway. Others are asked afterwards, and may refute it.
+pub(super) enum EndBasis {
+    /// It refuses connections from this gateway after a run there. Others are asked afterwards, and may refute it.
     OwnProbe,
-    /// It refuses connections from other gateways as well. Requests of this gateway break off at so many workers that
-    /// its own links may be the cause.
+    /// It refuses connections from other gateways as well. Either no run of this gateway broke off there, or runs break
+    /// off at so many workers that its own links may be the cause.
     OtherGateways,
 }
 
@@ -96,9 +96,16 @@
         }
     }
 
-    /// Starts a check of a worker that refused a connection after an inconclusive run, unless one is running or a recent
-    /// one found it ended.
-    pub(super) fn check_watched(self: &Arc<Self>, chosen: &ChosenWorker) {
+    /// Handles a refused connection for a request that a worker should get.
+    pub(crate) fn check_after_refusal(self: &Arc<Self>, chosen: &ChosenWorker) {
+        let worker = WorkerKey::of(&chosen.incarnation);
+        if !lock(&self.inconclusive_runs).has_worker_end(worker) {
+            self.check_refusing(chosen, EndBasis::OtherGateways);
+        }
+    }
+
+    /// Starts a check of a worker that refused a connection, unless one is running or a recent one found it ended.
+    pub(super) fn check_refusing(self: &Arc<Self>, chosen: &ChosenWorker, basis: EndBasis) {
         let now = self.clock.now();
         let mut checks = lock(&self.checks);
         let is_checked = match checks.get(&chosen.incarnation) {
@@ -111,7 +118,7 @@
         }
         let check = Check::UnderWay(Vec::new());
         checks.insert(chosen.incarnation.clone(), check);
-        tokio::spawn(Arc::clone(self).check(chosen.clone(), now, EndBasis::OwnProbe));
+        tokio::spawn(Arc::clone(self).check(chosen.clone(), now, basis));
     }
 
     /// Records that a run of a request succeeded whose answer ended with its connection. If ends are recorded for the
@@ -192,7 +199,7 @@
     /// Whether other gateways see that a worker refuses connections, too. False if there are none to ask.
     async fn refuses_others(&self, chosen: &ChosenWorker) -> bool {
         log::info!(worker = chosen.incarnation.as_str();
-            "requests break off at many workers, and one of them refuses connections; it has ended only if others see that");
+            "a worker refuses connections, which may be a fault on the way; it has ended only if others see that");
         self.has_witnesses(&chosen.zone) && self.ask_witnesses(chosen).await == Sight::Refuses
     }
 
--- a/crates/swiftshunt-scheduler/src/listed.rs
+++ b/crates/swiftshunt-scheduler/src/listed.rs
@@ -7,7 +7,7 @@
 
 use crate::candidate::Candidate;
 use crate::cold::worker_state::ColdSuspicion;
-use crate::directory::WorkerEntry;
+use crate::directory::{Availability, WorkerEntry};
 use crate::selection::Selector;
 
 /// Tolerance for entries that describe the same cold period: their delays on the way to this node
@@ -21,6 +21,8 @@
     pub incarnation: String,
     /// The zone of the worker.
     pub zone: String,
+    /// Whether its last entry let it get requests. A worker that leaves as planned mostly says so before.
+    pub was_ready: bool,
 }
 
 /// The result of removing workers that the directory no longer lists.
@@ -101,6 +103,7 @@
         let candidate = self.candidates.remove(incarnation)?;
         self.incarnations.remove(&candidate.entry.life.id);
         Some(RemovedWorker {
+            was_ready: candidate.entry.availability == Availability::Ready,
             incarnation: candidate.entry.incarnation,
             zone: candidate.entry.zone,
         })
--- a/crates/swiftshunt-scheduler/src/quarantine/inconclusive_runs.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/inconclusive_runs.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// Returns whether a worker is known to have ended recently.
+    pub fn has_worker_end(&self, worker: WorkerKey) -> bool {
+        self.worker_ends.contains_key(&worker)
+    }
+
     /// Forgets that a worker has ended, since it is refuted or only this gateway has seen it.
     pub fn forget_worker_end(&mut self, worker: WorkerKey) {
         self.worker_ends.remove(&worker);
