--- a/crates/swiftshunt-gateway/src/in_flight.rs
+++ b/crates/swiftshunt-gateway/src/in_flight.rs
@@ -116,7 +116,7 @@
     }
 
     /// Logs and counts a run whose end shows neither that it succeeded nor that its worker failed.
-    fn record_inconclusive_run(&self, time_at_worker: Duration) {
+    fn log_inconclusive_run(&self, time_at_worker: Duration) {
         self.metrics.record_inconclusive_run(self.outcome);
         log::info!(request = self.id.as_str(), worker = self.chosen.incarnation.as_str(),
             outcome:? = self.outcome, waited_ms = time_at_worker.as_millis() as u64;
@@ -144,7 +144,7 @@
         }
         let (content, chosen) = (&self.request_content, &self.chosen);
         if self.is_inconclusive() {
-            self.record_inconclusive_run(time_at_worker);
+            self.log_inconclusive_run(time_at_worker);
             self.quarantine
                 .record_inconclusive_run(content, chosen, time_at_worker);
             return;
--- a/crates/swiftshunt-gateway/src/quarantine/inconclusive_runs.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/inconclusive_runs.rs
@@ -61,7 +61,9 @@
         };
         let accused = lock(&self.inconclusive_runs).record_run(run);
         match accused {
-            Some(run) => self.report_inconclusive_runs(&[run], now),
+            Some((run, worker_ended_at)) => {
+                self.report_inconclusive_runs(&[run], worker_ended_at);
+            }
             None => self.watch_suspect(request_content, chosen),
         }
     }
--- a/crates/swiftshunt-gateway/src/quarantine/mod.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/mod.rs
@@ -6,7 +6,8 @@
 //! follow and which gateways that start later read. Datagrams carry it as well, because they are faster and work
 //! without the log: to the two gateways that are first in the request's order, its collectors, and to all gateways
 //! once the request is held. The caller of a request that broke off gets its answer once these gateways have
-//! acknowledged the end ([`reports`]). While no worker ends, nothing is sent, recorded or hashed.
+//! acknowledged the end ([`reports`]). While no worker ends, nothing is sent, recorded or hashed. Requests whose callers left
+//! are kept for a moment ([`inconclusive_runs`]), since their workers may still end of them.
 
 mod directory;
 mod inconclusive_runs;
--- a/crates/swiftshunt-gateway/src/quarantine/worker_ends.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/worker_ends.rs
@@ -235,6 +235,9 @@
     }
 
     fn add_doubted_worker(&self, chosen: ChosenWorker, ends: Vec<(Fingerprint, WorkerEnd)>) {
+        if ends.is_empty() {
+            return self.progress.notify_waiters();
+        }
         let since = self.clock.now();
         let fingerprints: Vec<Fingerprint> = ends.iter().map(|(request, _)| *request).collect();
         log::info!(worker = chosen.incarnation.as_str(), fingerprints:? = fingerprints;
--- a/crates/swiftshunt-scheduler/src/quarantine/inconclusive_runs.rs
+++ b/crates/swiftshunt-scheduler/src/quarantine/inconclusive_runs.rs
@@ -78,13 +78,18 @@
 }
 
 impl<C> InconclusiveRuns<C> {
-    /// Keeps a run that has just ended. Returns it instead if its worker is known to have ended while it
-    /// may have worked on it.
-    pub fn record_run(&mut self, run: InconclusiveRun<C>) -> Option<InconclusiveRun<C>> {
+    /// Keeps a run that has just ended. Returns it instead, with the time at which its worker ended, if
+    /// the worker is known to have ended while it may have worked on it.
+    pub fn record_run(
+        &mut self,
+        run: InconclusiveRun<C>,
+    ) -> Option<(InconclusiveRun<C>, Duration)> {
         self.remove_expired(run.ended_at);
-        let worker_end = self.worker_ends.get(&run.worker);
-        if worker_end.is_some_and(|at| run.may_have_been_running(*at)) {
-            return Some(run);
+        let worker_end = self.worker_ends.get(&run.worker).copied();
+        if let Some(worker_ended_at) = worker_end
+            && run.may_have_been_running(worker_ended_at)
+        {
+            return Some((run, worker_ended_at));
         }
         self.content_bytes += run.content_bytes;
         self.runs.push_back(run);
--- a/crates/swiftshunt/tests/gateway/mod.rs
+++ b/crates/swiftshunt/tests/gateway/mod.rs
@@ -128,6 +128,21 @@
     assert_eq!(status.expect("no response"), StatusCode::ACCEPTED);
 }
 
+/// Kills all gateways, starts them again and waits until they are ready.
+pub async fn restart_all_gateways(fleet: &mut ExclusiveFleet) {
+    for gateway in &mut fleet.gateways {
+        gateway.process.kill();
+    }
+    for index in 0..fleet.gateways.len() {
+        let restarted = fleet.restart(index);
+        restarted.expect("the gateway did not start");
+    }
+    for gateway in &fleet.gateways {
+        let is_ready = || fleet.caller.is_ready(gateway.ready);
+        eventually("the gateway is ready", is_ready).await;
+    }
+}
+
 /// Replaces the workers of the service `engine` some time after they have crashed.
 pub struct CrashedWorkerReplacer {
     delay: Duration,
--- a/crates/swiftshunt/tests/gateway_harmful_parts.rs
+++ b/crates/swiftshunt/tests/gateway_harmful_parts.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use gateway::{
-    CrashedWorkerReplacer, EVENTS, ExclusiveFleet, crashed_engine_workers, listed_results, start,
-    unresponsive_log,
+    CrashedWorkerReplacer, EVENTS, ExclusiveFleet, crashed_engine_workers, listed_results,
+    restart_all_gateways, start, unresponsive_log,
 };
 use hyper::StatusCode;
 use swiftshunt_lab::platform::caller::item_id;
@@ -198,18 +198,7 @@
     // The directory proves the ends meanwhile.
     traffic.play(CONTACT_TIME).await;
     let runs = traffic.harmful_runs();
-    for index in 0..GATEWAYS {
-        traffic.fleet.gateways[index].process.kill();
-    }
-    for index in 0..GATEWAYS {
-        let restarted = traffic.fleet.restart(index);
-        restarted.expect("the gateway did not start");
-    }
-    for index in 0..GATEWAYS {
-        let ready = traffic.fleet.gateways[index].ready;
-        let caller = traffic.fleet.caller.clone();
-        eventually("the gateway is ready", || caller.is_ready(ready)).await;
-    }
+    restart_all_gateways(&mut traffic.fleet).await;
     traffic.assert_bounds().await;
     let later = traffic.harmful_runs() - runs;
     assert!(later <= MAX_LATER_RUNS, "{later} harmful requests");
--- a/crates/swiftshunt/tests/gateway_inconclusive_runs.rs
+++ b/crates/swiftshunt/tests/gateway_inconclusive_runs.rs
@@ -8,9 +8,10 @@
 use std::time::{Duration, Instant};
 
 use gateway::{
-    CrashedWorkerReplacer, ExclusiveFleet, crashed_engine_workers, start, unresponsive_log,
+    CrashedWorkerReplacer, ExclusiveFleet, crashed_engine_workers, restart_all_gateways, start,
+    unresponsive_log,
 };
-use swiftshunt_lab::platform::fleet::{PlatformOptions, STREAM, STREAM_ONCE, eventually};
+use swiftshunt_lab::platform::fleet::{PlatformOptions, STREAM, STREAM_ONCE};
 use test_case::test_case;
 
 /// The body of the request that crashes its workers.
@@ -258,18 +259,7 @@
         Traffic::start(STREAM_ONCE, RunEnd::CallerDisconnects, Beside::AllGateways).await;
     traffic.assert_bounds().await;
     let runs = traffic.harmful_runs();
-    for index in 0..GATEWAYS {
-        traffic.fleet.gateways[index].process.kill();
-    }
-    for index in 0..GATEWAYS {
-        let restarted = traffic.fleet.restart(index);
-        restarted.expect("the gateway did not start");
-    }
-    for index in 0..GATEWAYS {
-        let ready = traffic.fleet.gateways[index].ready;
-        let caller = traffic.fleet.caller.clone();
-        eventually("the gateway is ready", || caller.is_ready(ready)).await;
-    }
+    restart_all_gateways(&mut traffic.fleet).await;
     traffic.play(LATER_TIME).await;
     let later = traffic.harmful_runs() - runs;
     assert!(later <= MAX_LATER_RUNS, "{later} harmful runs");
