--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -206,6 +206,112 @@
     rows.map(|row| (field(&row, "id"), field(&row, "state"), field(&row, "text"))).collect()
 }
 
+/// Starts a worker as a process of its own; `on_line` is called with each line that it prints.
+fn start_worker_process(
+    id: &str,
+    unframed_streams: u32,
+    record: &Arc<Record>,
+    on_line: impl Fn(u32, String) + Send + 'static,
+) -> Result<(u32, SocketAddr), String> {
+    let address = free_address()?;
+    let program = std::env::current_exe().map_err(|error| error.to_string())?;
+    let child = Command::new(program)
+        .args(["worker", &address.to_string(), id, &unframed_streams.to_string()])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn();
+    let mut child = child.map_err(|error| error.to_string())?;
+    let output = child.stdout.take().ok_or("no output")?;
+    let process = gateway::keep(child);
+    let (record, id) = (Arc::clone(record), id.to_owned());
+    std::thread::spawn(move || {
+        for line in BufReader::new(output).lines().map_while(Result::ok) {
+            record.note(&format!("worker {id}: {line}"));
+            on_line(process, line);
+        }
+    });
+    Ok((process, address))
+}
+
+fn free_address() -> Result<SocketAddr, String> {
+    let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
+    listener.local_addr().map_err(|error| error.to_string())
+}
+
+
+/// The workers of a service are replaced: a new one starts, and an old one says that it leaves, serves on for longer than
+/// `drainMs` and ends. One of its streams has no length.
+pub fn release(folder: &str, trouble: bool) -> Result<bool, String> {
+    const OLD_WORKERS: usize = 3;
+    const JOBS: u64 = 4;
+    const ITEMS: u64 = 10;
+    /// Time between the items' start and the word that the worker leaves.
+    const BEFORE_LEAVING: Duration = Duration::from_millis(1000);
+    /// `drainMs` is 2,000, and a little longer.
+    const SERVES_ON: Duration = Duration::from_millis(3000);
+    const DONE_TIMEOUT: Duration = Duration::from_secs(60);
+    let record = Arc::new(Record::create(folder)?);
+    let (store, store_address) = Store::start()?;
+    let batch = ",\"maxAttempts\":3,\"canResume\":true,\"completionTargetMs\":20000,\"maxWaitS\":60";
+    store.write("keyed.op", "config", &configuration(5, &[route("/batch/", "batch", batch)]));
+    let (process, address) = start_worker_process("i-old-0", 1, &record, |_, _| {})?;
+    let state = worker::keep_listed(&store, "i-old-0", address, "work");
+    for number in 1..OLD_WORKERS {
+        let id = format!("i-old-{number}");
+        let (_, address) = start_worker_process(&id, 0, &record, |_, _| {})?;
+        drop(worker::keep_listed(&store, &id, address, "work"));
+    }
+    let front = Gateway::start("front-a-1", store_address)?;
+    front.wait_until_ready()?;
+    std::thread::sleep(SETTLE_TIME);
+    let mut jobs = Vec::new();
+    for number in 0..JOBS {
+        let job = format!("{:016x}", 0xb100 + number);
+        let items: Vec<String> = (0..ITEMS).map(|item| item_document(&format!("{job}{item:x}"))).collect();
+        let body = format!("{{\"requests\":[{}]}}", items.join(","));
+        let headers = [("Host", HOST), ("Swiftshunt-Request-Id", job.as_str()), ("Swiftshunt-Deadline-Ms", "4000")];
+        let answer = exchange(front.callers, "POST", "/batch/plan", &headers, body.as_bytes(), ANSWER_LIMIT);
+        let status = answer.map_or(0, |answer| answer.status);
+        record.note(&format!("client sent job {job} with {ITEMS} items; answered {status}"));
+        if status != 202 {
+            return Err("a job was not accepted".to_owned());
+        }
+        jobs.push(job);
+    }
+    std::thread::sleep(BEFORE_LEAVING);
+    if trouble {
+        let (_, address) = start_worker_process("i-new-0", 0, &record, |_, _| {})?;
+        drop(worker::keep_listed(&store, "i-new-0", address, "work"));
+        record.note("worker i-new-0 starts");
+        *state.lock().unwrap() = "draining";
+        record.note("worker i-old-0 says draining");
+        std::thread::sleep(SERVES_ON);
+        gateway::end(process);
+        *state.lock().unwrap() = "gone";
+        record.note("worker i-old-0 has ended");
+    }
+    let until = Instant::now() + DONE_TIMEOUT;
+    let (mut is_kept, mut listed) = (true, 0);
+    for job in &jobs {
+        for (item, state, text) in read_results(front.callers, job, ITEMS as usize, until) {
+            listed += 1;
+            let whole = worker::long_text(&item).replace('\n', "\\n");
+            record.note(&format!("job {job}: item {item} is listed as {state}, {} of {} bytes", text.len(), whole.len()));
+            if state == "completed" && text != whole {
+                let end = text.rsplit("\\n").next().unwrap_or("");
+                record.note(&format!("MIXED: {item} is completed although its text isn't the item's whole output: it ends with {end}"));
+                is_kept = false;
+            }
+        }
+    }
+    gateway::save_logs_if_asked(folder);
+    if is_kept && listed < JOBS * ITEMS {
+        return Err(format!("only {listed} items were done in time"));
+    }
+    record.note(if is_kept { "the rule held" } else { "the rule was broken" });
+    Ok(is_kept)
+}
+
 /// A worker is killed while it sends an answer without a length.
 pub fn crash_in_answer(folder: &str, trouble: bool) -> Result<bool, String> {
     const WORKERS: usize = 6;
@@ -219,20 +325,9 @@
     let killed = Arc::new(Mutex::new(Vec::new()));
     for number in 0..WORKERS {
         let id = format!("i-{number}");
-        let address = free_address()?;
-        let program = std::env::current_exe().map_err(|error| error.to_string())?;
-        let child = Command::new(program).args(["worker", &address.to_string(), &id]).stdin(Stdio::null()).stdout(Stdio::piped()).spawn();
-        let mut child = child.map_err(|error| error.to_string())?;
-        let output = child.stdout.take().ok_or("no output")?;
-        let process = gateway::keep(child);
-        let (lines, record) = (lines.clone(), Arc::clone(&record));
-        std::thread::spawn(move || {
-            for line in BufReader::new(output).lines().map_while(Result::ok) {
-                record.note(&format!("worker {id}: {line}"));
-                drop(lines.send((process, line)));
-            }
-        });
-        worker::keep_listed(&store, &format!("i-{number}"), address, "work");
+        let lines = lines.clone();
+        let (_, address) = start_worker_process(&id, 0, &record, move |process, line| drop(lines.send((process, line))))?;
+        drop(worker::keep_listed(&store, &id, address, "work"));
     }
     let front = Gateway::start("front-a-1", store_address)?;
     front.wait_until_ready()?;
@@ -281,8 +376,3 @@
     record.note(if is_kept { "the rule held" } else { "the rule was broken" });
     Ok(is_kept)
 }
-
-fn free_address() -> Result<SocketAddr, String> {
-    let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
-    listener.local_addr().map_err(|error| error.to_string())
-}
--- a/review/standin/gateway.rs
+++ b/review/standin/gateway.rs
@@ -44,6 +44,14 @@
     id
 }
 
+/// Ends the standard input of one of the processes, by which it ends.
+pub fn end(id: u32) {
+    for child in CHILDREN.lock().unwrap().iter_mut().filter(|child| child.id() == id) {
+        drop(child.stdin.take());
+        drop(child.wait());
+    }
+}
+
 /// Kills one of the processes.
 pub fn kill(id: u32) {
     for child in CHILDREN.lock().unwrap().iter_mut().filter(|child| child.id() == id) {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -31,7 +31,8 @@
         ["surplus-refusal", folder] => cases::surplus_refusal(folder, trouble),
         ["stale-route", folder] => cases::stale_route(folder, trouble),
         ["crash-in-answer", folder] => cases::crash_in_answer(folder, trouble),
-        ["worker", address, id] => worker::run_process(address, id),
+        ["release", folder] => cases::release(folder, trouble),
+        ["worker", address, id, unframed_streams] => worker::run_process(address, id, unframed_streams),
         _ => Err("usage: standin CASE FOLDER".to_owned()),
     };
     gateway::end_all();
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -1,9 +1,9 @@
 //! A worker: keeps its entry in the store, runs requests, and counts its runs.
 
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::http::{Connection, Request, listen, serve};
 use crate::record::Record;
@@ -40,19 +40,30 @@
     pub surplus_answers: Arc<AtomicU64>,
 }
 
-/// Writes the entry of a worker into the directory until the process ends.
-pub fn keep_listed(store: &Arc<Store>, id: &str, address: SocketAddr, service: &str) {
+/// Writes the entry of a worker into the directory, with the state that is returned. In the state `gone`, the entry goes.
+pub fn keep_listed(store: &Arc<Store>, id: &str, address: SocketAddr, service: &str) -> Arc<Mutex<&'static str>> {
+    let state = Arc::new(Mutex::new("ready"));
+    let told = Arc::clone(&state);
     let (store, id, service) = (Arc::clone(store), id.to_owned(), service.to_owned());
     std::thread::spawn(move || {
         for call in 1_u64.. {
+            let state = *told.lock().unwrap();
+            if state == "gone" {
+                return store.write("keyed.servers", &id, "");
+            }
             let entry = format!(
                 "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"zone-a\",\"version\":\"1\",\
-                 \"slots\":6,\"state\":\"ready\",\"coldLeftMs\":0,\"callSeq\":{call}}}"
+                 \"slots\":16,\"state\":\"{state}\",\"coldLeftMs\":0,\"callSeq\":{call}}}"
             );
             store.write("keyed.servers", &id, &entry);
-            std::thread::sleep(HEARTBEAT);
+            let listed = state;
+            let until = Instant::now() + HEARTBEAT;
+            while Instant::now() < until && *told.lock().unwrap() == listed {
+                std::thread::sleep(Duration::from_millis(10));
+            }
         }
     });
+    state
 }
 
 impl Worker {
@@ -75,7 +86,7 @@
             record: Arc::clone(record),
         };
         serve(listener, move |connection| serving.serve(connection));
-        keep_listed(store, id, address, service);
+        drop(keep_listed(store, id, address, service));
         Ok(worker)
     }
 }
@@ -172,15 +183,28 @@
     connection.send(b"0\r\n\r\n")
 }
 
-/// The body of each answer of [`run_process`], of which the first half is sent first.
+/// The body of each answer of [`run_process`] that is no stream.
 pub fn long_body() -> String {
     (0..200).map(|line| format!("line {line:04} of 200\n")).collect()
 }
 
-/// Runs a worker as a process of its own. It answers requests under `/unframed/` without a length: half of the body,
-/// and the rest 1.5 s later, where its connection ends. Prints a line when half of such an answer is sent.
-pub fn run_process(address: &str, worker: &str) -> Result<bool, String> {
+/// Events of a stream of [`run_process`], and the pause before each.
+pub const LONG_EVENTS: u64 = 60;
+const LONG_EVENT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Returns the text of an item's whole output at [`run_process`].
+pub fn long_text(id: &str) -> String {
+    let events: Vec<String> = (0..LONG_EVENTS).map(|event| format!("{id}-{event}")).collect();
+    events.join("\n")
+}
+
+/// Runs a worker as a process of its own, which ends when its standard input does. `unframed_streams` of its streams, the
+/// first ones, have neither a length nor chunks and end with their connection. So has the answer to a request whose body
+/// says "unframed": half of it is sent, and the rest 1.5 s later. Prints a line for each step.
+pub fn run_process(address: &str, worker: &str, unframed_streams: &str) -> Result<bool, String> {
     let listener = TcpListener::bind(address).map_err(|error| error.to_string())?;
+    let unframed_left = unframed_streams.parse::<i64>().map_err(|error| error.to_string())?;
+    let unframed_left = Arc::new(AtomicI64::new(unframed_left));
     let worker = worker.to_owned();
     serve(listener, move |mut connection| {
         while let Some(request) = connection.request() {
@@ -191,6 +215,18 @@
                 connection.answer(421, &headers, b"");
                 continue;
             }
+            if request.path().starts_with("/batch/") {
+                let last_event = request.header("last-event-id").and_then(|last| last.parse().ok());
+                let is_unframed = unframed_left.fetch_sub(1, Ordering::SeqCst) > 0;
+                let framing = if is_unframed { "without a length" } else { "in chunks" };
+                println!("runs {id} behind event {last_event:?}, {framing}");
+                let is_sent = long_stream(&id, last_event, is_unframed, &mut connection);
+                println!("{} {id}", if is_sent { "whole" } else { "broken off" });
+                if is_unframed || !is_sent {
+                    return;
+                }
+                continue;
+            }
             println!("runs {id}");
             let body = long_body();
             let headers = [("Swiftshunt-Request-Id", id.as_str()), ("Swiftshunt-Response-Signature", "s")];
@@ -214,7 +250,23 @@
             return;
         }
     });
-    loop {
-        std::thread::park();
+    drop(std::io::copy(&mut std::io::stdin(), &mut std::io::sink()));
+    std::process::exit(0);
+}
+
+/// Sends a stream, from the event behind `last_event` on. Returns whether all of it was sent.
+fn long_stream(id: &str, last_event: Option<u64>, is_unframed: bool, connection: &mut Connection) -> bool {
+    let framing = if is_unframed { "Connection: close" } else { "Transfer-Encoding: chunked" };
+    let head = format!(
+        "HTTP/1.1 200 OK\r\n{framing}\r\nContent-Type: text/event-stream\r\nSwiftshunt-Request-Id: {id}\r\n\
+         Swiftshunt-Response-Signature: s\r\nSwiftshunt-Weight-Versions: 1\r\n\r\n"
+    );
+    let mut is_sent = connection.send(head.as_bytes());
+    for event in last_event.map_or(0, |last| last + 1)..LONG_EVENTS {
+        std::thread::sleep(LONG_EVENT_PAUSE);
+        let text = format!("id: {event}\ndata: {id}-{event}\n\n");
+        let bytes = if is_unframed { text } else { format!("{:x}\r\n{text}\r\n", text.len()) };
+        is_sent = is_sent && connection.send(bytes.as_bytes());
     }
+    is_sent && (is_unframed || connection.send(b"0\r\n\r\n"))
 }
