--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -44,9 +44,20 @@
     const ANSWERS_PER_SURPLUS: u64 = 40;
     let record = Arc::new(Record::create(folder)?);
     let (store, store_address) = Store::start()?;
-    store.write("keyed.op", "config", &configuration(5, &[route("/book/", "non_idempotent", ",\"maxAttempts\":2")]));
+    store.write(
+        "keyed.op",
+        "config",
+        &configuration(
+            5,
+            &[route("/book/", "non_idempotent", ",\"maxAttempts\":2")],
+        ),
+    );
     let runs = Runs::default();
-    let surplus = if trouble { Surplus::Every(ANSWERS_PER_SURPLUS) } else { Surplus::Never };
+    let surplus = if trouble {
+        Surplus::Every(ANSWERS_PER_SURPLUS)
+    } else {
+        Surplus::Never
+    };
     let faulty = Worker::start(&store, "i-faulty", "work", surplus, &runs, &record)?;
     let sound = Worker::start(&store, "i-sound", "work", Surplus::Never, &runs, &record)?;
     let front = Gateway::start("front-a-1", store_address)?;
@@ -55,8 +66,19 @@
     let mut statuses: BTreeMap<String, u16> = BTreeMap::new();
     for number in 0..REQUESTS {
         let id = format!("{number:016x}");
-        let headers = [("Host", HOST), ("Swiftshunt-Request-Id", id.as_str()), ("Swiftshunt-Deadline-Ms", "4000")];
-        let answer = exchange(front.callers, "POST", "/book/desk", &headers, b"desk 7", ANSWER_LIMIT);
+        let headers = [
+            ("Host", HOST),
+            ("Swiftshunt-Request-Id", id.as_str()),
+            ("Swiftshunt-Deadline-Ms", "4000"),
+        ];
+        let answer = exchange(
+            front.callers,
+            "POST",
+            "/book/desk",
+            &headers,
+            b"desk 7",
+            ANSWER_LIMIT,
+        );
         let status = answer.as_ref().map_or(0, |answer| answer.status);
         let body = answer.map(|answer| String::from_utf8_lossy(&answer.body).into_owned());
         record.note(&format!("client sent {id}; answered {status} {body:?}"));
@@ -65,24 +87,37 @@
     let runs = runs.lock().unwrap().clone();
     let mut is_kept = true;
     for (id, status) in &statuses {
-        let workers: Vec<&str> = runs.iter().filter(|run| run.id == *id).map(|run| run.worker.as_str()).collect();
+        let workers: Vec<&str> = runs
+            .iter()
+            .filter(|run| run.id == *id)
+            .map(|run| run.worker.as_str())
+            .collect();
         if workers.len() > 1 {
-            record.note(&format!("TWICE: {id}, which may run once, ran at {workers:?}; answered {status}"));
+            record.note(&format!(
+                "TWICE: {id}, which may run once, ran at {workers:?}; answered {status}"
+            ));
             is_kept = false;
         }
     }
     let (answers, surplus) = (&faulty.answers, &faulty.surplus_answers);
     record.note(&format!(
         "{} answers of {}, {} surplus ones; {} answers of {}",
-        answers.load(Ordering::SeqCst), faulty.id, surplus.load(Ordering::SeqCst),
-        sound.answers.load(Ordering::SeqCst), sound.id
+        answers.load(Ordering::SeqCst),
+        faulty.id,
+        surplus.load(Ordering::SeqCst),
+        sound.answers.load(Ordering::SeqCst),
+        sound.id
     ));
     gateway::save_logs_if_asked(folder);
     let served = statuses.values().filter(|status| **status == 200).count() as u64;
     if served < REQUESTS / 2 || answers.load(Ordering::SeqCst) < ANSWERS_PER_SURPLUS {
         return Err(format!("only {served} requests were served"));
     }
-    record.note(if is_kept { "the rule held" } else { "the rule was broken" });
+    record.note(if is_kept {
+        "the rule held"
+    } else {
+        "the rule was broken"
+    });
     Ok(is_kept)
 }
 
@@ -96,7 +131,11 @@
     let record = Arc::new(Record::create(folder)?);
     let (store, store_address) = Store::start()?;
     let first_route = route("/book/", "idempotent", ",\"maxAttempts\":2");
-    store.write("keyed.op", "config", &configuration(5, std::slice::from_ref(&first_route)));
+    store.write(
+        "keyed.op",
+        "config",
+        &configuration(5, std::slice::from_ref(&first_route)),
+    );
     let runs = Runs::default();
     for id in ["i-1", "i-2", "i-3"] {
         Worker::start(&store, id, "work", Surplus::Never, &runs, &record)?;
@@ -108,8 +147,14 @@
     other.wait_until_ready()?;
     std::thread::sleep(SETTLE_TIME + SETTLE_TIME);
     let holders = store.owners("job-runners");
-    record.note(&format!("holders of the partitions: {holders:?}; front-a-2 is {}", other.peers));
-    if !holders.values().any(|holder| holder.starts_with(&format!("{}/", other.peers))) {
+    record.note(&format!(
+        "holders of the partitions: {holders:?}; front-a-2 is {}",
+        other.peers
+    ));
+    if !holders
+        .values()
+        .any(|holder| holder.starts_with(&format!("{}/", other.peers)))
+    {
         return Err("the second gateway holds no partition".to_owned());
     }
     if trouble {
@@ -121,22 +166,44 @@
             }
             std::thread::sleep(Duration::from_millis(1));
         }
-        record.note("the connection on which front-a-2 reads the operator's topic goes silent; others work");
+        record.note(
+            "the connection on which front-a-2 reads the operator's topic goes silent; others work",
+        );
     }
-    let batch = ",\"maxAttempts\":3,\"canResume\":true,\"completionTargetMs\":20000,\"maxWaitS\":60";
+    let batch =
+        ",\"maxAttempts\":3,\"canResume\":true,\"completionTargetMs\":20000,\"maxWaitS\":60";
     let batch_route = route("/batch/", "batch", batch);
-    store.write("keyed.op", "config", &configuration(9, &[first_route, batch_route]));
+    store.write(
+        "keyed.op",
+        "config",
+        &configuration(9, &[first_route, batch_route]),
+    );
     record.note("version 9 is acknowledged: it adds the route /batch/, maxWaitS 60");
     std::thread::sleep(Duration::from_millis(150));
     let mut jobs = Vec::new();
     for number in 0..JOBS {
         let job = format!("{:016x}", 0xa100 + number);
-        let items: Vec<String> = (0..ITEMS).map(|item| item_document(&format!("{job}{item:x}"))).collect();
+        let items: Vec<String> = (0..ITEMS)
+            .map(|item| item_document(&format!("{job}{item:x}")))
+            .collect();
         let body = format!("{{\"requests\":[{}]}}", items.join(","));
-        let headers = [("Host", HOST), ("Swiftshunt-Request-Id", job.as_str()), ("Swiftshunt-Deadline-Ms", "4000")];
-        let answer = exchange(front.callers, "POST", "/batch/plan", &headers, body.as_bytes(), ANSWER_LIMIT);
+        let headers = [
+            ("Host", HOST),
+            ("Swiftshunt-Request-Id", job.as_str()),
+            ("Swiftshunt-Deadline-Ms", "4000"),
+        ];
+        let answer = exchange(
+            front.callers,
+            "POST",
+            "/batch/plan",
+            &headers,
+            body.as_bytes(),
+            ANSWER_LIMIT,
+        );
         let status = answer.map_or(0, |answer| answer.status);
-        record.note(&format!("client sent job {job} with {ITEMS} items to front-a-1; answered {status}"));
+        record.note(&format!(
+            "client sent job {job} with {ITEMS} items to front-a-1; answered {status}"
+        ));
         if status == 202 {
             jobs.push(job);
         }
@@ -151,7 +218,9 @@
         let runs = runs.lock().unwrap().clone();
         for (item, state, text) in &results {
             let count = runs.iter().filter(|run| run.id == *item).count();
-            record.note(&format!("job {job}: item {item} is listed as {state}, {count} runs"));
+            record.note(&format!(
+                "job {job}: item {item} is listed as {state}, {count} runs"
+            ));
             if state == "dead_letter" {
                 record.note(&format!("MIXED: {item} is dead_letter before a 422, maxAttempts answers of 500, maxWaitS or an end"));
                 is_kept = false;
@@ -161,15 +230,24 @@
             }
         }
         if results.len() < ITEMS as usize {
-            record.note(&format!("job {job}: only {} of {ITEMS} items are listed", results.len()));
+            record.note(&format!(
+                "job {job}: only {} of {ITEMS} items are listed",
+                results.len()
+            ));
             unlisted += 1;
         }
     }
     gateway::save_logs_if_asked(folder);
     if is_kept && unlisted > 0 {
-        return Err(format!("{unlisted} jobs were not done in time, so that their results cannot be judged"));
+        return Err(format!(
+            "{unlisted} jobs were not done in time, so that their results cannot be judged"
+        ));
     }
-    record.note(if is_kept { "the rule held" } else { "the rule was broken" });
+    record.note(if is_kept {
+        "the rule held"
+    } else {
+        "the rule was broken"
+    });
     Ok(is_kept)
 }
 
@@ -182,7 +260,12 @@
 }
 
 /// Reads the results of a job until all are listed, or until the given time.
-fn read_results(address: SocketAddr, job: &str, items: usize, until: Instant) -> Vec<(String, String, String)> {
+fn read_results(
+    address: SocketAddr,
+    job: &str,
+    items: usize,
+    until: Instant,
+) -> Vec<(String, String, String)> {
     loop {
         let target = format!("/v1/lots/{job}?afterRev=0");
         let headers = [("Host", HOST), ("Swiftshunt-Wait-Ms", "500")];
@@ -198,12 +281,20 @@
 
 fn parse_results(page: &str) -> Vec<(String, String, String)> {
     let field = |row: &str, name: &str| {
-        let rest = row.split_once(&format!("\"{name}\":\"")).map_or("", |(_, rest)| rest);
+        let rest = row
+            .split_once(&format!("\"{name}\":\""))
+            .map_or("", |(_, rest)| rest);
         rest.split('"').next().unwrap_or("").to_owned()
     };
-    let rows = page.split_once("\"results\":[").map_or("", |(_, rows)| rows);
-    let rows = rows.split("{\"id\"").skip(1).map(|row| format!("{{\"id\"{row}"));
-    rows.map(|row| (field(&row, "id"), field(&row, "state"), field(&row, "text"))).collect()
+    let rows = page
+        .split_once("\"results\":[")
+        .map_or("", |(_, rows)| rows);
+    let rows = rows
+        .split("{\"id\"")
+        .skip(1)
+        .map(|row| format!("{{\"id\"{row}"));
+    rows.map(|row| (field(&row, "id"), field(&row, "state"), field(&row, "text")))
+        .collect()
 }
 
 /// Starts a worker as a process of its own; `on_line` is called with each line that it prints.
@@ -216,7 +307,12 @@
     let address = free_address()?;
     let program = std::env::current_exe().map_err(|error| error.to_string())?;
     let child = Command::new(program)
-        .args(["worker", &address.to_string(), id, &unframed_streams.to_string()])
+        .args([
+            "worker",
+            &address.to_string(),
+            id,
+            &unframed_streams.to_string(),
+        ])
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .spawn();
@@ -238,7 +334,6 @@
     listener.local_addr().map_err(|error| error.to_string())
 }
 
-
 /// The workers of a service are replaced: a new one starts, and an old one says that it leaves, serves on for longer than
 /// `drainMs` and ends. One of its streams has no length.
 pub fn release(folder: &str, trouble: bool) -> Result<bool, String> {
@@ -252,8 +347,13 @@
     const DONE_TIMEOUT: Duration = Duration::from_secs(60);
     let record = Arc::new(Record::create(folder)?);
     let (store, store_address) = Store::start()?;
-    let batch = ",\"maxAttempts\":3,\"canResume\":true,\"completionTargetMs\":20000,\"maxWaitS\":60";
-    store.write("keyed.op", "config", &configuration(5, &[route("/batch/", "batch", batch)]));
+    let batch =
+        ",\"maxAttempts\":3,\"canResume\":true,\"completionTargetMs\":20000,\"maxWaitS\":60";
+    store.write(
+        "keyed.op",
+        "config",
+        &configuration(5, &[route("/batch/", "batch", batch)]),
+    );
     let (process, address) = start_worker_process("i-old-0", 1, &record, |_, _| {})?;
     let state = worker::keep_listed(&store, "i-old-0", address, "work");
     for number in 1..OLD_WORKERS {
@@ -267,12 +367,27 @@
     let mut jobs = Vec::new();
     for number in 0..JOBS {
         let job = format!("{:016x}", 0xb100 + number);
-        let items: Vec<String> = (0..ITEMS).map(|item| item_document(&format!("{job}{item:x}"))).collect();
+        let items: Vec<String> = (0..ITEMS)
+            .map(|item| item_document(&format!("{job}{item:x}")))
+            .collect();
         let body = format!("{{\"requests\":[{}]}}", items.join(","));
-        let headers = [("Host", HOST), ("Swiftshunt-Request-Id", job.as_str()), ("Swiftshunt-Deadline-Ms", "4000")];
-        let answer = exchange(front.callers, "POST", "/batch/plan", &headers, body.as_bytes(), ANSWER_LIMIT);
+        let headers = [
+            ("Host", HOST),
+            ("Swiftshunt-Request-Id", job.as_str()),
+            ("Swiftshunt-Deadline-Ms", "4000"),
+        ];
+        let answer = exchange(
+            front.callers,
+            "POST",
+            "/batch/plan",
+            &headers,
+            body.as_bytes(),
+            ANSWER_LIMIT,
+        );
         let status = answer.map_or(0, |answer| answer.status);
-        record.note(&format!("client sent job {job} with {ITEMS} items; answered {status}"));
+        record.note(&format!(
+            "client sent job {job} with {ITEMS} items; answered {status}"
+        ));
         if status != 202 {
             return Err("a job was not accepted".to_owned());
         }
@@ -296,7 +411,11 @@
         for (item, state, text) in read_results(front.callers, job, ITEMS as usize, until) {
             listed += 1;
             let whole = worker::long_text(&item).replace('\n', "\\n");
-            record.note(&format!("job {job}: item {item} is listed as {state}, {} of {} bytes", text.len(), whole.len()));
+            record.note(&format!(
+                "job {job}: item {item} is listed as {state}, {} of {} bytes",
+                text.len(),
+                whole.len()
+            ));
             if state == "completed" && text != whole {
                 let end = text.rsplit("\\n").next().unwrap_or("");
                 record.note(&format!("MIXED: {item} is completed although its text isn't the item's whole output: it ends with {end}"));
@@ -308,7 +427,11 @@
     if is_kept && listed < JOBS * ITEMS {
         return Err(format!("only {listed} items were done in time"));
     }
-    record.note(if is_kept { "the rule held" } else { "the rule was broken" });
+    record.note(if is_kept {
+        "the rule held"
+    } else {
+        "the rule was broken"
+    });
     Ok(is_kept)
 }
 
@@ -320,13 +443,19 @@
     const UNFRAMED: u64 = 40;
     let record = Arc::new(Record::create(folder)?);
     let (store, store_address) = Store::start()?;
-    store.write("keyed.op", "config", &configuration(5, &[route("/book/", "idempotent", ",\"maxAttempts\":3")]));
+    store.write(
+        "keyed.op",
+        "config",
+        &configuration(5, &[route("/book/", "idempotent", ",\"maxAttempts\":3")]),
+    );
     let (lines, said) = mpsc::channel::<(u32, String)>();
     let killed = Arc::new(Mutex::new(Vec::new()));
     for number in 0..WORKERS {
         let id = format!("i-{number}");
         let lines = lines.clone();
-        let (_, address) = start_worker_process(&id, 0, &record, move |process, line| drop(lines.send((process, line))))?;
+        let (_, address) = start_worker_process(&id, 0, &record, move |process, line| {
+            drop(lines.send((process, line)))
+        })?;
         drop(worker::keep_listed(&store, &id, address, "work"));
     }
     let front = Gateway::start("front-a-1", store_address)?;
@@ -348,14 +477,32 @@
     let (mut is_kept, mut served) = (true, 0);
     for number in 0..REQUESTS {
         let id = format!("{number:016x}");
-        let sent = if number == UNFRAMED { "desk 7, unframed" } else { "desk 7" };
-        let headers = [("Host", HOST), ("Swiftshunt-Request-Id", id.as_str()), ("Swiftshunt-Deadline-Ms", "4000")];
-        let answer = exchange(front.callers, "POST", "/book/desk", &headers, sent.as_bytes(), ANSWER_LIMIT);
+        let sent = if number == UNFRAMED {
+            "desk 7, unframed"
+        } else {
+            "desk 7"
+        };
+        let headers = [
+            ("Host", HOST),
+            ("Swiftshunt-Request-Id", id.as_str()),
+            ("Swiftshunt-Deadline-Ms", "4000"),
+        ];
+        let answer = exchange(
+            front.callers,
+            "POST",
+            "/book/desk",
+            &headers,
+            sent.as_bytes(),
+            ANSWER_LIMIT,
+        );
         let Some(answer) = answer else {
-            record.note(&format!("client sent {id}; its connection ended without a whole answer"));
+            record.note(&format!(
+                "client sent {id}; its connection ended without a whole answer"
+            ));
             continue;
         };
-        let framing = ["content-length", "transfer-encoding"].map(|name| answer.header(name).map(str::to_owned));
+        let framing = ["content-length", "transfer-encoding"]
+            .map(|name| answer.header(name).map(str::to_owned));
         let signed = answer.header("swiftshunt-response-signature").is_some();
         record.note(&format!(
             "client sent {id}; answered {} with {} of {} bytes, signed {signed}, length and encoding {framing:?}",
@@ -371,8 +518,14 @@
     }
     gateway::save_logs_if_asked(folder);
     if served < REQUESTS / 2 || trouble && killed.lock().unwrap().is_empty() {
-        return Err(format!("{served} requests were served, or no worker was killed"));
+        return Err(format!(
+            "{served} requests were served, or no worker was killed"
+        ));
     }
-    record.note(if is_kept { "the rule held" } else { "the rule was broken" });
+    record.note(if is_kept {
+        "the rule held"
+    } else {
+        "the rule was broken"
+    });
     Ok(is_kept)
 }
--- a/review/standin/gateway.rs
+++ b/review/standin/gateway.rs
@@ -46,7 +46,12 @@
 
 /// Ends the standard input of one of the processes, by which it ends.
 pub fn end(id: u32) {
-    for child in CHILDREN.lock().unwrap().iter_mut().filter(|child| child.id() == id) {
+    for child in CHILDREN
+        .lock()
+        .unwrap()
+        .iter_mut()
+        .filter(|child| child.id() == id)
+    {
         drop(child.stdin.take());
         drop(child.wait());
     }
@@ -54,7 +59,12 @@
 
 /// Kills one of the processes.
 pub fn kill(id: u32) {
-    for child in CHILDREN.lock().unwrap().iter_mut().filter(|child| child.id() == id) {
+    for child in CHILDREN
+        .lock()
+        .unwrap()
+        .iter_mut()
+        .filter(|child| child.id() == id)
+    {
         drop(child.kill());
         drop(child.wait());
     }
@@ -74,7 +84,11 @@
 impl Gateway {
     /// Starts a gateway that reaches the store at `store`.
     pub fn start(name: &str, store: SocketAddr) -> Result<Self, String> {
-        let gateway = Self { callers: free_address()?, ready: free_address()?, peers: free_address()? };
+        let gateway = Self {
+            callers: free_address()?,
+            ready: free_address()?,
+            peers: free_address()?,
+        };
         let settings = format!(
             "name = \"{name}\"\nzone = \"zone-a\"\n\n[zones]\n\"zone-a\" = \"region-a\"\n\n\
              [listen]\ncallers = \"{}\"\nready = \"{}\"\npeers = \"{}\"\nmetrics = \"{}\"\n\n\
@@ -83,11 +97,16 @@
              [directory]\nobey_within = \"2000ms\"\n\n[gateways]\nseeds = [\"{}\"]\n\n\
              [batch]\nkeep_results = \"120s\"\n\n[tenants]\nstrict = false\ntolerance = 0.1\n\n\
              [stop]\ngrace = \"8s\"\n",
-            gateway.callers, gateway.ready, gateway.peers, free_address()?, gateway.peers,
+            gateway.callers,
+            gateway.ready,
+            gateway.peers,
+            free_address()?,
+            gateway.peers,
         );
         let path = folder()?.join(format!("{name}.toml"));
         fs::write(&path, settings).map_err(|error| error.to_string())?;
-        let log = fs::File::create(folder()?.join(format!("{name}.log"))).map_err(|error| error.to_string())?;
+        let log = fs::File::create(folder()?.join(format!("{name}.log")))
+            .map_err(|error| error.to_string())?;
         let copy = log.try_clone().map_err(|error| error.to_string())?;
         let child = Command::new("target/release/swiftshunt")
             .args(["gateway", "--config"])
@@ -103,7 +122,14 @@
     pub fn wait_until_ready(&self) -> Result<(), String> {
         let until = Instant::now() + START_TIMEOUT;
         while Instant::now() < until {
-            let answer = exchange(self.ready, "GET", "/v1/ready", &[("Host", "x")], b"", Duration::from_secs(1));
+            let answer = exchange(
+                self.ready,
+                "GET",
+                "/v1/ready",
+                &[("Host", "x")],
+                b"",
+                Duration::from_secs(1),
+            );
             if answer.is_some_and(|answer| answer.status == 200) {
                 return Ok(());
             }
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -17,7 +17,9 @@
 }
 
 fn find<'h>(headers: &'h [(String, String)], name: &str) -> Option<&'h str> {
-    let found = headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+    let found = headers
+        .iter()
+        .find(|(known, _)| known.eq_ignore_ascii_case(name));
     found.map(|(_, value)| value.as_str())
 }
 
@@ -52,7 +54,10 @@
 impl Connection {
     pub fn new(stream: TcpStream) -> std::io::Result<Self> {
         stream.set_nodelay(true)?;
-        Ok(Self { reader: BufReader::new(stream.try_clone()?), stream })
+        Ok(Self {
+            reader: BufReader::new(stream.try_clone()?),
+            stream,
+        })
     }
 
     fn line(&mut self) -> Option<String> {
@@ -108,7 +113,11 @@
         let target = words.nth(1)?.to_owned();
         let headers = self.headers()?;
         let body = self.body(&headers, false)?;
-        Some(Request { target, headers, body })
+        Some(Request {
+            target,
+            headers,
+            body,
+        })
     }
 
     /// Returns the next whole response; `None` if the connection broke off before its end.
@@ -117,7 +126,11 @@
         let status = first.split(' ').nth(1)?.parse().ok()?;
         let headers = self.headers()?;
         let body = self.body(&headers, true)?;
-        Some(Response { status, headers, body })
+        Some(Response {
+            status,
+            headers,
+            body,
+        })
     }
 
     pub fn send(&mut self, bytes: &[u8]) -> bool {
@@ -148,7 +161,10 @@
     let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
     stream.set_read_timeout(Some(limit)).ok()?;
     let mut connection = Connection::new(stream).ok()?;
-    let mut head = format!("{method} {target} HTTP/1.1\r\nContent-Length: {}\r\n", body.len());
+    let mut head = format!(
+        "{method} {target} HTTP/1.1\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         head.push_str(&format!("{name}: {value}\r\n"));
     }
@@ -189,7 +205,11 @@
         });
         for index in 0..4 {
             let digit = DIGITS[(value >> (18 - 6 * index) & 63) as usize];
-            text.push(if index <= group.len() { digit as char } else { '=' });
+            text.push(if index <= group.len() {
+                digit as char
+            } else {
+                '='
+            });
         }
     }
     text
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -32,7 +32,9 @@
         ["stale-route", folder] => cases::stale_route(folder, trouble),
         ["crash-in-answer", folder] => cases::crash_in_answer(folder, trouble),
         ["release", folder] => cases::release(folder, trouble),
-        ["worker", address, id, unframed_streams] => worker::run_process(address, id, unframed_streams),
+        ["worker", address, id, unframed_streams] => {
+            worker::run_process(address, id, unframed_streams)
+        }
         _ => Err("usage: standin CASE FOLDER".to_owned()),
     };
     gateway::end_all();
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -14,7 +14,10 @@
     pub fn create(folder: &str) -> Result<Self, String> {
         let path = format!("{folder}/record.txt");
         let file = File::create(&path).map_err(|error| format!("{path}: {error}"))?;
-        Ok(Self { file: Mutex::new(file), began: Instant::now() })
+        Ok(Self {
+            file: Mutex::new(file),
+            began: Instant::now(),
+        })
     }
 
     pub fn note(&self, text: &str) {
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -51,9 +51,12 @@
             }
         }
         let members = &self.members;
-        self.holders.retain(|_, holder| members.contains_key(holder));
+        self.holders
+            .retain(|_, holder| members.contains_key(holder));
         for (partition, target) in &self.targets {
-            self.holders.entry(*partition).or_insert_with(|| target.clone());
+            self.holders
+                .entry(*partition)
+                .or_insert_with(|| target.clone());
         }
     }
 
@@ -68,9 +71,10 @@
                 }
             }
         }
-        let held = self.holders.iter().filter(|(partition, holder)| {
-            *holder == member && self.targets[*partition] == *member
-        });
+        let held = self
+            .holders
+            .iter()
+            .filter(|(partition, holder)| *holder == member && self.targets[*partition] == *member);
         held.map(|(partition, _)| *partition).collect()
     }
 }
@@ -129,16 +133,27 @@
 
     /// Writes a record as the operator or a worker does.
     pub fn write(&self, topic: &str, key: &str, value: &str) {
-        self.append(topic, 0, vec![(key.as_bytes().to_vec(), value.as_bytes().to_vec())]);
+        self.append(
+            topic,
+            0,
+            vec![(key.as_bytes().to_vec(), value.as_bytes().to_vec())],
+        );
     }
 
     fn append(&self, topic: &str, part: u32, records: Vec<(Vec<u8>, Vec<u8>)>) -> (u64, u64) {
         let mut state = self.state.lock().unwrap();
-        let partition = state.partitions.entry((topic.to_owned(), part)).or_default();
+        let partition = state
+            .partitions
+            .entry((topic.to_owned(), part))
+            .or_default();
         let first = partition.entries.len() as u64;
         for (key, value) in records {
             let offset = partition.entries.len() as u64;
-            let entry = Entry { offset, key: key.clone(), value };
+            let entry = Entry {
+                offset,
+                key: key.clone(),
+                value,
+            };
             if entry.value.is_empty() {
                 partition.newest.remove(&key);
             } else {
@@ -154,7 +169,10 @@
 
     fn handle(&self, request: &Request, connection: &mut Connection) -> bool {
         let topic = request.query("topic").unwrap_or("").to_owned();
-        let part = request.query("part").and_then(|part| part.parse().ok()).unwrap_or(0);
+        let part = request
+            .query("part")
+            .and_then(|part| part.parse().ok())
+            .unwrap_or(0);
         let body = String::from_utf8_lossy(&request.body).into_owned();
         let json = [("Content-Type", "application/json")];
         match request.path() {
@@ -175,19 +193,29 @@
             }
             "/v1/log-join" => {
                 let mut state = self.state.lock().unwrap();
-                let group = state.groups.entry(text_field(&body, "group").to_owned()).or_default();
+                let group = state
+                    .groups
+                    .entry(text_field(&body, "group").to_owned())
+                    .or_default();
                 let ttl = Duration::from_millis(number_field(&body, "ttl_ms"));
                 let generation = number_field(&body, "generation");
                 let held = group.join(text_field(&body, "member"), ttl, generation);
                 let rows = held.iter().map(|part| format!("[\"keyed.jobs\",{part},0]"));
                 let rows: Vec<String> = rows.collect();
-                let text = format!("{{\"generation\":{},\"parts\":[{}]}}", group.generation, rows.join(","));
+                let text = format!(
+                    "{{\"generation\":{},\"parts\":[{}]}}",
+                    group.generation,
+                    rows.join(",")
+                );
                 drop(state);
                 connection.answer(200, &json, text.as_bytes())
             }
             "/v1/log-leave" => {
                 let mut state = self.state.lock().unwrap();
-                let group = state.groups.entry(text_field(&body, "group").to_owned()).or_default();
+                let group = state
+                    .groups
+                    .entry(text_field(&body, "group").to_owned())
+                    .or_default();
                 let known = group.members.remove(text_field(&body, "member"));
                 group.update(known.is_some());
                 drop(state);
@@ -195,7 +223,9 @@
             }
             "/v1/log-owners" => {
                 let rows = self.owners(request.query("group").unwrap_or(""));
-                let rows = rows.iter().map(|(part, member)| format!("[\"keyed.jobs\",{part},\"{member}\",0]"));
+                let rows = rows
+                    .iter()
+                    .map(|(part, member)| format!("[\"keyed.jobs\",{part},\"{member}\",0]"));
                 let rows: Vec<String> = rows.collect();
                 let text = format!("{{\"parts\":[{}]}}", rows.join(","));
                 connection.answer(200, &json, text.as_bytes())
@@ -207,7 +237,11 @@
     /// Returns the member of a group that holds each partition.
     pub fn owners(&self, group: &str) -> BTreeMap<u32, String> {
         let state = self.state.lock().unwrap();
-        state.groups.get(group).map(|group| group.holders.clone()).unwrap_or_default()
+        state
+            .groups
+            .get(group)
+            .map(|group| group.holders.clone())
+            .unwrap_or_default()
     }
 
     fn read(&self, topic: &str, part: u32, from: u64, wait: Duration) -> Vec<u8> {
@@ -237,16 +271,27 @@
         let state = self.state.lock().unwrap();
         let partition = state.partitions.get(&(topic.to_owned(), part));
         let end = partition.map_or(0, |partition| partition.entries.len());
-        let entries = partition.map(|partition| partition.newest.values()).into_iter().flatten();
-        let mut page: Vec<&Entry> = entries.filter(|entry| entry.key.as_slice() > after.as_bytes()).collect();
+        let entries = partition
+            .map(|partition| partition.newest.values())
+            .into_iter()
+            .flatten();
+        let mut page: Vec<&Entry> = entries
+            .filter(|entry| entry.key.as_slice() > after.as_bytes())
+            .collect();
         let more = page.len() > 500;
         page.truncate(500);
         let rows = page.iter().map(|entry| {
             let (key, value) = (String::from_utf8_lossy(&entry.key), base64(&entry.value));
-            format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{}}}", entry.offset)
+            format!(
+                "{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{}}}",
+                entry.offset
+            )
         });
         let rows: Vec<String> = rows.collect();
-        format!("{{\"requests\":[{}],\"more\":{more},\"end\":{end}}}", rows.join(","))
+        format!(
+            "{{\"requests\":[{}],\"more\":{more},\"end\":{end}}}",
+            rows.join(",")
+        )
     }
 }
 
@@ -265,7 +310,11 @@
         let silent = Arc::new(AtomicBool::new(false));
         let flags = (Arc::clone(&armed), Arc::clone(&silent));
         std::thread::spawn(move || accept(&listener, store, &flags.0, &flags.1));
-        Ok(Self { address, armed, silent })
+        Ok(Self {
+            address,
+            armed,
+            silent,
+        })
     }
 
     pub fn arm(&self) {
@@ -273,14 +322,27 @@
     }
 }
 
-fn accept(listener: &TcpListener, store: SocketAddr, armed: &Arc<AtomicBool>, silent: &Arc<AtomicBool>) {
+fn accept(
+    listener: &TcpListener,
+    store: SocketAddr,
+    armed: &Arc<AtomicBool>,
+    silent: &Arc<AtomicBool>,
+) {
     for client in listener.incoming().flatten() {
-        let Ok(server) = TcpStream::connect(store) else { continue };
+        let Ok(server) = TcpStream::connect(store) else {
+            continue;
+        };
         let (armed, silent) = (Arc::clone(armed), Arc::clone(silent));
         let is_mute = Arc::new(AtomicBool::new(false));
-        let (Ok(from_server), Ok(to_client)) = (server.try_clone(), client.try_clone()) else { continue };
+        let (Ok(from_server), Ok(to_client)) = (server.try_clone(), client.try_clone()) else {
+            continue;
+        };
         let answers_mute = Arc::clone(&is_mute);
-        std::thread::spawn(move || pass(from_server, to_client, |_| answers_mute.load(Ordering::SeqCst)));
+        std::thread::spawn(move || {
+            pass(from_server, to_client, |_| {
+                answers_mute.load(Ordering::SeqCst)
+            })
+        });
         std::thread::spawn(move || {
             pass(client, server, |bytes| {
                 let is_read = bytes.starts_with(b"GET /v1/log-read?topic=keyed.op&");
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -41,7 +41,12 @@
 }
 
 /// Writes the entry of a worker into the directory, with the state that is returned. In the state `gone`, the entry goes.
-pub fn keep_listed(store: &Arc<Store>, id: &str, address: SocketAddr, service: &str) -> Arc<Mutex<&'static str>> {
+pub fn keep_listed(
+    store: &Arc<Store>,
+    id: &str,
+    address: SocketAddr,
+    service: &str,
+) -> Arc<Mutex<&'static str>> {
     let state = Arc::new(Mutex::new("ready"));
     let told = Arc::clone(&state);
     let (store, id, service) = (Arc::clone(store), id.to_owned(), service.to_owned());
@@ -76,7 +81,11 @@
         record: &Arc<Record>,
     ) -> Result<Self, String> {
         let (listener, address) = listen()?;
-        let worker = Self { id: id.to_owned(), answers: Arc::default(), surplus_answers: Arc::default() };
+        let worker = Self {
+            id: id.to_owned(),
+            answers: Arc::default(),
+            surplus_answers: Arc::default(),
+        };
         let serving = Serving {
             id: id.to_owned(),
             surplus,
@@ -106,7 +115,10 @@
         // The request to which a surplus answer follows, late, in the place where the next answer is due.
         let mut answered_twice: Option<String> = None;
         while let Some(request) = connection.request() {
-            let id = request.header("swiftshunt-request-id").unwrap_or("").to_owned();
+            let id = request
+                .header("swiftshunt-request-id")
+                .unwrap_or("")
+                .to_owned();
             if let Some(earlier) = answered_twice.take() {
                 self.surplus_answers.fetch_add(1, Ordering::SeqCst);
                 self.record.note(&format!(
@@ -114,11 +126,17 @@
                      Swiftshunt-Not-Executed",
                     self.id
                 ));
-                let headers = [("Swiftshunt-Request-Id", earlier.as_str()), ("Swiftshunt-Not-Executed", "1")];
+                let headers = [
+                    ("Swiftshunt-Request-Id", earlier.as_str()),
+                    ("Swiftshunt-Not-Executed", "1"),
+                ];
                 connection.answer(503, &headers, b"");
             }
             if !self.is_expected(&request) {
-                let headers = [("Swiftshunt-Request-Id", id.as_str()), ("Swiftshunt-Not-Executed", "1")];
+                let headers = [
+                    ("Swiftshunt-Request-Id", id.as_str()),
+                    ("Swiftshunt-Not-Executed", "1"),
+                ];
                 if !connection.answer(421, &headers, b"") {
                     return;
                 }
@@ -142,9 +160,17 @@
     }
 
     fn run(&self, request: &Request, id: &str, connection: &mut Connection) -> bool {
-        let last_event = request.header("last-event-id").and_then(|last| last.parse().ok());
-        self.record.note(&format!("worker {} runs {id} (last event {last_event:?})", self.id));
-        let run = Run { id: id.to_owned(), worker: self.id.clone() };
+        let last_event = request
+            .header("last-event-id")
+            .and_then(|last| last.parse().ok());
+        self.record.note(&format!(
+            "worker {} runs {id} (last event {last_event:?})",
+            self.id
+        ));
+        let run = Run {
+            id: id.to_owned(),
+            worker: self.id.clone(),
+        };
         self.runs.lock().unwrap().push(run);
         if request.path().starts_with("/batch/") {
             return stream(id, last_event, connection);
@@ -185,7 +211,9 @@
 
 /// The body of each answer of [`run_process`] that is no stream.
 pub fn long_body() -> String {
-    (0..200).map(|line| format!("line {line:04} of 200\n")).collect()
+    (0..200)
+        .map(|line| format!("line {line:04} of 200\n"))
+        .collect()
 }
 
 /// Events of a stream of [`run_process`], and the pause before each.
@@ -194,7 +222,9 @@
 
 /// Returns the text of an item's whole output at [`run_process`].
 pub fn long_text(id: &str) -> String {
-    let events: Vec<String> = (0..LONG_EVENTS).map(|event| format!("{id}-{event}")).collect();
+    let events: Vec<String> = (0..LONG_EVENTS)
+        .map(|event| format!("{id}-{event}"))
+        .collect();
     events.join("\n")
 }
 
@@ -203,22 +233,36 @@
 /// says "unframed": half of it is sent, and the rest 1.5 s later. Prints a line for each step.
 pub fn run_process(address: &str, worker: &str, unframed_streams: &str) -> Result<bool, String> {
     let listener = TcpListener::bind(address).map_err(|error| error.to_string())?;
-    let unframed_left = unframed_streams.parse::<i64>().map_err(|error| error.to_string())?;
+    let unframed_left = unframed_streams
+        .parse::<i64>()
+        .map_err(|error| error.to_string())?;
     let unframed_left = Arc::new(AtomicI64::new(unframed_left));
     let worker = worker.to_owned();
     serve(listener, move |mut connection| {
         while let Some(request) = connection.request() {
-            let id = request.header("swiftshunt-request-id").unwrap_or("").to_owned();
+            let id = request
+                .header("swiftshunt-request-id")
+                .unwrap_or("")
+                .to_owned();
             let expected = request.header("swiftshunt-expect-instance");
             if expected.is_some_and(|expected| expected != worker) {
-                let headers = [("Swiftshunt-Request-Id", id.as_str()), ("Swiftshunt-Not-Executed", "1")];
+                let headers = [
+                    ("Swiftshunt-Request-Id", id.as_str()),
+                    ("Swiftshunt-Not-Executed", "1"),
+                ];
                 connection.answer(421, &headers, b"");
                 continue;
             }
             if request.path().starts_with("/batch/") {
-                let last_event = request.header("last-event-id").and_then(|last| last.parse().ok());
+                let last_event = request
+                    .header("last-event-id")
+                    .and_then(|last| last.parse().ok());
                 let is_unframed = unframed_left.fetch_sub(1, Ordering::SeqCst) > 0;
-                let framing = if is_unframed { "without a length" } else { "in chunks" };
+                let framing = if is_unframed {
+                    "without a length"
+                } else {
+                    "in chunks"
+                };
                 println!("runs {id} behind event {last_event:?}, {framing}");
                 let is_sent = long_stream(&id, last_event, is_unframed, &mut connection);
                 println!("{} {id}", if is_sent { "whole" } else { "broken off" });
@@ -229,7 +273,10 @@
             }
             println!("runs {id}");
             let body = long_body();
-            let headers = [("Swiftshunt-Request-Id", id.as_str()), ("Swiftshunt-Response-Signature", "s")];
+            let headers = [
+                ("Swiftshunt-Request-Id", id.as_str()),
+                ("Swiftshunt-Response-Signature", "s"),
+            ];
             if !String::from_utf8_lossy(&request.body).contains("unframed") {
                 std::thread::sleep(WORK);
                 if !connection.answer(200, &headers, body.as_bytes()) {
@@ -255,8 +302,17 @@
 }
 
 /// Sends a stream, from the event behind `last_event` on. Returns whether all of it was sent.
-fn long_stream(id: &str, last_event: Option<u64>, is_unframed: bool, connection: &mut Connection) -> bool {
-    let framing = if is_unframed { "Connection: close" } else { "Transfer-Encoding: chunked" };
+fn long_stream(
+    id: &str,
+    last_event: Option<u64>,
+    is_unframed: bool,
+    connection: &mut Connection,
+) -> bool {
+    let framing = if is_unframed {
+        "Connection: close"
+    } else {
+        "Transfer-Encoding: chunked"
+    };
     let head = format!(
         "HTTP/1.1 200 OK\r\n{framing}\r\nContent-Type: text/event-stream\r\nSwiftshunt-Request-Id: {id}\r\n\
          Swiftshunt-Response-Signature: s\r\nSwiftshunt-Weight-Versions: 1\r\n\r\n"
@@ -265,7 +321,11 @@
     for event in last_event.map_or(0, |last| last + 1)..LONG_EVENTS {
         std::thread::sleep(LONG_EVENT_PAUSE);
         let text = format!("id: {event}\ndata: {id}-{event}\n\n");
-        let bytes = if is_unframed { text } else { format!("{:x}\r\n{text}\r\n", text.len()) };
+        let bytes = if is_unframed {
+            text
+        } else {
+            format!("{:x}\r\n{text}\r\n", text.len())
+        };
         is_sent = is_sent && connection.send(bytes.as_bytes());
     }
     is_sent && (is_unframed || connection.send(b"0\r\n\r\n"))
