--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -27,7 +27,7 @@
         gateway::end_all();
         exit(2);
     });
-    let outcome = match words[..] {
+    let play = || match words[..] {
         ["surplus-refusal", folder] => cases::surplus_refusal(folder, trouble),
         ["stale-route", folder] => cases::stale_route(folder, trouble),
         ["crash-in-answer", folder] => cases::crash_in_answer(folder, trouble),
@@ -37,6 +37,7 @@
         }
         _ => Err("usage: standin CASE FOLDER".to_owned()),
     };
+    let outcome = std::panic::catch_unwind(play).unwrap_or_else(|_| Err("it panicked".to_owned()));
     gateway::end_all();
     match outcome {
         Ok(true) => exit(0),
