Quarantine: items of accepted jobs are neither accused nor held

Cause: the quarantine takes three ends of workers under a request as proof against it. A held item has no good run, which alone would clear it, so the belief lasted 15 minutes. By the users' word items never crash servers by themselves, and are owed.

Evidence: the line "an item is quarantined because workers ended while they ran it" with ends 3 for each item, and no send behind it. Ruled out: slots of the crashed workers, leases, hand-overs.

Change: RequestContent knows whether it is an item. Items accuse neither themselves nor parts of their prompts, are not compared, not held, not kept as inconclusive runs, and their good runs clear nothing, since an online request with the same content may do harm.

The stand-in's crashing content no longer crashes it where an item has it.

--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -22,14 +22,14 @@
 use crate::attempt::{OutgoingRequest, SendFailure, SendLimits};
 use crate::fleet_state::lock;
 use crate::protocol::Identity;
-use crate::quarantine::RequestContent;
+use crate::quarantine::{RequestContent, RequestOrigin};
 use crate::running::ItemId;
 use crate::worker_answer::Answer;
 
 /// Pause before checking again whether items of a partition may be sent.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
-/// Pause before checking again whether an item is still quarantined or may be sent from this region.
-const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause before checking again whether an item may be sent from this region.
+const REGION_POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Pause after a failed attempt.
 const FAILURE_DELAY: Duration = Duration::from_millis(250);
 /// Silence of a worker after which the item's attempt there is aborted.
@@ -92,17 +92,11 @@
                 let reason = "item has no valid path or host";
                 return self.settle(id, item, ItemOutcome::GivenUp, String::new(), reason);
             };
-            if let Some(held) = self.dispatcher.quarantine.find_hold(request_content).await {
-                output.record_hold(id, item, held);
-                tokio::time::sleep(HOLD_POLL_INTERVAL).await;
-                continue;
-            }
-            output.is_held = false;
             let residency = self.residency_of(&route, spec.tenant.as_ref());
             if !self.dispatcher.job_regions.may_send_from_here(&residency) {
                 log::debug!(job = id.job.as_str(), item = item.id.as_str();
                     "an item may not be sent from here");
-                tokio::time::sleep(HOLD_POLL_INTERVAL).await;
+                tokio::time::sleep(REGION_POLL_INTERVAL).await;
                 continue;
             }
             let scope = self.next_scope(id, item, &route, residency, output);
@@ -385,6 +379,7 @@
     let target = item.path.parse::<Uri>().ok()?;
     let body = item.body.clone();
     Some(RequestContent::new(
+        RequestOrigin::BatchItem,
         identity,
         &spec.host,
         Method::POST,
--- a/crates/swiftshunt-gateway/src/batch/item_output.rs
+++ b/crates/swiftshunt-gateway/src/batch/item_output.rs
@@ -12,7 +12,6 @@
 
 use super::Batch;
 use crate::attempt::SendFailure;
-use crate::quarantine::QuarantineHold;
 use crate::running::ItemId;
 
 /// Longest wait for a slot before the item's route and deadline are checked again.
@@ -34,8 +33,6 @@
     pub(super) ran: Duration,
     /// Whether the item began at another gateway; its run time here is then incomplete.
     pub(super) is_taken_over: bool,
-    /// Whether the item is quarantined because workers ended while they ran it.
-    pub(super) is_held: bool,
     /// When the item began to wait for a slot at the version that began its output; `None` while it does not wait.
     bound_since: Option<Duration>,
 }
@@ -172,16 +169,6 @@
         self.bound_since = None;
     }
 
-    /// Records that the item is quarantined. It waits until it may be sent again or reaches its route's limit
-    /// (`give_up_after`) like any other item. Only the start of a hold is logged.
-    pub(super) fn record_hold(&mut self, id: &ItemId, item: &ItemSpec, held: QuarantineHold) {
-        if !std::mem::replace(&mut self.is_held, true) {
-            log::info!(job = id.job.as_str(), item = item.id.as_str(), ends = held.ends,
-                held_for_ms = held.time_left.as_millis() as u64;
-                "an item is quarantined because workers ended while they ran it; waiting");
-        }
-    }
-
     /// Appends an event. Returns an error if its number does not follow the last one's.
     pub(super) fn append_event(
         &mut self,
--- a/crates/swiftshunt-gateway/src/entry.rs
+++ b/crates/swiftshunt-gateway/src/entry.rs
@@ -29,7 +29,7 @@
 use crate::metrics::Refusal;
 use crate::online::OnlineHandler;
 use crate::protocol::{Call, Identity, RequestFacts};
-use crate::quarantine::RequestContent;
+use crate::quarantine::{RequestContent, RequestOrigin};
 use crate::rates::Refused;
 use crate::request_context::RequestContext;
 
@@ -279,6 +279,7 @@
             headers,
             demand,
             request_content: RequestContent::new(
+                RequestOrigin::Online,
                 identity,
                 &route.host,
                 head.method,
--- a/crates/swiftshunt-gateway/src/quarantine/inconclusive_runs.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/inconclusive_runs.rs
@@ -47,6 +47,9 @@
         chosen: &ChosenWorker,
         time_at_worker: Duration,
     ) {
+        if !request_content.may_end_workers() {
+            return;
+        }
         self.count_exposure(request_content, time_at_worker + LINGER_TIME);
         let now = self.clock.now();
         let run = InconclusiveRun {
--- a/crates/swiftshunt-gateway/src/quarantine/mod.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/mod.rs
@@ -8,6 +8,10 @@
 //! once the request is held. The caller of a request that broke off gets its answer once these gateways have
 //! acknowledged the end ([`reports`]). While no worker ends, nothing is sent, recorded or hashed. Requests whose callers left
 //! are kept for a moment ([`inconclusive_runs`]), since their workers may still end of them.
+//!
+//! Items of accepted batch jobs are neither accused nor held ([`RequestContent::may_end_workers`]), and their good runs
+//! clear nothing: an online request with the same content may still end workers. A run of an item that breaks off only
+//! shows that its worker may have ended.
 
 mod directory;
 mod inconclusive_runs;
@@ -44,7 +48,7 @@
 use prompt_parts::RunCounters;
 use records::PendingRecords;
 use reports::Reports;
-pub(crate) use request_content::RequestContent;
+pub(crate) use request_content::{RequestContent, RequestOrigin};
 use worker_ends::{Check, DoubtedWorker};
 
 /// Number of gateways that collect the ends of one request by datagram. Two, since one of them may be unavailable.
@@ -151,6 +155,9 @@
         &self,
         request_content: &RequestContent,
     ) -> Option<QuarantineHold> {
+        if !request_content.may_end_workers() {
+            return None;
+        }
         self.wait_until_read().await;
         // A datagram that arrived before the request may tell that it is held.
         self.datagrams.wait_until_handled().await;
@@ -167,7 +174,7 @@
     /// Waits until other gateways have recorded the end of a worker at which a request broke off, if it has ended. Used
     /// before the caller learns of the failure, since it may then send the request to another gateway.
     pub(crate) async fn wait_until_reported(&self, request_content: &RequestContent) {
-        if !self.is_settled() {
+        if request_content.may_end_workers() && !self.is_settled() {
             self.wait_until_settled(&request_content.fingerprint())
                 .await;
         }
@@ -222,6 +229,9 @@
 
     /// Records that a run of a request succeeded, and removes the ends that were recorded for it.
     pub(crate) fn record_success(&self, request_content: &RequestContent) {
+        if !request_content.may_end_workers() {
+            return;
+        }
         self.count_good_run(request_content);
         if lock(&self.table).is_empty() {
             return;
--- a/crates/swiftshunt-gateway/src/quarantine/prompt_parts.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/prompt_parts.rs
@@ -50,8 +50,12 @@
             .ranked_gateways(&COLLECTORS_SUBJECT, MAX_PART_COLLECTORS)
     }
 
-    /// Counts the time that a run of a request was at its worker, however it ended.
+    /// Counts the time that a run of a request was at its worker, however it ended. Only requests that may end workers are
+    /// compared.
     pub(crate) fn count_exposure(&self, request_content: &RequestContent, exposure: Duration) {
+        if !request_content.may_end_workers() {
+            return;
+        }
         let now = self.clock.now();
         let parts = request_content.shared_parts();
         lock(&self.run_counts.runs).record_exposure(parts, exposure, now);
--- a/crates/swiftshunt-gateway/src/quarantine/request_content.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/request_content.rs
@@ -13,12 +13,22 @@
 /// Most shared parts of a prompt that are looked at; parts further behind are shared by fewer requests.
 const MAX_SHARED_PARTS: usize = 8;
 
+/// What a request is part of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RequestOrigin {
+    /// A caller waits for its answer.
+    Online,
+    /// It is an item of an accepted batch job.
+    BatchItem,
+}
+
 /// The content of a request, which is the same in all its attempts.
 #[derive(Clone, Debug)]
 pub(crate) struct RequestContent(Arc<Parts>);
 
 #[derive(Debug)]
 struct Parts {
+    origin: RequestOrigin,
     identity: Identity,
     host: String,
     method: Method,
@@ -32,6 +42,7 @@
 
 impl RequestContent {
     pub(crate) fn new(
+        origin: RequestOrigin,
         identity: Identity,
         host: &str,
         method: Method,
@@ -42,6 +53,7 @@
         let shared = prompt.split_last().map_or(&[][..], |(_, shared)| shared);
         let shared = shared.iter().take(MAX_SHARED_PARTS);
         Self(Arc::new(Parts {
+            origin,
             identity,
             host: host.to_owned(),
             method,
@@ -53,6 +65,12 @@
         }))
     }
 
+    /// Whether ends of workers may be the fault of the request. Items of accepted jobs are owed and never end workers by
+    /// themselves, so that the ends of workers that ran them are the fault of something else.
+    pub(crate) fn may_end_workers(&self) -> bool {
+        self.0.origin == RequestOrigin::Online
+    }
+
     /// Returns the identity of the caller.
     pub(crate) fn identity(&self) -> &Identity {
         &self.0.identity
--- a/crates/swiftshunt-gateway/src/quarantine/worker_ends.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/worker_ends.rs
@@ -128,6 +128,9 @@
         request_content: &RequestContent,
         chosen: &ChosenWorker,
     ) {
+        if !request_content.may_end_workers() {
+            return;
+        }
         let has_ends = {
             let table = lock(&self.table);
             !table.is_empty() && table.has_ends(&request_content.fingerprint())
@@ -318,11 +321,14 @@
 }
 
 /// Returns the ends to record if the worker has ended: of the request, and of each part of its prompt that other requests
-/// may share.
+/// may share. None if the request cannot be the cause.
 pub(super) fn accused_by(
     request_content: &RequestContent,
     end: WorkerEnd,
 ) -> Vec<(Fingerprint, WorkerEnd)> {
+    if !request_content.may_end_workers() {
+        return Vec::new();
+    }
     let parts = (0..).zip(request_content.shared_parts());
     let part_ends = parts.map(|(depth, part)| {
         let part_end = WorkerEnd {
--- a/crates/swiftshunt-lab/src/platform/caller.rs
+++ b/crates/swiftshunt-lab/src/platform/caller.rs
@@ -61,6 +61,17 @@
     }
 }
 
+/// An item of a batch job as it is submitted.
+#[derive(Clone, Debug)]
+pub struct SubmittedItem {
+    /// Path of the item's request.
+    pub path: String,
+    /// Body of the item's request.
+    pub body: String,
+    /// Parts of the prompt, each with its number of tokens; may be empty.
+    pub parts: Vec<(u64, u32)>,
+}
+
 /// A caller of the gateways, with or without an API key. Clones share their connections.
 #[derive(Clone)]
 pub struct PlatformCaller {
@@ -304,11 +315,29 @@
         job: &str,
         items: impl Iterator<Item = (String, Vec<(u64, u32)>)>,
     ) -> Result<StatusCode, HttpError> {
-        let items = items.enumerate().map(|(item, (body, parts))| ItemDocument {
-            id: item_id(job, item),
-            path: format!("{path}{item}"),
-            headers: prompt_headers(&parts),
-            body: STANDARD.encode(body),
+        let items = items
+            .enumerate()
+            .map(|(item, (body, parts))| SubmittedItem {
+                path: format!("{path}{item}"),
+                body,
+                parts,
+            });
+        self.submit_items(gateway, path, job, items).await
+    }
+
+    /// Submits a batch job with these items.
+    pub async fn submit_items(
+        &self,
+        gateway: SocketAddr,
+        path: &str,
+        job: &str,
+        items: impl Iterator<Item = SubmittedItem>,
+    ) -> Result<StatusCode, HttpError> {
+        let items = items.enumerate().map(|(index, item)| ItemDocument {
+            id: item_id(job, index),
+            path: item.path,
+            headers: prompt_headers(&item.parts),
+            body: STANDARD.encode(item.body),
             tokens: ITEM_TOKENS as f64,
         });
         let document = JobDocument {
--- a/crates/swiftshunt-lab/src/platform/worker.rs
+++ b/crates/swiftshunt-lab/src/platform/worker.rs
@@ -94,10 +94,10 @@
     /// Delay before a response that is not streamed, and before each event of a stream.
     pub answer_delay: Duration,
     /// A request body that crashes the worker: it stops `answer_delay` after such a request began to run, cancelled or
-    /// not, or inside the second event of a stream with neither a length nor chunks.
+    /// not, or inside the second event of a stream with neither a length nor chunks. Items of batch jobs never crash it.
     pub crash_on_body: Option<String>,
     /// A part of prompts, except the last, that crashes the worker: it stops inside the second event of a stream whose
-    /// request names the part.
+    /// request names the part. Items of batch jobs never crash it.
     pub crash_on_prompt_part: Option<u64>,
     /// Start time in milliseconds since the Unix epoch, if the worker reports one in the directory.
     pub started_unix_ms: Option<u64>,
@@ -388,11 +388,13 @@
         runs.push(run);
         runs.len() - 1
     };
+    // Of all requests only items of batch jobs have no deadline.
+    let is_item = deadline.is_none();
     let has_part = |part| shares_prompt_part(request.headers(), part);
-    let crashes_on_part = shared.settings.crash_on_prompt_part.is_some_and(has_part);
+    let crashes_on_part = !is_item && shared.settings.crash_on_prompt_part.is_some_and(has_part);
     let crashes = match &shared.settings.crash_on_body {
-        Some(body) => has_body(request, body).await,
-        None => false,
+        Some(body) if !is_item => has_body(request, body).await,
+        _ => false,
     };
     let crashes_in_stream = crashes && behaviour == WorkerBehaviour::UnframedStreams;
     if crashes && !crashes_in_stream {
