--- a/crates/swiftshunt-lab/src/harness/process.rs
+++ b/crates/swiftshunt-lab/src/harness/process.rs
@@ -96,6 +96,11 @@
         self.announced[field].as_str().unwrap_or_default()
     }
 
+    /// Returns the process's identifier.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends SIGKILL and waits until the process has ended.
     pub fn kill(&mut self) {
         drop(self.child.kill());
