Gateway: a worker may send 16 interim answers before its answer

Cause: the HTTP library skips interim answers, however many there are, and neither its limit of a head nor ours counts them. Ruled out by the cases that pass: fields and lines of one head, which the library bounds.

Change: they are counted for each request; the seventeenth ends the exchange as broken, so that the request goes to another worker if it may be repeated.

Evidence: items_are_completed_..._interimanswers failed on the code before (42.9 MB), now 327,600 bytes at most of one answer, three interim cases pass.

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -16,6 +16,7 @@
 use crate::clock::Clock;
 use crate::fleet_state::FleetState;
 use crate::in_flight::InFlight;
+use crate::interim_answers::InterimAnswers;
 use crate::job_regions::JobRegions;
 use crate::metrics::Metrics;
 use crate::origins::StreamOrigins;
@@ -238,14 +239,11 @@
         if let Some(mut sender) = idle {
             let request = self.build_request(chosen, outgoing, last_event, limits);
             in_flight.record_sent();
-            match sender.try_send_request(request).await {
+            match send_on(&mut sender, request).await {
                 Ok(response) => return Ok((response, sender)),
-                // If no byte of the request was sent, a new connection is tried below.
-                Err(mut error) => {
-                    if error.take_message().is_none() {
-                        return Err(send_failure(error.error()));
-                    }
-                }
+                // A new connection is tried below.
+                Err(ConnectionFailure::Unsent { .. }) => {}
+                Err(ConnectionFailure::Failed(failure)) => return Err(failure),
             }
         }
         let connected = self.upstream.connect(chosen.address).await;
@@ -265,16 +263,10 @@
         self.ensure_start_permit(chosen, outgoing, permit).await?;
         let request = self.build_request(chosen, outgoing, last_event, limits);
         in_flight.record_sent();
-        match sender.try_send_request(request).await {
+        match send_on(&mut sender, request).await {
             Ok(response) => Ok((response, sender)),
-            Err(mut error) => {
-                if error.take_message().is_none() {
-                    return Err(send_failure(error.error()));
-                }
-                Err(SendFailure::NotSent {
-                    reason: error.error().to_string(),
-                })
-            }
+            Err(ConnectionFailure::Unsent { reason }) => Err(SendFailure::NotSent { reason }),
+            Err(ConnectionFailure::Failed(failure)) => Err(failure),
         }
     }
 
@@ -369,6 +361,39 @@
     }
 }
 
+/// Why a connection brought no answer.
+enum ConnectionFailure {
+    /// No byte of the request was sent.
+    Unsent {
+        /// The error, for logs.
+        reason: String,
+    },
+    /// The request may have been sent.
+    Failed(SendFailure),
+}
+
+/// Sends a request on a connection and waits for the head of the answer.
+async fn send_on(
+    sender: &mut Sender,
+    mut request: Request<PermittedBody>,
+) -> Result<hyper::Response<Incoming>, ConnectionFailure> {
+    let interim_answers = InterimAnswers::count_for(&mut request);
+    let sent = tokio::select! {
+        sent = sender.try_send_request(request) => sent,
+        () = interim_answers.exceed_limit() => {
+            return Err(ConnectionFailure::Failed(SendFailure::Broken {
+                reason: "the worker sent too many interim answers".to_owned(),
+            }));
+        }
+    };
+    sent.map_err(|mut error| match error.take_message() {
+        Some(_) => ConnectionFailure::Unsent {
+            reason: error.error().to_string(),
+        },
+        None => ConnectionFailure::Failed(send_failure(error.error())),
+    })
+}
+
 /// Logs that a worker may not get a request, and returns the failure.
 fn withheld(chosen: &ChosenWorker, outgoing: &OutgoingRequest, why: Withheld) -> SendFailure {
     log::info!(request = outgoing.id.as_deref().unwrap_or(""),
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod fleet_state;
 mod gateway;
 mod in_flight;
+mod interim_answers;
 mod job_regions;
 mod listing;
 mod local_faults;
