Gateway: a stream has 1 MiB for an event, and only whole events are progress

What callers saw: streams broke off at their deadlines although sound workers were there, gateways grew to hundreds of MiB, and items stayed at a worker for as long as that was busy with others.

Cause: nothing bounds what arrives between two events. The framer of resumable streams and the parser of items keep a partial event whatever its size; comments and empty lines are passed on or skipped without end; each byte counted as progress of the worker, so that the silence which moves a stream elsewhere never came. An item's silence was taken from its worker's activity on other requests.

Change: one place (EventStreamBody) counts the bytes behind the last event, for streams and items, and ends the stream as broken beyond 1 MiB: listings hold at most 1 MB, so that the whole text of a sound answer is smaller. Only the end of an event is progress. An item waits 6 s for an event at most, however active its worker is.

--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -34,6 +34,8 @@
 const FAILURE_DELAY: Duration = Duration::from_millis(250);
 /// Silence of a worker after which the item's attempt there is aborted.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest wait for the end of an event while the worker is active on other requests.
+const MAX_EVENT_WAIT: Duration = Duration::from_secs(6);
 /// Longest duration of one attempt.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(600);
 
@@ -327,6 +329,7 @@
         output: &mut ItemOutput,
     ) -> Result<(), SendFailure> {
         let incarnation = answer.in_flight.chosen.incarnation.clone();
+        answer.body.expect_events();
         let Answer {
             body, in_flight, ..
         } = answer;
@@ -335,18 +338,21 @@
             Some((chunk.map(|chunk| chunk.bytes), body))
         });
         let mut events = std::pin::pin!(bytes.eventsource());
+        let mut last_event_at = self.dispatcher.clock.now();
         loop {
             let event = match tokio::time::timeout(SILENCE_TIMEOUT, events.next()).await {
                 Ok(event) => event,
                 Err(_) => {
                     let now = self.dispatcher.clock.now();
                     let silence = self.dispatcher.worker_silence(&incarnation, now);
-                    if silence.unwrap_or(SILENCE_TIMEOUT) >= SILENCE_TIMEOUT {
+                    let is_silent = silence.unwrap_or(SILENCE_TIMEOUT) >= SILENCE_TIMEOUT;
+                    if is_silent || now >= last_event_at + MAX_EVENT_WAIT {
                         return Err(SendFailure::Silent);
                     }
                     continue;
                 }
             };
+            last_event_at = self.dispatcher.clock.now();
             let event = match event {
                 None => return Ok(()),
                 Some(Err(error)) => {
--- a/crates/swiftshunt-gateway/src/relay.rs
+++ b/crates/swiftshunt-gateway/src/relay.rs
@@ -49,8 +49,8 @@
     });
 }
 
-/// Waits for the next bytes of a stream, or its end. Fails if the stream breaks off, at `deadline`, and once both the
-/// stream and its worker have been silent for `silence`.
+/// Waits for the next bytes of a stream, or its end. Fails if the stream breaks off, at `deadline`, and once the stream has
+/// ended no event and its worker has been silent for `silence`.
 async fn read_chunk(
     dispatcher: &Dispatcher,
     answer: &mut Answer,
@@ -58,7 +58,7 @@
     silence: Option<Duration>,
 ) -> Result<StreamChunk, SendFailure> {
     let incarnation = answer.in_flight.chosen.incarnation.clone();
-    let started = dispatcher.clock.now();
+    let started = answer.wait_for_event(dispatcher.clock.now());
     loop {
         let now = dispatcher.clock.now();
         if now >= deadline {
@@ -94,8 +94,7 @@
                 });
             }
             Some(Ok(chunk)) => {
-                answer.in_flight.record_progress();
-                answer.in_flight.record_received(chunk.bytes.len());
+                answer.record_chunk(&chunk);
                 return Ok(StreamChunk::Bytes(chunk));
             }
         }
--- a/crates/swiftshunt-gateway/src/worker_answer.rs
+++ b/crates/swiftshunt-gateway/src/worker_answer.rs
@@ -1,10 +1,12 @@
 //! A worker's answer: whether it is complete, and what follows from its end.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use hyper::http::response;
-use swiftshunt_http::{EventStreamBody, Framing, StreamBreak, StreamEnd};
+use swiftshunt_http::{BodyChunk, EventStreamBody, Framing, StreamBreak, StreamEnd};
 use swiftshunt_scheduler::eligibility::OfferScope;
 use swiftshunt_scheduler::selection::{AttemptOutcome, ChosenWorker};
 
@@ -21,6 +23,8 @@
     pub(crate) in_flight: InFlight,
     /// Whether the end of the body shows that the answer is complete, as far as it was read.
     is_confirmed: bool,
+    /// Since when the reader has waited for the end of the next event; `None` while it does not.
+    awaits_event_since: Option<Duration>,
     sender: Sender,
 }
 
@@ -38,10 +42,25 @@
             facts,
             body,
             in_flight,
+            awaits_event_since: None,
             sender,
         }
     }
 
+    /// Returns since when the reader has waited for the end of the next event: from `now` on, if it has not.
+    pub(crate) fn wait_for_event(&mut self, now: Duration) -> Duration {
+        *self.awaits_event_since.get_or_insert(now)
+    }
+
+    /// Records bytes of a stream. Only the end of an event is progress of the worker: other bytes may be no answer.
+    pub(crate) fn record_chunk(&mut self, chunk: &BodyChunk) {
+        self.in_flight.record_received(chunk.bytes.len());
+        if chunk.ends_event {
+            self.in_flight.record_progress();
+            self.awaits_event_since = None;
+        }
+    }
+
     /// Whether the status is a success, the worker signed the answer, and the body has no content encoding that
     /// an intermediary may have applied.
     pub(crate) fn is_signed_success(&self) -> bool {
--- a/crates/swiftshunt-http/src/event_stream.rs
+++ b/crates/swiftshunt-http/src/event_stream.rs
@@ -5,7 +5,7 @@
 //! whether the stream is whole.
 
 use bytes::Bytes;
-use derive_more::Display;
+use derive_more::{Display, Error};
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
 use hyper::body::Incoming;
@@ -13,6 +13,9 @@
 
 /// Content type of event streams.
 const EVENT_STREAM: &str = "text/event-stream";
+/// Most bytes of a stream from the end of one event to the end of the next, comments included. The whole text of an answer
+/// is smaller: listings hold at most 1 MB.
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
 /// The byte order mark that may precede the first line of an event stream.
 const BYTE_ORDER_MARK: [u8; 3] = [0xef, 0xbb, 0xbf];
 
@@ -68,6 +71,23 @@
     SenderEnded,
 }
 
+/// Why the next bytes of a stream cannot be read.
+#[derive(Debug, Display, Error)]
+pub enum StreamReadError {
+    /// The connection or the framing broke.
+    #[display("{source}")]
+    Broken {
+        /// The error of the HTTP library.
+        source: hyper::Error,
+    },
+    /// More than [`MAX_EVENT_BYTES`] arrived without the end of an event.
+    #[display("{bytes} bytes without the end of an event")]
+    EndlessEvent {
+        /// Number of bytes behind the last event.
+        bytes: usize,
+    },
+}
+
 /// The position in an event stream: inside an event or between two.
 #[derive(Clone, Debug, Default)]
 pub struct EventPosition {
@@ -173,6 +193,8 @@
     pub bytes: Bytes,
     /// Number of the bytes up to the last place between two events; `None` if there is none behind the first byte.
     pub whole_events: Option<usize>,
+    /// Whether an event ends in the bytes. Always true if the body is no event stream.
+    pub ends_event: bool,
 }
 
 /// The body of a response, read as an event stream.
@@ -185,6 +207,8 @@
     /// Whether the stream continues behind events that the receiver already has, so that none may be left.
     is_continuation: bool,
     position: EventPosition,
+    /// Number of bytes behind the last event.
+    bytes_behind_event: usize,
     received: u64,
 }
 
@@ -199,31 +223,56 @@
             has_events: content_type.is_none_or(|value| value.starts_with(EVENT_STREAM.as_bytes())),
             is_continuation,
             position: EventPosition::default(),
+            bytes_behind_event: 0,
             received: 0,
         }
     }
 
+    /// Reads the body as an event stream, whatever its content type.
+    pub fn expect_events(&mut self) {
+        self.has_events = true;
+    }
+
     /// Returns the next bytes; `None` at the end of the body.
-    pub async fn next_chunk(&mut self) -> Option<Result<BodyChunk, hyper::Error>> {
+    pub async fn next_chunk(&mut self) -> Option<Result<BodyChunk, StreamReadError>> {
         loop {
             let frame = match self.body.frame().await? {
                 Ok(frame) => frame,
-                Err(error) => return Some(Err(error)),
+                Err(source) => return Some(Err(StreamReadError::Broken { source })),
             };
-            let Ok(bytes) = frame.into_data() else {
-                continue;
-            };
-            self.received += bytes.len() as u64;
-            let whole_events = if self.has_events {
-                self.position.advance(&bytes)
-            } else {
-                Some(bytes.len())
-            };
-            return Some(Ok(BodyChunk {
+            if let Ok(bytes) = frame.into_data() {
+                return Some(self.accept(bytes));
+            }
+        }
+    }
+
+    fn accept(&mut self, bytes: Bytes) -> Result<BodyChunk, StreamReadError> {
+        self.received += bytes.len() as u64;
+        if !self.has_events {
+            return Ok(BodyChunk {
+                whole_events: Some(bytes.len()),
+                ends_event: true,
                 bytes,
-                whole_events,
-            }));
+            });
+        }
+        let events_before = self.position.events();
+        let whole_events = self.position.advance(&bytes);
+        let ends_event = self.position.events() > events_before;
+        if ends_event {
+            self.bytes_behind_event = bytes.len() - whole_events.unwrap_or(0);
+        } else {
+            self.bytes_behind_event += bytes.len();
+        }
+        if self.bytes_behind_event > MAX_EVENT_BYTES {
+            return Err(StreamReadError::EndlessEvent {
+                bytes: self.bytes_behind_event,
+            });
         }
+        Ok(BodyChunk {
+            bytes,
+            whole_events,
+            ends_event,
+        })
     }
 
     /// Returns the body, to be read without regard to events.
--- a/crates/swiftshunt-http/src/lib.rs
+++ b/crates/swiftshunt-http/src/lib.rs
@@ -13,7 +13,8 @@
 pub use client::{CBOR, HttpAnswer, HttpClient, HttpError, HttpRequest, JSON, retry_after};
 pub use endpoint::{Call, Endpoint, ObserveFailure, Reply, endpoint};
 pub use event_stream::{
-    BodyChunk, EventPosition, EventStreamBody, Framing, StreamBreak, StreamEnd,
+    BodyChunk, EventPosition, EventStreamBody, Framing, MAX_EVENT_BYTES, StreamBreak, StreamEnd,
+    StreamReadError,
 };
 pub use salvo::Router;
 pub use send_permit::{PermitOver, PermittedBody, SendPermit};
--- a/crates/swiftshunt/tests/gateway_endless_answers.rs
+++ b/crates/swiftshunt/tests/gateway_endless_answers.rs
@@ -25,6 +25,8 @@
 
 /// Number of concurrent requests at each gateway.
 const REQUESTS: usize = 6;
+/// Number of items of a job: few enough that none is preempted by the requests beside them.
+const ITEMS: usize = 8;
 /// Most jobs until one of their items reaches the worker.
 const MAX_JOBS: usize = 20;
 /// Deadline of the requests.
@@ -319,7 +321,12 @@
 #[test_case(Endless::TricklingComments)]
 #[tokio::test(flavor = "multi_thread")]
 async fn items_are_completed_while_a_worker_answers_without_end(endless: Endless) {
-    let fleet = start(PlatformOptions::default()).await;
+    let fleet = start(PlatformOptions {
+        workers: 1,
+        event_interval: Duration::from_millis(40),
+        ..PlatformOptions::default()
+    })
+    .await;
     let worker = EndlessWorker::start(endless).await;
     worker.list(&fleet, "engine");
     let gateway = fleet.gateways[0].callers;
@@ -330,9 +337,9 @@
     let beside: Vec<_> = beside.collect();
     for number in 0..MAX_JOBS {
         let job = format!("job-{number}");
-        submit(&fleet, gateway, &job, 40).await;
-        wait_for_all_results(&fleet, gateway, &job, 40).await;
-        assert_completed(&listed_results(&fleet, gateway, &job).await, &job, 40);
+        submit(&fleet, gateway, &job, ITEMS).await;
+        wait_for_all_results(&fleet, gateway, &job, ITEMS).await;
+        assert_completed(&listed_results(&fleet, gateway, &job).await, &job, ITEMS);
         if worker.answers.load(Ordering::Relaxed) > 0 {
             break;
         }
