Gateway: plain answers that are read whole share 24 MiB

What callers saw: nothing by itself; several workers whose plain answers never end filled a gateway (349 MiB at 20 answers), which its machine would have ended together with all its requests.

Cause: 16 MiB are allowed for each answer and nothing bounds all of them together. Ruled out: other buffers (one such answer takes 28 MiB and is then cut).

Change: AnswerBuffers hands out permits for the bytes beyond 64 KiB of each answer; they are held until the answer has been forwarded. An answer that gets none is broken, as one that is too long.

A smaller total of one answer's limit was not taken: one large answer would fail all others.

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -13,6 +13,7 @@
 use swiftshunt_scheduler::selection::{AttemptOutcome, ChosenWorker, Demand};
 use swiftshunt_types::OutputOrigin;
 
+use crate::answer_buffer::AnswerBuffers;
 use crate::clock::Clock;
 use crate::fleet_state::FleetState;
 use crate::in_flight::InFlight;
@@ -40,6 +41,7 @@
     pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) origins: Arc<StreamOrigins>,
     pub(crate) job_regions: Arc<JobRegions>,
+    pub(crate) answer_buffers: AnswerBuffers,
     pub(crate) clock: Clock,
 }
 
--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 
+use crate::answer_buffer::AnswerBuffers;
 use crate::attempt::Dispatcher;
 use crate::batch::Batch;
 use crate::clock::Clock;
@@ -213,6 +214,7 @@
             quarantine: Arc::clone(&quarantine),
             origins: Arc::clone(&origins),
             job_regions,
+            answer_buffers: AnswerBuffers::default(),
             clock,
         });
         let batch = Arc::new(Batch::new(
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! makes the decisions, holds the state, and recovers it after failures.
 
 mod abandon_guard;
+mod answer_buffer;
 mod answers;
 mod attempt;
 mod batch;
--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -35,8 +35,6 @@
     pub(crate) max_config_age: Option<Duration>,
 }
 
-/// Size limit of an answer that is buffered before it is forwarded, in bytes.
-const MAX_BUFFERED_ANSWER_BYTES: usize = 16 << 20;
 /// Share of a request's timeout, from its arrival, during which a late request yields to requests that can
 /// still meet their objective. The rest must suffice to get a slot and to produce the first event before the
 /// caller gives up.
@@ -322,8 +320,8 @@
             return self.open_stream(context, answer).await;
         }
         let time_left = context.deadline.saturating_sub(self.dispatcher.clock.now());
-        let body =
-            tokio::time::timeout(time_left, answer.read_body(MAX_BUFFERED_ANSWER_BYTES)).await;
+        let read = answer.read_body(&self.dispatcher.answer_buffers);
+        let body = tokio::time::timeout(time_left, read).await;
         let body = match body {
             Err(_) => {
                 context.runs += 1;
--- a/crates/swiftshunt-gateway/src/worker_answer.rs
+++ b/crates/swiftshunt-gateway/src/worker_answer.rs
@@ -10,6 +10,7 @@
 use swiftshunt_scheduler::eligibility::OfferScope;
 use swiftshunt_scheduler::selection::{AttemptOutcome, ChosenWorker};
 
+use crate::answer_buffer::AnswerBuffers;
 use crate::attempt::{Dispatcher, SendFailure};
 use crate::in_flight::InFlight;
 use crate::protocol::AnswerFacts;
@@ -123,9 +124,9 @@
         }
     }
 
-    /// Reads the whole body, up to `limit` bytes.
-    pub(crate) async fn read_body(&mut self, limit: usize) -> Result<Bytes, String> {
-        let mut whole = bytes::BytesMut::new();
+    /// Reads the whole body.
+    pub(crate) async fn read_body(&mut self, buffers: &AnswerBuffers) -> Result<Bytes, String> {
+        let mut whole = buffers.open();
         while let Some(frame) = self.body.as_incoming().frame().await {
             let frame = frame.map_err(|error| error.to_string())?;
             let Ok(data) = frame.into_data() else {
@@ -133,12 +134,9 @@
             };
             self.in_flight.record_progress();
             self.in_flight.record_received(data.len());
-            if whole.len() + data.len() > limit {
-                return Err("the answer is too long".to_owned());
-            }
-            whole.extend_from_slice(&data);
+            whole.append(&data).map_err(|error| error.to_string())?;
         }
-        Ok(whole.freeze())
+        Ok(whole.finish())
     }
 }
 
--- a/crates/swiftshunt/tests/gateway_endless_answers.rs
+++ b/crates/swiftshunt/tests/gateway_endless_answers.rs
@@ -23,6 +23,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+/// Number of identifiers under which a worker is listed where several answer without end.
+const ENDLESS_WORKERS: usize = 8;
 /// Number of concurrent requests at each gateway.
 const REQUESTS: usize = 6;
 /// Number of items of a job: few enough that none is preempted by the requests beside them.
@@ -154,13 +156,13 @@
         worker
     }
 
-    /// Lists the worker in the directory.
-    fn list(&self, fleet: &ExclusiveFleet, service: &str) {
+    /// Lists the worker in the directory under an identifier.
+    fn list(&self, fleet: &ExclusiveFleet, service: &str, id: &str) {
         let mut document =
             PlatformFleet::directory_entry(&fleet.engine_workers[0], service, "ready");
         document.address = self.address.to_string();
         let body = serde_json::to_vec(&document).expect("the entry cannot be encoded");
-        fleet.store.put(topics::WORKERS, "endless", body);
+        fleet.store.put(topics::WORKERS, id, body);
     }
 }
 
@@ -280,7 +282,8 @@
 ) {
     let fleet = start(PlatformOptions::default()).await;
     let worker = EndlessWorker::start(endless).await;
-    worker.list(&fleet, if path == ASK { "whole" } else { "engine" });
+    let service = if path == ASK { "whole" } else { "engine" };
+    worker.list(&fleet, service, "endless");
     eventually("the worker is used", || async {
         let id = format!("first-{:x}", rand::random::<u32>());
         let gateway = fleet.gateways[0].callers;
@@ -306,6 +309,34 @@
     assert_bounds(&fleet, &worker);
 }
 
+/// Each of the answers may be large, but all of them together must not fill the memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_answers_without_end_of_several_workers_share_a_limit_of_memory() {
+    let fleet = start(PlatformOptions {
+        gateways: 1,
+        ..PlatformOptions::default()
+    })
+    .await;
+    let worker = EndlessWorker::start(Endless::PlainBody).await;
+    for id in 0..ENDLESS_WORKERS {
+        worker.list(&fleet, "whole", &format!("endless-{id}"));
+    }
+    // The gateway reads the directory within this time.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let gateway = fleet.gateways[0].callers;
+    for round in 0..4 {
+        let requests = (0..4 * REQUESTS).map(|number| {
+            let id = format!("request-{round}-{number}");
+            let caller = fleet.caller.clone();
+            async move { caller.ask(gateway, ASK, &id, DEADLINE).await }
+        });
+        futures_util::future::join_all(requests).await;
+    }
+    let answers = worker.answers.load(Ordering::Relaxed);
+    assert!(answers > REQUESTS, "{answers} answers without end");
+    assert_bounds(&fleet, &worker);
+}
+
 /// Sends one request after the other, without end.
 async fn send_beside(caller: PlatformCaller, gateway: SocketAddr, lane: usize) {
     for number in 0.. {
@@ -328,7 +359,7 @@
     })
     .await;
     let worker = EndlessWorker::start(endless).await;
-    worker.list(&fleet, "engine");
+    worker.list(&fleet, "engine", "endless");
     let gateway = fleet.gateways[0].callers;
     let beside = (0..REQUESTS * fleet.gateways.len()).map(|lane| {
         let gateway = fleet.gateways[lane % fleet.gateways.len()].callers;
