Batch: an item's text is dropped at 4 MiB

A worker whose events are numbered in order and never end let an item's text grow for as long as one attempt may take, 600 s. The text of a sound item fits into a listing, 1 MB at most. Beyond four times that the output is dropped and the item begins anew. The unit test fails without the check.

--- a/crates/swiftshunt-gateway/src/batch/item_output.rs
+++ b/crates/swiftshunt-gateway/src/batch/item_output.rs
@@ -21,6 +21,9 @@
 /// Shortest wait for a slot at the version that began an item's output before the item begins anew.
 const MIN_BOUND_WAIT: Duration = Duration::from_secs(1);
 
+/// Most bytes of an item's text, four times what a listing may hold.
+const MAX_TEXT_BYTES: usize = 4 << 20;
+
 /// The output of an item so far.
 #[derive(Default)]
 pub(crate) struct ItemOutput {
@@ -169,7 +172,8 @@
         self.bound_since = None;
     }
 
-    /// Appends an event. Returns an error if its number does not follow the last one's.
+    /// Appends an event. Returns an error if its number does not follow the last one's, and drops the output if it gets too
+    /// long for one of a sound worker.
     pub(super) fn append_event(
         &mut self,
         event: &eventsource_stream::Event,
@@ -184,6 +188,12 @@
                 reason: format!("event {id:?} came after {:?}", self.last_event),
             });
         }
+        if self.text.len() + event.data.len() > MAX_TEXT_BYTES {
+            self.restart();
+            return Err(SendFailure::Broken {
+                reason: format!("the text has more than {MAX_TEXT_BYTES} bytes"),
+            });
+        }
         if self.last_event.is_some() {
             self.text.push('\n');
         }
@@ -192,3 +202,24 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A worker may number its events in order and never end.
+    #[test]
+    fn an_endless_text_is_dropped() {
+        let mut output = ItemOutput::default();
+        let event = |id: usize| eventsource_stream::Event {
+            id: id.to_string(),
+            data: "x".repeat(1 << 20),
+            ..eventsource_stream::Event::default()
+        };
+        for id in 0..3 {
+            assert!(output.append_event(&event(id)).is_ok());
+        }
+        assert!(output.append_event(&event(3)).is_err());
+        assert_eq!((output.text.len(), output.last_event), (0, None));
+    }
+}
