Gateway: an answer refuses only the request that it names

Cause: a worker may send a surplus answer to an earlier request in the place of the next one's. Whether an answer refuses was looked at before the request that it names, so that a refusal of the earlier request counted as this one's.

Change: the comparison comes first; an answer that names another request is broken, whatever it says.

Why it works: a refusal can only follow from an answer that names this request.

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -207,14 +207,12 @@
         head: &response::Parts,
         facts: &AnswerFacts,
     ) -> Option<SendFailure> {
-        if facts.declined {
-            return Some(SendFailure::Declined {
+        // An answer speaks of the request that it names: a surplus refusal of an earlier one refuses nothing else.
+        if facts.request_id == outgoing.id {
+            return facts.declined.then(|| SendFailure::Declined {
                 status: head.status.as_u16(),
             });
         }
-        if facts.request_id == outgoing.id {
-            return None;
-        }
         let now = self.clock.now();
         self.upstream.require_single_use(&chosen.incarnation, now);
         log::warn!(request = outgoing.id.as_deref().unwrap_or(""),
--- a/crates/swiftshunt/tests/gateway/mod.rs
+++ b/crates/swiftshunt/tests/gateway/mod.rs
@@ -1,6 +1,8 @@
 //! Helpers shared by the process tests of the gateway.
 #![allow(dead_code)] // Each test program uses only some of these helpers.
 
+pub mod raw_worker;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::ops::{Deref, DerefMut};
--- a/crates/swiftshunt/tests/gateway_endless_answers.rs
+++ b/crates/swiftshunt/tests/gateway_endless_answers.rs
@@ -10,17 +10,18 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use gateway::raw_worker::{field, list_worker, read_head};
 use gateway::{
     EVENTS, ExclusiveFleet, assert_all_events, assert_completed, listed_results, start, submit,
     wait_for_all_results,
 };
 use hyper::StatusCode;
 use swiftshunt_lab::platform::caller::PlatformCaller;
-use swiftshunt_lab::platform::fleet::{ASK, PlatformFleet, PlatformOptions, STREAM, eventually};
+use swiftshunt_lab::platform::fleet::{ASK, PlatformOptions, STREAM, eventually};
 use swiftshunt_lab::platform::worker::event_data;
-use swiftshunt_platform::words::{headers, topics};
+use swiftshunt_platform::words::headers;
 use test_case::test_case;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
 /// Number of identifiers under which a worker is listed where several answer without end.
@@ -155,15 +156,6 @@
         });
         worker
     }
-
-    /// Lists the worker in the directory under an identifier.
-    fn list(&self, fleet: &ExclusiveFleet, service: &str, id: &str) {
-        let mut document =
-            PlatformFleet::directory_entry(&fleet.engine_workers[0], service, "ready");
-        document.address = self.address.to_string();
-        let body = serde_json::to_vec(&document).expect("the entry cannot be encoded");
-        fleet.store.put(topics::WORKERS, id, body);
-    }
 }
 
 /// Answers the requests of a connection. Returns the number of bytes of an answer without end that were taken.
@@ -212,33 +204,6 @@
     )
 }
 
-/// Reads a request and returns its head in lower case; `None` at the end of the connection.
-async fn read_head(stream: &mut TcpStream) -> Option<String> {
-    let mut read = Vec::new();
-    let mut buffer = vec![0; 4096];
-    loop {
-        let bytes = stream
-            .read(&mut buffer)
-            .await
-            .ok()
-            .filter(|bytes| *bytes > 0)?;
-        read.extend_from_slice(&buffer[..bytes]);
-        let text = String::from_utf8_lossy(&read).to_lowercase();
-        if let Some((head, body)) = text.split_once("\r\n\r\n") {
-            let length = field(head, "content-length").and_then(|length| length.parse().ok());
-            if body.len() >= length.unwrap_or(0) {
-                return Some(head.to_owned());
-            }
-        }
-    }
-}
-
-fn field(head: &str, name: &str) -> Option<String> {
-    let prefix = format!("{name}: ");
-    let mut lines = head.lines();
-    lines.find_map(|line| line.strip_prefix(&prefix).map(str::to_owned))
-}
-
 /// Returns the largest memory that a gateway has had, in KiB.
 fn peak_memory(process: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{process}/status"));
@@ -283,7 +248,7 @@
     let fleet = start(PlatformOptions::default()).await;
     let worker = EndlessWorker::start(endless).await;
     let service = if path == ASK { "whole" } else { "engine" };
-    worker.list(&fleet, service, "endless");
+    list_worker(&fleet, worker.address, service, "endless");
     eventually("the worker is used", || async {
         let id = format!("first-{:x}", rand::random::<u32>());
         let gateway = fleet.gateways[0].callers;
@@ -319,7 +284,7 @@
     .await;
     let worker = EndlessWorker::start(Endless::PlainBody).await;
     for id in 0..ENDLESS_WORKERS {
-        worker.list(&fleet, "whole", &format!("endless-{id}"));
+        list_worker(&fleet, worker.address, "whole", &format!("endless-{id}"));
     }
     // The gateway reads the directory within this time.
     tokio::time::sleep(Duration::from_millis(500)).await;
@@ -359,7 +324,7 @@
     })
     .await;
     let worker = EndlessWorker::start(endless).await;
-    worker.list(&fleet, "engine", "endless");
+    list_worker(&fleet, worker.address, "engine", "endless");
     let gateway = fleet.gateways[0].callers;
     let beside = (0..REQUESTS * fleet.gateways.len()).map(|lane| {
         let gateway = fleet.gateways[lane % fleet.gateways.len()].callers;
