Gateway: the end of an unframed stream is asked of each worker, and continued where it stays in doubt

Cause: a worker that is to get no requests was not asked whether it had ended, and its streams passed as whole; and one connection that is taken was proof of life, although a process that ends closes its connections before its listening socket.

Change: each worker is asked; the connection has to stay open for 20 ms, else another probe decides; refused and not reached mean broken off. At a worker that leaves and still takes connections a stream that may be continued is continued behind its last event: a whole one has nothing to add. One that may not be continued passes as whole there, as before.

Ruled out: the framing (chunked streams of the same worker went on), the resumption (it was not asked for).

--- a/crates/swiftshunt-gateway/src/answer_buffer.rs
+++ b/crates/swiftshunt-gateway/src/answer_buffer.rs
@@ -118,7 +118,7 @@
 mod tests {
     use super::*;
 
-    const CHUNK: [u8; 1 << 20] = [0; 1 << 20];
+    static CHUNK: [u8; 1 << 20] = [0; 1 << 20];
 
     fn read(buffers: &AnswerBuffers, chunks: usize) -> Result<AnswerBuffer, AnswerTooLong> {
         let mut buffer = buffers.open();
--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -307,7 +307,7 @@
         }
         let read = self.read_events(&mut answer, output).await;
         let whole = match read {
-            Ok(()) => answer.check_stream_end(&self.dispatcher).await,
+            Ok(()) => answer.check_stream_end(&self.dispatcher, true).await,
             Err(failure) => Err(failure),
         };
         match whole {
--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -320,7 +320,7 @@
             return self.open_stream(context, answer).await;
         }
         let time_left = context.deadline.saturating_sub(self.dispatcher.clock.now());
-        let read = answer.read_body(&self.dispatcher.answer_buffers);
+        let read = answer.read_body(&self.dispatcher);
         let body = tokio::time::timeout(time_left, read).await;
         let body = match body {
             Err(_) => {
--- a/crates/swiftshunt-gateway/src/quarantine/mod.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/mod.rs
@@ -45,6 +45,7 @@
 use crate::metrics::Metrics;
 use crate::unreadable::UnreadableRecords;
 use inconclusive_runs::{MAX_WATCHED_RUNS, RequestAtWorker};
+pub(crate) use probe::probe_connection;
 use prompt_parts::RunCounters;
 use records::PendingRecords;
 use reports::Reports;
--- a/crates/swiftshunt-gateway/src/quarantine/probe.rs
+++ b/crates/swiftshunt-gateway/src/quarantine/probe.rs
@@ -102,7 +102,7 @@
 
 /// Tries a connection to an address and returns what it shows. A connection that is reset has reached a listening
 /// socket that was being closed, as by a process that ends: the next one shows whether it is.
-pub(super) async fn probe_connection(address: SocketAddr) -> Sight {
+pub(crate) async fn probe_connection(address: SocketAddr) -> Sight {
     let mut resets = 0;
     loop {
         let connecting = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address));
--- a/crates/swiftshunt-gateway/src/relay.rs
+++ b/crates/swiftshunt-gateway/src/relay.rs
@@ -37,7 +37,8 @@
     let may_resume = context.route.resumable && context.runs + 1 < context.route.max_attempts;
     let prefill = answer.in_flight.chosen.expected_prefill;
     let silence = may_resume.then(|| context.silence_limit() + prefill);
-    read_chunk(dispatcher, answer, context.deadline, silence).await
+    let may_continue = context.route.resumable;
+    read_chunk(dispatcher, answer, context.deadline, silence, may_continue).await
 }
 
 /// Records the failure of a stream as the outcome of the attempt at its worker.
@@ -50,12 +51,14 @@
 }
 
 /// Waits for the next bytes of a stream, or its end. Fails if the stream breaks off, at `deadline`, and once the stream has
-/// ended no event and its worker has been silent for `silence`.
+/// ended no event and its worker has been silent for `silence`. `may_continue` tells whether another worker may go on with
+/// the stream.
 async fn read_chunk(
     dispatcher: &Dispatcher,
     answer: &mut Answer,
     deadline: Duration,
     silence: Option<Duration>,
+    may_continue: bool,
 ) -> Result<StreamChunk, SendFailure> {
     let incarnation = answer.in_flight.chosen.incarnation.clone();
     let started = answer.wait_for_event(dispatcher.clock.now());
@@ -85,7 +88,7 @@
         };
         match chunk {
             None => {
-                answer.check_stream_end(dispatcher).await?;
+                answer.check_stream_end(dispatcher, may_continue).await?;
                 return Ok(StreamChunk::End);
             }
             Some(Err(error)) => {
@@ -171,11 +174,15 @@
             let Some(answer) = &mut self.answer else {
                 return Ok(None);
             };
+            let may_continue = self.resume.is_some();
             let resumable = self.resume.as_ref().filter(|resume| resume.runs_left > 0);
             let silence = resumable.map(|resume| resume.silence);
             let chunk = match self.first.take() {
                 Some(first) => Ok(first),
-                None => read_chunk(&self.dispatcher, answer, self.deadline, silence).await,
+                None => {
+                    let deadline = self.deadline;
+                    read_chunk(&self.dispatcher, answer, deadline, silence, may_continue).await
+                }
             };
             match chunk {
                 Ok(StreamChunk::Bytes(chunk)) => {
--- a/crates/swiftshunt-gateway/src/worker_answer.rs
+++ b/crates/swiftshunt-gateway/src/worker_answer.rs
@@ -10,12 +10,16 @@
 use swiftshunt_scheduler::eligibility::OfferScope;
 use swiftshunt_scheduler::selection::{AttemptOutcome, ChosenWorker};
 
-use crate::answer_buffer::AnswerBuffers;
 use crate::attempt::{Dispatcher, SendFailure};
 use crate::in_flight::InFlight;
+use crate::messages::quarantine::Sight;
 use crate::protocol::AnswerFacts;
+use crate::quarantine::probe_connection;
 use crate::upstream::Sender;
 
+/// Time within which a process that ends closes its listening socket after its connections, on a busy machine.
+const LISTENER_CLOSE_TIME: Duration = Duration::from_millis(20);
+
 /// A worker's answer whose head has arrived.
 pub(crate) struct Answer {
     pub(crate) head: response::Parts,
@@ -96,37 +100,48 @@
             .return_idle(incarnation, sender, facts.keep_alive, now);
     }
 
-    /// Checks, after the body of a stream has ended without an error, that the stream did not break off. Logs and counts
-    /// its end.
+    /// Checks, after the body of a stream has ended without an error, that the stream did not break off. One whose end
+    /// remains unconfirmed counts as broken off if it can be continued: another worker has nothing to add to a whole one.
     pub(crate) async fn check_stream_end(
         &mut self,
         dispatcher: &Dispatcher,
+        may_continue: bool,
     ) -> Result<(), SendFailure> {
         let end = match self.body.end() {
             StreamEnd::Unconfirmed => dispatcher.confirm_end(&self.in_flight.chosen).await,
             end => end,
         };
-        self.is_confirmed = end == StreamEnd::Complete;
-        let framing = self.body.framing();
-        dispatcher.metrics.record_stream_end(framing, end);
-        if end != StreamEnd::Complete {
-            let request = self.facts.request_id.as_deref().unwrap_or("");
-            log::info!(request, worker = self.in_flight.chosen.incarnation.as_str(), end:? = end,
-                framing:% = framing, events = self.body.events(), bytes = self.body.received(),
-                waited_ms = self.in_flight.time_at_worker().as_millis() as u64;
-                "the body of a worker's stream ended, which does not show that the stream is complete");
-        }
+        self.record_end(dispatcher, end);
         match end {
-            StreamEnd::Complete | StreamEnd::Unconfirmed => Ok(()),
+            StreamEnd::Complete => Ok(()),
+            StreamEnd::Unconfirmed if !may_continue => Ok(()),
+            StreamEnd::Unconfirmed => Err(SendFailure::Broken {
+                reason: "its worker leaves, which may have ended the stream".to_owned(),
+            }),
             StreamEnd::BrokenOff(shown_by) => Err(SendFailure::Broken {
                 reason: format!("the stream is not complete: {shown_by}"),
             }),
         }
     }
 
+    /// Logs and counts how the body ended.
+    fn record_end(&mut self, dispatcher: &Dispatcher, end: StreamEnd) {
+        self.is_confirmed = end == StreamEnd::Complete;
+        let framing = self.body.framing();
+        dispatcher.metrics.record_stream_end(framing, end);
+        if end == StreamEnd::Complete {
+            return;
+        }
+        let request = self.facts.request_id.as_deref().unwrap_or("");
+        log::info!(request, worker = self.in_flight.chosen.incarnation.as_str(), end:? = end,
+            framing:% = framing, events = self.body.events(), bytes = self.body.received(),
+            waited_ms = self.in_flight.time_at_worker().as_millis() as u64;
+            "the body of a worker's answer ended, which does not show that the answer is complete");
+    }
+
     /// Reads the whole body.
-    pub(crate) async fn read_body(&mut self, buffers: &AnswerBuffers) -> Result<Bytes, String> {
-        let mut whole = buffers.open();
+    pub(crate) async fn read_body(&mut self, dispatcher: &Dispatcher) -> Result<Bytes, String> {
+        let mut whole = dispatcher.answer_buffers.open();
         while let Some(frame) = self.body.as_incoming().frame().await {
             let frame = frame.map_err(|error| error.to_string())?;
             let Ok(data) = frame.into_data() else {
@@ -141,28 +156,43 @@
 }
 
 impl Dispatcher {
-    /// Returns how a stream ended that ended with its connection, behind an event. The connection is replaced, which the
-    /// next request to the worker needs anyway, and a worker that refuses has ended together with the stream. One that
-    /// is to get no requests may be leaving as planned, right behind its last answer.
+    /// Returns how an answer ended that ended with its connection, between two events if it has any. The connection is
+    /// replaced, which the next request to the worker needs anyway, and a worker that refuses has ended together with the
+    /// answer. One that takes connections but is to get no requests may be leaving, and close the connections of answers
+    /// that are not complete.
     async fn confirm_end(&self, chosen: &ChosenWorker) -> StreamEnd {
-        let scope = OfferScope::default();
-        let offered = self
-            .fleet_state
-            .selector()
-            .may_offer(&chosen.incarnation, &scope);
-        if offered.is_err() {
-            return StreamEnd::Unconfirmed;
+        match self.reconnect(chosen).await {
+            Sight::Refuses => StreamEnd::BrokenOff(StreamBreak::SenderEnded),
+            Sight::Nothing => StreamEnd::BrokenOff(StreamBreak::SenderUnreachable),
+            Sight::Takes if self.may_get_requests(chosen) => StreamEnd::Complete,
+            Sight::Takes => StreamEnd::Unconfirmed,
         }
-        match self.upstream.connect(chosen.address).await {
-            Ok(sender) => {
-                let now = self.clock.now();
-                self.upstream
-                    .return_idle(&chosen.incarnation, sender, None, now);
-                StreamEnd::Complete
-            }
-            Err(error) if error.is_refused => StreamEnd::BrokenOff(StreamBreak::SenderEnded),
-            Err(_) => StreamEnd::Unconfirmed,
+    }
+
+    fn may_get_requests(&self, chosen: &ChosenWorker) -> bool {
+        let selector = self.fleet_state.selector();
+        let offered = selector.may_offer(&chosen.incarnation, &OfferScope::default());
+        offered.is_ok()
+    }
+
+    /// Opens a connection to a worker for later requests, and returns whether the worker takes it. A process that ends may
+    /// close its connections before its listening socket, and resets those that wait there.
+    async fn reconnect(&self, chosen: &ChosenWorker) -> Sight {
+        let sender = match self.upstream.connect(chosen.address).await {
+            Ok(sender) => sender,
+            Err(error) if error.is_refused => return Sight::Refuses,
+            Err(_) => return Sight::Nothing,
+        };
+        tokio::time::sleep(LISTENER_CLOSE_TIME).await;
+        if sender.is_closed() {
+            return probe_connection(chosen.address).await;
+        }
+        if self.may_get_requests(chosen) {
+            let now = self.clock.now();
+            self.upstream
+                .return_idle(&chosen.incarnation, sender, None, now);
         }
+        Sight::Takes
     }
 }
 
--- a/crates/swiftshunt-http/src/event_stream.rs
+++ b/crates/swiftshunt-http/src/event_stream.rs
@@ -51,7 +51,8 @@
 pub enum StreamEnd {
     /// The framing and the events are complete.
     Complete,
-    /// The connection ended behind an event: a sender that ended between two events leaves the same bytes.
+    /// The connection ended behind an event, or behind any byte of a body without events: a sender that ended there leaves
+    /// the same bytes.
     Unconfirmed,
     /// Something is missing.
     BrokenOff(StreamBreak),
@@ -69,6 +70,9 @@
     /// The connection ended, and so did its sender's process.
     #[display("its connection ended with the worker")]
     SenderEnded,
+    /// The connection ended, and its sender cannot be reached.
+    #[display("its connection ended, and the worker cannot be reached")]
+    SenderUnreachable,
 }
 
 /// Why the next bytes of a stream cannot be read.
--- a/crates/swiftshunt/tests/gateway_torn_streams.rs
+++ b/crates/swiftshunt/tests/gateway_torn_streams.rs
@@ -16,7 +16,7 @@
 use swiftshunt_lab::platform::worker::{
     CutPlace, StreamCut, StreamFraming, WorkerBehaviour, event_data,
 };
-use swiftshunt_platform::words::headers;
+use swiftshunt_platform::words::{headers, values};
 use test_case::test_case;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -239,3 +239,80 @@
         assert!(!looks_complete_and_is_not(&answer, &id), "{answer:?}");
     }
 }
+
+/// Time after which a worker whose connections have ended closes its listening socket.
+#[derive(Clone, Copy)]
+enum ListenerCloses {
+    AtOnce,
+    Later,
+}
+
+/// Lists a worker as leaving, and ends it while it runs unframed streams, between two of their events.
+async fn end_leaving_worker(fleet: &ExclusiveFleet, listener_closes: ListenerCloses) {
+    let leaving = &fleet.engine_workers[0];
+    eventually("the worker runs something", || async {
+        leaving.running() > 0
+    })
+    .await;
+    fleet.list(leaving, "engine", values::DRAINING);
+    // The gateways read the directory within this time, and some events have been sent.
+    tokio::time::sleep(Duration::from_millis(475)).await;
+    assert!(leaving.running() > 0, "the streams ended too early");
+    match listener_closes {
+        ListenerCloses::AtOnce => leaving.crash(),
+        ListenerCloses::Later => leaving.crash_with_listener_delay(Duration::from_secs(2)),
+    }
+}
+
+fn slow_streams() -> PlatformOptions {
+    PlatformOptions {
+        workers: 3,
+        event_interval: Duration::from_millis(150),
+        ..PlatformOptions::default()
+    }
+}
+
+/// Any worker goes on behind the last event, so that nothing is lost by asking for what may follow.
+#[test_case(ListenerCloses::AtOnce; "which refuses connections")]
+#[test_case(ListenerCloses::Later; "which still takes connections")]
+#[tokio::test(flavor = "multi_thread")]
+async fn items_with_unframed_streams_of_a_leaving_worker_are_whole(
+    listener_closes: ListenerCloses,
+) {
+    let fleet = start(slow_streams()).await;
+    set_behaviour(&fleet, WorkerBehaviour::UnframedStreams);
+    let gateway = fleet.gateways[0].callers;
+    submit(&fleet, gateway, "job", 12).await;
+    end_leaving_worker(&fleet, listener_closes).await;
+    wait_for_all_results(&fleet, gateway, "job", 12).await;
+    assert_completed(&listed_results(&fleet, gateway, "job").await, "job", 12);
+}
+
+#[test_case(STREAM, ListenerCloses::AtOnce; "resumable and the worker refuses connections")]
+#[test_case(STREAM, ListenerCloses::Later; "resumable and the worker still takes connections")]
+#[test_case(STREAM_ONCE, ListenerCloses::AtOnce; "not resumable and the worker refuses connections")]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unframed_stream_of_a_leaving_worker_does_not_look_complete_before_its_end(
+    path: &str,
+    listener_closes: ListenerCloses,
+) {
+    let fleet = start(slow_streams()).await;
+    set_behaviour(&fleet, WorkerBehaviour::UnframedStreams);
+    let streams = (0..12).map(|number| {
+        let gateway = fleet.gateways[number % 2].callers;
+        let caller = fleet.caller.clone();
+        async move {
+            let id = format!("s{number}");
+            (caller.ask(gateway, path, &id, DEADLINE).await, id)
+        }
+    });
+    let ended = end_leaving_worker(&fleet, listener_closes);
+    let (answers, ()) = tokio::join!(futures_util::future::join_all(streams), ended);
+    for (answer, id) in answers {
+        assert!(!looks_complete_and_is_not(&answer, &id), "{answer:?}");
+        assert!(
+            path == STREAM_ONCE || answer.is_ok(),
+            "{id} was not resumed"
+        );
+    }
+}
