Gateway: an unframed answer that is no stream is confirmed as streams are

Cause: only streams were looked at; the end of the connection ended any other body regularly.

Change: read_body asks the worker, as for streams.

Evidence: an_unframed_answer_whose_worker_ends_in_it_does_not_look_complete failed on the code before (2 of 2), passes now.

--- a/crates/swiftshunt-gateway/src/worker_answer.rs
+++ b/crates/swiftshunt-gateway/src/worker_answer.rs
@@ -124,6 +124,21 @@
         }
     }
 
+    /// Checks, after a body that is no stream has been read, that it did not break off.
+    async fn check_body_end(&mut self, dispatcher: &Dispatcher) -> Result<(), String> {
+        if self.body.framing() != Framing::ConnectionClose {
+            return Ok(());
+        }
+        let end = dispatcher.confirm_end(&self.in_flight.chosen).await;
+        self.record_end(dispatcher, end);
+        match end {
+            StreamEnd::Complete | StreamEnd::Unconfirmed => Ok(()),
+            StreamEnd::BrokenOff(shown_by) => {
+                Err(format!("the answer is not complete: {shown_by}"))
+            }
+        }
+    }
+
     /// Logs and counts how the body ended.
     fn record_end(&mut self, dispatcher: &Dispatcher, end: StreamEnd) {
         self.is_confirmed = end == StreamEnd::Complete;
@@ -151,6 +166,7 @@
             self.in_flight.record_received(data.len());
             whole.append(&data).map_err(|error| error.to_string())?;
         }
+        self.check_body_end(dispatcher).await?;
         Ok(whole.finish())
     }
 }
--- a/crates/swiftshunt/tests/gateway_torn_streams.rs
+++ b/crates/swiftshunt/tests/gateway_torn_streams.rs
@@ -2,6 +2,7 @@
 
 mod gateway;
 
+use gateway::raw_worker::{field, list_worker, read_head};
 use gateway::{
     EVENTS, ExclusiveFleet, assert_all_events, assert_completed, listed_results, start, submit,
     wait_for_all_results,
@@ -12,14 +13,16 @@
 use hyper::StatusCode;
 use swiftshunt_http::{HttpAnswer, HttpError};
 use swiftshunt_lab::platform::caller::HOST;
-use swiftshunt_lab::platform::fleet::{PlatformOptions, STREAM, STREAM_ONCE, eventually};
+use swiftshunt_lab::platform::fleet::{
+    ASK, ONCE, PlatformOptions, STREAM, STREAM_ONCE, eventually,
+};
 use swiftshunt_lab::platform::worker::{
     CutPlace, StreamCut, StreamFraming, WorkerBehaviour, event_data,
 };
 use swiftshunt_platform::words::{headers, values};
 use test_case::test_case;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 const DEADLINE: Duration = Duration::from_secs(10);
 
@@ -316,3 +319,54 @@
         );
     }
 }
+
+/// Number of workers that end in an answer, one after the other.
+const HALF_ANSWERS: usize = 4;
+
+/// A worker that sends the half of an answer with neither a length nor chunks, and ends.
+async fn start_worker_that_ends_in_its_answer() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("no free port");
+    let address = listener.local_addr().expect("no address");
+    tokio::spawn(async move {
+        let Ok((mut stream, _)) = listener.accept().await else {
+            return;
+        };
+        let head = read_head(&mut stream).await.unwrap_or_default();
+        let id = field(&head, headers::REQUEST_ID).unwrap_or_default();
+        let half = format!(
+            "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: signed\r\n\r\nanswer to",
+            headers::REQUEST_ID,
+            headers::SIGNATURE
+        );
+        drop(stream.write_all(half.as_bytes()).await);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    });
+    address
+}
+
+#[test_case(ASK; "repeatable")]
+#[test_case(ONCE; "not repeatable")]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unframed_answer_whose_worker_ends_in_it_does_not_look_complete(path: &str) {
+    let fleet = start(PlatformOptions::default()).await;
+    let gateway = fleet.gateways[0].callers;
+    let mut broken = 0;
+    for round in 0..HALF_ANSWERS {
+        let address = start_worker_that_ends_in_its_answer().await;
+        list_worker(&fleet, address, "whole", &format!("half-{round}"));
+        for number in 0..40 {
+            let id = format!("request-{round}-{number}");
+            let answer = fleet.caller.ask_with_body(gateway, path, &id, &id).await;
+            let answer = answer.expect("no response");
+            if answer.status.is_success() {
+                assert_eq!(answer.body, format!("answer to {id}"));
+            } else {
+                broken += 1;
+            }
+        }
+    }
+    let expected = if path == ONCE { HALF_ANSWERS } else { 0 };
+    assert!(broken <= expected, "{broken} requests failed");
+}
