Batch: a gateway with an older configuration than a job's does not decide about its items

Cause: the holder of a partition takes a route that its configuration does not have for a removed one. Its configuration was older than that by which another gateway had accepted the job: its connection for the operator's topic was silent.

Change: a job's record names the version at its acceptance; a runner with an older one, or none, waits.

Ruled out: time limits, another runner's results.

Evidence: items_are_not_given_up_by_a_gateway_with_an_older_configuration failed on the code before ("dead_letter"), passes now with all of gateway_batch (22). Records of earlier builds are read and written as before (corpus tests).

--- a/crates/swiftshunt-gateway/src/batch/intake.rs
+++ b/crates/swiftshunt-gateway/src/batch/intake.rs
@@ -70,6 +70,7 @@
                 taken_unix_ms: Clock::unix_ms(),
                 tenant: tenant.cloned(),
                 route: Some(route.name.clone()),
+                configuration_version: self.configuration_version(),
                 ..spec
             },
             Err(error) => {
@@ -108,6 +109,11 @@
         }
     }
 
+    fn configuration_version(&self) -> Option<u64> {
+        let configuration = self.dispatcher.fleet_state.configuration()?;
+        Some(configuration.version)
+    }
+
     /// Reports the outcome of the append to the gateway that counts the tokens for the job's limit.
     fn report_append_outcome(&self, limited: &LimitedJob, outcome: Appended) {
         match outcome {
--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -9,7 +9,7 @@
 use rand::RngCore;
 use swiftshunt_http::SendPermit;
 use swiftshunt_jobs::{ItemOutcome, ItemSpec, JobSpec, Settled};
-use swiftshunt_routing::Route;
+use swiftshunt_routing::{Configuration, Route};
 use swiftshunt_scheduler::eligibility::OfferScope;
 use swiftshunt_scheduler::prefix_cache::PromptPart;
 use swiftshunt_scheduler::selection::{AttemptOutcome, ChosenWorker, Class, Demand};
@@ -26,7 +26,7 @@
 use crate::running::ItemId;
 use crate::worker_answer::Answer;
 
-/// Pause before checking again whether items of a partition may be sent.
+/// Pause before checking again whether items of a partition may be sent, or the configuration is recent enough.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
 /// Pause before checking again whether an item may be sent from this region.
 const REGION_POLL_INTERVAL: Duration = Duration::from_millis(500);
@@ -72,13 +72,18 @@
         // Built once, since its digest reads the whole body.
         let prompt = self.dispatcher.protocol.item_facts(item).prompt;
         let request_content = request_content(spec, item, &prompt);
+        let mut awaits_configuration = false;
         loop {
-            let route = self
-                .dispatcher
-                .fleet_state
-                .configuration()
-                .and_then(|configuration| configuration.route(&spec.host, &spec.path).cloned());
-            let Some(route) = route else {
+            let Some(configuration) = self.configuration_for(spec) else {
+                if !std::mem::replace(&mut awaits_configuration, true) {
+                    log::info!(job = id.job.as_str(), item = item.id.as_str(),
+                        accepted_by:? = spec.configuration_version;
+                        "the configuration known here is older than the one by which the job was accepted; an item waits");
+                }
+                tokio::time::sleep(RETRY_DELAY).await;
+                continue;
+            };
+            let Some(route) = configuration.route(&spec.host, &spec.path).cloned() else {
                 return self.settle(id, item, ItemOutcome::GivenUp, String::new(), "no route");
             };
             let now = self.dispatcher.clock.now();
@@ -152,6 +157,14 @@
         }
     }
 
+    /// Returns the configuration that decides what becomes of a job's items; `None` while only an older one is known here
+    /// than that by which the job was accepted.
+    fn configuration_for(&self, spec: &JobSpec) -> Option<Arc<Configuration>> {
+        let configuration = self.dispatcher.fleet_state.configuration()?;
+        let accepted_by = spec.configuration_version.unwrap_or_default();
+        (configuration.version >= accepted_by).then_some(configuration)
+    }
+
     /// Returns the output that the item's previous runner recorded; empty if there is none.
     pub(crate) fn recorded_output(&self, id: &ItemId) -> ItemOutput {
         let state = self.replay.state(id.partition);
--- a/crates/swiftshunt-gateway/src/earlier_builds/values.rs
+++ b/crates/swiftshunt-gateway/src/earlier_builds/values.rs
@@ -396,6 +396,7 @@
         taken_unix_ms: 1_700_000_000_000,
         tenant,
         route: None,
+        configuration_version: None,
     })
 }
 
--- a/crates/swiftshunt-jobs/src/record.rs
+++ b/crates/swiftshunt-jobs/src/record.rs
@@ -44,6 +44,10 @@
     /// earlier builds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub route: Option<String>,
+    /// Version of the configuration that the accepting gateway had; one with an older configuration does not decide what
+    /// becomes of the items. `None` in records of earlier builds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub configuration_version: Option<u64>,
 }
 
 /// Returns the identifier of a job within the system, from the one that the caller chose. Identifiers of different
--- a/crates/swiftshunt-jobs/tests/fold.rs
+++ b/crates/swiftshunt-jobs/tests/fold.rs
@@ -27,6 +27,7 @@
         taken_unix_ms: 0,
         tenant: None,
         route: None,
+        configuration_version: None,
     }
 }
 
--- a/crates/swiftshunt-lab/src/platform/store.rs
+++ b/crates/swiftshunt-lab/src/platform/store.rs
@@ -59,6 +59,8 @@
     /// Reads, also those that already wait, get no response; all other calls are served.
     #[serde(rename = "lost_reads")]
     pub hang_reads: bool,
+    /// The same for reads of this topic only.
+    pub hang_reads_of: Option<String>,
     /// Probability, from 0 to 1, that an append is performed and its response is lost.
     #[serde(rename = "lost_answers")]
     pub lost_answer_probability: f64,
@@ -78,6 +80,14 @@
     pub false_acknowledgement_probability: f64,
 }
 
+impl StoreFaults {
+    /// Whether a read gets no response.
+    fn hang_read(&self, query: &Query) -> bool {
+        let topic = self.hang_reads_of.as_deref();
+        self.hang_reads || topic == Some(query.text(queries::TOPIC))
+    }
+}
+
 /// A record in a partition.
 #[derive(Clone, Debug)]
 struct StoredRecord {
@@ -319,7 +329,7 @@
     let body = body.map_err(|_| BrokenOff)?.to_bytes();
     match path.as_str() {
         paths::APPEND => append(&shared, &active_faults, &query, body).await,
-        paths::READ if active_faults.hang_reads => std::future::pending().await,
+        paths::READ if active_faults.hang_read(&query) => std::future::pending().await,
         paths::READ => read(&shared, &faults, &query).await,
         paths::NEWEST
             if active_faults.refuse_every_second_newest && is_second_call(&shared, &query) =>
@@ -385,7 +395,7 @@
         if lock(faults).outage.is_some() {
             return Err(BrokenOff);
         }
-        if lock(faults).hang_reads {
+        if lock(faults).hang_read(query) {
             return std::future::pending().await;
         }
         if has_timed_out {
