Batch: failed runs of an item are recorded, and counted over all its runners

Cause: the count lived with the runner and was handed over only beside an output, which such an item does not have.

Change: each failed run is a numbered record of the job (a field that earlier builds pass over); a runner counts the union of what it has read and seen. Appends of progress no longer remove what was queued while they were under way (read in the code).

Ruled out: results that are not written. A count in the record in place of numbers was not taken: two runners that have not read each other's record would both write 1.

Evidence: failed_runs_are_counted_across_the_runners_of_an_item, gateways killed in turn: 15 runs before, 9 allowed; passes now. With partitions reassigned every 0.4 s it passes on both. All of gateway_batch: 24 pass.

--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -8,7 +8,7 @@
 use hyper::{Method, Uri};
 use rand::RngCore;
 use swiftshunt_http::SendPermit;
-use swiftshunt_jobs::{ItemOutcome, ItemSpec, JobSpec, Settled};
+use swiftshunt_jobs::{FailedRun, ItemOutcome, ItemSpec, JobSpec, Settled};
 use swiftshunt_routing::{Configuration, Route};
 use swiftshunt_scheduler::eligibility::OfferScope;
 use swiftshunt_scheduler::prefix_cache::PromptPart;
@@ -91,6 +91,10 @@
             if limit.is_some_and(|limit| now >= first_seen + limit) {
                 return self.settle(id, item, ItemOutcome::GivenUp, String::new(), "too late");
             }
+            if self.failure_count(id, output) >= route.max_attempts {
+                let reason = "too many failures";
+                return self.settle(id, item, ItemOutcome::GivenUp, String::new(), reason);
+            }
             if !self.may_send(id.partition) {
                 tokio::time::sleep(RETRY_DELAY).await;
                 continue;
@@ -142,12 +146,14 @@
                     return self.settle(id, item, ItemOutcome::GivenUp, String::new(), reason);
                 }
                 Attempt::Failed => {
-                    output.failures += 1;
-                    if output.failures >= route.max_attempts {
-                        let reason = "too many failures";
-                        return self.settle(id, item, ItemOutcome::GivenUp, String::new(), reason);
+                    let failed = FailedRun {
+                        item: id.index,
+                        run: output.record_failed_run(),
+                    };
+                    self.results.add_failed_run(id.partition, &id.job, failed);
+                    if self.failure_count(id, output) < route.max_attempts {
+                        tokio::time::sleep(FAILURE_DELAY).await;
                     }
-                    tokio::time::sleep(FAILURE_DELAY).await;
                 }
                 Attempt::BrokenOff | Attempt::NotTaken => {
                     tokio::time::sleep(FAILURE_DELAY).await;
@@ -175,6 +181,13 @@
         progress.map_or_else(ItemOutput::default, ItemOutput::taken_over)
     }
 
+    /// Returns the number of runs of an item that failed, at any gateway.
+    fn failure_count(&self, id: &ItemId, output: &ItemOutput) -> u32 {
+        let state = self.replay.state(id.partition);
+        let job = state.fold.job(&id.job);
+        output.failure_count(job.into_iter().flat_map(|job| job.failed_runs(id.index)))
+    }
+
     /// Queues the item's progress for its next runner, unless the item has no output yet or is no longer open.
     pub(crate) fn hand_over_progress(&self, id: &ItemId, output: ItemOutput) {
         let Some(progress) = output.into_progress(id.index) else {
--- a/crates/swiftshunt-gateway/src/batch/item_output.rs
+++ b/crates/swiftshunt-gateway/src/batch/item_output.rs
@@ -1,5 +1,6 @@
 //! The output of a batch item so far, and where its next attempt may continue it.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use swiftshunt_jobs::{ItemSpec, Progress};
@@ -31,7 +32,10 @@
     pub(super) last_event: Option<u64>,
     /// The service and software version that wrote `text`; `None` if there is none, or if an earlier build recorded it.
     pub(super) origin: Option<OutputOrigin>,
-    pub(super) failures: u32,
+    /// Number of failed runs that an earlier runner recorded with its output.
+    failures_before: u32,
+    /// The failed runs at this gateway.
+    failed_runs: BTreeSet<u64>,
     /// Total duration of the attempts at this gateway.
     pub(super) ran: Duration,
     /// Whether the item began at another gateway; its run time here is then incomplete.
@@ -146,7 +150,7 @@
             text: progress.text.clone(),
             last_event: Some(progress.last_event),
             origin: progress.origin.clone(),
-            failures: progress.failures,
+            failures_before: progress.failures,
             is_taken_over: true,
             ..Self::default()
         }
@@ -158,12 +162,27 @@
         Some(Progress {
             item,
             last_event,
+            failures: self.failure_count(std::iter::empty()),
             text: self.text,
-            failures: self.failures,
             origin: self.origin,
         })
     }
 
+    /// Records a run that its worker has failed, and returns its identifier.
+    pub(super) fn record_failed_run(&mut self) -> u64 {
+        let run = rand::random();
+        self.failed_runs.insert(run);
+        run
+    }
+
+    /// Returns the number of failed runs, with those that any runner has recorded.
+    pub(super) fn failure_count(&self, recorded: impl Iterator<Item = u64>) -> u32 {
+        let of_others = recorded.filter(|run| !self.failed_runs.contains(run));
+        let known = self.failed_runs.len() + of_others.count();
+        let with_output = self.failures_before as usize + self.failed_runs.len();
+        u32::try_from(known.max(with_output)).unwrap_or(u32::MAX)
+    }
+
     /// Drops what was written, so that the item begins anew. Failed attempts still count.
     fn restart(&mut self) {
         self.text.clear();
--- a/crates/swiftshunt-gateway/src/batch/results.rs
+++ b/crates/swiftshunt-gateway/src/batch/results.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use swiftshunt_jobs::{JobRecord, Progress, Settled};
+use swiftshunt_jobs::{FailedRun, JobRecord, Progress, Settled};
 use tokio::sync::Notify;
 
 use super::Batch;
@@ -32,11 +32,18 @@
     written_at: Option<Duration>,
 }
 
+/// What the next runners of a job's items have to know.
+#[derive(Clone, Default)]
+struct PendingProgress {
+    outputs: Vec<Progress>,
+    failed_runs: Vec<FailedRun>,
+}
+
 /// Results that have not been read back from the journal yet, and progress that has not been written yet.
 #[derive(Default)]
 pub(crate) struct PendingResults {
     entries: Mutex<BTreeMap<ItemKey, Entry>>,
-    pending_progress: Mutex<BTreeMap<(u32, String), Vec<Progress>>>,
+    pending_progress: Mutex<BTreeMap<(u32, String), PendingProgress>>,
     added: Notify,
 }
 
@@ -57,11 +64,44 @@
         let of_job = pending_progress
             .entry((partition, job.to_owned()))
             .or_default();
-        of_job.push(progress);
+        of_job.outputs.push(progress);
+        self.added.notify_one();
+    }
+
+    /// Queues a failed run of an item for any later runner, since this one may be lost.
+    pub(crate) fn add_failed_run(&self, partition: u32, job: &str, failed: FailedRun) {
+        let mut pending_progress = lock(&self.pending_progress);
+        let of_job = pending_progress
+            .entry((partition, job.to_owned()))
+            .or_default();
+        of_job.failed_runs.push(failed);
         self.added.notify_one();
     }
 
-    /// Whether the append of all queued progress has been tried.
+    /// Removes progress whose append has been tried, but for its failed runs if they are to be written again. What was
+    /// queued meanwhile stays.
+    fn remove_progress(
+        &self,
+        partition: u32,
+        job: String,
+        tried: &PendingProgress,
+        keeps_failed_runs: bool,
+    ) {
+        let mut pending_progress = lock(&self.pending_progress);
+        let key = (partition, job);
+        let Some(of_job) = pending_progress.get_mut(&key) else {
+            return;
+        };
+        of_job.outputs.drain(..tried.outputs.len());
+        if !keeps_failed_runs {
+            of_job.failed_runs.drain(..tried.failed_runs.len());
+        }
+        if of_job.outputs.is_empty() && of_job.failed_runs.is_empty() {
+            pending_progress.remove(&key);
+        }
+    }
+
+    /// Whether all queued progress has been written, or its append has been tried.
     pub(crate) fn is_progress_drained(&self) -> bool {
         lock(&self.pending_progress).is_empty()
     }
@@ -158,21 +198,31 @@
         }
     }
 
-    /// Writes the queued progress with a single attempt: if it fails, the next runners start the items anew.
+    /// Writes the queued progress. Outputs are written with a single attempt: if it fails, the next runners start the items
+    /// anew. Failed runs are kept until they are written or their job is closed.
     async fn write_progress(&self) {
         let pending_progress = lock(&self.results.pending_progress).clone();
-        for ((partition, job), progress) in pending_progress {
+        for ((partition, job), pending) in pending_progress {
             let record = JobRecord::HandedOver {
                 job: job.clone(),
-                progress,
+                progress: pending.outputs.clone(),
+                failed_runs: pending.failed_runs.clone(),
             };
             let outcome = self.appender.append(partition, &record).await;
-            log::info!(job = job.as_str(), partition, outcome:? = outcome;
+            log::info!(job = job.as_str(), partition, outputs = pending.outputs.len(),
+                failed_runs = pending.failed_runs.len(), outcome:? = outcome;
                 "the append of items' progress for their next runner ended");
-            lock(&self.results.pending_progress).remove(&(partition, job));
+            let keeps_failed_runs = outcome != Appended::Done && self.is_job_open(partition, &job);
+            self.results
+                .remove_progress(partition, job, &pending, keeps_failed_runs);
         }
     }
 
+    fn is_job_open(&self, partition: u32, job: &str) -> bool {
+        let state = self.replay.state(partition);
+        !state.is_listed || state.fold.job(job).is_some_and(|job| !job.is_closed())
+    }
+
     async fn write_partition(&self, partition: u32, jobs: BTreeMap<String, Vec<Settled>>) -> bool {
         let records = jobs.iter().map(|(job, results)| JobRecord::Settled {
             job: job.clone(),
--- a/crates/swiftshunt-gateway/src/earlier_builds/values.rs
+++ b/crates/swiftshunt-gateway/src/earlier_builds/values.rs
@@ -432,6 +432,7 @@
         JobRecord::HandedOver {
             job: job.clone(),
             progress: vec![progress],
+            failed_runs: Vec::new(),
         },
     );
     entry("ended", JobRecord::Ended { job });
--- a/crates/swiftshunt-jobs/src/fold.rs
+++ b/crates/swiftshunt-jobs/src/fold.rs
@@ -1,12 +1,12 @@
 //! The state of the jobs of a partition, as the fold of its records in the order of their offsets.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use swiftshunt_types::total_tokens;
 
-use crate::{JobRecord, JobSpec, Progress, Settled};
+use crate::{FailedRun, JobRecord, JobSpec, Progress, Settled};
 
 /// The state of a batch job.
 #[derive(Debug)]
@@ -18,6 +18,8 @@
     pub results: Vec<Settled>,
     settled: Vec<bool>,
     progress: BTreeMap<u32, Progress>,
+    /// The failed runs of unsettled items.
+    failed_runs: BTreeSet<FailedRun>,
     /// Whether the caller ended the job; unsettled items of an ended job do not run.
     pub ended: bool,
     /// When this process first read the job's acceptance, by its own monotonic clock; this is never before
@@ -43,6 +45,7 @@
             spec: Arc::new(spec),
             results: Vec::new(),
             progress: BTreeMap::new(),
+            failed_runs: BTreeSet::new(),
             ended: false,
             first_seen: now,
             keys: Vec::new(),
@@ -64,6 +67,24 @@
         self.progress.get(&item)
     }
 
+    /// Returns the identifiers of the recorded runs of an unsettled item that failed.
+    pub fn failed_runs(&self, item: u32) -> impl Iterator<Item = u64> {
+        let first = FailedRun { item, run: 0 };
+        let last = FailedRun {
+            item,
+            run: u64::MAX,
+        };
+        self.failed_runs
+            .range(first..=last)
+            .map(|failed| failed.run)
+    }
+
+    fn record_failed_run(&mut self, failed: FailedRun) {
+        if !self.is_settled(failed.item as usize) {
+            self.failed_runs.insert(failed);
+        }
+    }
+
     /// Records the progress of an unsettled item if its last event is later than that of the known progress.
     fn merge_progress(&mut self, progress: Progress) {
         if self.is_settled(progress.item as usize) {
@@ -101,6 +122,7 @@
         }
         *settled = true;
         self.progress.remove(&result.item);
+        self.failed_runs.retain(|failed| failed.item != result.item);
         self.results.push(result);
         true
     }
@@ -136,7 +158,11 @@
         let effect = match record {
             JobRecord::Accepted(spec) => self.accept(spec, now),
             JobRecord::Settled { job, results } => self.settle(job, results),
-            JobRecord::HandedOver { job, progress } => self.merge_progress(&job, progress),
+            JobRecord::HandedOver {
+                job,
+                progress,
+                failed_runs,
+            } => self.merge_progress(&job, progress, failed_runs),
             JobRecord::Ended { job } => self.end(job),
         };
         if let Some(job) = self.jobs.get_mut(&id) {
@@ -169,11 +195,19 @@
         }
     }
 
-    fn merge_progress(&mut self, id: &str, progress: Vec<Progress>) -> Effect {
+    fn merge_progress(
+        &mut self,
+        id: &str,
+        progress: Vec<Progress>,
+        failed_runs: Vec<FailedRun>,
+    ) -> Effect {
         if let Some(job) = self.jobs.get_mut(id) {
             for item in progress {
                 job.merge_progress(item);
             }
+            for failed in failed_runs {
+                job.record_failed_run(failed);
+            }
         }
         Effect::Nothing
     }
--- a/crates/swiftshunt-jobs/src/lib.rs
+++ b/crates/swiftshunt-jobs/src/lib.rs
@@ -8,4 +8,6 @@
 mod record;
 
 pub use fold::{Effect, Job, JobFold, Page};
-pub use record::{ItemOutcome, ItemSpec, JobRecord, JobSpec, Progress, Settled, qualified_job_id};
+pub use record::{
+    FailedRun, ItemOutcome, ItemSpec, JobRecord, JobSpec, Progress, Settled, qualified_job_id,
+};
--- a/crates/swiftshunt-jobs/src/record.rs
+++ b/crates/swiftshunt-jobs/src/record.rs
@@ -110,6 +110,15 @@
     pub origin: Option<OutputOrigin>,
 }
 
+/// A run of an item that its worker has failed, which counts towards the limit of attempts whoever runs the item.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct FailedRun {
+    /// Index of the item in the job.
+    pub item: u32,
+    /// Random identifier of the run, so that a record that is written twice counts once.
+    pub run: u64,
+}
+
 /// A record about a batch job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobRecord {
@@ -122,12 +131,15 @@
         /// The results; only the first one of each item counts.
         results: Vec<Settled>,
     },
-    /// Partial outputs of items of a job that another runner is to continue.
+    /// Partial outputs of items of a job that another runner is to continue, and what it has to know of their runs.
     HandedOver {
         /// Identifier of the job.
         job: String,
         /// The partial outputs.
         progress: Vec<Progress>,
+        /// Runs that failed; none in records of earlier builds, which pass over those of later ones.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        failed_runs: Vec<FailedRun>,
     },
     /// The caller ended the job.
     Ended {
--- a/crates/swiftshunt-jobs/tests/fold.rs
+++ b/crates/swiftshunt-jobs/tests/fold.rs
@@ -8,7 +8,7 @@
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use swiftshunt_jobs::{
-    Effect, ItemOutcome, ItemSpec, JobFold, JobRecord, JobSpec, Progress, Settled,
+    Effect, FailedRun, ItemOutcome, ItemSpec, JobFold, JobRecord, JobSpec, Progress, Settled,
 };
 
 fn spec(id: &str, items: usize) -> JobSpec {
@@ -121,6 +121,7 @@
         let record = JobRecord::HandedOver {
             job: "j".into(),
             progress: vec![progress],
+            failed_runs: Vec::new(),
         };
         apply(&mut fold, record);
     }
@@ -135,6 +136,34 @@
     );
 }
 
+/// Two runners may each have failed an item before they read the other's record.
+#[test]
+fn failed_runs_of_all_runners_count_once_each() {
+    let mut fold = JobFold::default();
+    apply(&mut fold, JobRecord::Accepted(spec("j", 2)));
+    let failed = |item, run| FailedRun { item, run };
+    let records = [
+        vec![failed(0, 7), failed(1, 7)],
+        vec![failed(0, 9)],
+        vec![failed(0, 7)],
+    ];
+    for failed_runs in records {
+        let record = JobRecord::HandedOver {
+            job: "j".into(),
+            progress: Vec::new(),
+            failed_runs,
+        };
+        apply(&mut fold, record);
+    }
+    let count = |fold: &JobFold, item| {
+        let job = fold.job("j").expect("job j is unknown");
+        job.failed_runs(item).count()
+    };
+    assert_eq!((count(&fold, 0), count(&fold, 1)), (2, 1));
+    apply(&mut fold, results("j", vec![settled(0, "whole")]));
+    assert_eq!((count(&fold, 0), count(&fold, 1)), (0, 1));
+}
+
 #[test]
 fn only_closed_jobs_expire_and_return_the_keys_of_their_records() {
     let mut fold = JobFold::default();
--- a/crates/swiftshunt/tests/gateway_batch.rs
+++ b/crates/swiftshunt/tests/gateway_batch.rs
@@ -403,6 +403,51 @@
     }
 }
 
+/// What takes the partitions away from their holders again and again.
+#[derive(Clone, Copy)]
+enum Loss {
+    Reassigned,
+    GatewaysKilled,
+}
+
+/// The count of failed runs must outlive the gateway that has seen them.
+#[test_case(Loss::Reassigned; "partitions are reassigned")]
+#[test_case(Loss::GatewaysKilled; "gateways are killed in turn")]
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_runs_are_counted_across_the_runners_of_an_item(loss: Loss) {
+    const MAX_ATTEMPTS: usize = 3;
+    let mut fleet = start(PlatformOptions::default()).await;
+    for engine in &fleet.engine_workers {
+        engine.set_behaviour(WorkerBehaviour::Fail);
+    }
+    let jobs: Vec<String> = (0..4).map(|number| format!("job-{number}")).collect();
+    for job in &jobs {
+        submit(&fleet, fleet.gateways[0].callers, job, 2).await;
+    }
+    for round in 0..24 {
+        match loss {
+            Loss::Reassigned => fleet.store.reassign_partitions(),
+            Loss::GatewaysKilled => {
+                let restarted = fleet.restart(round % 2);
+                restarted.expect("the gateway did not start");
+            }
+        }
+        let pause = match loss {
+            Loss::Reassigned => Duration::from_millis(400),
+            Loss::GatewaysKilled => Duration::from_millis(1_200),
+        };
+        tokio::time::sleep(pause).await;
+    }
+    let gateway = fleet.gateways[0].callers;
+    for job in &jobs {
+        wait_for_all_results(&fleet, gateway, job, 2).await;
+        for item in 0..2 {
+            let runs = fleet.runs_of(&item_id(job, item)).len();
+            assert!(runs <= 3 * MAX_ATTEMPTS, "{job}, item {item}: {runs} runs");
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_item_whose_stream_breaks_resumes_after_its_last_event() {
     let fleet = start(PlatformOptions::default()).await;
