--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -241,7 +241,7 @@
             in_flight.record_sent();
             match send_on(&mut sender, request).await {
                 Ok(response) => return Ok((response, sender)),
-                // A new connection is tried below.
+                // No byte was sent: a new connection is tried below.
                 Err(ConnectionFailure::Unsent { .. }) => {}
                 Err(ConnectionFailure::Failed(failure)) => return Err(failure),
             }
