--- a/crates/swiftshunt-http/src/event_stream.rs
+++ b/crates/swiftshunt-http/src/event_stream.rs
@@ -8,7 +8,7 @@
 use derive_more::{Display, Error};
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 
 /// Content type of event streams.
@@ -221,9 +221,15 @@
     pub fn new(headers: &HeaderMap, body: Incoming, is_continuation: bool) -> Self {
         let content_type = headers.get(CONTENT_TYPE);
         let content_type = content_type.map(|value| value.as_bytes().to_ascii_lowercase());
+        // A body that is known to be empty, by the status or the request, needs no framing.
+        let framing = if body.is_end_stream() {
+            Framing::Length
+        } else {
+            Framing::of(headers)
+        };
         Self {
             body,
-            framing: Framing::of(headers),
+            framing,
             has_events: content_type.is_none_or(|value| value.starts_with(EVENT_STREAM.as_bytes())),
             is_continuation,
             position: EventPosition::default(),
--- a/crates/swiftshunt/tests/gateway_torn_streams.rs
+++ b/crates/swiftshunt/tests/gateway_torn_streams.rs
@@ -8,6 +8,8 @@
     wait_for_all_results,
 };
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use hyper::StatusCode;
@@ -370,3 +372,52 @@
     let expected = if path == ONCE { HALF_ANSWERS } else { 0 };
     assert!(broken <= expected, "{broken} requests failed");
 }
+
+/// Number of requests to a worker whose answers have no body.
+const EMPTY_ANSWERS: usize = 20;
+
+/// The end of an answer that cannot have a body needs no confirmation.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_without_a_body_needs_no_further_connection() {
+    let fleet = start(PlatformOptions::default()).await;
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("no free port");
+    let address = listener.local_addr().expect("no address");
+    let connections = Arc::new(AtomicUsize::new(0));
+    let accepted = Arc::clone(&connections);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            accepted.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(async move {
+                while let Some(head) = read_head(&mut stream).await {
+                    let id = field(&head, headers::REQUEST_ID).unwrap_or_default();
+                    let answer = format!(
+                        "HTTP/1.1 204 No Content\r\n{}: {id}\r\n{}: signed\r\n\r\n",
+                        headers::REQUEST_ID,
+                        headers::SIGNATURE
+                    );
+                    drop(stream.write_all(answer.as_bytes()).await);
+                }
+            });
+        }
+    });
+    for worker in &fleet.whole_workers {
+        fleet.unlist(worker);
+    }
+    list_worker(&fleet, address, "whole", "empty");
+    let gateway = fleet.gateways[0].callers;
+    eventually("the worker is used", || async {
+        let answer = fleet.caller.ask(gateway, ASK, "first", DEADLINE).await;
+        answer.is_ok_and(|answer| answer.status == StatusCode::NO_CONTENT)
+    })
+    .await;
+    let before = connections.load(Ordering::Relaxed);
+    for number in 0..EMPTY_ANSWERS {
+        let id = format!("request-{number}");
+        let answer = fleet.caller.ask(gateway, ASK, &id, DEADLINE).await;
+        assert_eq!(answer.expect("no response").status, StatusCode::NO_CONTENT);
+    }
+    let opened = connections.load(Ordering::Relaxed) - before;
+    assert!(opened < EMPTY_ANSWERS / 2, "{opened} connections");
+}
