Batch: accepted items that make no progress are logged and counted

Of an accepted item that is not being run, neither logs nor metrics told where it is, since when and why: waits for a slot, for an answer, for a recent state of its partition, for the append of its result have no line at level info. So the record of the idle items decides between no hypotheses.

Each gateway now checks the items of its leased partitions once a second: started ones, those that it has not started, and ended ones whose result has not been read back. One without an event for 5 s is counted by what it waits for (stalled_items, longest_item_stall_seconds) and logged, at each doubling of its time, at most 16 lines a second. Partitions that nobody leases are logged when the owners of partitions are read, which happens for callers' calls anyway.

--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -21,9 +21,10 @@
 use super::item_output::ItemOutput;
 use crate::attempt::{OutgoingRequest, SendFailure, SendLimits};
 use crate::fleet_state::lock;
+use crate::metrics::ItemWait;
 use crate::protocol::Identity;
 use crate::quarantine::{RequestContent, RequestOrigin};
-use crate::running::ItemId;
+use crate::running::{ItemActivity, ItemId};
 use crate::worker_answer::Answer;
 
 /// Pause before checking again whether items of a partition may be sent, or the configuration is recent enough.
@@ -56,16 +57,27 @@
     Interrupted,
 }
 
+/// The run of an item at this gateway.
+#[derive(Clone, Copy)]
+pub(super) struct ItemRun<'r> {
+    pub(super) id: &'r ItemId,
+    pub(super) spec: &'r JobSpec,
+    /// When the item's job was first read here.
+    pub(super) first_seen: Duration,
+    pub(super) times: ItemTimes,
+    pub(super) activity: &'r ItemActivity,
+}
+
 impl Batch {
     /// Runs an item until it is settled.
-    pub(crate) async fn run_item(
-        self: &Arc<Self>,
-        id: &ItemId,
-        spec: &JobSpec,
-        first_seen: Duration,
-        times: ItemTimes,
-        output: &mut ItemOutput,
-    ) {
+    pub(super) async fn run_item(self: &Arc<Self>, run: ItemRun<'_>, output: &mut ItemOutput) {
+        let ItemRun {
+            id,
+            spec,
+            first_seen,
+            times,
+            activity,
+        } = run;
         let Some(item) = spec.items.get(id.index as usize) else {
             return;
         };
@@ -80,6 +92,7 @@
                         accepted_by:? = spec.configuration_version;
                         "the configuration known here is older than the one by which the job was accepted; an item waits");
                 }
+                activity.set_wait(ItemWait::Configuration);
                 tokio::time::sleep(RETRY_DELAY).await;
                 continue;
             };
@@ -96,6 +109,7 @@
                 return self.settle(id, item, ItemOutcome::GivenUp, String::new(), reason);
             }
             if !self.may_send(id.partition) {
+                activity.set_wait(ItemWait::RecentState);
                 tokio::time::sleep(RETRY_DELAY).await;
                 continue;
             }
@@ -107,6 +121,7 @@
             if !self.dispatcher.job_regions.may_send_from_here(&residency) {
                 log::debug!(job = id.job.as_str(), item = item.id.as_str();
                     "an item may not be sent from here");
+                activity.set_wait(ItemWait::Region);
                 tokio::time::sleep(REGION_POLL_INTERVAL).await;
                 continue;
             }
@@ -122,6 +137,7 @@
                 let reason = "item has no valid path or host";
                 return self.settle(id, item, ItemOutcome::GivenUp, String::new(), reason);
             };
+            activity.set_wait(ItemWait::Slot);
             // The route may change, or the item may expire, while it waits for a slot.
             let slot = self.acquire_slot(&service, times, &outgoing.demand, output);
             let Some(chosen) = slot.await else {
@@ -131,7 +147,9 @@
                 continue;
             }
             let began = self.dispatcher.clock.now();
-            let attempt = self.attempt(id, &outgoing, &chosen, output).await;
+            activity.set_wait(ItemWait::Answer);
+            let attempt = self.attempt(run, &outgoing, &chosen, output).await;
+            activity.set_wait(ItemWait::Retry);
             output.ran += self.dispatcher.clock.now().saturating_sub(began);
             match attempt {
                 Attempt::Whole => {
@@ -217,12 +235,13 @@
             outcome,
             text,
         };
-        self.results.add_result(id.partition, &id.job, result);
+        let now = self.dispatcher.clock.now();
+        self.results.add_result(id.partition, &id.job, result, now);
     }
 
     async fn attempt(
         &self,
-        id: &ItemId,
+        ItemRun { id, activity, .. }: ItemRun<'_>,
         outgoing: &OutgoingRequest,
         chosen: &ChosenWorker,
         output: &mut ItemOutput,
@@ -241,7 +260,7 @@
                 .send(chosen, outgoing, output.last_event, limits)
                 .await;
             match sent {
-                Ok(answer) => self.read_answer(answer, output).await,
+                Ok(answer) => self.read_answer(answer, activity, output).await,
                 Err(failure) => {
                     log::debug!(item, failure:% = failure; "an item's send failed");
                     if failure.did_not_run() {
@@ -313,7 +332,12 @@
         })
     }
 
-    async fn read_answer(&self, mut answer: Answer, output: &mut ItemOutput) -> Attempt {
+    async fn read_answer(
+        &self,
+        mut answer: Answer,
+        activity: &ItemActivity,
+        output: &mut ItemOutput,
+    ) -> Attempt {
         let status = answer.head.status;
         if !status.is_success() {
             let attempt = match status.as_u16() {
@@ -331,7 +355,7 @@
             answer.in_flight.set_outcome(AttemptOutcome::Broken);
             return Attempt::BrokenOff;
         }
-        let read = self.read_events(&mut answer, output).await;
+        let read = self.read_events(&mut answer, activity, output).await;
         let whole = match read {
             Ok(()) => answer.check_stream_end(&self.dispatcher, true).await,
             Err(failure) => Err(failure),
@@ -352,6 +376,7 @@
     async fn read_events(
         &self,
         answer: &mut Answer,
+        activity: &ItemActivity,
         output: &mut ItemOutput,
     ) -> Result<(), SendFailure> {
         let incarnation = answer.in_flight.chosen.incarnation.clone();
@@ -389,6 +414,7 @@
                 Some(Ok(event)) => event,
             };
             in_flight.record_progress();
+            activity.record_event(last_event_at);
             in_flight.record_received(event.data.len());
             output.append_event(&event)?;
             output
--- a/crates/swiftshunt-gateway/src/batch/mod.rs
+++ b/crates/swiftshunt-gateway/src/batch/mod.rs
@@ -15,6 +15,7 @@
 mod replay;
 mod results;
 mod runner;
+mod stalled_items;
 mod token_reports;
 
 use std::sync::Arc;
@@ -94,7 +95,7 @@
             replay: Replay::new(Arc::clone(&log), pages, &settings, unreadable, clock),
             appender: Appender::new(Arc::clone(&log), &settings, metrics, clock),
             leases: Leases::new(Arc::clone(&log), &settings, own_address, clock),
-            owners: PartitionOwners::new(log, own_address, clock),
+            owners: PartitionOwners::new(log, own_address, settings.log.partitions, clock),
             region_readers,
             region_pages,
             results: PendingResults::default(),
@@ -129,6 +130,7 @@
         tokio::spawn(Arc::clone(self).drop_expired_jobs());
         tokio::spawn(Arc::clone(self).answer_collect_requests());
         tokio::spawn(Arc::clone(self).count_waiting_tokens());
+        tokio::spawn(Arc::clone(self).monitor_stalled_items());
     }
 
     /// Stops the items that run here and hands the partitions over: writes the progress of the items, then
--- a/crates/swiftshunt-gateway/src/batch/owners.rs
+++ b/crates/swiftshunt-gateway/src/batch/owners.rs
@@ -43,6 +43,8 @@
     by_partition: BTreeMap<u32, SocketAddr>,
     read_at: Option<Duration>,
     requested_at: Option<Duration>,
+    /// Partitions without an owner as of the last read.
+    unowned: BTreeSet<u32>,
     /// Whether the last read failed.
     is_unavailable: bool,
     suspected_until: HashMap<SocketAddr, Duration>,
@@ -52,6 +54,7 @@
 pub(crate) struct PartitionOwners {
     log: Arc<dyn Log>,
     own: SocketAddr,
+    partitions: u32,
     clock: Clock,
     known: Mutex<KnownOwners>,
     read_lock: tokio::sync::Mutex<()>,
@@ -59,10 +62,12 @@
 }
 
 impl PartitionOwners {
-    pub(crate) fn new(log: Arc<dyn Log>, own: SocketAddr, clock: Clock) -> Self {
+    /// Creates the owners of `partitions` partitions, for the gateway that its peers reach at `own`.
+    pub(crate) fn new(log: Arc<dyn Log>, own: SocketAddr, partitions: u32, clock: Clock) -> Self {
         Self {
             log,
             own,
+            partitions,
             clock,
             known: Mutex::default(),
             read_lock: tokio::sync::Mutex::default(),
@@ -201,8 +206,16 @@
                 Err(error) => log::warn!(partition; "an owner of a partition is ignored: {error}"),
             }
         }
+        let all = 0..self.partitions;
+        let unowned: BTreeSet<u32> = all
+            .filter(|partition| !by_partition.contains_key(partition))
+            .collect();
         let now = self.clock.now();
         let mut known = lock(&self.known);
+        if unowned != known.unowned {
+            log::info!(partitions:? = unowned; "the partitions whose items no gateway runs changed");
+        }
+        known.unowned = unowned;
         known.by_partition = by_partition;
         known.read_at = Some(now);
         known.is_unavailable = false;
--- a/crates/swiftshunt-gateway/src/batch/results.rs
+++ b/crates/swiftshunt-gateway/src/batch/results.rs
@@ -10,6 +10,8 @@
 use super::Batch;
 use super::appender::Appended;
 use crate::fleet_state::lock;
+use crate::metrics::ItemWait;
+use crate::running::ItemId;
 
 /// Pause before a write, so that results that arrive close together are written together.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
@@ -28,6 +30,7 @@
 
 struct Entry {
     result: Settled,
+    added_at: Duration,
     /// Time of the last successful append; `None` before the first one.
     written_at: Option<Duration>,
 }
@@ -48,10 +51,11 @@
 }
 
 impl PendingResults {
-    pub(crate) fn add_result(&self, partition: u32, job: &str, result: Settled) {
+    pub(crate) fn add_result(&self, partition: u32, job: &str, result: Settled, now: Duration) {
         let key = (partition, job.to_owned(), result.item);
         let entry = Entry {
             result,
+            added_at: now,
             written_at: None,
         };
         lock(&self.entries).insert(key, entry);
@@ -111,6 +115,24 @@
         lock(&self.entries).contains_key(&(partition, job.to_owned(), item))
     }
 
+    /// Returns the items whose results have not been read back, with what each waits for and when it ended.
+    pub(super) fn waits(&self) -> Vec<(ItemId, ItemWait, Duration)> {
+        let entries = lock(&self.entries);
+        let waits = entries.iter().map(|((partition, job, index), entry)| {
+            let id = ItemId {
+                partition: *partition,
+                job: job.clone(),
+                index: *index,
+            };
+            let waits_for = match entry.written_at {
+                Some(_) => ItemWait::ReadBack,
+                None => ItemWait::Append,
+            };
+            (id, waits_for, entry.added_at)
+        });
+        waits.collect()
+    }
+
     /// Whether every result has been written and no progress is queued.
     pub(crate) fn are_results_written(&self) -> bool {
         let written = lock(&self.entries)
--- a/crates/swiftshunt-gateway/src/batch/runner.rs
+++ b/crates/swiftshunt-gateway/src/batch/runner.rs
@@ -8,8 +8,10 @@
 use swiftshunt_scheduler::slots::ItemTimes;
 
 use super::Batch;
+use super::item::ItemRun;
 use crate::clock::Clock;
-use crate::running::ItemId;
+use crate::metrics::ItemWait;
+use crate::running::{ItemId, RunHandle};
 
 /// Longest interval between scheduling rounds while items wait or run, and shortest interval while none does.
 const SCHEDULE_INTERVAL: Duration = Duration::from_millis(40);
@@ -19,11 +21,12 @@
 const MAX_STARTS_PER_ROUND: usize = 64;
 
 /// An item that has not been started.
-struct WaitingItem {
-    id: ItemId,
+pub(super) struct WaitingItem {
+    pub(super) id: ItemId,
     spec: Arc<JobSpec>,
     service: String,
-    first_seen: Duration,
+    /// When the item's job was first read here.
+    pub(super) first_seen: Duration,
     times: ItemTimes,
 }
 
@@ -66,10 +69,7 @@
         let mut started = 0;
         let mut has_waiting = false;
         for item in waiting {
-            let may_start = self.leases.may_start_items(item.id.partition)
-                && self.may_send(item.id.partition)
-                && self.has_service_capacity(&item.service);
-            if started >= MAX_STARTS_PER_ROUND || !may_start {
+            if started >= MAX_STARTS_PER_ROUND || self.start_obstacle(&item).is_some() {
                 has_waiting = true;
                 continue;
             }
@@ -79,8 +79,22 @@
         has_waiting
     }
 
+    /// Returns what an item waits for before it can be started here; `None` if it can be started now.
+    pub(super) fn start_obstacle(&self, item: &WaitingItem) -> Option<ItemWait> {
+        let partition = item.id.partition;
+        if !self.leases.may_start_items(partition) {
+            Some(ItemWait::NewLease)
+        } else if !self.may_send(partition) {
+            Some(ItemWait::RecentState)
+        } else if !self.has_service_capacity(&item.service) {
+            Some(ItemWait::Capacity)
+        } else {
+            None
+        }
+    }
+
     /// Returns the items of the held partitions that have not been started and have no result.
-    fn waiting_items(&self, held: &BTreeSet<u32>) -> Vec<WaitingItem> {
+    pub(super) fn waiting_items(&self, held: &BTreeSet<u32>) -> Vec<WaitingItem> {
         let now = self.dispatcher.clock.now();
         let unix_ms = Clock::unix_ms();
         let mut waiting = Vec::new();
@@ -143,16 +157,24 @@
     }
 
     fn start_item(self: &Arc<Self>, item: WaitingItem) {
-        let stop = self
-            .running
-            .insert(item.id.clone(), item.service, item.times);
+        let now = self.dispatcher.clock.now();
+        let RunHandle { stop, activity } =
+            self.running
+                .insert(item.id.clone(), item.service, item.times, now);
         let batch = Arc::clone(self);
         tokio::spawn(async move {
             let id = item.id;
             let mut output = batch.recorded_output(&id);
+            let run = ItemRun {
+                id: &id,
+                spec: &item.spec,
+                first_seen: item.first_seen,
+                times: item.times,
+                activity: &activity,
+            };
             tokio::select! {
                 () = stop.cancelled() => batch.hand_over_progress(&id, output),
-                () = batch.run_item(&id, &item.spec, item.first_seen, item.times, &mut output) => {}
+                () = batch.run_item(run, &mut output) => {}
             }
             batch.running.remove(&id);
         });
--- a/crates/swiftshunt-gateway/src/metrics/labels.rs
+++ b/crates/swiftshunt-gateway/src/metrics/labels.rs
@@ -125,6 +125,41 @@
     }
 }
 
+/// What an accepted item without a result waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum ItemWait {
+    /// The lease of its partition is new, and the previous holder may still write its progress.
+    NewLease,
+    /// The state of its partition that is known here is not recent.
+    RecentState,
+    /// As many items of its service run here as the service has slots.
+    Capacity,
+    /// Other items were started before it.
+    Start,
+    /// The configuration known here is older than the one by which its job was accepted.
+    Configuration,
+    /// It may not be sent from this region.
+    Region,
+    /// A worker's slot.
+    Slot,
+    /// The pause after a failed attempt.
+    Retry,
+    /// A worker's answer.
+    Answer,
+    /// The next event of a worker's stream.
+    Event,
+    /// The append of its result.
+    Append,
+    /// The read of its result from the journal.
+    ReadBack,
+}
+
+/// Labels of stalled items.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct StallLabels {
+    pub(crate) waits_for: ItemWait,
+}
+
 /// Labels of a refusal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct RefusalLabels {
--- a/crates/swiftshunt-gateway/src/metrics/mod.rs
+++ b/crates/swiftshunt-gateway/src/metrics/mod.rs
@@ -2,7 +2,7 @@
 
 mod labels;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -19,10 +19,13 @@
 
 use crate::fleet_state::lock;
 use crate::traffic::Traffic;
-pub(crate) use labels::{Basis, OriginSource, RateAnswer, Refusal, RequestEnd, SlotAnswer};
+pub(crate) use labels::{
+    Basis, ItemWait, OriginSource, RateAnswer, Refusal, RequestEnd, SlotAnswer,
+};
 use labels::{
     LimitLabels, OutcomeLabels, RateLabels, RefusalLabels, RejectedLabels, RequestLabels,
-    SlotLabels, SlotUse, StreamEndLabels, TakeUpLabels, TenantLabels, UseLabels, ZoneLabels,
+    SlotLabels, SlotUse, StallLabels, StreamEndLabels, TakeUpLabels, TenantLabels, UseLabels,
+    ZoneLabels,
 };
 
 /// Largest number of tenants with a label value of their own; later tenants share [`OTHER_TENANTS`].
@@ -39,6 +42,8 @@
     inconclusive_runs: Family<OutcomeLabels, Counter>,
     pub(crate) appends: Family<OutcomeLabels, Counter>,
     pub(crate) items: Family<OutcomeLabels, Counter>,
+    stalled_items: Family<StallLabels, Gauge>,
+    longest_stall_seconds: Gauge,
     take_ups: Family<TakeUpLabels, Counter>,
     stream_ends: Family<StreamEndLabels, Counter>,
     pub(crate) slot_questions: Family<SlotLabels, Counter>,
@@ -103,6 +108,18 @@
         registry.register("appends", "Journal appends by outcome", appends.clone());
         let items = Family::default();
         registry.register("items", "Batch items by outcome", items.clone());
+        let stalled_items = Family::default();
+        registry.register(
+            "stalled_items",
+            "Accepted items of leased partitions that have made no progress for some seconds, by what they wait for",
+            stalled_items.clone(),
+        );
+        let longest_stall_seconds = Gauge::default();
+        registry.register(
+            "longest_item_stall_seconds",
+            "Longest time for which an accepted item of a leased partition has made no progress",
+            longest_stall_seconds.clone(),
+        );
         let take_ups = Family::default();
         registry.register(
             "streams_taken_up",
@@ -342,6 +359,8 @@
             inconclusive_runs,
             appends,
             items,
+            stalled_items,
+            longest_stall_seconds,
             take_ups,
             stream_ends,
             first_event_seconds,
@@ -468,6 +487,19 @@
         self.inconclusive_runs.get_or_create(&labels).inc();
     }
 
+    /// Sets the number of stalled items by what they wait for, and how long the longest of them has been stalled.
+    pub(crate) fn set_stalled_items(&self, stalled: &HashMap<ItemWait, i64>, longest: Duration) {
+        self.stalled_items.clear();
+        for (waits_for, items) in stalled {
+            let labels = StallLabels {
+                waits_for: *waits_for,
+            };
+            self.stalled_items.get_or_create(&labels).set(*items);
+        }
+        let seconds = i64::try_from(longest.as_secs()).unwrap_or(i64::MAX);
+        self.longest_stall_seconds.set(seconds);
+    }
+
     pub(crate) fn record_append(&self, outcome: impl std::fmt::Debug) {
         self.appends.get_or_create(&outcome_labels(outcome)).inc();
     }
--- a/crates/swiftshunt-gateway/src/running.rs
+++ b/crates/swiftshunt-gateway/src/running.rs
@@ -1,13 +1,14 @@
 //! The batch items that this gateway runs.
 
 use std::collections::HashMap;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use swiftshunt_scheduler::slots::ItemTimes;
 use tokio_util::sync::CancellationToken;
 
 use crate::fleet_state::lock;
+use crate::metrics::ItemWait;
 
 /// Identifies a batch item.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -17,9 +18,62 @@
     pub(crate) index: u32,
 }
 
+/// What an item that runs here waits for, and since when it has made no progress.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Activity {
+    pub(crate) waits_for: ItemWait,
+    /// When the item was started here or last received an event.
+    pub(crate) progress_at: Duration,
+}
+
+/// The shared state of an item's activity, which its run updates.
+#[derive(Debug)]
+pub(crate) struct ItemActivity(Mutex<Activity>);
+
+impl ItemActivity {
+    fn started(now: Duration) -> Arc<Self> {
+        Arc::new(Self(Mutex::new(Activity {
+            waits_for: ItemWait::Slot,
+            progress_at: now,
+        })))
+    }
+
+    pub(crate) fn set_wait(&self, waits_for: ItemWait) {
+        lock(&self.0).waits_for = waits_for;
+    }
+
+    /// Records that the item received an event.
+    pub(crate) fn record_event(&self, now: Duration) {
+        *lock(&self.0) = Activity {
+            waits_for: ItemWait::Event,
+            progress_at: now,
+        };
+    }
+
+    fn get(&self) -> Activity {
+        *lock(&self.0)
+    }
+}
+
+/// An item that runs here, as far as its progress is concerned.
+pub(crate) struct ItemSnapshot {
+    pub(crate) id: ItemId,
+    pub(crate) activity: Activity,
+    /// Incarnation of the worker that the item was sent to; `None` if it is at no worker.
+    pub(crate) worker: Option<String>,
+}
+
+/// The means by which an item's run is controlled and observed.
+pub(crate) struct RunHandle {
+    /// Cancelled to end the item's run at this gateway for good.
+    pub(crate) stop: CancellationToken,
+    pub(crate) activity: Arc<ItemActivity>,
+}
+
 struct RunningItem {
     service: String,
     times: ItemTimes,
+    activity: Arc<ItemActivity>,
     worker: Option<String>,
     /// Ends the item's run at this gateway for good.
     stop: CancellationToken,
@@ -34,23 +88,37 @@
 }
 
 impl RunningItems {
-    /// Adds an item, and returns the token by which its run is stopped.
+    /// Adds an item that is started now, and returns the handle of its run.
     pub(crate) fn insert(
         &self,
         id: ItemId,
         service: String,
         times: ItemTimes,
-    ) -> CancellationToken {
+        now: Duration,
+    ) -> RunHandle {
         let stop = CancellationToken::new();
+        let activity = ItemActivity::started(now);
         let item = RunningItem {
             service,
             times,
+            activity: Arc::clone(&activity),
             worker: None,
             stop: stop.clone(),
             interrupt: CancellationToken::new(),
         };
         lock(&self.items).insert(id, item);
-        stop
+        RunHandle { stop, activity }
+    }
+
+    /// Returns what each item waits for.
+    pub(crate) fn snapshot(&self) -> Vec<ItemSnapshot> {
+        let items = lock(&self.items);
+        let snapshots = items.iter().map(|(id, item)| ItemSnapshot {
+            id: id.clone(),
+            activity: item.activity.get(),
+            worker: item.worker.clone(),
+        });
+        snapshots.collect()
     }
 
     pub(crate) fn remove(&self, id: &ItemId) {
