Scheduler: requests at a worker are remembered when its directory entry lapses and returns

What callers saw: an item of an accepted job is neither completed nor given up, while its worker and all others are idle. No log line names it.

Cause: the requests that this gateway has at a worker were counted with the worker's directory entry and dropped with it. When the entry returned under the same incarnation, the worker counted as one without requests of this gateway, whose silence is zero. So the silence of the worker never ended the attempt at an item that was sent before: it waited for the head of the answer for up to 600 s. The requests that ended later were subtracted from those sent later, so the owner of the slots was told of too few, and placements took the silent worker for a sound one.

The two unit tests fail before: silence 0 s in place of 2 s, 0 slots held in place of 2.

Ruled out: entries of a new life (another incarnation: no silence is known, so the attempt's own age counts) and services of which more than half lapse (a grace period keeps them).

Change: a worker's state is kept while requests of this gateway are there, and its next entry takes over these requests, their send times and the worker's last activity. It goes with the last of them, so it is bounded by the requests in flight. A listing is no activity, so an entry that comes and goes hides no silence.

--- a/crates/swiftshunt-scheduler/src/candidate.rs
+++ b/crates/swiftshunt-scheduler/src/candidate.rs
@@ -96,6 +96,16 @@
         }
     }
 
+    /// Takes over this node's requests at the worker from the state before its entry lapsed.
+    pub(crate) fn take_over_requests(&mut self, before: Self) {
+        self.own_online = before.own_online;
+        self.own_batch = before.own_batch;
+        self.pending_tokens = before.pending_tokens;
+        self.pending_since = before.pending_since;
+        self.latest_started_sent_at = before.latest_started_sent_at;
+        self.last_activity_at = before.last_activity_at;
+    }
+
     /// Returns this worker as the choice for a request with the given prefill.
     pub(crate) fn to_chosen_worker(
         &self,
--- a/crates/swiftshunt-scheduler/src/listed.rs
+++ b/crates/swiftshunt-scheduler/src/listed.rs
@@ -74,7 +74,10 @@
         let key = entry.incarnation.clone();
         self.incarnations.insert(entry.life.id.clone(), key.clone());
         let region = self.topology.dividing_region_of(&entry.zone).cloned();
-        let candidate = Candidate::new(entry, region, memory, now);
+        let mut candidate = Candidate::new(entry, region, memory, now);
+        if let Some(before) = self.unlisted.remove(&key) {
+            candidate.take_over_requests(before);
+        }
         self.candidates.insert(key, candidate);
         true
     }
@@ -98,15 +101,19 @@
             .count()
     }
 
-    /// Removes a worker with all of its state.
+    /// Removes a worker. Its state is kept as long as requests of this node are there: its entry may return.
     fn remove(&mut self, incarnation: &str) -> Option<RemovedWorker> {
         let candidate = self.candidates.remove(incarnation)?;
         self.incarnations.remove(&candidate.entry.life.id);
-        Some(RemovedWorker {
+        let removed = RemovedWorker {
             was_ready: candidate.entry.availability == Availability::Ready,
-            incarnation: candidate.entry.incarnation,
-            zone: candidate.entry.zone,
-        })
+            incarnation: candidate.entry.incarnation.clone(),
+            zone: candidate.entry.zone.clone(),
+        };
+        if candidate.own_requests() > 0 {
+            self.unlisted.insert(incarnation.to_owned(), candidate);
+        }
+        Some(removed)
     }
 
     /// Returns whether an entry differs from the known one in something that matters for placement.
--- a/crates/swiftshunt-scheduler/src/observed.rs
+++ b/crates/swiftshunt-scheduler/src/observed.rs
@@ -15,8 +15,10 @@
 const MIN_RATE_SAMPLE_TOKENS: u64 = 2_000;
 
 impl Selector {
+    /// Returns a worker that is listed, or that was listed when a request of this node was sent to it.
     fn get_mut(&mut self, incarnation: &str) -> Option<&mut Candidate> {
-        self.candidates.get_mut(incarnation)
+        let listed = self.candidates.get_mut(incarnation);
+        listed.or_else(|| self.unlisted.get_mut(incarnation))
     }
 
     /// Records that this node sends a request to a worker.
@@ -72,7 +74,7 @@
 
     /// Records that the first event of a request came after `waited`.
     pub fn record_first_event(&mut self, chosen: &ChosenWorker, waited: Duration, now: Duration) {
-        let Some(candidate) = self.candidates.get_mut(&chosen.incarnation) else {
+        let Some(candidate) = self.get_mut(&chosen.incarnation) else {
             return;
         };
         candidate.record_activity(now);
@@ -99,7 +101,23 @@
         held: Duration,
         now: Duration,
     ) {
-        let Some(candidate) = self.candidates.get_mut(&chosen.incarnation) else {
+        self.observe_outcome(chosen, class, outcome, had_first_event, held, now);
+        let unlisted = self.unlisted.get(&chosen.incarnation);
+        if unlisted.is_some_and(|candidate| candidate.own_requests() == 0) {
+            self.unlisted.remove(&chosen.incarnation);
+        }
+    }
+
+    fn observe_outcome(
+        &mut self,
+        chosen: &ChosenWorker,
+        class: Class,
+        outcome: AttemptOutcome,
+        had_first_event: bool,
+        held: Duration,
+        now: Duration,
+    ) {
+        let Some(candidate) = self.get_mut(&chosen.incarnation) else {
             return;
         };
         match class {
--- a/crates/swiftshunt-scheduler/src/selection.rs
+++ b/crates/swiftshunt-scheduler/src/selection.rs
@@ -129,6 +129,8 @@
     pub(crate) evacuations: Evacuations,
     /// Keyed by incarnation.
     pub(crate) candidates: BTreeMap<String, Candidate>,
+    /// Workers that are no longer listed while requests of this node are still there, keyed by incarnation.
+    pub(crate) unlisted: BTreeMap<String, Candidate>,
     /// The incarnation of each known worker, keyed by the worker's identifier.
     pub(crate) incarnations: BTreeMap<String, String>,
     pub(crate) services: BTreeMap<String, ServiceTimes>,
@@ -149,6 +151,7 @@
             topology,
             evacuations: Evacuations::default(),
             candidates: BTreeMap::new(),
+            unlisted: BTreeMap::new(),
             incarnations: BTreeMap::new(),
             services: BTreeMap::new(),
             software: SoftwareHistory::default(),
--- a/crates/swiftshunt-scheduler/tests/listed.rs
+++ b/crates/swiftshunt-scheduler/tests/listed.rs
@@ -6,7 +6,9 @@
 use swiftshunt_scheduler::directory::{Availability, WorkerEntry, WorkerLife};
 use swiftshunt_scheduler::eligibility::OfferScope;
 use swiftshunt_scheduler::listed::RemovedWorker;
-use swiftshunt_scheduler::selection::{AttemptOutcome, Class, Demand, ReportedLoad, Selector};
+use swiftshunt_scheduler::selection::{
+    AttemptOutcome, ChosenWorker, Class, Demand, ReportedLoad, Selector,
+};
 
 const START: Duration = Duration::from_secs(10);
 const GRACE_UNTIL: Duration = Duration::from_secs(12);
@@ -274,3 +276,68 @@
     assert!(!selector.apply_entry(entry_with_start("s", 0, Some(1_000)), START));
     assert_eq!(selector.incarnation("s0"), Some("s0@2000"));
 }
+
+/// Takes the entry of the only worker out of the directory and lists it again.
+fn list_anew(selector: &mut Selector, now: Duration) {
+    selector.remove_unlisted(&worker_ids("s", 0..1), None);
+    assert_eq!(selector.ready_count("s"), 0);
+    selector.apply_entry(entry("s", 0), now);
+}
+
+fn send_item(selector: &mut Selector, now: Duration) -> ChosenWorker {
+    let demand = Demand {
+        class: Class::Batch,
+        ..DEMAND
+    };
+    let chosen = selector.choose("s", &demand, &[], now);
+    let chosen = chosen.expect("no worker is eligible");
+    selector.record_send(&chosen, &demand, now);
+    chosen
+}
+
+fn held_items(selector: &Selector) -> u32 {
+    let held = selector
+        .cells("s")
+        .map(|cell| selector.held_slots_in(&cell));
+    held.flatten().map(|(_, held)| held.batch).sum()
+}
+
+#[test]
+fn the_silence_of_a_worker_goes_on_when_its_entry_returns() {
+    let mut selector = Selector::new("z");
+    selector.apply_entry(entry("s", 0), START);
+    let chosen = send_item(&mut selector, START);
+    let silence = Duration::from_secs(2);
+    list_anew(&mut selector, START + silence);
+    assert_eq!(
+        selector.silence(&chosen.incarnation, START + silence),
+        Some(silence)
+    );
+}
+
+#[test]
+fn the_slots_held_at_a_worker_are_counted_when_its_entry_returns() {
+    let mut selector = Selector::new("z");
+    selector.apply_entry(entry("s", 0), START);
+    let before = [(); 2].map(|()| send_item(&mut selector, START));
+    list_anew(&mut selector, START);
+    assert_eq!(held_items(&selector), 2);
+    send_item(&mut selector, START);
+    for chosen in &before {
+        let outcome = AttemptOutcome::Answered;
+        selector.record_outcome(chosen, Class::Batch, outcome, false, START, START);
+    }
+    assert_eq!(held_items(&selector), 1);
+}
+
+#[test]
+fn requests_that_end_while_their_worker_is_not_listed_hold_no_slots_when_it_returns() {
+    let mut selector = Selector::new("z");
+    selector.apply_entry(entry("s", 0), START);
+    let chosen = send_item(&mut selector, START);
+    selector.remove_unlisted(&worker_ids("s", 0..1), None);
+    let outcome = AttemptOutcome::Broken;
+    selector.record_outcome(&chosen, Class::Batch, outcome, false, START, START);
+    selector.apply_entry(entry("s", 0), START);
+    assert_eq!(held_items(&selector), 0);
+}
