--- a/crates/swiftshunt-lab/src/platform/process.rs
+++ b/crates/swiftshunt-lab/src/platform/process.rs
@@ -47,6 +47,9 @@
     /// delay before a response that is not streamed, and before each event of a stream, in milliseconds
     #[argh(option, default = "10")]
     pause_ms: u64,
+    /// delay before each event of a batch item, in milliseconds; by default that of streams
+    #[argh(option)]
+    item_pause_ms: Option<u64>,
 }
 
 /// A line on a worker's standard output about an event of a run.
@@ -90,6 +93,7 @@
         slots: arguments.slots,
         events: arguments.events,
         answer_delay: Duration::from_millis(arguments.pause_ms),
+        item_event_delay: arguments.item_pause_ms.map(Duration::from_millis),
         crash_on_body: None,
         crash_on_prompt_part: None,
         started_unix_ms: None,
--- a/crates/swiftshunt-lab/src/platform/worker.rs
+++ b/crates/swiftshunt-lab/src/platform/worker.rs
@@ -93,6 +93,8 @@
     pub events: Option<u64>,
     /// Delay before a response that is not streamed, and before each event of a stream.
     pub answer_delay: Duration,
+    /// Delay before each event of a batch item; `None` for that of streams.
+    pub item_event_delay: Option<Duration>,
     /// A request body that crashes the worker: it stops `answer_delay` after such a request began to run, cancelled or
     /// not, or inside the second event of a stream with neither a length nor chunks. Items of batch jobs never crash it.
     pub crash_on_body: Option<String>,
@@ -448,7 +450,9 @@
         return Ok(answer_with(StatusCode::OK, &answer_headers, body));
     };
     let answer = answer_with(StatusCode::OK, &answer_headers, full_body(Bytes::new()));
+    let item_event_delay = shared.settings.item_event_delay.filter(|_| is_item);
     let stream = StreamRun {
+        event_delay: item_event_delay.unwrap_or(shared.settings.answer_delay),
         id: id.clone(),
         index,
         last_event,
--- a/crates/swiftshunt-lab/src/platform/worker/streams.rs
+++ b/crates/swiftshunt-lab/src/platform/worker/streams.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -80,6 +81,8 @@
     pub(super) id: String,
     /// Position of the run in the worker's list of runs.
     pub(super) index: usize,
+    /// Delay before each event.
+    pub(super) event_delay: Duration,
     /// Number of the last event that the sender already has.
     pub(super) last_event: Option<u64>,
     /// Number of events of the whole stream.
@@ -184,7 +187,7 @@
         lock(&shared.runs)[run.index].completed = true;
         return Ok(Frame::data(Bytes::new()));
     }
-    tokio::time::sleep(shared.settings.answer_delay).await;
+    tokio::time::sleep(run.event_delay).await;
     let data = versioned_event_data(&run.id, event, shared.settings.software.as_deref());
     let cut = run.cut();
     let cut = cut.filter(|(events, _)| event == run.first_event() + events);
--- a/crates/swiftshunt-lab/src/proxy.rs
+++ b/crates/swiftshunt-lab/src/proxy.rs
@@ -126,6 +126,10 @@
 /// Conditions and faults of one link.
 #[derive(Default)]
 struct Rules {
+    /// Number of connections accepted so far.
+    accepted: u64,
+    /// The connections among them that were open at the last [`Link::silence_open_connections`], by number: all below.
+    silenced_below: u64,
     conditions: LinkConditions,
     default_fault: Fault,
     fault_by_source: HashMap<IpAddr, Fault>,
@@ -208,6 +212,13 @@
         lock(&self.rules).fault_by_source.insert(source, fault);
         self.changed.send_replace(());
     }
+
+    /// Discards from now on all bytes of the connections that are open, in both directions, and hides their ends: each side
+    /// takes the other one for silent. New connections are not affected.
+    pub fn silence_open_connections(&self) {
+        let mut rules = lock(&self.rules);
+        rules.silenced_below = rules.accepted;
+    }
 }
 
 async fn accept_connections(
@@ -220,7 +231,13 @@
         let Some(target) = *lock(&target) else {
             continue;
         };
+        let number = {
+            let mut rules = lock(&rules);
+            rules.accepted += 1;
+            rules.accepted - 1
+        };
         let connection = ConnectionRules {
+            number,
             source: source.ip(),
             rules: Arc::clone(&rules),
             changed: changed.subscribe(),
@@ -232,6 +249,8 @@
 /// The rules of a link as they apply to one connection.
 #[derive(Clone)]
 struct ConnectionRules {
+    /// Number of connections of the link accepted before.
+    number: u64,
     source: IpAddr,
     rules: Arc<Mutex<Rules>>,
     changed: watch::Receiver<()>,
@@ -246,6 +265,15 @@
         lock(&self.rules).conditions.clone()
     }
 
+    fn is_silenced(&self) -> bool {
+        self.number < lock(&self.rules).silenced_below
+    }
+
+    /// Returns once the link has been dropped.
+    async fn wait_until_dropped(&mut self) {
+        while self.changed.changed().await.is_ok() {}
+    }
+
     /// Returns once the fault is [`Fault::Cut`], or the link has been dropped.
     async fn wait_until_cut(&mut self) {
         while self.current_fault() != Fault::Cut {
@@ -306,6 +334,9 @@
         if length == 0 {
             break;
         }
+        if connection.is_silenced() {
+            continue;
+        }
         match connection.current_fault() {
             Fault::DropAnswers if carries_answers => continue,
             Fault::DropRequests if !carries_answers => continue,
@@ -324,5 +355,8 @@
             break;
         }
     }
+    if connection.is_silenced() {
+        return connection.wait_until_dropped().await;
+    }
     drop(to.shutdown().await);
 }
--- a/crates/swiftshunt-lab/src/soak/command.rs
+++ b/crates/swiftshunt-lab/src/soak/command.rs
@@ -37,6 +37,9 @@
     /// use two regions with a narrow, slow link between them, workers that start cold, and zone evacuations
     #[argh(switch)]
     regions: bool,
+    /// let batch items run for seconds under series of crashes, lapses of directory entries and signals that overlap
+    #[argh(switch)]
+    series: bool,
     /// executable of an earlier build, which every second gateway runs until its first planned stop
     #[argh(option)]
     earlier: Option<PathBuf>,
@@ -80,6 +83,9 @@
         if arguments.regions {
             plan = plan.in_two_regions();
         }
+        if arguments.series {
+            plan = plan.with_series();
+        }
         broken += usize::from(!runner.run_plan(plan).await?);
         rounds_played += 1;
     }
--- a/crates/swiftshunt-lab/src/soak/history.rs
+++ b/crates/swiftshunt-lab/src/soak/history.rs
@@ -271,6 +271,9 @@
     /// limit.
     #[serde(default)]
     pub waiting_limit: Option<u64>,
+    /// Number of slots of all engine workers together.
+    #[serde(default)]
+    pub engine_slots: usize,
     /// Planned stops of gateways, in the order of their ends.
     pub stops: Vec<PlannedStop>,
     /// Indexes of gateways whose process exited without a signal to do so.
--- a/crates/swiftshunt-lab/src/soak/mod.rs
+++ b/crates/swiftshunt-lab/src/soak/mod.rs
@@ -14,6 +14,7 @@
 mod report;
 mod round;
 mod run_log;
+mod series;
 mod testbed;
 
 pub use round::{SoakError, play};
--- a/crates/swiftshunt-lab/src/soak/plan.rs
+++ b/crates/swiftshunt-lab/src/soak/plan.rs
@@ -13,10 +13,10 @@
 use crate::proxy::Fault;
 
 /// Time without faults at the start of a round, in which the gateways discover each other.
-const WARM_UP: Duration = Duration::from_secs(4);
+pub(super) const WARM_UP: Duration = Duration::from_secs(4);
 /// Time without faults at the end of the load. Faults that wait for a trigger, and those that
 /// [`Plan::in_two_regions`] adds, may last into it.
-const FAULT_FREE_END: Duration = Duration::from_secs(7);
+pub(super) const FAULT_FREE_END: Duration = Duration::from_secs(7);
 /// Number of faults per minute of a round.
 const FAULTS_PER_MINUTE: std::ops::Range<u32> = 12..36;
 /// Duration of a fault in milliseconds: from less than a time-out to more than a lease.
@@ -67,6 +67,9 @@
     pub jobs_per_burst: usize,
     /// Number of items in a job.
     pub job_items: usize,
+    /// Delay before each event of a batch item, in milliseconds; `None` for that of streams.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub item_event_delay_ms: Option<u64>,
     /// The faults, in the order of their start times.
     pub faults: Vec<ScheduledFault>,
     /// The link between two regions; `None` if all processes are in one zone.
@@ -253,6 +256,15 @@
         /// Fault of the link.
         fault: Fault,
     },
+    /// The open connections of a link go silent for good, while new ones work.
+    SilenceConnections(ProxiedLink),
+    /// A worker's directory entry lapses although the worker lives, and returns when the fault ends.
+    LapseEntry {
+        /// Service of the worker.
+        service: Service,
+        /// Index of the worker in its service.
+        index: usize,
+    },
     /// The operator publishes a configuration.
     Configure,
     /// The operator evacuates a zone and withdraws the evacuation when the fault ends.
@@ -281,6 +293,7 @@
             job_burst_interval_ms: random.random_range(1_500..5_000),
             jobs_per_burst: random.random_range(1..=4),
             job_items: random.random_range(4..=24),
+            item_event_delay_ms: None,
             faults: Vec::new(),
             regions: None,
             cold: None,
--- a/crates/swiftshunt-lab/src/soak/promises/mod.rs
+++ b/crates/swiftshunt-lab/src/soak/promises/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod batch;
 mod configuration;
+mod idle_items;
 mod limits;
 mod placement;
 mod runs;
@@ -70,10 +71,13 @@
     /// The unfinished items of accepted jobs hold no more tokens than the waiting limit of their batch route.
     #[display("waiting-limit")]
     WaitingLimit,
+    /// An item of an accepted job does not stay idle while workers are free.
+    #[display("idle-items")]
+    IdleItems,
 }
 
 /// All promises.
-pub const ALL: [Promise; 17] = [
+pub const ALL: [Promise; 18] = [
     Promise::ExactlyOnce,
     Promise::Cancelled,
     Promise::OnlineFirst,
@@ -91,6 +95,7 @@
     Promise::Evacuated,
     Promise::Residency,
     Promise::WaitingLimit,
+    Promise::IdleItems,
 ];
 
 /// The error for a name that is not the name of a promise.
@@ -181,6 +186,7 @@
         Promise::Evacuated => placement::evacuated(history, &mut verdict),
         Promise::Residency => placement::residency(history, &mut verdict),
         Promise::WaitingLimit => limits::waiting_limit(history, &mut verdict),
+        Promise::IdleItems => idle_items::idle_items(history, &mut verdict),
     }
     verdict
 }
--- a/crates/swiftshunt-lab/src/soak/testbed.rs
+++ b/crates/swiftshunt-lab/src/soak/testbed.rs
@@ -26,7 +26,7 @@
     CONTROL_DROP_HISTORY_PATH, CONTROL_FAULTS_PATH, CONTROL_REASSIGN_PATH, StoreFaults,
 };
 use crate::platform::zone_layout::{ZoneAndRegion, ZoneLayout};
-use crate::proxy::{Bandwidth, Fault, LinkConditions};
+use crate::proxy::{Bandwidth, Fault, Link, LinkConditions};
 use crate::stand_in::lock;
 
 /// Number of partitions of the store's topics.
@@ -172,6 +172,7 @@
         let mut history = lock(&self.history).clone();
         history.unexpected_exits = self.unexpected_exits();
         history.runs = self.runs()?;
+        history.engine_slots = self.plan.workers * self.plan.slots;
         Ok(history)
     }
 
@@ -258,6 +259,10 @@
             Disruption::Link { link, fault } => {
                 self.inject_link_fault(*link, *fault, duration).await
             }
+            Disruption::SilenceConnections(link) => self.silence_connections(*link).await,
+            Disruption::LapseEntry { service, index } => {
+                self.lapse_entry(*service, *index, duration).await;
+            }
             Disruption::Configure => self.configure().await,
             Disruption::Evacuate { zone } => self.evacuate(*zone, duration).await,
         }
@@ -319,39 +324,45 @@
 
     async fn inject_link_fault(&self, proxied_link: ProxiedLink, fault: Fault, duration: Duration) {
         let from = self.now();
-        let (link, scope) = match proxied_link {
-            ProxiedLink::Store(gateway) | ProxiedLink::Callers(gateway) => {
-                let Some(handle) = self.gateways.get(gateway) else {
-                    return;
-                };
-                let is_store = matches!(proxied_link, ProxiedLink::Store(_));
-                let link = if is_store {
-                    &handle.store_link
-                } else {
-                    &handle.caller_link
-                };
-                (std::sync::Arc::clone(link), Scope::Gateway(gateway))
-            }
-            ProxiedLink::Whole(index) | ProxiedLink::Engine(index) => {
-                let is_whole = matches!(proxied_link, ProxiedLink::Whole(_));
-                let service = if is_whole {
-                    Service::Whole
-                } else {
-                    Service::Engine
-                };
-                let Some(handle) = self.worker(service, index) else {
-                    return;
-                };
-                let worker = handle.state.lock().await;
-                let scope = Scope::Worker(worker.incarnation.clone());
-                (std::sync::Arc::clone(&worker.link), scope)
-            }
+        let Some((link, scope)) = self.link(proxied_link).await else {
+            return;
         };
         link.set_fault(fault);
         tokio::time::sleep(duration).await;
         link.set_fault(Fault::None);
         self.record_disturbance(scope, from);
     }
+
+    async fn silence_connections(&self, proxied_link: ProxiedLink) {
+        let from = self.now();
+        let Some((link, scope)) = self.link(proxied_link).await else {
+            return;
+        };
+        link.silence_open_connections();
+        self.record_disturbance(scope, from);
+    }
+
+    /// Returns a link and the component that its faults affect; `None` if there is no such gateway or worker.
+    async fn link(&self, proxied_link: ProxiedLink) -> Option<(Arc<Link>, Scope)> {
+        match proxied_link {
+            ProxiedLink::Store(gateway) => {
+                let handle = self.gateways.get(gateway)?;
+                Some((Arc::clone(&handle.store_link), Scope::Gateway(gateway)))
+            }
+            ProxiedLink::Callers(gateway) => {
+                let handle = self.gateways.get(gateway)?;
+                Some((Arc::clone(&handle.caller_link), Scope::Gateway(gateway)))
+            }
+            ProxiedLink::Whole(index) => self.worker_link(Service::Whole, index).await,
+            ProxiedLink::Engine(index) => self.worker_link(Service::Engine, index).await,
+        }
+    }
+
+    async fn worker_link(&self, service: Service, index: usize) -> Option<(Arc<Link>, Scope)> {
+        let worker = self.worker(service, index)?.state.lock().await;
+        let scope = Scope::Worker(worker.incarnation.clone());
+        Some((Arc::clone(&worker.link), scope))
+    }
 }
 
 fn start_store(
--- a/crates/swiftshunt-lab/src/soak/testbed/workers.rs
+++ b/crates/swiftshunt-lab/src/soak/testbed/workers.rs
@@ -82,6 +82,9 @@
         option("pause-ms", PAUSE_MS.to_string());
         if service == Service::Engine {
             option("events", EVENTS.to_string());
+            if let Some(delay) = self.plan.item_event_delay_ms {
+                option("item-pause-ms", delay.to_string());
+            }
         }
         let log = self.scratch.join(format!("worker-{incarnation}.log"));
         let process =
@@ -207,6 +210,22 @@
         self.replace_worker(service, index, &mut worker, link).await;
     }
 
+    /// Removes the directory entry of a worker that lives on, and lists it again unless it was replaced meanwhile.
+    pub(super) async fn lapse_entry(&self, service: Service, index: usize, duration: Duration) {
+        let Some(handle) = self.worker(service, index) else {
+            return;
+        };
+        let from = self.now();
+        let incarnation = handle.state.lock().await.incarnation.clone();
+        self.remove_worker(&incarnation).await;
+        tokio::time::sleep(duration).await;
+        let worker = handle.state.lock().await;
+        if worker.incarnation == incarnation {
+            self.publish_worker(service, &worker, values::READY).await;
+        }
+        self.record_disturbance(Scope::Worker(incarnation), from);
+    }
+
     pub(super) async fn pause_worker(&self, service: Service, index: usize, duration: Duration) {
         let Some(handle) = self.worker(service, index) else {
             return;
--- a/crates/swiftshunt-lab/tests/soak_promises.rs
+++ b/crates/swiftshunt-lab/tests/soak_promises.rs
@@ -188,6 +188,7 @@
             regions: vec!["region-a".to_owned()],
         }],
         waiting_limit: Some(200),
+        engine_slots: 4,
         stops: vec![PlannedStop {
             gateway: 0,
             at: GATEWAY_STOPS_AT,
@@ -261,6 +262,8 @@
 #[test_case(Promise::Cold, |history| history.runs.extend(arrivals(9, 7_000)); "more requests than the bound of a cold worker")]
 #[test_case(Promise::Evacuated, |history| history.runs.extend(whole_run("ask", "/ask/", EVACUATED_AT + 5_500)); "a run in an evacuated zone")]
 #[test_case(Promise::WaitingLimit, |history| history.waiting_limit = Some(199); "more queued tokens than the limit")]
+#[test_case(Promise::IdleItems, |history| leave_idle(history, 0); "an item that no worker runs and that is not listed")]
+#[test_case(Promise::IdleItems, |history| leave_idle(history, 1); "an item that is not run again after its run ended")]
 #[test_case(Promise::Residency, |history| history.worker_locations[0].region = "region-b".to_owned(); "a run outside the allowed regions")]
 fn each_kind_of_broken_promise_is_detected(promise: Promise, corrupt: impl Fn(&mut History)) {
     let mut history = valid_history();
@@ -273,6 +276,39 @@
     );
 }
 
+/// Leaves the first item of the first job without a result, and with `runs` runs.
+fn leave_idle(history: &mut History, runs: usize) {
+    let job = &mut history.jobs[0];
+    for reading in job.readings.iter_mut().chain(&mut job.final_readings) {
+        reading.results.remove(0);
+    }
+    if runs == 0 {
+        history.runs.retain(|run| run.id != "job-a");
+    }
+}
+
+#[test_case(Scope::Store, 0; "a fault of the store")]
+#[test_case(Scope::Gateway(0), 0; "a fault of a gateway")]
+#[test_case(Scope::PlannedStop(0), 4; "full workers")]
+fn an_item_may_be_idle_while_there_are_faults_or_workers_are_full(scope: Scope, busy: u64) {
+    let mut history = valid_history();
+    leave_idle(&mut history, 1);
+    let (from, to) = if busy == 0 {
+        (8_000, 89_000)
+    } else {
+        (8_000, 8_001)
+    };
+    history.disturbances.push(Disturbance { scope, from, to });
+    for number in 0..busy {
+        let id = format!("busy-{number}");
+        history
+            .runs
+            .push(run(RunEvent::Began, &id, "/stream/", 8_000));
+    }
+    history.runs.sort_by_key(|run| run.at);
+    assert_eq!(judge(Promise::IdleItems, &history).violations, []);
+}
+
 /// Returns the arrivals of `count` requests at the worker, spread evenly over half a second.
 fn arrivals(count: u64, from: u64) -> Vec<RunRecord> {
     let arrival = |number| {
@@ -379,6 +415,8 @@
     for seed in 0..500 {
         let plan = Plan::draw(seed, 0.75);
         assert_eq!(plan, Plan::draw(seed, 0.75));
+        let plan = plan.with_series();
+        assert_eq!(plan, Plan::draw(seed, 0.75).with_series());
         let text = serde_json::to_string(&plan).expect("the plan was not serialized");
         let read: Plan = serde_json::from_str(&text).expect("the serialized plan was not read");
         assert_eq!(read, plan);
--- a/crates/swiftshunt/tests/soak.rs
+++ b/crates/swiftshunt/tests/soak.rs
@@ -22,6 +22,8 @@
 static ROUNDS: AtomicUsize = AtomicUsize::new(0);
 /// Length of a round of a fixed seed, in minutes.
 const ROUND_MINUTES: f64 = 0.35;
+/// Length of a round with series of faults, in minutes.
+const SERIES_MINUTES: f64 = 0.75;
 /// Length of a round with a single fault, in minutes.
 const SHORT_MINUTES: f64 = 0.15;
 
@@ -55,6 +57,15 @@
     assert_all_kept(&history);
 }
 
+/// Items that run for seconds meet several ends of workers, lost connections and lapses of directory entries.
+#[test_case(81_002)]
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_under_series_of_faults_that_overlap(seed: u64) {
+    let history = play(Plan::draw(seed, SERIES_MINUTES).with_series()).await;
+    assert!(!history.jobs.is_empty());
+    assert_all_kept(&history);
+}
+
 /// Replays the plans that once broke a promise; `lab/seeds/README.md` lists the reasons.
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_where_they_once_broke() {
