Gateway: a background task that panics ends the process

What callers would see: a gateway whose writer of results (or renewal of leases, start of items, replay of a partition) has panicked goes on without it. It answers, renews its leases and counts finished items as done, and nothing writes their results: accepted items lie idle until somebody restarts the process.

Cause: the runtime ends only the task that panicked. The comment on lock() said that a panic stops the process; nothing did.

Found by asking where an accepted item can wait for good.

Ruled out: a panic hook that ends the process for every panic. A request or an item that makes its own task panic would then end one gateway after the other.

Change: background tasks are spawned with a guard that logs and aborts while it unwinds. Leases lapse, and another gateway takes the partitions over.

--- a/crates/swiftshunt-gateway/src/batch/mod.rs
+++ b/crates/swiftshunt-gateway/src/batch/mod.rs
@@ -30,6 +30,7 @@
 
 use crate::answers::{CallerAnswer, plain};
 use crate::attempt::Dispatcher;
+use crate::background;
 use crate::members::Members;
 use crate::protocol::Call;
 use crate::running::RunningItems;
@@ -112,10 +113,10 @@
     pub(crate) fn start(self: &Arc<Self>) {
         for partition in 0..self.settings.log.partitions {
             let batch = Arc::clone(self);
-            tokio::spawn(async move { batch.replay.follow(partition).await });
+            background::spawn(async move { batch.replay.follow(partition).await });
         }
         let batch = Arc::clone(self);
-        tokio::spawn(async move {
+        background::spawn(async move {
             batch
                 .leases
                 .run_renewals(
@@ -125,12 +126,12 @@
                 )
                 .await
         });
-        tokio::spawn(Arc::clone(self).start_items());
-        tokio::spawn(Arc::clone(self).write_results());
-        tokio::spawn(Arc::clone(self).drop_expired_jobs());
-        tokio::spawn(Arc::clone(self).answer_collect_requests());
-        tokio::spawn(Arc::clone(self).count_waiting_tokens());
-        tokio::spawn(Arc::clone(self).monitor_stalled_items());
+        background::spawn(Arc::clone(self).start_items());
+        background::spawn(Arc::clone(self).write_results());
+        background::spawn(Arc::clone(self).drop_expired_jobs());
+        background::spawn(Arc::clone(self).answer_collect_requests());
+        background::spawn(Arc::clone(self).count_waiting_tokens());
+        background::spawn(Arc::clone(self).monitor_stalled_items());
     }
 
     /// Stops the items that run here and hands the partitions over: writes the progress of the items, then
--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 
 use crate::answer_buffer::AnswerBuffers;
 use crate::attempt::Dispatcher;
+use crate::background;
 use crate::batch::Batch;
 use crate::clock::Clock;
 use crate::datagrams::Datagrams;
@@ -259,29 +260,29 @@
             items_leave_after: settings.evacuation.items_leave_after,
         };
         let mut tasks = vec![
-            tokio::spawn(Arc::clone(&fleet_followers).follow_configuration(propagation_limit)),
-            tokio::spawn(fleet_followers.follow_directory(directory)),
-            tokio::spawn(serve_callers(
+            background::spawn(Arc::clone(&fleet_followers).follow_configuration(propagation_limit)),
+            background::spawn(fleet_followers.follow_directory(directory)),
+            background::spawn(serve_callers(
                 caller_listener,
                 online,
                 Arc::clone(&fleet_state),
                 stop.clone(),
             )),
-            tokio::spawn(serve_ready(
+            background::spawn(serve_ready(
                 ready_listener,
                 Arc::clone(&fleet_state),
                 Arc::clone(&other_gateways),
                 stop.clone(),
             )),
-            tokio::spawn(serve_peers(
+            background::spawn(serve_peers(
                 peer_listener,
                 Arc::clone(&protocol),
                 Arc::clone(&batch),
                 Arc::clone(&relayed),
                 Arc::clone(&tails),
             )),
-            tokio::spawn(relayed.probe_log()),
-            tokio::spawn(Arc::clone(&other_gateways).receive_notices(NoticeHandlers {
+            background::spawn(relayed.probe_log()),
+            background::spawn(Arc::clone(&other_gateways).receive_notices(NoticeHandlers {
                 slots: Arc::clone(&slots),
                 waiting_limits,
                 rates: Arc::clone(&rates),
@@ -289,20 +290,20 @@
                 start_permits,
                 origins: Arc::clone(&origins),
             })),
-            tokio::spawn(origins.run_reviews()),
-            tokio::spawn(Arc::clone(&quarantine).follow(tails)),
-            tokio::spawn(Arc::clone(&quarantine).run_recording()),
-            tokio::spawn(quarantine.run_expiry()),
-            tokio::spawn(rates.run_cleanup()),
-            tokio::spawn(Arc::clone(&slots).run_reporting()),
-            tokio::spawn(slots.run_free_slot_announcements()),
-            tokio::spawn(Arc::clone(&other_gateways).run_registration(Arc::clone(&log))),
-            tokio::spawn(Arc::clone(&other_gateways).follow_membership(Arc::clone(&log))),
-            tokio::spawn(sweep(dispatcher)),
-            tokio::spawn(evacuation_monitor.run()),
+            background::spawn(origins.run_reviews()),
+            background::spawn(Arc::clone(&quarantine).follow(tails)),
+            background::spawn(Arc::clone(&quarantine).run_recording()),
+            background::spawn(quarantine.run_expiry()),
+            background::spawn(rates.run_cleanup()),
+            background::spawn(Arc::clone(&slots).run_reporting()),
+            background::spawn(slots.run_free_slot_announcements()),
+            background::spawn(Arc::clone(&other_gateways).run_registration(Arc::clone(&log))),
+            background::spawn(Arc::clone(&other_gateways).follow_membership(Arc::clone(&log))),
+            background::spawn(sweep(dispatcher)),
+            background::spawn(evacuation_monitor.run()),
         ];
         if let Some(listener) = metrics_listener {
-            tasks.push(tokio::spawn(serve_metrics(listener, metrics)));
+            tasks.push(background::spawn(serve_metrics(listener, metrics)));
         }
         batch.start();
         log::info!(name = settings.name.as_str(), zone = settings.zone.as_str(),
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod answer_buffer;
 mod answers;
 mod attempt;
+mod background;
 mod batch;
 mod clock;
 mod datagrams;
