Batch: an item counts as running only as long as its task lives

What callers would see: an item whose task panicked is neither completed nor given up. Its gateway holds the partition, counts the item as running and never starts it again; another gateway does only once the lease moves.

Cause: the item left the table of running items by the last statement of its task.

Evidence: by reading, as the panics of background tasks; none is known. The unit test cannot be compiled on the code before; without the removal on drop it fails.

Change: the handle of the run removes the item when it is dropped, also while a panic unwinds. The item is then started again by the next scheduling round.

--- a/crates/swiftshunt-gateway/src/batch/runner.rs
+++ b/crates/swiftshunt-gateway/src/batch/runner.rs
@@ -11,7 +11,7 @@
 use super::item::ItemRun;
 use crate::clock::Clock;
 use crate::metrics::ItemWait;
-use crate::running::{ItemId, RunHandle};
+use crate::running::ItemId;
 
 /// Longest interval between scheduling rounds while items wait or run, and shortest interval while none does.
 const SCHEDULE_INTERVAL: Duration = Duration::from_millis(40);
@@ -158,9 +158,9 @@
 
     fn start_item(self: &Arc<Self>, item: WaitingItem) {
         let now = self.dispatcher.clock.now();
-        let RunHandle { stop, activity } =
-            self.running
-                .insert(item.id.clone(), item.service, item.times, now);
+        let handle = self
+            .running
+            .insert(item.id.clone(), item.service, item.times, now);
         let batch = Arc::clone(self);
         tokio::spawn(async move {
             let id = item.id;
@@ -170,13 +170,12 @@
                 spec: &item.spec,
                 first_seen: item.first_seen,
                 times: item.times,
-                activity: &activity,
+                activity: &handle.activity,
             };
             tokio::select! {
-                () = stop.cancelled() => batch.hand_over_progress(&id, output),
+                () = handle.stop.cancelled() => batch.hand_over_progress(&id, output),
                 () = batch.run_item(run, &mut output) => {}
             }
-            batch.running.remove(&id);
         });
     }
 }
--- a/crates/swiftshunt-gateway/src/fleet_state.rs
+++ b/crates/swiftshunt-gateway/src/fleet_state.rs
@@ -174,8 +174,8 @@
     services(one) == services(other)
 }
 
-/// Locks a mutex. Poisoning is ignored: a panic stops the process before another thread can see the state that it
-/// left.
+/// Locks a mutex. Poisoning is ignored: a panic of a background task ends the process, and one of a request or an item
+/// ends that alone.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/swiftshunt-gateway/src/running.rs
+++ b/crates/swiftshunt-gateway/src/running.rs
@@ -63,13 +63,22 @@
     pub(crate) worker: Option<String>,
 }
 
-/// The means by which an item's run is controlled and observed.
+/// The means by which an item's run is controlled and observed. The item counts as running until this is dropped, however
+/// its task ends.
 pub(crate) struct RunHandle {
+    running: Arc<RunningItems>,
+    id: ItemId,
     /// Cancelled to end the item's run at this gateway for good.
     pub(crate) stop: CancellationToken,
     pub(crate) activity: Arc<ItemActivity>,
 }
 
+impl Drop for RunHandle {
+    fn drop(&mut self) {
+        lock(&self.running.items).remove(&self.id);
+    }
+}
+
 struct RunningItem {
     service: String,
     times: ItemTimes,
@@ -90,7 +99,7 @@
 impl RunningItems {
     /// Adds an item that is started now, and returns the handle of its run.
     pub(crate) fn insert(
-        &self,
+        self: &Arc<Self>,
         id: ItemId,
         service: String,
         times: ItemTimes,
@@ -106,8 +115,13 @@
             stop: stop.clone(),
             interrupt: CancellationToken::new(),
         };
-        lock(&self.items).insert(id, item);
-        RunHandle { stop, activity }
+        lock(&self.items).insert(id.clone(), item);
+        RunHandle {
+            running: Arc::clone(self),
+            id,
+            stop,
+            activity,
+        }
     }
 
     /// Returns what each item waits for.
@@ -121,10 +135,6 @@
         snapshots.collect()
     }
 
-    pub(crate) fn remove(&self, id: &ItemId) {
-        lock(&self.items).remove(id);
-    }
-
     pub(crate) fn is_empty(&self) -> bool {
         lock(&self.items).is_empty()
     }
@@ -200,3 +210,31 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn an_item_whose_task_panicked_does_not_count_as_running() {
+        let running = Arc::new(RunningItems::default());
+        let id = ItemId {
+            partition: 0,
+            job: "job".to_owned(),
+            index: 0,
+        };
+        let times = ItemTimes {
+            due_at: Duration::ZERO,
+            expires_at: Duration::ZERO,
+            expected_run: Duration::ZERO,
+        };
+        let handle = running.insert(id.clone(), "engine".to_owned(), times, Duration::ZERO);
+        assert!(running.contains(&id));
+        let task = tokio::spawn(async move {
+            let _handle = handle;
+            panic!("broken");
+        });
+        assert!(task.await.is_err());
+        assert!(!running.contains(&id));
+    }
+}
