Slots: the reserve never takes the last slot that items may get

What callers saw: on a service with a single slot, or whose accepting workers have no more slots than the reserve, an accepted item is neither completed nor given up while the slot is free.

Cause: the share of slots that is kept free of items (batch.headroom, 0.05) is rounded up and taken over all workers of the cell, also those that accept no items. It could be all of the slots that items may get, and then the owner never grants one.

Change: the reserve is at most one less than the slots of the workers that accept items. Where there are more, nothing changes; an online request still preempts the item.

--- a/crates/swiftshunt-scheduler/src/slots/allocator.rs
+++ b/crates/swiftshunt-scheduler/src/slots/allocator.rs
@@ -383,7 +383,8 @@
         Ok(Grant { number, to, worker })
     }
 
-    /// Returns the slots that may be granted to batch items now. The share `reserved` of the cell's slots stays free.
+    /// Returns the slots that may be granted to batch items now. The share `reserved` of the cell's slots stays free, but for
+    /// one slot of the workers that accept items.
     fn batch_capacity(
         &self,
         workers: &[CellWorker],
@@ -397,6 +398,7 @@
         let accepting = workers
             .iter()
             .filter(|worker| worker.accepts_batch && !self.is_failing(worker.key, now));
+        let accepting_slots: u32 = accepting.clone().map(|worker| worker.slots).sum();
         let free: Vec<(WorkerKey, u32)> = accepting
             .map(|worker| {
                 let taken = self.effective_load(worker).taken();
@@ -405,6 +407,8 @@
             .collect();
         let slots: u32 = workers.iter().map(|worker| worker.slots).sum();
         let reserved = (f64::from(slots) * reserved).ceil() as u32;
+        // With few slots, the whole cell would be reserved, and items would wait for good.
+        let reserved = reserved.min(accepting_slots.saturating_sub(1));
         let all_free: u32 = free.iter().map(|(_, free)| *free).sum();
         BatchCapacity {
             free,
--- a/crates/swiftshunt-scheduler/tests/slots/grants.rs
+++ b/crates/swiftshunt-scheduler/tests/slots/grants.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use swiftshunt_scheduler::slots::allocator::{PlacementError, SlotAllocator};
-use swiftshunt_scheduler::slots::{Bid, ItemTimes, Rank, SlotReport};
+use swiftshunt_scheduler::slots::{Bid, CellWorker, ItemTimes, Rank, SlotReport};
 use test_case::test_case;
 
 use crate::support::{SETTLED, SLOTS, gateway, held, key, rank, report, waiting, workers};
@@ -35,6 +35,25 @@
     assert!(allocator.grant(&workers(2), 0.25, SETTLED).is_empty());
 }
 
+/// Slots of workers that accept no items are not there to be kept free.
+#[test_case(1, 1, 1; "a service with a single slot")]
+#[test_case(2, 1, 1; "one of two workers with a slot each accepts items")]
+#[test_case(2, 2, 1; "both of two workers with a slot each accept items")]
+fn reserved_slots_never_leave_items_without_any(listed: u64, accepting: u64, granted: usize) {
+    let mut allocator = SlotAllocator::default();
+    allocator.apply_report(gateway(1), waiting(5, 9_000), Duration::ZERO);
+    let workers = workers(listed).into_iter().zip(0..);
+    let workers: Vec<CellWorker> = workers
+        .map(|(worker, number)| CellWorker {
+            slots: 1,
+            accepts_batch: number < accepting,
+            ..worker
+        })
+        .collect();
+    let grants = allocator.grant(&workers, 0.05, SETTLED);
+    assert_eq!(grants.len(), granted);
+}
+
 /// The item is due at 18 s, expires at 58 s and is expected to run for 5 s.
 #[test_case(0, false; "in time")]
 #[test_case(14, false; "possibly in time")]
--- a/crates/swiftshunt/tests/gateway_slots.rs
+++ b/crates/swiftshunt/tests/gateway_slots.rs
@@ -5,10 +5,14 @@
 
 use std::time::{Duration, Instant};
 
-use gateway::{ExclusiveFleet, start, submit};
+use gateway::{ExclusiveFleet, start, submit, wait_for_all_results};
 use hyper::StatusCode;
-use swiftshunt_lab::platform::fleet::{PlatformOptions, STREAM, STREAM_ONCE, eventually};
+use swiftshunt_lab::platform::fleet::{
+    PlatformFleet, PlatformOptions, STREAM, STREAM_ONCE, eventually,
+};
 use swiftshunt_lab::platform::worker::WorkerBehaviour;
+use swiftshunt_platform::documents::WorkerDocument;
+use swiftshunt_platform::words::{topics, values};
 
 /// Number of slots of both engines together.
 const SLOTS: usize = 32;
@@ -294,3 +298,24 @@
     println!("{lost} requests lost in {:?}", began.elapsed());
     assert!(lost <= MAX_LOST, "{lost} requests were lost at one worker");
 }
+
+/// The share of slots that is kept free of items, rounded up, is all of a single slot.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_runs_at_a_service_with_a_single_slot() {
+    let fleet = start(PlatformOptions {
+        workers: 1,
+        ..PlatformOptions::default()
+    })
+    .await;
+    let worker = &fleet.engine_workers[0];
+    let single_slot = WorkerDocument {
+        slots: 1,
+        ..PlatformFleet::directory_entry(worker, "engine", values::READY)
+    };
+    let body = serde_json::to_vec(&single_slot).expect("the entry was not serialized");
+    fleet.store.put(topics::WORKERS, worker.incarnation(), body);
+    tokio::time::sleep(SETTLED).await;
+    let gateway = fleet.gateways[0].callers;
+    submit(&fleet, gateway, "job", 1).await;
+    wait_for_all_results(&fleet, gateway, "job", 1).await;
+}
