Soak: a refused read of a later page of results is repeated

Traced: the gateway's first page held 5 of 8 results. Its answer to the read of the sixth was 503, since the store had dropped its history 1.6 s before and the partition was being listed anew (43 ms; its log has both lines). 503 is what a gateway answers that cannot be sure. The reader took the refusal for an empty page and stopped; refusals of the first page are repeated, those of later ones were not.

A later page is now asked for again after a refusal, as often as a first one. An empty page with status 200, or refusals without an end, still break the promise.

--- a/crates/swiftshunt-lab/src/soak/load/jobs.rs
+++ b/crates/swiftshunt-lab/src/soak/load/jobs.rs
@@ -156,9 +156,15 @@
             tokio::time::sleep(READ_INTERVAL).await;
             reading = self.read(gateway, &job.id, 0).await;
         }
-        // A page does not contain all results if they are large.
+        // A page does not contain all results if they are large. A refused read of a later page is repeated.
+        let mut refused = 0;
         while reading.status == Some(200) && reading.results.len() < reading.total {
             let more = self.read(gateway, &job.id, reading.results.len()).await;
+            if more.status != Some(200) && refused < MAX_FINAL_READ_ATTEMPTS {
+                refused += 1;
+                tokio::time::sleep(READ_INTERVAL).await;
+                continue;
+            }
             if more.results.is_empty() {
                 break;
             }
