--- a/crates/swiftshunt/tests/gateway_software_versions.rs
+++ b/crates/swiftshunt/tests/gateway_software_versions.rs
@@ -19,6 +19,7 @@
 use swiftshunt_platform::words::values;
 
 /// Number of events in a stream.
+const MANY_ITEMS: usize = 40;
 const EVENTS: u64 = 12;
 /// Number of events that a caller reads before it closes the connection.
 const READ_EVENTS: usize = 3;
@@ -384,3 +385,15 @@
     }
     assert!(begun_anew > 0.0, "no item began anew");
 }
+
+/// Each of many items that is begun anew is broken off again, which keeps the workers of both versions avoided.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_batch_items_end_although_every_worker_of_two_versions_breaks_streams_off() {
+    let fleet = two_versions().await;
+    for worker in &fleet.engine_workers {
+        worker.set_behaviour(WorkerBehaviour::TruncateStreamAfter(5));
+    }
+    let gateway = fleet.gateways[0].callers;
+    submit(&fleet, gateway, "job", MANY_ITEMS).await;
+    assert_items_of_one_version(&fleet, gateway, "job", MANY_ITEMS).await;
+}
