--- a/crates/swiftshunt-lab/src/soak/promises/idle_items.rs
+++ b/crates/swiftshunt-lab/src/soak/promises/idle_items.rs
@@ -1,6 +1,6 @@
 //! The promise that accepted items are being run while workers are free.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use super::Verdict;
 use crate::platform::worker::RunEvent;
@@ -14,6 +14,8 @@
 const SAMPLE_INTERVAL_MS: u64 = 250;
 /// Interval between the starts of two windows that are checked, in milliseconds.
 const WINDOW_INTERVAL_MS: u64 = 500;
+/// Time after the withdrawal of an evacuation until its zone gets requests again, in milliseconds.
+const EVACUATION_RECOVERY_MS: u64 = 2_000;
 /// Prefix of the incarnations of engine workers, which run the items.
 const ENGINE_PREFIX: &str = "engine-";
 
@@ -122,8 +124,8 @@
     periods
 }
 
-/// Returns the start of the first window of [`MAX_IDLE_MS`] in a period in which there was no fault and at most half of the
-/// workers' slots were taken.
+/// Returns the start of the first window of [`MAX_IDLE_MS`] in a period in which there was no fault and less than half of the
+/// workers' slots were taken, without those in evacuated zones.
 fn first_idle_window(
     history: &History,
     runs: &HashMap<&str, Vec<Run>>,
@@ -143,6 +145,24 @@
     let mut samples = (from..to).step_by(SAMPLE_INTERVAL_MS as usize);
     samples.all(|at| {
         let taken = runs.values().flatten().filter(|run| run.includes(at));
-        taken.count() * 2 <= history.engine_slots
+        taken.count() * 2 < open_slots(history, at)
     })
 }
+
+/// Returns the number of slots of engine workers outside of evacuated zones. The workers are spread evenly over the zones.
+fn open_slots(history: &History, at: u64) -> usize {
+    let places = history.worker_locations.iter();
+    let zones: BTreeSet<&str> = places.map(|place| place.zone.as_str()).collect();
+    if zones.is_empty() {
+        return history.engine_slots;
+    }
+    let is_evacuated = |zone: &&&str| {
+        let evacuations = history.evacuations.iter().filter(|it| it.zone == **zone);
+        evacuations.filter(|it| it.at <= at).any(|it| {
+            it.withdrawn
+                .is_none_or(|withdrawn| at < withdrawn + EVACUATION_RECOVERY_MS)
+        })
+    };
+    let evacuated = zones.iter().filter(is_evacuated).count();
+    history.engine_slots * (zones.len() - evacuated) / zones.len()
+}
--- a/crates/swiftshunt-lab/tests/soak_promises.rs
+++ b/crates/swiftshunt-lab/tests/soak_promises.rs
@@ -309,6 +309,21 @@
     assert_eq!(judge(Promise::IdleItems, &history).violations, []);
 }
 
+/// The last item is idle from the end of its run at 8,190 ms on; the only zone is evacuated.
+#[test_case(None, true; "during an evacuation")]
+#[test_case(Some(70_000), false; "long after an evacuation")]
+fn an_item_may_be_idle_while_all_zones_are_evacuated(withdrawn: Option<u64>, is_excused: bool) {
+    let mut history = valid_history();
+    leave_idle(&mut history, 1);
+    history.evacuations = vec![Evacuation {
+        zone: "zone-a".to_owned(),
+        at: 8_000,
+        withdrawn,
+    }];
+    let verdict = judge(Promise::IdleItems, &history);
+    assert_eq!(verdict.violations.is_empty(), is_excused, "{verdict:?}");
+}
+
 /// Returns the arrivals of `count` requests at the worker, spread evenly over half a second.
 fn arrivals(count: u64, from: u64) -> Vec<RunRecord> {
     let arrival = |number| {
