Slots: items without progress reach the workers of other regions

What callers saw: an accepted item is neither completed nor given up while the workers of its runner's region are listed and cannot be reached, and those of the other region are idle. With a backlog, only one region's slots work it off.

Cause: an item may wait for slots of other regions after eight moves through the cells of its own, 3.2 s. But it leaves the queue and enters it anew each second, so that its route is looked at again, and its wait began at zero each time. It never made more than two moves.

Ruled out: a region without a listed worker (its items look elsewhere at once).

Change: the wait counts from the item's last progress, over all its places in the queue and over attempts that brought nothing. An item that ran a moment ago looks in its own region first, as before.

--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -139,7 +139,13 @@
             };
             activity.set_wait(ItemWait::Slot);
             // The route may change, or the item may expire, while it waits for a slot.
-            let slot = self.acquire_slot(&service, times, &outgoing.demand, output);
+            let slot = self.acquire_slot(
+                &service,
+                times,
+                &outgoing.demand,
+                activity.progress_at(),
+                output,
+            );
             let Some(chosen) = slot.await else {
                 continue;
             };
--- a/crates/swiftshunt-gateway/src/batch/item_output.rs
+++ b/crates/swiftshunt-gateway/src/batch/item_output.rs
@@ -111,13 +111,14 @@
         has_waited.then_some(Restart::NoSlot)
     }
 
-    /// Waits for a slot for an item's next attempt, in the queue if any worker of the service may run it. Returns `None`
-    /// if there was none within a short time.
+    /// Waits for a slot for the next attempt of an item that has made no progress since `waits_since`, in the queue if any
+    /// worker of the service may run it. Returns `None` if there was none within a short time.
     pub(super) async fn acquire_slot(
         &self,
         service: &str,
         times: ItemTimes,
         demand: &Demand,
+        waits_since: Duration,
         output: &mut ItemOutput,
     ) -> Option<ChosenWorker> {
         let slots = &self.dispatcher.slots;
@@ -127,7 +128,7 @@
             .has_worker_of_other_origin(service, &demand.scope);
         if !needs_certain_workers {
             output.bound_since = None;
-            let slot = slots.wait_for_slot(service, times, &demand.scope);
+            let slot = slots.wait_for_slot(service, times, &demand.scope, waits_since);
             return tokio::time::timeout(MAX_SLOT_WAIT, slot).await.ok();
         }
         let placed = slots.place_item(service, demand).await;
--- a/crates/swiftshunt-gateway/src/running.rs
+++ b/crates/swiftshunt-gateway/src/running.rs
@@ -50,6 +50,11 @@
         };
     }
 
+    /// Returns when the item was started here or last received an event.
+    pub(crate) fn progress_at(&self) -> Duration {
+        lock(&self.0).progress_at
+    }
+
     fn get(&self) -> Activity {
         *lock(&self.0)
     }
--- a/crates/swiftshunt-gateway/src/slots/mod.rs
+++ b/crates/swiftshunt-gateway/src/slots/mod.rs
@@ -393,17 +393,18 @@
         OwnerReply { verdict, elsewhere }
     }
 
-    /// Waits until a batch item is granted a slot at a worker in one of the regions that its scope allows.
+    /// Waits until a batch item is granted a slot at a worker in one of the regions that its scope allows. The item has made
+    /// no progress since `waits_since`.
     pub(crate) async fn wait_for_slot(
         &self,
         service: &str,
         times: ItemTimes,
         scope: &OfferScope,
+        waits_since: Duration,
     ) -> ChosenWorker {
         loop {
             let regions = self.fleet_state.selector().regions(service, scope);
-            let now = self.clock.now();
-            let (ticket, granted) = self.queue.enter(service, regions, times, now);
+            let (ticket, granted) = self.queue.enter(service, regions, times, waits_since);
             self.fleet_state.load_changed.notify_one();
             let granted = granted.await;
             drop(ticket);
--- a/crates/swiftshunt-gateway/src/slots/queue.rs
+++ b/crates/swiftshunt-gateway/src/slots/queue.rs
@@ -34,7 +34,8 @@
     /// Regions in which the item may wait, in order of preference; a single `None` if regions are not configured.
     regions: Vec<Option<RegionName>>,
     times: ItemTimes,
-    entered_at: Duration,
+    /// Since when the item has made no progress, also in earlier places in the queue.
+    waits_since: Duration,
     grant_sender: oneshot::Sender<GrantedSlot>,
 }
 
@@ -42,7 +43,7 @@
     /// Returns whether the item waits in the given cell now. It moves through the cells of its first region for
     /// [`HOME_REGION_MOVES`] moves, and then through the cells of all its regions in turn.
     fn waits_in(&self, cell: &Cell, now: Duration) -> bool {
-        let waited = now.saturating_sub(self.entered_at).as_millis();
+        let waited = now.saturating_sub(self.waits_since).as_millis();
         let moves = (waited / CELL_ROTATION_INTERVAL.as_millis()) as usize;
         let region_index = moves.saturating_sub(HOME_REGION_MOVES) % self.regions.len().max(1);
         let index = self.id.wrapping_add(moves as u64) % u64::from(cell.count.max(1));
@@ -72,13 +73,13 @@
 }
 
 impl Queue {
-    /// Adds an item. Returns its ticket and the receiver of the granted slot.
+    /// Adds an item that has made no progress since `waits_since`. Returns its ticket and the receiver of the granted slot.
     pub(crate) fn enter<'q>(
         &'q self,
         service: &'q str,
         regions: Vec<Option<RegionName>>,
         times: ItemTimes,
-        now: Duration,
+        waits_since: Duration,
     ) -> (Ticket<'q>, oneshot::Receiver<GrantedSlot>) {
         let (grant_sender, receiver) = oneshot::channel();
         let id = rand::rng().next_u64();
@@ -86,7 +87,7 @@
             id,
             regions,
             times,
-            entered_at: now,
+            waits_since,
             grant_sender,
         };
         let mut services = lock(&self.services);
--- a/crates/swiftshunt/tests/gateway_regions.rs
+++ b/crates/swiftshunt/tests/gateway_regions.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use gateway::{ExclusiveFleet, start};
+use gateway::{ExclusiveFleet, start, submit, wait_for_all_results};
 use swiftshunt_lab::platform::fleet::{PlatformOptions, STREAM, eventually};
 use swiftshunt_lab::platform::zone_layout::ZoneLayout;
 use swiftshunt_platform::words::{topics, values};
@@ -162,3 +162,26 @@
     })
     .await;
 }
+
+/// Number of jobs, so that gateways of both regions run some.
+const JOBS: usize = 8;
+
+/// The workers of a region are listed and do not answer, while those of the other region are idle.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_run_in_the_other_region_while_the_workers_of_their_own_cannot_be_reached() {
+    let fleet = start(PlatformOptions {
+        gateways: 4,
+        zone_layout: ZoneLayout::new(&ZONES),
+        ..PlatformOptions::default()
+    })
+    .await;
+    tokio::time::sleep(SETTLED).await;
+    fleet.engine_workers[0].crash();
+    let gateway = fleet.gateways[1].callers;
+    for job in 0..JOBS {
+        submit(&fleet, gateway, &format!("job-{job}"), 1).await;
+    }
+    for job in 0..JOBS {
+        wait_for_all_results(&fleet, gateway, &format!("job-{job}"), 1).await;
+    }
+}
