Soak: a job that is accepted late has time to run

Traced: the waiting limit refused the two jobs until 57.6 s; they were accepted and read for the last time 1 s later, since no job had listed a result for 10 s, while their items ran (57.7 to 61.0 s) and ended well.

--- a/crates/swiftshunt-lab/src/soak/load/jobs.rs
+++ b/crates/swiftshunt-lab/src/soak/load/jobs.rs
@@ -69,6 +69,8 @@
                 status,
             });
             if status == Some(202) {
+                // The items of a job that was refused until now have had no time to run.
+                *lock(&self.last_progress) = Instant::now();
                 return self.testbed.notify_trigger(Trigger::JobAccepted);
             }
             tokio::time::sleep(SUBMISSION_RETRY_DELAY).await;
