Soak: callers reach no other process at the port of a gateway that has ended

While it was dead, the link went on connecting to its ephemeral port, which another process may get; pooled connections of callers then stay there.

The link of a gateway that has ended has no target until the next process announces its address.

--- a/crates/swiftshunt-lab/src/proxy.rs
+++ b/crates/swiftshunt-lab/src/proxy.rs
@@ -196,6 +196,11 @@
         *lock(&self.target) = Some(target);
     }
 
+    /// Closes new connections until a target is set. Another process may get the port of a target that has ended.
+    pub fn clear_target(&self) {
+        *lock(&self.target) = None;
+    }
+
     /// Replaces the conditions, also for open connections.
     pub fn set_conditions(&self, conditions: LinkConditions) {
         lock(&self.rules).conditions = conditions;
--- a/crates/swiftshunt-lab/src/soak/testbed/gateways.rs
+++ b/crates/swiftshunt-lab/src/soak/testbed/gateways.rs
@@ -173,6 +173,7 @@
         let from = self.now();
         self.detect_unexpected_exit(index, &mut process);
         tokio::task::block_in_place(|| process.kill());
+        handle.caller_link.clear_target();
         tokio::time::sleep(duration).await;
         self.restart_gateway(index, &mut process).await;
         self.record_disturbance(Scope::Gateway(index), from);
@@ -213,6 +214,7 @@
             ));
             tokio::task::block_in_place(|| process.kill());
         }
+        handle.caller_link.clear_target();
         let ended = self.now();
         let stop = PlannedStop {
             gateway: index,
