--- a/crates/swiftshunt-lab/src/proxy.rs
+++ b/crates/swiftshunt-lab/src/proxy.rs
@@ -130,6 +130,8 @@
     accepted: u64,
     /// The connections among them that were open at the last [`Link::silence_open_connections`], by number: all below.
     silenced_below: u64,
+    /// Whether the address refuses connections.
+    is_refusing: bool,
     conditions: LinkConditions,
     default_fault: Fault,
     fault_by_source: HashMap<IpAddr, Fault>,
@@ -194,6 +196,8 @@
     /// Sets the address to which new connections are forwarded.
     pub fn set_target(&self, target: SocketAddr) {
         *lock(&self.target) = Some(target);
+        lock(&self.rules).is_refusing = false;
+        self.changed.send_replace(());
     }
 
     /// Closes new connections until a target is set. Another process may get the port of a target that has ended.
@@ -201,6 +205,12 @@
         *lock(&self.target) = None;
     }
 
+    /// Refuses new connections until a target is set, as the address of a process that has ended does.
+    pub fn refuse_connections(&self) {
+        lock(&self.rules).is_refusing = true;
+        self.changed.send_replace(());
+    }
+
     /// Replaces the conditions, also for open connections.
     pub fn set_conditions(&self, conditions: LinkConditions) {
         lock(&self.rules).conditions = conditions;
@@ -227,12 +237,32 @@
 }
 
 async fn accept_connections(
-    listener: TcpListener,
+    mut listener: TcpListener,
     target: Arc<Mutex<Option<SocketAddr>>>,
     rules: Arc<Mutex<Rules>>,
     changed: watch::Sender<()>,
 ) {
-    while let Ok((client, source)) = listener.accept().await {
+    let Ok(address) = listener.local_addr() else {
+        return;
+    };
+    let mut changes = changed.subscribe();
+    loop {
+        let is_refusing = || lock(&rules).is_refusing;
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = wait_until(&mut changes, is_refusing) => {
+                drop(listener);
+                wait_until(&mut changes, || !is_refusing()).await;
+                let Ok(reopened) = TcpListener::bind(address).await else {
+                    return;
+                };
+                listener = reopened;
+                continue;
+            }
+        };
+        let Ok((client, source)) = accepted else {
+            return;
+        };
         let Some(target) = *lock(&target) else {
             continue;
         };
@@ -251,6 +281,14 @@
     }
 }
 
+/// Waits until a condition on the rules of a link holds.
+async fn wait_until(changes: &mut watch::Receiver<()>, holds: impl Fn() -> bool) {
+    while !holds() {
+        // The caller holds the sender, so waiting cannot fail.
+        drop(changes.changed().await);
+    }
+}
+
 /// The rules of a link as they apply to one connection.
 #[derive(Clone)]
 struct ConnectionRules {
--- a/crates/swiftshunt-lab/src/soak/testbed/workers.rs
+++ b/crates/swiftshunt-lab/src/soak/testbed/workers.rs
@@ -201,6 +201,7 @@
         };
         let mut worker = handle.state.lock().await;
         let from = self.now();
+        worker.link.refuse_connections();
         worker.process.kill();
         tokio::time::sleep(duration.min(ENTRY_TTL)).await;
         self.remove_worker(&worker.incarnation).await;
@@ -258,6 +259,7 @@
         tokio::time::sleep(DRAIN_DURATION + duration / 4).await;
         self.remove_worker(&worker.incarnation).await;
         let from = self.now();
+        worker.link.refuse_connections();
         worker.process.kill();
         self.record_disturbance(Scope::Worker(worker.incarnation.clone()), from);
         self.replace_worker(service, index, &mut worker, None).await;
