Gateway: the local address of connections to workers is a setting

Cause: on a machine with several interfaces the operating system chooses the source of connections to workers, and a test cannot tell the connections of one gateway from those of another on the same host. Change: `workers.source`, none by default; nothing changes without it.

--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -207,7 +207,7 @@
         let dispatcher = Arc::new(Dispatcher {
             protocol: Arc::clone(&protocol),
             fleet_state: Arc::clone(&fleet_state),
-            upstream: Upstream::default(),
+            upstream: Upstream::new(settings.workers.source),
             metrics: Arc::clone(&metrics),
             peers: Arc::clone(&other_gateways),
             slots: Arc::clone(&slots),
--- a/crates/swiftshunt-gateway/src/settings.rs
+++ b/crates/swiftshunt-gateway/src/settings.rs
@@ -1,7 +1,7 @@
 //! The settings of a gateway: reading from a file, and validation.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use derive_more::{Display, Error};
@@ -30,6 +30,9 @@
     /// The other gateways of the deployment.
     #[serde(default)]
     pub gateways: GatewaysSettings,
+    /// Connections to workers.
+    #[serde(default)]
+    pub workers: WorkersSettings,
     /// Handling of batch jobs.
     #[serde(default)]
     pub batch: BatchSettings,
@@ -105,6 +108,14 @@
     pub gateways_per_reader: usize,
 }
 
+/// Connections to workers.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct WorkersSettings {
+    /// Local address of the connections, on a machine with several; the operating system chooses it by default.
+    pub source: Option<IpAddr>,
+}
+
 /// Handling of batch jobs.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/swiftshunt-gateway/src/upstream.rs
+++ b/crates/swiftshunt-gateway/src/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use swiftshunt_http::PermittedBody;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 use crate::fleet_state::lock;
 
@@ -54,11 +54,21 @@
 /// Connections to workers, by incarnation.
 #[derive(Default)]
 pub(crate) struct Upstream {
+    /// Local address of new connections; `None` if the operating system chooses it.
+    source: Option<IpAddr>,
     idle: Mutex<HashMap<String, VecDeque<IdleConnection>>>,
     single_use_until: Mutex<HashMap<String, Duration>>,
 }
 
 impl Upstream {
+    /// Creates an empty pool whose connections have the local address `source`.
+    pub(crate) fn new(source: Option<IpAddr>) -> Self {
+        Self {
+            source,
+            ..Self::default()
+        }
+    }
+
     /// Removes and returns the usable connection that has been idle longest; `None` if there is none. Surplus bytes
     /// behind a previous answer have most likely arrived by now on a connection that was idle for long, and such a
     /// connection is discarded, since it is not ready.
@@ -132,7 +142,8 @@
             reason,
             is_refused: false,
         };
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let stream =
+            tokio::time::timeout(CONNECT_TIMEOUT, connect_from(self.source, address)).await;
         let stream = match stream {
             Err(_) => return Err(failed("timed out".to_owned())),
             Ok(stream) => stream.map_err(|error| ConnectError {
@@ -151,6 +162,19 @@
     }
 }
 
+/// Opens a connection from the local address `source`, or from the one that the operating system chooses.
+async fn connect_from(source: Option<IpAddr>, address: SocketAddr) -> std::io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = match source {
+        IpAddr::V4(_) => TcpSocket::new_v4()?,
+        IpAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind((source, 0).into())?;
+    socket.connect(address).await
+}
+
 /// Sets the options by which a broken link is detected. If the system lacks an option, the connection works without
 /// it.
 fn set_socket_options(stream: &TcpStream) {
