Batch: a leased partition that cannot be read is logged and counted

What an operator saw: nothing. A gateway whose reads of a partition get no answer does not know the partition's items, so that the lines about accepted items without progress name none of them (gateway_unfit_holders on: not one line in 20 s). A gateway that reaches no worker looked like one that waits for a slot. Change: a line for a leased partition that has not been read for 5 s, again at each doubling, and `swiftshunt_unreadable_partitions`; the lines about items carry the attempts that have failed since their last progress. The new test fails without the line; no decision is changed.

--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -180,6 +180,7 @@
                     }
                 }
                 Attempt::BrokenOff | Attempt::NotTaken => {
+                    activity.record_failed_attempt();
                     tokio::time::sleep(FAILURE_DELAY).await;
                 }
                 Attempt::Interrupted => {}
--- a/crates/swiftshunt-gateway/src/batch/leases.rs
+++ b/crates/swiftshunt-gateway/src/batch/leases.rs
@@ -96,6 +96,14 @@
         held.is_valid(self.clock.now(), self.duration) && held.partitions.contains_key(&partition)
     }
 
+    /// Returns since when a partition is leased; `None` if it is not leased now.
+    pub(crate) fn leased_since(&self, partition: u32) -> Option<Duration> {
+        let held = lock(&self.held);
+        let is_valid = held.is_valid(self.clock.now(), self.duration);
+        let since = held.partitions.get(&partition).copied();
+        since.filter(|_| is_valid)
+    }
+
     /// Whether items of a partition may be started: it has been leased for [`HAND_OVER_DELAY`].
     pub(crate) fn may_start_items(&self, partition: u32) -> bool {
         let held = lock(&self.held);
--- a/crates/swiftshunt-gateway/src/batch/replay.rs
+++ b/crates/swiftshunt-gateway/src/batch/replay.rs
@@ -183,6 +183,13 @@
         read_at.is_some_and(|at| self.clock.now() < at + MAX_READ_AGE)
     }
 
+    /// Returns when a read of a partition's tail was last answered; `None` until the partition has been listed.
+    pub(crate) fn last_read_at(&self, partition: u32) -> Option<Duration> {
+        let state = self.state(partition);
+        let read_at = state.read_at.unwrap_or_default();
+        state.is_listed.then_some(read_at)
+    }
+
     /// Whether a partition is followed here and its listing is complete.
     pub(crate) fn is_followed(&self, partition: u32) -> bool {
         self.is_wanted(partition) && self.state(partition).is_listed
--- a/crates/swiftshunt-gateway/src/batch/stalled_items.rs
+++ b/crates/swiftshunt-gateway/src/batch/stalled_items.rs
@@ -1,5 +1,5 @@
 //! Monitoring of accepted items that make no progress: logs and counts, for the leased partitions, what each of them
-//! waits for.
+//! waits for, and the partitions that cannot be read, whose items are not known here.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -21,6 +21,8 @@
     id: ItemId,
     waits_for: ItemWait,
     progress_at: Duration,
+    /// Attempts since then that ended without an event.
+    failed_attempts: u32,
     worker: Option<String>,
 }
 
@@ -29,19 +31,24 @@
         now.saturating_sub(self.progress_at)
     }
 
-    /// Whether the time without progress has passed [`STALL_TIME`], or a further doubling of it, since the last check.
     fn is_due_for_log(&self, checked_at: Duration, now: Duration) -> bool {
-        doublings(self.stalled_for(now)) > doublings(self.stalled_for(checked_at))
+        is_due_for_log(self.progress_at, checked_at, now)
     }
 
     fn log(&self, item: &str, now: Duration) {
         log::warn!(job = self.id.job.as_str(), item, partition = self.id.partition,
             waits_for:? = self.waits_for, stalled_ms = self.stalled_for(now).as_millis() as u64,
+            failed_attempts = self.failed_attempts,
             worker = self.worker.as_deref().unwrap_or("");
             "an accepted item makes no progress");
     }
 }
 
+/// Whether the time since `since` has passed [`STALL_TIME`], or a further doubling of it, since the last check.
+fn is_due_for_log(since: Duration, checked_at: Duration, now: Duration) -> bool {
+    doublings(now.saturating_sub(since)) > doublings(checked_at.saturating_sub(since))
+}
+
 /// Returns 0 for a time below [`STALL_TIME`], 1 from there on, 2 from twice that time on, and so forth.
 fn doublings(stalled: Duration) -> u32 {
     let periods = stalled.as_millis() / STALL_TIME.as_millis();
@@ -56,6 +63,7 @@
             tokio::time::sleep(CHECK_INTERVAL).await;
             let now = self.dispatcher.clock.now();
             self.check_stalled_items(checked_at, now);
+            self.check_unreadable_partitions(checked_at, now);
             checked_at = now;
         }
     }
@@ -82,6 +90,35 @@
         }
     }
 
+    /// Counts and logs the leased partitions of which no read has been answered for [`STALL_TIME`].
+    fn check_unreadable_partitions(&self, checked_at: Duration, now: Duration) {
+        let mut unreadable = 0;
+        for partition in self.leases.partitions() {
+            let Some(since) = self.unread_since(partition) else {
+                continue;
+            };
+            unreadable += i64::from(now >= since + STALL_TIME);
+            if is_due_for_log(since, checked_at, now) {
+                let unread_ms = now.saturating_sub(since).as_millis() as u64;
+                let is_listed = self.replay.last_read_at(partition).is_some();
+                log::warn!(partition, unread_ms, is_listed,
+                    is_log_unavailable = self.leases.is_log_unavailable();
+                    "a leased partition cannot be read, and its items make no progress");
+            }
+        }
+        self.dispatcher
+            .metrics
+            .unreadable_partitions
+            .set(unreadable);
+    }
+
+    /// Returns since when a leased partition has not been read; `None` if it is not leased.
+    pub(super) fn unread_since(&self, partition: u32) -> Option<Duration> {
+        let leased_since = self.leases.leased_since(partition)?;
+        let read_at = self.replay.last_read_at(partition);
+        Some(read_at.unwrap_or_default().max(leased_since))
+    }
+
     /// Returns the items of the leased partitions that have no recorded result.
     fn unsettled_items(&self) -> Vec<ItemProgress> {
         let started = self
@@ -92,6 +129,7 @@
                 id: item.id,
                 waits_for: item.activity.waits_for,
                 progress_at: item.activity.progress_at,
+                failed_attempts: item.activity.failed_attempts,
                 worker: item.worker,
             });
         let ended = self.results.waits().into_iter();
@@ -99,12 +137,14 @@
             id,
             waits_for,
             progress_at,
+            failed_attempts: 0,
             worker: None,
         });
         let waiting = self.waiting_items(&self.leases.partitions()).into_iter();
         let waiting = waiting.map(|item| ItemProgress {
             waits_for: self.start_obstacle(&item).unwrap_or(ItemWait::Start),
             progress_at: item.first_seen,
+            failed_attempts: 0,
             id: item.id,
             worker: None,
         });
@@ -134,6 +174,7 @@
             },
             waits_for: ItemWait::Slot,
             progress_at: Duration::ZERO,
+            failed_attempts: 0,
             worker: None,
         };
         let seconds = (1..=60).map(Duration::from_secs);
--- a/crates/swiftshunt-gateway/src/metrics/mod.rs
+++ b/crates/swiftshunt-gateway/src/metrics/mod.rs
@@ -80,6 +80,7 @@
     pub(crate) in_flight: Gauge,
     pub(crate) configuration_version: Gauge,
     pub(crate) leased_partitions: Gauge,
+    pub(crate) unreadable_partitions: Gauge,
     pub(crate) log_away: Gauge,
     pub(crate) log_failures: Counter,
     pub(crate) log_calls_relayed: Counter,
@@ -206,6 +207,12 @@
             "Journal partitions leased by this gateway",
             leased_partitions.clone(),
         );
+        let unreadable_partitions = Gauge::default();
+        registry.register(
+            "unreadable_partitions",
+            "Leased partitions of which no read has been answered for some seconds",
+            unreadable_partitions.clone(),
+        );
         let log_away = Gauge::default();
         registry.register(
             "log_away",
@@ -367,6 +374,7 @@
             in_flight,
             configuration_version,
             leased_partitions,
+            unreadable_partitions,
             log_away,
             log_failures,
             log_calls_relayed,
--- a/crates/swiftshunt-gateway/src/running.rs
+++ b/crates/swiftshunt-gateway/src/running.rs
@@ -24,6 +24,8 @@
     pub(crate) waits_for: ItemWait,
     /// When the item was started here or last received an event.
     pub(crate) progress_at: Duration,
+    /// Attempts since then that ended without an event.
+    pub(crate) failed_attempts: u32,
 }
 
 /// The shared state of an item's activity, which its run updates.
@@ -35,6 +37,7 @@
         Arc::new(Self(Mutex::new(Activity {
             waits_for: ItemWait::Slot,
             progress_at: now,
+            failed_attempts: 0,
         })))
     }
 
@@ -47,9 +50,15 @@
         *lock(&self.0) = Activity {
             waits_for: ItemWait::Event,
             progress_at: now,
+            failed_attempts: 0,
         };
     }
 
+    /// Records that an attempt ended without the item's last event.
+    pub(crate) fn record_failed_attempt(&self) {
+        lock(&self.0).failed_attempts += 1;
+    }
+
     /// Returns when the item was started here or last received an event.
     pub(crate) fn progress_at(&self) -> Duration {
         lock(&self.0).progress_at
--- a/crates/swiftshunt/tests/gateway_stalled_items.rs
+++ b/crates/swiftshunt/tests/gateway_stalled_items.rs
@@ -6,12 +6,16 @@
 use serde_json::Value;
 use swiftshunt_lab::platform::caller::item_id;
 use swiftshunt_lab::platform::fleet::{PlatformOptions, eventually};
+use swiftshunt_lab::platform::store::StoreFaults;
 use swiftshunt_lab::platform::worker::WorkerBehaviour;
+use swiftshunt_platform::words::topics;
 
 const STALLED: &str = "an accepted item makes no progress";
 
-/// Returns the log lines about stalls of an item, of all gateways.
-fn stall_lines(fleet: &ExclusiveFleet, item: &str) -> Vec<Value> {
+const UNREADABLE: &str = "a leased partition cannot be read, and its items make no progress";
+
+/// Returns the log lines of all gateways.
+fn log_lines(fleet: &ExclusiveFleet) -> Vec<Value> {
     let files = std::fs::read_dir(fleet.log_directory()).expect("the log directory is unreadable");
     let paths = files.map(|file| file.expect("the log directory is unreadable").path());
     let logs = paths.filter(|path| path.extension().is_some_and(|it| it == "log"));
@@ -22,9 +26,14 @@
             .filter_map(|line| serde_json::from_str(line).ok());
         lines.collect::<Vec<Value>>()
     });
+    lines.collect()
+}
+
+/// Returns the log lines about stalls of an item, of all gateways.
+fn stall_lines(fleet: &ExclusiveFleet, item: &str) -> Vec<Value> {
+    let mut lines = log_lines(fleet);
+    lines.retain(|line| line["message"] == STALLED && line["item"] == item);
     lines
-        .filter(|line| line["message"] == STALLED && line["item"] == item)
-        .collect()
 }
 
 async fn wait_for_stall(fleet: &ExclusiveFleet, item: &str, waits_for: &str) -> Value {
@@ -71,4 +80,35 @@
         .filter_map(|line| line["stalled_ms"].as_u64())
         .collect();
     assert!(stalls[0] < 10_000 && stalls[1] >= 10_000, "{stalls:?}");
+    assert!(
+        lines
+            .iter()
+            .all(|line| line["failed_attempts"].as_u64() > Some(0))
+    );
+}
+
+/// The holder does not know the items of a partition that it cannot read.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leased_partition_that_cannot_be_read_is_logged_and_counted() {
+    let fleet = start(PlatformOptions {
+        gateways: 1,
+        ..PlatformOptions::default()
+    })
+    .await;
+    submit(&fleet, fleet.gateways[0].callers, "job", 1).await;
+    fleet.gateways[0].store_listener.set_faults(StoreFaults {
+        hang_reads_of: Some(topics::JOBS.to_owned()),
+        ..StoreFaults::default()
+    });
+    let is_logged = || async {
+        let lines = log_lines(&fleet);
+        lines.iter().any(|line| line["message"] == UNREADABLE)
+    };
+    eventually("the partition is logged", is_logged).await;
+    let metrics = fleet.gateways[0].metrics;
+    eventually("the partition is counted", || async {
+        let name = "swiftshunt_unreadable_partitions";
+        fleet.caller.metric_value(metrics, name).await >= 1.0
+    })
+    .await;
 }
