Batch: a gateway that cannot run the items of its partitions gives its leases up

What callers saw: accepted items neither completed nor given up, with idle workers and no line that names them. Cause: a renewal shows only that the process lives and reaches the group service. A gateway whose reads of a partition get no answer, or whose sends reach no worker, renewed all the same, so that nobody else ran the items. Class: liveness taken for progress. Change: such a gateway leaves the group, so that others take the partitions with the progress of the items, and joins again when it can read, or has got an answer. It leaves only if another gateway reads the partition, or gets answers from the service: a fault that all share moves nothing (docs/design/0015). Ruled out: reads through another gateway (helps one of the two), leaving without a comparison (a fault of all would empty the group; an item that no worker answers has to stay where it is).

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -28,6 +28,7 @@
 use crate::start_permits::{StartPermit, StartPermits};
 use crate::upstream::{Sender, Upstream};
 use crate::worker_answer::Answer;
+use crate::worker_reach::WorkerReach;
 
 /// Sends requests to workers; shared by all sends of this gateway.
 pub(crate) struct Dispatcher {
@@ -41,6 +42,7 @@
     pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) origins: Arc<StreamOrigins>,
     pub(crate) job_regions: Arc<JobRegions>,
+    pub(crate) worker_reach: Arc<WorkerReach>,
     pub(crate) answer_buffers: AnswerBuffers,
     pub(crate) clock: Clock,
 }
--- /dev/null
+++ b/crates/swiftshunt-gateway/src/batch/fitness.rs
@@ -0,0 +1,151 @@
+//! Suspends this gateway's leases while it cannot run the items of its partitions, so that other gateways run them.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use swiftshunt_journal::Topic;
+use swiftshunt_scheduler::lease_fitness::absence_after;
+
+use super::Batch;
+use crate::metrics::SuspensionReason;
+
+/// Interval between two checks.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time without an answered read of a leased partition, longer than a read that the log holds and a repetition take.
+const UNREADABLE_TIME: Duration = Duration::from_secs(3);
+/// The same for a partition whose listing is not complete, which may be long.
+const UNLISTED_TIME: Duration = Duration::from_secs(12);
+
+/// Why this gateway cannot run items although it renews its leases.
+#[derive(Debug)]
+enum Unfitness {
+    /// It cannot read these partitions, and another gateway can read one of them.
+    UnreadablePartitions(BTreeSet<u32>),
+    /// No worker of this service answers it, and other gateways fare better.
+    UnreachedWorkers { service: String },
+}
+
+impl Unfitness {
+    fn reason(&self) -> SuspensionReason {
+        match self {
+            Self::UnreadablePartitions(_) => SuspensionReason::UnreadablePartitions,
+            Self::UnreachedWorkers { .. } => SuspensionReason::UnreachedWorkers,
+        }
+    }
+}
+
+/// The last suspension because no worker of a service answered.
+struct UnreachedPeriod {
+    service: String,
+    ended_at: Duration,
+    /// Number of such suspensions in a row, without an answer in between.
+    count: u32,
+}
+
+impl Batch {
+    /// Suspends the leases whenever this gateway is not fit to hold them, until the process ends.
+    pub(crate) async fn monitor_fitness(self: Arc<Self>) {
+        let mut last_unreached: Option<UnreachedPeriod> = None;
+        loop {
+            tokio::time::sleep(CHECK_INTERVAL).await;
+            let Some(unfitness) = self.find_unfitness().await else {
+                continue;
+            };
+            let reason = unfitness.reason();
+            log::warn!(unfitness:? = unfitness, partitions:? = self.leases.partitions();
+                "this gateway cannot run the items of its partitions; suspending its leases");
+            self.dispatcher.metrics.record_lease_suspension(reason);
+            self.leases.suspend();
+            match unfitness {
+                Unfitness::UnreadablePartitions(partitions) => {
+                    self.wait_until_readable(&partitions).await;
+                }
+                Unfitness::UnreachedWorkers { service } => {
+                    let ended = self.wait_for_reach(service, last_unreached.take()).await;
+                    last_unreached = Some(ended);
+                }
+            }
+            log::info!(reason:? = reason; "resuming the leases of this gateway");
+            self.leases.resume();
+        }
+    }
+
+    async fn find_unfitness(&self) -> Option<Unfitness> {
+        let held = self.leases.partitions();
+        if held.is_empty() {
+            return None;
+        }
+        if let Some(partitions) = self.find_unreadable_partitions(&held).await {
+            return Some(Unfitness::UnreadablePartitions(partitions));
+        }
+        let service = self.dispatcher.worker_reach.find_unreached_service();
+        Some(Unfitness::UnreachedWorkers {
+            service: service.await?,
+        })
+    }
+
+    /// Returns the leased partitions that this gateway cannot read, if another gateway can read one of them.
+    async fn find_unreadable_partitions(&self, held: &BTreeSet<u32>) -> Option<BTreeSet<u32>> {
+        let is_unreadable = |partition: &u32| self.is_unreadable(*partition);
+        let unreadable: BTreeSet<u32> = held.iter().copied().filter(is_unreadable).collect();
+        let first = *unreadable.first()?;
+        let from = self.replay.next_offset(first);
+        let is_readable = self.peer_log.is_read_by_peer(Topic::Jobs, first, from);
+        let is_readable = is_readable.await;
+        log::info!(partitions:? = unreadable, is_readable;
+            "leased partitions cannot be read; asked another gateway to read one");
+        is_readable.then_some(unreadable)
+    }
+
+    /// Whether a leased partition has not been read for some time although the log answers renewals.
+    fn is_unreadable(&self, partition: u32) -> bool {
+        let Some(unread_since) = self.unread_since(partition) else {
+            return false;
+        };
+        let limit = match self.replay.last_read_at(partition) {
+            Some(_) => UNREADABLE_TIME,
+            None => UNLISTED_TIME,
+        };
+        let now = self.dispatcher.clock.now();
+        !self.leases.is_log_unavailable() && now >= unread_since + limit
+    }
+
+    /// Waits until partitions can be read.
+    async fn wait_until_readable(&self, partitions: &BTreeSet<u32>) {
+        while !partitions
+            .iter()
+            .all(|partition| self.replay.is_fresh(*partition))
+        {
+            for partition in partitions {
+                self.replay.follow_for_call(*partition);
+            }
+            tokio::time::sleep(CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Waits until a worker of a service answers this gateway, or until it may try again to run items. `last` is the previous
+    /// suspension of this kind.
+    async fn wait_for_reach(
+        &self,
+        service: String,
+        last: Option<UnreachedPeriod>,
+    ) -> UnreachedPeriod {
+        let clock = self.dispatcher.clock;
+        let reach = &self.dispatcher.worker_reach;
+        let answered_at = reach.answered_at(&service);
+        let continues = |last: &UnreachedPeriod| {
+            last.service == service && answered_at.is_none_or(|at| at < last.ended_at)
+        };
+        let count = last.filter(continues).map_or(0, |last| last.count + 1);
+        let until = clock.now() + absence_after(count);
+        while clock.now() < until && reach.answered_at(&service) == answered_at {
+            tokio::time::sleep(CHECK_INTERVAL).await;
+        }
+        UnreachedPeriod {
+            service,
+            ended_at: clock.now(),
+            count,
+        }
+    }
+}
--- a/crates/swiftshunt-gateway/src/batch/leases.rs
+++ b/crates/swiftshunt-gateway/src/batch/leases.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use swiftshunt_journal::{Lease, Log, LogError, Topic};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use super::member::Member;
@@ -40,10 +41,15 @@
     until: Duration,
     /// Time of the first unanswered renewal in a row; `None` while the log answers.
     unavailable_since: Option<Duration>,
+    /// Whether this gateway takes no leases for now, since it cannot run the items of their partitions.
+    is_suspended: bool,
 }
 
 impl HeldLeases {
     fn is_valid(&self, now: Duration, lease_duration: Duration) -> bool {
+        if self.is_suspended {
+            return false;
+        }
         let until = if self.unavailable_since.is_some() {
             self.until + lease_duration * LEASES_WHILE_UNAVAILABLE
         } else {
@@ -61,6 +67,8 @@
     duration: Duration,
     held: Mutex<HeldLeases>,
     released: CancellationToken,
+    /// Notified when the leases are suspended or resumed.
+    suspension_changed: Notify,
 }
 
 impl Leases {
@@ -78,6 +86,7 @@
             duration: settings.batch.lease,
             held: Mutex::default(),
             released: CancellationToken::new(),
+            suspension_changed: Notify::new(),
         }
     }
 
@@ -104,6 +113,18 @@
         since.filter(|_| is_valid)
     }
 
+    /// Gives all leases up, and takes none until [`Self::resume`].
+    pub(crate) fn suspend(&self) {
+        lock(&self.held).is_suspended = true;
+        self.suspension_changed.notify_one();
+    }
+
+    /// Takes leases again after [`Self::suspend`].
+    pub(crate) fn resume(&self) {
+        lock(&self.held).is_suspended = false;
+        self.suspension_changed.notify_one();
+    }
+
     /// Whether items of a partition may be started: it has been leased for [`HAND_OVER_DELAY`].
     pub(crate) fn may_start_items(&self, partition: u32) -> bool {
         let held = lock(&self.held);
@@ -126,11 +147,11 @@
     ) {
         let mut backoff = LogBackoff::new("leases", 0);
         while !self.released.is_cancelled() {
-            if !regions.includes_this_gateway() {
+            if lock(&self.held).is_suspended || !regions.includes_this_gateway() {
                 self.release_if_member().await;
                 metrics.leased_partitions.set(0);
                 replay.set_held(&BTreeSet::new());
-                tokio::time::sleep(self.duration / RENEWALS_PER_LEASE).await;
+                self.wait_for_next_renewal().await;
                 continue;
             }
             let renewed = self.renew().await;
@@ -140,11 +161,18 @@
             replay.set_held(&held);
             backoff.backoff_on_error(&renewed).await;
             if renewed.is_ok() {
-                tokio::time::sleep(self.duration / RENEWALS_PER_LEASE).await;
+                self.wait_for_next_renewal().await;
             }
         }
     }
 
+    async fn wait_for_next_renewal(&self) {
+        let interval = self.duration / RENEWALS_PER_LEASE;
+        let changed = self.suspension_changed.notified();
+        // Both the interval and a change lead to the next renewal.
+        drop(tokio::time::timeout(interval, changed).await);
+    }
+
     fn record_log_availability(&self, is_unavailable: bool) {
         let now = self.clock.now();
         let mut held = lock(&self.held);
@@ -194,23 +222,27 @@
             generation,
             partitions,
             until: requested_at + self.duration,
-            ..HeldLeases::default()
+            unavailable_since: None,
+            is_suspended: held.is_suspended,
         };
         Ok(())
     }
 
-    /// Releases the leases of a gateway that may not handle jobs. It can join the group again later.
+    /// Releases the leases of a gateway that may not handle jobs, or not for now. It can join the group again later.
     async fn release_if_member(&self) {
         let was_member = {
             let mut held = lock(&self.held);
             let was_member = held.generation > 0 || !held.partitions.is_empty();
-            *held = HeldLeases::default();
+            *held = HeldLeases {
+                is_suspended: held.is_suspended,
+                ..HeldLeases::default()
+            };
             was_member
         };
         if !was_member {
             return;
         }
-        log::info!("jobs may not be handled here; releasing the leases");
+        log::info!("jobs may not be handled here for now; releasing the leases");
         if let Err(error) = self.log.leave(Topic::Jobs, &self.member).await {
             log::info!("leases could not be released and will expire: {error}");
         }
--- a/crates/swiftshunt-gateway/src/batch/mod.rs
+++ b/crates/swiftshunt-gateway/src/batch/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod appender;
+mod fitness;
 mod intake;
 mod item;
 mod item_output;
@@ -31,6 +32,7 @@
 use crate::answers::{CallerAnswer, plain};
 use crate::attempt::Dispatcher;
 use crate::background;
+use crate::log_relay::RelayedLog;
 use crate::members::Members;
 use crate::protocol::Call;
 use crate::running::RunningItems;
@@ -62,6 +64,8 @@
 pub(crate) struct Batch {
     dispatcher: Arc<Dispatcher>,
     settings: Arc<GatewaySettings>,
+    /// The log, for calls by which other gateways show that they reach it.
+    peer_log: Arc<RelayedLog>,
     replay: Replay,
     appender: Appender,
     leases: Leases,
@@ -79,12 +83,13 @@
     pub(crate) fn new(
         dispatcher: Arc<Dispatcher>,
         settings: Arc<GatewaySettings>,
-        log: Arc<dyn Log>,
+        relayed: Arc<RelayedLog>,
         members: Arc<Members>,
         running: Arc<RunningItems>,
         waiting_limits: Arc<WaitingLimits>,
         unreadable: Arc<UnreadableRecords>,
     ) -> Self {
+        let log: Arc<dyn Log> = Arc::clone(&relayed) as _;
         let metrics = Arc::clone(&dispatcher.metrics);
         let clock = dispatcher.clock;
         let own_address = members.own_address();
@@ -93,6 +98,7 @@
         let region_pages = Arc::new(RegionPages::new(Arc::clone(&log), readers, clock));
         let pages = Arc::clone(&region_pages);
         Self {
+            peer_log: relayed,
             replay: Replay::new(Arc::clone(&log), pages, &settings, unreadable, clock),
             appender: Appender::new(Arc::clone(&log), &settings, metrics, clock),
             leases: Leases::new(Arc::clone(&log), &settings, own_address, clock),
@@ -132,6 +138,7 @@
         background::spawn(Arc::clone(self).answer_collect_requests());
         background::spawn(Arc::clone(self).count_waiting_tokens());
         background::spawn(Arc::clone(self).monitor_stalled_items());
+        background::spawn(Arc::clone(self).monitor_fitness());
     }
 
     /// Stops the items that run here and hands the partitions over: writes the progress of the items, then
--- a/crates/swiftshunt-gateway/src/batch/replay.rs
+++ b/crates/swiftshunt-gateway/src/batch/replay.rs
@@ -190,6 +190,11 @@
         state.is_listed.then_some(read_at)
     }
 
+    /// Returns the offset after the last record of a partition that was applied.
+    pub(crate) fn next_offset(&self, partition: u32) -> u64 {
+        self.state(partition).view.next_offset()
+    }
+
     /// Whether a partition is followed here and its listing is complete.
     pub(crate) fn is_followed(&self, partition: u32) -> bool {
         self.is_wanted(partition) && self.state(partition).is_listed
--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -40,6 +40,7 @@
 use crate::unreadable::UnreadableRecords;
 use crate::upstream::Upstream;
 use crate::waiting_limits::{Dependencies, WaitingLimits};
+use crate::worker_reach::WorkerReach;
 
 /// Why a gateway did not start.
 #[derive(Debug, Display, Error)]
@@ -195,6 +196,12 @@
             Arc::clone(other_gateways.version_marks()),
             clock,
         ));
+        let worker_reach = Arc::new(WorkerReach::new(
+            Arc::clone(&members),
+            Arc::clone(&datagrams),
+            Arc::clone(&fleet_state),
+            clock,
+        ));
         let slots = Arc::new(Slots::new(
             Arc::clone(&members),
             datagrams,
@@ -215,13 +222,14 @@
             quarantine: Arc::clone(&quarantine),
             origins: Arc::clone(&origins),
             job_regions,
+            worker_reach: Arc::clone(&worker_reach),
             answer_buffers: AnswerBuffers::default(),
             clock,
         });
         let batch = Arc::new(Batch::new(
             Arc::clone(&dispatcher),
             Arc::clone(&settings),
-            Arc::clone(&log),
+            Arc::clone(&relayed),
             members,
             Arc::clone(&running),
             Arc::clone(&waiting_limits),
@@ -289,6 +297,7 @@
                 quarantine: Arc::clone(&quarantine),
                 start_permits,
                 origins: Arc::clone(&origins),
+                worker_reach,
             })),
             background::spawn(origins.run_reviews()),
             background::spawn(Arc::clone(&quarantine).follow(tails)),
--- a/crates/swiftshunt-gateway/src/in_flight.rs
+++ b/crates/swiftshunt-gateway/src/in_flight.rs
@@ -14,12 +14,14 @@
 use crate::quarantine::{Quarantine, RequestContent};
 use crate::slots::Slots;
 use crate::traffic::{Content, Traffic};
+use crate::worker_reach::WorkerReach;
 
 /// A request at a worker. Dropping this records the outcome of the attempt in the selector.
 pub(crate) struct InFlight {
     fleet_state: Arc<FleetState>,
     slots: Arc<Slots>,
     quarantine: Arc<Quarantine>,
+    worker_reach: Arc<WorkerReach>,
     metrics: Arc<Metrics>,
     /// Identifier of the attempt, for logs.
     id: String,
@@ -57,6 +59,7 @@
             fleet_state: Arc::clone(&dispatcher.fleet_state),
             slots: Arc::clone(&dispatcher.slots),
             quarantine: Arc::clone(&dispatcher.quarantine),
+            worker_reach: Arc::clone(&dispatcher.worker_reach),
             metrics: Arc::clone(&dispatcher.metrics),
             id: outgoing.id.clone().unwrap_or_default(),
             request_content: outgoing.request_content.clone(),
@@ -86,6 +89,7 @@
             return;
         }
         self.had_first_event = true;
+        self.worker_reach.record_answer(&self.chosen.service);
         selector.record_first_event(&self.chosen, now - self.sent_at, now);
     }
 
@@ -105,6 +109,23 @@
         self.outcome = outcome;
     }
 
+    /// Records whether the worker answered; a stream did so with its first event.
+    fn record_reach(&self) {
+        let service = &self.chosen.service;
+        match self.outcome {
+            AttemptOutcome::Answered | AttemptOutcome::Declined | AttemptOutcome::Failed => {
+                self.worker_reach.record_answer(service);
+            }
+            AttemptOutcome::Unreachable | AttemptOutcome::Broken | AttemptOutcome::TimedOut => {
+                if !self.had_first_event {
+                    let incarnation = &self.chosen.incarnation;
+                    self.worker_reach.record_failure(service, incarnation);
+                }
+            }
+            AttemptOutcome::Cancelled => {}
+        }
+    }
+
     /// Whether the worker may have begun the run, which neither succeeded nor broke off.
     fn is_inconclusive(&self) -> bool {
         let was_sent = self.was_sent.load(Ordering::Relaxed);
@@ -137,6 +158,7 @@
             now,
         );
         self.fleet_state.load_changed.notify_one();
+        self.record_reach();
         if let AttemptOutcome::Unreachable | AttemptOutcome::Broken | AttemptOutcome::TimedOut =
             self.outcome
         {
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -52,6 +52,7 @@
 mod upstream;
 mod waiting_limits;
 mod worker_answer;
+mod worker_reach;
 mod zone_latencies;
 
 pub use gateway::{Gateway, StartError};
--- a/crates/swiftshunt-gateway/src/log_relay/mod.rs
+++ b/crates/swiftshunt-gateway/src/log_relay/mod.rs
@@ -182,6 +182,18 @@
         }
     }
 
+    /// Whether another gateway can read a partition from an offset on.
+    pub(crate) async fn is_read_by_peer(&self, topic: Topic, partition: u32, from: u64) -> bool {
+        let call = LogCall::Read {
+            topic,
+            partition,
+            from,
+            wait: Duration::ZERO,
+        };
+        let answer = self.call_through_peer(&call).await;
+        answer.is_some_and(|answer| !answer.is_failure())
+    }
+
     /// Has another gateway make the call. Returns `None` if none made it and it may be made here.
     async fn call_through_peer(&self, call: &LogCall) -> Option<LogAnswer> {
         let body = encode_message(call)?;
--- a/crates/swiftshunt-gateway/src/messages/mod.rs
+++ b/crates/swiftshunt-gateway/src/messages/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod origins;
 pub(crate) mod quarantine;
 pub(crate) mod rates;
+pub(crate) mod reach;
 pub(crate) mod slots;
 pub(crate) mod starts;
 pub(crate) mod waiting;
@@ -19,6 +20,7 @@
 use origins::OriginMessage;
 use quarantine::QuarantineMessage;
 use rates::RateMessage;
+use reach::ReachMessage;
 use slots::SlotMessage;
 use starts::StartMessage;
 use waiting::WaitingMessage;
@@ -55,4 +57,6 @@
     Start(StartMessage),
     /// A message about the origins of streams.
     Origin(OriginMessage),
+    /// A message about how gateways reach the workers of a service.
+    Reach(ReachMessage),
 }
--- a/crates/swiftshunt-gateway/src/metrics/labels.rs
+++ b/crates/swiftshunt-gateway/src/metrics/labels.rs
@@ -201,6 +201,21 @@
     }
 }
 
+/// Why a gateway suspends its leases.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum SuspensionReason {
+    /// It cannot read a leased partition, and another gateway can.
+    UnreadablePartitions,
+    /// No worker of a service answers it, and other gateways fare better.
+    UnreachedWorkers,
+}
+
+/// Labels of a suspension of leases.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct SuspensionLabels {
+    pub(crate) reason: SuspensionReason,
+}
+
 /// Labels of a stream that a caller takes up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct TakeUpLabels {
--- a/crates/swiftshunt-gateway/src/metrics/mod.rs
+++ b/crates/swiftshunt-gateway/src/metrics/mod.rs
@@ -20,12 +20,12 @@
 use crate::fleet_state::lock;
 use crate::traffic::Traffic;
 pub(crate) use labels::{
-    Basis, ItemWait, OriginSource, RateAnswer, Refusal, RequestEnd, SlotAnswer,
+    Basis, ItemWait, OriginSource, RateAnswer, Refusal, RequestEnd, SlotAnswer, SuspensionReason,
 };
 use labels::{
     LimitLabels, OutcomeLabels, RateLabels, RefusalLabels, RejectedLabels, RequestLabels,
-    SlotLabels, SlotUse, StallLabels, StreamEndLabels, TakeUpLabels, TenantLabels, UseLabels,
-    ZoneLabels,
+    SlotLabels, SlotUse, StallLabels, StreamEndLabels, SuspensionLabels, TakeUpLabels,
+    TenantLabels, UseLabels, ZoneLabels,
 };
 
 /// Largest number of tenants with a label value of their own; later tenants share [`OTHER_TENANTS`].
@@ -44,6 +44,7 @@
     pub(crate) items: Family<OutcomeLabels, Counter>,
     stalled_items: Family<StallLabels, Gauge>,
     longest_stall_seconds: Gauge,
+    lease_suspensions: Family<SuspensionLabels, Counter>,
     take_ups: Family<TakeUpLabels, Counter>,
     stream_ends: Family<StreamEndLabels, Counter>,
     pub(crate) slot_questions: Family<SlotLabels, Counter>,
@@ -121,6 +122,12 @@
             "Longest time for which an accepted item of a leased partition has made no progress",
             longest_stall_seconds.clone(),
         );
+        let lease_suspensions = Family::default();
+        registry.register(
+            "lease_suspensions",
+            "Times that this gateway gave its leases up because it could not run the items of their partitions, by reason",
+            lease_suspensions.clone(),
+        );
         let take_ups = Family::default();
         registry.register(
             "streams_taken_up",
@@ -368,6 +375,7 @@
             items,
             stalled_items,
             longest_stall_seconds,
+            lease_suspensions,
             take_ups,
             stream_ends,
             first_event_seconds,
@@ -508,6 +516,11 @@
         self.longest_stall_seconds.set(seconds);
     }
 
+    pub(crate) fn record_lease_suspension(&self, reason: SuspensionReason) {
+        let labels = SuspensionLabels { reason };
+        self.lease_suspensions.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn record_append(&self, outcome: impl std::fmt::Debug) {
         self.appends.get_or_create(&outcome_labels(outcome)).inc();
     }
--- a/crates/swiftshunt-gateway/src/peers.rs
+++ b/crates/swiftshunt-gateway/src/peers.rs
@@ -32,6 +32,7 @@
 use crate::topic_follower::{LogBackoff, TailTiming, TopicFollower};
 use crate::unreadable::UnreadableRecords;
 use crate::waiting_limits::WaitingLimits;
+use crate::worker_reach::WorkerReach;
 
 /// Prefill time from which other gateways are notified of a prompt.
 const MIN_NOTIFIED_PREFILL: Duration = Duration::from_millis(25);
@@ -76,6 +77,7 @@
     pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) start_permits: Arc<StartPermits>,
     pub(crate) origins: Arc<StreamOrigins>,
+    pub(crate) worker_reach: Arc<WorkerReach>,
 }
 
 /// The record of a gateway in the list.
@@ -281,6 +283,7 @@
             Notice::Quarantine(message) => handlers.quarantine.handle_message(message, from),
             Notice::Start(message) => handlers.start_permits.handle_message(message, from),
             Notice::Origin(message) => handlers.origins.handle_message(message, from),
+            Notice::Reach(message) => handlers.worker_reach.handle_message(message, from),
         }
     }
 
--- a/crates/swiftshunt-gateway/src/traffic.rs
+++ b/crates/swiftshunt-gateway/src/traffic.rs
@@ -45,6 +45,8 @@
     ColdStarts,
     /// Messages about the origins of streams.
     Origins,
+    /// Questions about how other gateways reach the workers of a service, and the answers.
+    WorkerReach,
     /// Tails of topics that one gateway reads for others.
     Tails,
     /// Requests to workers.
@@ -69,6 +71,7 @@
             Notice::Quarantine(_) => Self::Quarantine,
             Notice::Start(_) => Self::ColdStarts,
             Notice::Origin(_) => Self::Origins,
+            Notice::Reach(_) => Self::WorkerReach,
         }
     }
 }
--- a/crates/swiftshunt-scheduler/src/lib.rs
+++ b/crates/swiftshunt-scheduler/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod eligibility;
 pub mod evacuations;
 pub mod grants;
+pub mod lease_fitness;
 pub mod limits;
 pub mod listed;
 mod observed;
