Scheduler: bursts of failures at avoided workers are one sequence

All sends end together after the silence limit, the workers are then avoided for up to 3.2 s, and a sequence of failures was forgotten after 3 s without one, so it began anew with each burst. Change: it is forgotten after 10 s. The unit test of two bursts fails before.

--- a/crates/swiftshunt-scheduler/src/lease_fitness.rs
+++ b/crates/swiftshunt-scheduler/src/lease_fitness.rs
@@ -12,8 +12,9 @@
 const MIN_UNANSWERED_SENDS: u32 = 6;
 /// Workers at which these sends failed, for services that have as many.
 const MIN_UNANSWERED_WORKERS: usize = 4;
-/// Age of the last failure from which a sequence of failures says nothing about the present.
-const FAILURE_TTL: Duration = Duration::from_secs(3);
+/// Age of the last failure from which a sequence of failures says nothing about the present. Workers at which sends failed
+/// get no more for seconds, so that failures come in bursts.
+const FAILURE_TTL: Duration = Duration::from_secs(10);
 /// Time without an answer from which a gateway lets others try if none of those asked has sent anything to the service.
 const UNCOMPARED_TIME: Duration = Duration::from_secs(15);
 /// Time for which a gateway holds no leases after the first sequence of failures, and upper bound of that time, which
--- a/crates/swiftshunt-scheduler/tests/lease_fitness.rs
+++ b/crates/swiftshunt-scheduler/tests/lease_fitness.rs
@@ -37,6 +37,14 @@
     assert!(!reach.is_unanswered(READY, now));
 }
 
+#[test]
+fn bursts_of_failures_while_workers_are_avoided_in_between_are_one_sequence() {
+    let (mut reach, now) = failing(6, 4, Duration::from_millis(1));
+    let now = now + Duration::from_millis(3_200);
+    reach.record_failure(worker(0), now);
+    assert!(reach.is_unanswered(READY, now));
+}
+
 #[test]
 fn failures_at_few_of_many_workers_do_not_show_that_a_gateway_reaches_no_worker() {
     let (reach, now) = failing(20, 2, Duration::from_millis(400));
