Batch: the wait for other regions counts from when a job was first read

Cause: an item may wait in other regions after 3.2 s without progress, and that time began when the item was started. A gateway starts as many items as the service has slots; in a backlog each of them gets a slot of its own region within that time, so that none ever asked elsewhere, however long the backlog had waited. Change: the time begins when the item's job was first read here.

--- a/crates/swiftshunt-gateway/src/batch/runner.rs
+++ b/crates/swiftshunt-gateway/src/batch/runner.rs
@@ -157,10 +157,10 @@
     }
 
     fn start_item(self: &Arc<Self>, item: WaitingItem) {
-        let now = self.dispatcher.clock.now();
+        let waits_since = item.first_seen;
         let handle = self
             .running
-            .insert(item.id.clone(), item.service, item.times, now);
+            .insert(item.id.clone(), item.service, item.times, waits_since);
         let batch = Arc::clone(self);
         tokio::spawn(async move {
             let id = item.id;
--- a/crates/swiftshunt-gateway/src/running.rs
+++ b/crates/swiftshunt-gateway/src/running.rs
@@ -22,7 +22,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Activity {
     pub(crate) waits_for: ItemWait,
-    /// When the item was started here or last received an event.
+    /// When the item last received an event, or its job was first read here.
     pub(crate) progress_at: Duration,
     /// Attempts since then that ended without an event.
     pub(crate) failed_attempts: u32,
@@ -33,10 +33,10 @@
 pub(crate) struct ItemActivity(Mutex<Activity>);
 
 impl ItemActivity {
-    fn started(now: Duration) -> Arc<Self> {
+    fn started(waits_since: Duration) -> Arc<Self> {
         Arc::new(Self(Mutex::new(Activity {
             waits_for: ItemWait::Slot,
-            progress_at: now,
+            progress_at: waits_since,
             failed_attempts: 0,
         })))
     }
@@ -59,7 +59,7 @@
         lock(&self.0).failed_attempts += 1;
     }
 
-    /// Returns when the item was started here or last received an event.
+    /// Returns when the item last received an event, or its job was first read here.
     pub(crate) fn progress_at(&self) -> Duration {
         lock(&self.0).progress_at
     }
@@ -111,16 +111,16 @@
 }
 
 impl RunningItems {
-    /// Adds an item that is started now, and returns the handle of its run.
+    /// Adds an item whose job was first read here at `waits_since`, and returns the handle of its run.
     pub(crate) fn insert(
         self: &Arc<Self>,
         id: ItemId,
         service: String,
         times: ItemTimes,
-        now: Duration,
+        waits_since: Duration,
     ) -> RunHandle {
         let stop = CancellationToken::new();
-        let activity = ItemActivity::started(now);
+        let activity = ItemActivity::started(waits_since);
         let item = RunningItem {
             service,
             times,
--- a/crates/swiftshunt/tests/gateway_regions.rs
+++ b/crates/swiftshunt/tests/gateway_regions.rs
@@ -163,6 +163,33 @@
     .await;
 }
 
+/// Items of a backlog that keeps the workers of one region busy for several times the wait for other regions.
+const BACKLOG_ITEMS: usize = 150;
+/// Delay before each event of such an item, which runs for a second.
+const BACKLOG_EVENT_INTERVAL: Duration = Duration::from_millis(125);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_backlog_of_one_region_uses_the_free_slots_of_the_other() {
+    let fleet = start(PlatformOptions {
+        gateways: 4,
+        event_interval: BACKLOG_EVENT_INTERVAL,
+        zone_layout: ZoneLayout::new(&ZONES),
+        ..PlatformOptions::default()
+    })
+    .await;
+    tokio::time::sleep(SETTLED).await;
+    let gateway = fleet.gateways[0].callers;
+    submit(&fleet, gateway, "backlog", BACKLOG_ITEMS).await;
+    wait_for_all_results(&fleet, gateway, "backlog", BACKLOG_ITEMS).await;
+    let runs: Vec<usize> = fleet
+        .engine_workers
+        .iter()
+        .map(|worker| worker.runs().len())
+        .collect();
+    let fewer = runs.iter().min().copied().unwrap_or_default();
+    assert!(fewer >= BACKLOG_ITEMS / 4, "runs by worker: {runs:?}");
+}
+
 /// Number of jobs, so that gateways of both regions run some.
 const JOBS: usize = 8;
 
