Slots: owners learn that the issuers of a cold worker refused a permit

Cause: the owner of a cell estimates by itself how many starts a cold worker bears. The permits are given out by two issuers with shares of their own, who give none at all for some time after they started. A gateway that is refused kept that to itself, so that the owner granted the worker with the most free slots, which a cold one always is, to one item after the other. Change: the gateway tells the owner for how long there is no permit; the owner assigns other workers until then.

--- a/crates/swiftshunt-gateway/src/messages/slots.rs
+++ b/crates/swiftshunt-gateway/src/messages/slots.rs
@@ -72,6 +72,13 @@
         /// The key of the worker's incarnation.
         worker: WorkerKey,
     },
+    /// Tells the owner of a cell that one of its workers is cold and its issuers refused a start permit.
+    StartRefused {
+        /// The key of the worker's incarnation.
+        worker: WorkerKey,
+        /// Time until a permit may be available, in milliseconds.
+        retry_after_ms: u64,
+    },
 }
 
 /// A request that needs a worker of a cell.
--- a/crates/swiftshunt-gateway/src/slots/mod.rs
+++ b/crates/swiftshunt-gateway/src/slots/mod.rs
@@ -483,6 +483,14 @@
                 worker,
                 number,
             }),
+            Message::StartRefused {
+                worker,
+                retry_after_ms,
+            } => {
+                let until = self.clock.now() + Duration::from_millis(retry_after_ms);
+                let mut selector = self.fleet_state.selector();
+                selector.record_refused_permit(worker, until);
+            }
             Message::SendFailed { cell, worker } => self.record_send_failure(&cell, worker, from),
             Message::StepAside { worker } => {
                 let now = self.clock.now();
--- a/crates/swiftshunt-gateway/src/start_permits.rs
+++ b/crates/swiftshunt-gateway/src/start_permits.rs
@@ -11,6 +11,7 @@
 use swiftshunt_scheduler::cold::permit_issuer::{PermitIssuer, prefers_second_issuer};
 use swiftshunt_scheduler::cold::{ColdBound, START_PERMIT_TTL};
 use swiftshunt_scheduler::selection::ChosenWorker;
+use swiftshunt_scheduler::slots::WorkerKey;
 use tokio::sync::oneshot;
 
 use crate::clock::Clock;
@@ -18,6 +19,7 @@
 use crate::fleet_state::{FleetState, lock};
 use crate::members::Members;
 use crate::messages::Notice;
+use crate::messages::slots::SlotMessage;
 use crate::messages::starts::StartMessage as Message;
 use crate::metrics::Metrics;
 
@@ -112,15 +114,33 @@
             }),
             Ok(()) => None,
             Err(retry_after) => {
-                let until = now + retry_after.max(MIN_REFUSAL_BACKOFF);
+                let backoff = retry_after.max(MIN_REFUSAL_BACKOFF);
                 let mut selector = self.fleet_state.selector();
-                selector.record_no_permits_until(&chosen.incarnation, until);
+                selector.record_no_permits_until(&chosen.incarnation, now + backoff);
+                drop(selector);
                 self.metrics.starts_missing.inc();
+                self.notify_slot_owner(chosen, backoff);
                 None
             }
         }
     }
 
+    /// Tells the owner of a worker's slots that there is no permit for it, so that the owner assigns other workers.
+    fn notify_slot_owner(&self, chosen: &ChosenWorker, backoff: Duration) {
+        if !self.fleet_state.has_batch(&chosen.service) {
+            return;
+        }
+        let cell = self.fleet_state.selector().cell_of(chosen);
+        let owner = self.members.owner(&cell);
+        if owner != self.members.own_address() {
+            let message = SlotMessage::StartRefused {
+                worker: WorkerKey::of(&chosen.incarnation),
+                retry_after_ms: backoff.as_millis() as u64,
+            };
+            self.datagrams.send(&Notice::Slots(message), [owner]);
+        }
+    }
+
     /// Requests a permit from the issuers of a worker, one after the other, until one grants it.
     async fn request_from_issuers(&self, chosen: &ChosenWorker, bound: &ColdBound) -> Verdict {
         let mut issuers = self.members.permit_issuers(&chosen.id, &chosen.zone);
--- a/crates/swiftshunt-scheduler/src/cold/worker_state.rs
+++ b/crates/swiftshunt-scheduler/src/cold/worker_state.rs
@@ -118,6 +118,14 @@
         }
     }
 
+    /// Records, as the owner of a worker's slots, that its issuers have refused a permit to another gateway until `until`.
+    pub fn record_refused_permit(&mut self, worker: WorkerKey, until: Duration) {
+        let mut candidates = self.candidates.values_mut();
+        if let Some(candidate) = candidates.find(|candidate| candidate.key == worker) {
+            candidate.known_permits.none_until = until;
+        }
+    }
+
     /// Returns whether any eligible worker of a service lacks start permits at present and may thus
     /// accept a request as soon as there is a permit.
     pub fn awaits_start_permits(&self, service: &str, scope: &OfferScope, now: Duration) -> bool {
@@ -144,7 +152,8 @@
         let bucket = candidate.known_permits.assignable;
         let has_permit =
             bucket.is_none_or(|bucket| bucket.has_permit(PermitRate::of_all(bound), now));
-        self.warmup_state_of(candidate, now) == WarmupState::Warm || has_permit
+        let is_refused = now < candidate.known_permits.none_until;
+        self.warmup_state_of(candidate, now) == WarmupState::Warm || has_permit && !is_refused
     }
 
     /// Records that this node, as the owner of a worker's slots, assigned a request to it.
--- a/crates/swiftshunt-scheduler/tests/cold.rs
+++ b/crates/swiftshunt-scheduler/tests/cold.rs
@@ -194,3 +194,18 @@
         selector.record_assignment(key, "s", warm);
     }
 }
+
+#[test]
+fn an_owner_does_not_assign_a_cold_worker_whose_permit_was_refused_to_another_gateway() {
+    let mut selector = selector();
+    let key = WorkerKey::of("one");
+    selector.apply_entry(entry("one", COLD_PERIOD), ENTRY_SETTLED);
+    assert!(selector.is_assignable(key, "s", ENTRY_SETTLED));
+    let until = ENTRY_SETTLED + Duration::from_millis(200);
+    selector.record_refused_permit(key, until);
+    assert!(!selector.is_assignable(key, "s", ENTRY_SETTLED));
+    assert!(selector.is_assignable(key, "s", until));
+    let warm = ENTRY_SETTLED + COLD_PERIOD * 2;
+    selector.record_refused_permit(key, warm + Duration::from_secs(1));
+    assert!(selector.is_assignable(key, "s", warm));
+}
