Batch: what one version wrote of an item is set aside, not dropped

Cause: after each break the worker is avoided for up to 3.2 s, the item waits a second, drops its text since another version could run it, and the same happens there: no text ever grows beyond one run. Change: the text is set aside with the version that wrote it and continued when a worker of that version gets the item again, so that every run adds to one of them. Two are kept at most; the longest is handed over.

--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -152,6 +152,7 @@
             if !self.may_send(id.partition) {
                 continue;
             }
+            output.resume_parked(&chosen.origin());
             let began = self.dispatcher.clock.now();
             activity.set_wait(ItemWait::Answer);
             let attempt = self.attempt(run, &outgoing, &chosen, output).await;
@@ -162,7 +163,7 @@
                     if !output.is_taken_over {
                         self.run_time_estimate.record_run(output.ran);
                     }
-                    let text = std::mem::take(&mut output.text);
+                    let text = output.take_text();
                     return self.settle(id, item, ItemOutcome::Completed, text, "completed");
                 }
                 Attempt::Impossible => {
@@ -264,7 +265,7 @@
         let run = async {
             let sent = self
                 .dispatcher
-                .send(chosen, outgoing, output.last_event, limits)
+                .send(chosen, outgoing, output.last_event(), limits)
                 .await;
             match sent {
                 Ok(answer) => self.read_answer(answer, activity, output).await,
@@ -286,7 +287,7 @@
         if !matches!(attempt, Attempt::Whole) {
             log::info!(job = id.job.as_str(), item,
                 worker = chosen.incarnation.as_str(), attempt:? = attempt,
-                last_event:? = output.last_event; "an item's attempt ended");
+                last_event:? = output.last_event(); "an item's attempt ended");
         }
         attempt
     }
@@ -424,9 +425,7 @@
             activity.record_event(last_event_at);
             in_flight.record_received(event.data.len());
             output.append_event(&event)?;
-            output
-                .origin
-                .get_or_insert_with(|| in_flight.chosen.origin());
+            output.record_origin(|| in_flight.chosen.origin());
         }
     }
 }
--- a/crates/swiftshunt-gateway/src/batch/item_output.rs
+++ b/crates/swiftshunt-gateway/src/batch/item_output.rs
@@ -24,14 +24,25 @@
 
 /// Most bytes of an item's text, four times what a listing may hold.
 const MAX_TEXT_BYTES: usize = 4 << 20;
+/// Most outputs of other versions that an item keeps: during a release two versions serve side by side.
+const MAX_PARKED_OUTPUTS: usize = 2;
+
+/// What one version has written of an item.
+#[derive(Default)]
+struct VersionOutput {
+    text: String,
+    last_event: Option<u64>,
+    /// The service and software version that wrote `text`; `None` if there is none, or if an earlier build recorded it.
+    origin: Option<OutputOrigin>,
+}
 
 /// The output of an item so far.
 #[derive(Default)]
 pub(crate) struct ItemOutput {
-    pub(super) text: String,
-    pub(super) last_event: Option<u64>,
-    /// The service and software version that wrote `text`; `None` if there is none, or if an earlier build recorded it.
-    pub(super) origin: Option<OutputOrigin>,
+    /// The output that the next attempt continues.
+    current: VersionOutput,
+    /// Outputs of versions that had no slot, to be continued when one of their workers gets the item again.
+    parked: Vec<VersionOutput>,
     /// Number of failed runs that an earlier runner recorded with its output.
     failures_before: u32,
     /// The failed runs at this gateway.
@@ -67,21 +78,24 @@
         residency: Residency,
         output: &mut ItemOutput,
     ) -> OfferScope {
-        if output.last_event.is_none() {
+        if output.last_event().is_none() {
             return OfferScope::within(residency);
         }
         let scope = OfferScope {
             residency,
-            origin: output.origin.clone(),
+            origin: output.current.origin.clone(),
         };
         let Some(restart) = self.restart_reason(route, &scope, output) else {
             return scope;
         };
         log::info!(job = id.job.as_str(), item = item.id.as_str(), reason:? = restart,
-            origin:? = output.origin, last_event:? = output.last_event,
+            origin:? = output.current.origin, last_event:? = output.last_event(),
             ran_ms = output.ran.as_millis() as u64; "an item begins anew");
         self.dispatcher.metrics.items_begun_anew.inc();
-        output.restart();
+        match restart {
+            Restart::NoSlot => output.park(),
+            Restart::VersionUnknown | Restart::VersionGone => output.restart(),
+        }
         OfferScope::within(scope.residency)
     }
 
@@ -148,24 +162,43 @@
     /// Returns the output that an earlier runner recorded.
     pub(super) fn taken_over(progress: &Progress) -> Self {
         Self {
-            text: progress.text.clone(),
-            last_event: Some(progress.last_event),
-            origin: progress.origin.clone(),
+            current: VersionOutput {
+                text: progress.text.clone(),
+                last_event: Some(progress.last_event),
+                origin: progress.origin.clone(),
+            },
             failures_before: progress.failures,
             is_taken_over: true,
             ..Self::default()
         }
     }
 
-    /// Returns the record of the output for the item's next runner; `None` if there is none.
+    /// Returns the number of the last event that the next attempt continues behind; `None` if it begins anew.
+    pub(super) fn last_event(&self) -> Option<u64> {
+        self.current.last_event
+    }
+
+    /// Removes and returns the text.
+    pub(super) fn take_text(&mut self) -> String {
+        std::mem::take(&mut self.current.text)
+    }
+
+    /// Records which version writes the output, unless that is known.
+    pub(super) fn record_origin(&mut self, origin: impl FnOnce() -> OutputOrigin) {
+        self.current.origin.get_or_insert_with(origin);
+    }
+
+    /// Returns the record of the longest output for the item's next runner; `None` if there is none.
     pub(super) fn into_progress(self, item: u32) -> Option<Progress> {
-        let last_event = self.last_event?;
+        let failures = self.failure_count(std::iter::empty());
+        let outputs = self.parked.into_iter().chain([self.current]);
+        let longest = outputs.max_by_key(|output| output.last_event)?;
         Some(Progress {
             item,
-            last_event,
-            failures: self.failure_count(std::iter::empty()),
-            text: self.text,
-            origin: self.origin,
+            last_event: longest.last_event?,
+            failures,
+            text: longest.text,
+            origin: longest.origin,
         })
     }
 
@@ -186,10 +219,30 @@
 
     /// Drops what was written, so that the item begins anew. Failed attempts still count.
     fn restart(&mut self) {
-        self.text.clear();
-        self.last_event = None;
-        self.origin = None;
+        self.current = VersionOutput::default();
+        self.bound_since = None;
+    }
+
+    /// Sets what was written aside, so that the item begins anew, or continues what another version has written.
+    fn park(&mut self) {
+        let parked = std::mem::take(&mut self.current);
         self.bound_since = None;
+        self.parked.push(parked);
+        if self.parked.len() > MAX_PARKED_OUTPUTS {
+            self.parked.sort_by_key(|output| output.last_event);
+            self.parked.remove(0);
+        }
+    }
+
+    /// Continues the output that was set aside of this origin, if the item would begin anew.
+    pub(super) fn resume_parked(&mut self, origin: &OutputOrigin) {
+        if self.last_event().is_some() {
+            return;
+        }
+        let is_of_origin = |output: &VersionOutput| output.origin.as_ref() == Some(origin);
+        if let Some(position) = self.parked.iter().position(is_of_origin) {
+            self.current = self.parked.swap_remove(position);
+        }
     }
 
     /// Appends an event. Returns an error if its number does not follow the last one's, and drops the output if it gets too
@@ -199,32 +252,35 @@
         event: &eventsource_stream::Event,
     ) -> Result<(), SendFailure> {
         let id: Option<u64> = event.id.parse().ok();
-        let out_of_order = match (self.last_event, id) {
+        let out_of_order = match (self.last_event(), id) {
             (Some(last), Some(id)) => id != last + 1,
             _ => false,
         };
         if out_of_order {
             return Err(SendFailure::Broken {
-                reason: format!("event {id:?} came after {:?}", self.last_event),
+                reason: format!("event {id:?} came after {:?}", self.last_event()),
             });
         }
-        if self.text.len() + event.data.len() > MAX_TEXT_BYTES {
+        if self.current.text.len() + event.data.len() > MAX_TEXT_BYTES {
             self.restart();
             return Err(SendFailure::Broken {
                 reason: format!("the text has more than {MAX_TEXT_BYTES} bytes"),
             });
         }
-        if self.last_event.is_some() {
-            self.text.push('\n');
+        let current = &mut self.current;
+        if current.last_event.is_some() {
+            current.text.push('\n');
         }
-        self.text.push_str(&event.data);
-        self.last_event = id.or(self.last_event);
+        current.text.push_str(&event.data);
+        current.last_event = id.or(current.last_event);
         Ok(())
     }
 }
 
 #[cfg(test)]
 mod tests {
+    use swiftshunt_types::SoftwareVersion;
+
     use super::*;
 
     /// A worker may number its events in order and never end.
@@ -240,6 +296,64 @@
             assert!(output.append_event(&event(id)).is_ok());
         }
         assert!(output.append_event(&event(3)).is_err());
-        assert_eq!((output.text.len(), output.last_event), (0, None));
+        assert_eq!((output.take_text().len(), output.last_event()), (0, None));
+    }
+
+    fn origin(software: &str) -> OutputOrigin {
+        OutputOrigin {
+            service: "engine".to_owned(),
+            software: SoftwareVersion(software.to_owned()),
+        }
+    }
+
+    /// Appends `count` events that a worker of a version writes.
+    fn write(output: &mut ItemOutput, software: &str, count: u64) {
+        output.resume_parked(&origin(software));
+        for _ in 0..count {
+            let id = output.last_event().map_or(0, |last| last + 1);
+            let event = eventsource_stream::Event {
+                id: id.to_string(),
+                data: format!("{software}-{id}"),
+                ..eventsource_stream::Event::default()
+            };
+            assert!(output.append_event(&event).is_ok());
+            output.record_origin(|| origin(software));
+        }
+    }
+
+    #[test]
+    fn an_output_that_was_set_aside_is_continued_by_its_own_version_only() {
+        let mut output = ItemOutput::default();
+        write(&mut output, "v1", 2);
+        output.park();
+        write(&mut output, "v2", 1);
+        output.park();
+        write(&mut output, "v1", 1);
+        assert_eq!(output.take_text(), "v1-0\nv1-1\nv1-2");
+    }
+
+    #[test]
+    fn the_longest_output_is_handed_over() {
+        let mut output = ItemOutput::default();
+        write(&mut output, "v1", 3);
+        output.park();
+        write(&mut output, "v2", 1);
+        let progress = output.into_progress(0).expect("there is an output");
+        assert_eq!(
+            (progress.last_event, progress.origin),
+            (2, Some(origin("v1")))
+        );
+    }
+
+    #[test]
+    fn few_outputs_are_set_aside() {
+        let mut output = ItemOutput::default();
+        for (number, software) in ["v1", "v2", "v3", "v4"].into_iter().enumerate() {
+            write(&mut output, software, number as u64 + 1);
+            output.park();
+        }
+        assert_eq!(output.parked.len(), MAX_PARKED_OUTPUTS);
+        output.resume_parked(&origin("v4"));
+        assert_eq!(output.last_event(), Some(3));
     }
 }
