Ledger: a node looks a claim up before it joins the group as a learner

Cause: messages start a learner; the claim's configuration is in the archive alone. Change: messages of a generation whose claim was not looked up start a replay and are dropped; the leader sends them again. A claimed member then starts as a voter, another node as a learner. If the archive does not answer, the learner starts as before.

--- a/crates/swiftshunt-node/src/ledger/driver.rs
+++ b/crates/swiftshunt-node/src/ledger/driver.rs
@@ -160,6 +160,14 @@
             return;
         }
         if generation > current {
+            // A member of the claim starts as a voter with the claim's configuration, which no message contains. Messages
+            // dropped until the claim is known are sent again.
+            if !self.recovery.may_start_learner(generation) {
+                if self.recovery.try_begin_replay_of(generation) {
+                    self.archive.replay();
+                }
+                return;
+            }
             self.start_learner(generation, now);
         }
         let config = &self.context.settings.ledger;
--- a/crates/swiftshunt-node/src/ledger/driver/archive.rs
+++ b/crates/swiftshunt-node/src/ledger/driver/archive.rs
@@ -164,11 +164,13 @@
             Err(error) => {
                 log::warn!(partition = self.partition.0;
                     "replay of the archive failed; it will be retried: {error}");
+                self.recovery.record_failed_replay();
                 self.recovery.finish_replay(now);
                 return;
             }
         };
         let generation = replay.position.generation;
+        self.recovery.record_replayed(generation);
         let current = self
             .replica
             .as_ref()
--- a/crates/swiftshunt-node/src/ledger/recovery.rs
+++ b/crates/swiftshunt-node/src/ledger/recovery.rs
@@ -19,6 +19,10 @@
 pub(super) struct Recovery {
     /// The newest generation seen in the archive or in messages of other replicas.
     pub(super) known_generation: Generation,
+    /// The newest generation whose claim a replay has shown, or could not show because the archive did not answer.
+    looked_up_generation: Generation,
+    /// The newest generation seen in messages whose claim has not been looked up.
+    requested_generation: Generation,
     is_replaying: bool,
     next_replay: Monotonic,
     /// Time since which this node has seen no working leader of the partition; at least the start of
@@ -30,6 +34,8 @@
     pub(super) fn new(now: Monotonic) -> Self {
         Self {
             known_generation: 0,
+            looked_up_generation: 0,
+            requested_generation: 0,
             is_replaying: false,
             next_replay: now,
             leaderless_since: now,
@@ -58,6 +64,28 @@
         true
     }
 
+    /// Whether a replica of a generation may start as a learner: its claim was looked up, and a replica of a claimed member
+    /// would have been started then.
+    pub(super) fn may_start_learner(&self, generation: Generation) -> bool {
+        generation <= self.looked_up_generation
+    }
+
+    /// Begins a replay that looks up the claim of a generation, unless a replay is running. Returns whether it began.
+    pub(super) fn try_begin_replay_of(&mut self, generation: Generation) -> bool {
+        self.requested_generation = self.requested_generation.max(generation);
+        !std::mem::replace(&mut self.is_replaying, true)
+    }
+
+    /// Records that a replay has shown the claims up to a generation.
+    pub(super) fn record_replayed(&mut self, generation: Generation) {
+        self.looked_up_generation = self.looked_up_generation.max(generation);
+    }
+
+    /// Records that a replay failed: replicas start without the claims that were asked for.
+    pub(super) fn record_failed_replay(&mut self) {
+        self.looked_up_generation = self.looked_up_generation.max(self.requested_generation);
+    }
+
     /// Marks the replay as ended and schedules the next one.
     pub(super) fn finish_replay(&mut self, now: Monotonic) {
         self.is_replaying = false;
