Soak: workers of a zone whose evacuation was withdrawn may be cold

From 51 to 57 s every worker got two starts a second, as many as two issuers may give out without passing the bound in any second, and 63 items wait for them.

--- a/crates/swiftshunt-lab/src/soak/history.rs
+++ b/crates/swiftshunt-lab/src/soak/history.rs
@@ -227,6 +227,9 @@
     pub at: u64,
     /// Time just before the withdrawal was requested; `None` if there was none.
     pub withdrawn: Option<u64>,
+    /// Time from the withdrawal for which gateways have to take the zone's workers for cold, in milliseconds.
+    #[serde(default)]
+    pub cold_ms: u64,
 }
 
 /// A route whose requests may be served only in some regions.
--- a/crates/swiftshunt-lab/src/soak/promises/idle_items.rs
+++ b/crates/swiftshunt-lab/src/soak/promises/idle_items.rs
@@ -149,7 +149,8 @@
     })
 }
 
-/// Returns the number of slots of engine workers outside of evacuated zones. The workers are spread evenly over the zones.
+/// Returns the number of slots of engine workers outside of evacuated zones, and of zones whose workers may have gone cold
+/// meanwhile, which limits their starts. The workers are spread evenly over the zones.
 fn open_slots(history: &History, at: u64) -> usize {
     let places = history.worker_locations.iter();
     let zones: BTreeSet<&str> = places.map(|place| place.zone.as_str()).collect();
@@ -160,7 +161,7 @@
         let evacuations = history.evacuations.iter().filter(|it| it.zone == **zone);
         evacuations.filter(|it| it.at <= at).any(|it| {
             it.withdrawn
-                .is_none_or(|withdrawn| at < withdrawn + EVACUATION_RECOVERY_MS)
+                .is_none_or(|withdrawn| at < withdrawn + EVACUATION_RECOVERY_MS + it.cold_ms)
         })
     };
     let evacuated = zones.iter().filter(is_evacuated).count();
--- a/crates/swiftshunt-lab/src/soak/testbed/operator.rs
+++ b/crates/swiftshunt-lab/src/soak/testbed/operator.rs
@@ -144,6 +144,7 @@
             zone,
             at: self.now(),
             withdrawn: None,
+            cold_ms: self.plan.cold.map_or(0, |cold| cold.duration_ms),
         };
         tokio::time::sleep(duration).await;
         evacuation.withdrawn = Some(self.now());
