Batch: a gateway that does not learn of a job's configuration gives its leases up

The same class as unreadable partitions: the leases are renewed all the same. Change: after 3 s of such a wait the leases are suspended until that version has been read. The job's record shows that another gateway knows it.

--- a/crates/swiftshunt-gateway/src/batch/fitness.rs
+++ b/crates/swiftshunt-gateway/src/batch/fitness.rs
@@ -8,7 +8,7 @@
 use swiftshunt_scheduler::lease_fitness::absence_after;
 
 use super::Batch;
-use crate::metrics::SuspensionReason;
+use crate::metrics::{ItemWait, SuspensionReason};
 
 /// Interval between two checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -24,6 +24,8 @@
     UnreadablePartitions(BTreeSet<u32>),
     /// No worker of this service answers it, and other gateways fare better.
     UnreachedWorkers { service: String },
+    /// It does not learn of the configuration of this version, by which another gateway has accepted a job.
+    OutdatedConfiguration { needed: u64 },
 }
 
 impl Unfitness {
@@ -31,10 +33,14 @@
         match self {
             Self::UnreadablePartitions(_) => SuspensionReason::UnreadablePartitions,
             Self::UnreachedWorkers { .. } => SuspensionReason::UnreachedWorkers,
+            Self::OutdatedConfiguration { .. } => SuspensionReason::OutdatedConfiguration,
         }
     }
 }
 
+/// Time for which items may wait for a configuration.
+const OUTDATED_TIME: Duration = Duration::from_secs(3);
+
 /// The last suspension because no worker of a service answered.
 struct UnreachedPeriod {
     service: String,
@@ -47,9 +53,15 @@
     /// Suspends the leases whenever this gateway is not fit to hold them, until the process ends.
     pub(crate) async fn monitor_fitness(self: Arc<Self>) {
         let mut last_unreached: Option<UnreachedPeriod> = None;
+        let mut outdated_since: Option<Duration> = None;
         loop {
             tokio::time::sleep(CHECK_INTERVAL).await;
-            let Some(unfitness) = self.find_unfitness().await else {
+            let outdated = self.find_outdated_configuration(&mut outdated_since);
+            let unfitness = match outdated {
+                Some(unfitness) => Some(unfitness),
+                None => self.find_unfitness().await,
+            };
+            let Some(unfitness) = unfitness else {
                 continue;
             };
             let reason = unfitness.reason();
@@ -65,6 +77,9 @@
                     let ended = self.wait_for_reach(service, last_unreached.take()).await;
                     last_unreached = Some(ended);
                 }
+                Unfitness::OutdatedConfiguration { needed } => {
+                    self.wait_for_configuration(needed).await;
+                }
             }
             log::info!(reason:? = reason; "resuming the leases of this gateway");
             self.leases.resume();
@@ -85,6 +100,41 @@
         })
     }
 
+    /// Returns the configuration that items have been waiting for since `outdated_since`, if that is long ago.
+    fn find_outdated_configuration(
+        &self,
+        outdated_since: &mut Option<Duration>,
+    ) -> Option<Unfitness> {
+        let Some(needed) = self.awaited_configuration() else {
+            *outdated_since = None;
+            return None;
+        };
+        let now = self.dispatcher.clock.now();
+        let since = *outdated_since.get_or_insert(now);
+        (now >= since + OUTDATED_TIME).then_some(Unfitness::OutdatedConfiguration { needed })
+    }
+
+    /// Returns the latest configuration that items of this gateway wait for.
+    fn awaited_configuration(&self) -> Option<u64> {
+        let items = self.running.snapshot().into_iter();
+        let waiting = items.filter(|item| item.activity.waits_for == ItemWait::Configuration);
+        let needed = waiting.filter_map(|item| {
+            let state = self.replay.state(item.id.partition);
+            state.fold.job(&item.id.job)?.spec.configuration_version
+        });
+        needed.max()
+    }
+
+    async fn wait_for_configuration(&self, needed: u64) {
+        let is_known = || {
+            let configuration = self.dispatcher.fleet_state.configuration();
+            configuration.is_some_and(|configuration| configuration.version >= needed)
+        };
+        while !is_known() {
+            tokio::time::sleep(CHECK_INTERVAL).await;
+        }
+    }
+
     /// Returns the leased partitions that this gateway cannot read, if another gateway can read one of them.
     async fn find_unreadable_partitions(&self, held: &BTreeSet<u32>) -> Option<BTreeSet<u32>> {
         let is_unreadable = |partition: &u32| self.is_unreadable(*partition);
--- a/crates/swiftshunt-gateway/src/metrics/labels.rs
+++ b/crates/swiftshunt-gateway/src/metrics/labels.rs
@@ -208,6 +208,8 @@
     UnreadablePartitions,
     /// No worker of a service answers it, and other gateways fare better.
     UnreachedWorkers,
+    /// It does not learn of the configuration by which a job was accepted.
+    OutdatedConfiguration,
 }
 
 /// Labels of a suspension of leases.
--- a/crates/swiftshunt/tests/gateway_unfit_holders.rs
+++ b/crates/swiftshunt/tests/gateway_unfit_holders.rs
@@ -10,7 +10,7 @@
     ExclusiveFleet, assert_completed, listed_results, start, submit, wait_for_all_results,
 };
 use swiftshunt_lab::platform::caller::PlatformCaller;
-use swiftshunt_lab::platform::fleet::{PlatformOptions, STREAM, eventually};
+use swiftshunt_lab::platform::fleet::{PlatformOptions, STREAM, eventually, first_configuration};
 use swiftshunt_lab::platform::store::StoreFaults;
 use swiftshunt_lab::proxy::{Fault, Link};
 use swiftshunt_platform::words::topics;
@@ -48,12 +48,53 @@
     })
     .await;
     tokio::time::sleep(SETTLED).await;
-    fleet.gateways[0].store_listener.set_faults(StoreFaults {
-        hang_reads_of: Some(topics::JOBS.to_owned()),
+    let listener = fleet.gateways[0].store_listener.clone();
+    listener.set_faults(unreadable(topics::JOBS));
+    submit_jobs(&fleet, 1).await;
+    assert_jobs_completed(&fleet, 1).await;
+    listener.set_faults(StoreFaults::default());
+    wait_for_leases(&fleet, 0, |leased| leased > 0.0).await;
+}
+
+/// Returns the faults of a log of which a gateway cannot read one topic.
+fn unreadable(topic: &str) -> StoreFaults {
+    StoreFaults {
+        hang_reads_of: Some(topic.to_owned()),
         ..StoreFaults::default()
-    });
+    }
+}
+
+/// Waits until a gateway leases as many partitions as `is_expected` accepts.
+async fn wait_for_leases(
+    fleet: &ExclusiveFleet,
+    gateway: usize,
+    is_expected: impl Fn(f64) -> bool,
+) {
+    let metrics = fleet.gateways[gateway].metrics;
+    eventually("the leases are as expected", || async {
+        let name = "swiftshunt_leased_partitions";
+        is_expected(fleet.caller.metric_value(metrics, name).await)
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn items_are_run_although_their_holder_does_not_learn_of_the_configuration_that_accepted_them()
+ {
+    let mut fleet = start(PlatformOptions {
+        gateways: 3,
+        ..PlatformOptions::default()
+    })
+    .await;
+    tokio::time::sleep(SETTLED).await;
+    let stale = fleet.gateways[0].store_listener.clone();
+    stale.set_faults(unreadable(topics::OPERATOR));
+    fleet.configure(first_configuration());
+    tokio::time::sleep(SETTLED).await;
     submit_jobs(&fleet, 1).await;
     assert_jobs_completed(&fleet, 1).await;
+    stale.set_faults(StoreFaults::default());
+    wait_for_leases(&fleet, 0, |leased| leased > 0.0).await;
 }
 
 /// Gateways and workers of the test of a gateway that reaches no worker.
