Batch: comparisons with other gateways are made once in two seconds

Read after the fact: a gateway whose comparison decided nothing made the next one after half a second, a read of the log or eight datagrams and a line each; and the answers of workers were recorded while the selector was locked, which another thread may take in the other order. The gateway's program runs one thread, so that no block was possible there. Change: two seconds between comparisons; one order of locks.

--- a/crates/swiftshunt-gateway/src/batch/fitness.rs
+++ b/crates/swiftshunt-gateway/src/batch/fitness.rs
@@ -12,6 +12,8 @@
 
 /// Interval between two checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between two comparisons with other gateways.
+const COMPARISON_INTERVAL: Duration = Duration::from_secs(2);
 /// Time without an answered read of a leased partition, longer than a read that the log holds and a repetition take.
 const UNREADABLE_TIME: Duration = Duration::from_secs(3);
 /// The same for a partition whose listing is not complete, which may be long.
@@ -28,6 +30,15 @@
     OutdatedConfiguration { needed: u64 },
 }
 
+/// The result of a check.
+enum Check {
+    /// Nothing suggests that this gateway is unfit.
+    Fit,
+    /// It makes no progress, and other gateways do not fare better.
+    Undecided,
+    Unfit(Unfitness),
+}
+
 impl Unfitness {
     fn reason(&self) -> SuspensionReason {
         match self {
@@ -56,13 +67,17 @@
         let mut outdated_since: Option<Duration> = None;
         loop {
             tokio::time::sleep(CHECK_INTERVAL).await;
-            let outdated = self.find_outdated_configuration(&mut outdated_since);
-            let unfitness = match outdated {
-                Some(unfitness) => Some(unfitness),
-                None => self.find_unfitness().await,
+            let check = match self.find_outdated_configuration(&mut outdated_since) {
+                Some(unfitness) => Check::Unfit(unfitness),
+                None => self.compare_with_others().await,
             };
-            let Some(unfitness) = unfitness else {
-                continue;
+            let unfitness = match check {
+                Check::Fit => continue,
+                Check::Undecided => {
+                    tokio::time::sleep(COMPARISON_INTERVAL).await;
+                    continue;
+                }
+                Check::Unfit(unfitness) => unfitness,
             };
             let reason = unfitness.reason();
             log::warn!(unfitness:? = unfitness, partitions:? = self.leases.partitions();
@@ -86,18 +101,33 @@
         }
     }
 
-    async fn find_unfitness(&self) -> Option<Unfitness> {
+    /// Checks whether this gateway fails where other gateways do not.
+    async fn compare_with_others(&self) -> Check {
         let held = self.leases.partitions();
+        let unreadable: BTreeSet<u32> = held
+            .iter()
+            .copied()
+            .filter(|partition| self.is_unreadable(*partition))
+            .collect();
+        if let Some(first) = unreadable.first() {
+            return if self.is_read_by_peer(*first).await {
+                Check::Unfit(Unfitness::UnreadablePartitions(unreadable))
+            } else {
+                Check::Undecided
+            };
+        }
         if held.is_empty() {
-            return None;
+            return Check::Fit;
         }
-        if let Some(partitions) = self.find_unreadable_partitions(&held).await {
-            return Some(Unfitness::UnreadablePartitions(partitions));
+        let reach = &self.dispatcher.worker_reach;
+        let Some(service) = reach.unanswered_services().into_iter().next() else {
+            return Check::Fit;
+        };
+        if reach.is_own_fault(&service).await {
+            Check::Unfit(Unfitness::UnreachedWorkers { service })
+        } else {
+            Check::Undecided
         }
-        let service = self.dispatcher.worker_reach.find_unreached_service();
-        Some(Unfitness::UnreachedWorkers {
-            service: service.await?,
-        })
     }
 
     /// Returns the configuration that items have been waiting for since `outdated_since`, if that is long ago.
@@ -135,17 +165,14 @@
         }
     }
 
-    /// Returns the leased partitions that this gateway cannot read, if another gateway can read one of them.
-    async fn find_unreadable_partitions(&self, held: &BTreeSet<u32>) -> Option<BTreeSet<u32>> {
-        let is_unreadable = |partition: &u32| self.is_unreadable(*partition);
-        let unreadable: BTreeSet<u32> = held.iter().copied().filter(is_unreadable).collect();
-        let first = *unreadable.first()?;
-        let from = self.replay.next_offset(first);
-        let is_readable = self.peer_log.is_read_by_peer(Topic::Jobs, first, from);
-        let is_readable = is_readable.await;
-        log::info!(partitions:? = unreadable, is_readable;
-            "leased partitions cannot be read; asked another gateway to read one");
-        is_readable.then_some(unreadable)
+    /// Whether another gateway reads a partition that this one cannot read.
+    async fn is_read_by_peer(&self, partition: u32) -> bool {
+        let from = self.replay.next_offset(partition);
+        let read = self.peer_log.is_read_by_peer(Topic::Jobs, partition, from);
+        let is_readable = read.await;
+        log::info!(partition, is_readable;
+            "a leased partition cannot be read; asked another gateway to read it");
+        is_readable
     }
 
     /// Whether a leased partition has not been read for some time although the log answers renewals.
--- a/crates/swiftshunt-gateway/src/in_flight.rs
+++ b/crates/swiftshunt-gateway/src/in_flight.rs
@@ -83,13 +83,14 @@
     /// Records that a part of the answer arrived; the first one counts as the first event.
     pub(crate) fn record_progress(&mut self) {
         let now = self.clock.now();
-        let mut selector = self.fleet_state.selector();
         if self.had_first_event {
+            let mut selector = self.fleet_state.selector();
             selector.record_activity(&self.chosen.incarnation, now);
             return;
         }
         self.had_first_event = true;
         self.worker_reach.record_answer(&self.chosen.service);
+        let mut selector = self.fleet_state.selector();
         selector.record_first_event(&self.chosen, now - self.sent_at, now);
     }
 
--- a/crates/swiftshunt-gateway/src/worker_reach.rs
+++ b/crates/swiftshunt-gateway/src/worker_reach.rs
@@ -78,29 +78,11 @@
         lock(&self.services).get(service)?.answered_at()
     }
 
-    /// Returns a service whose workers do not answer this gateway although others reach them.
-    pub(crate) async fn find_unreached_service(&self) -> Option<String> {
-        for service in self.unanswered_services() {
-            let peers = self.ask_peers(&service).await;
-            let now = self.clock.now();
-            let is_own_fault = {
-                let services = lock(&self.services);
-                let reach = services.get(&service);
-                reach.is_some_and(|reach| reach.is_own_fault(&peers, now))
-            };
-            log::info!(service = service.as_str(), is_own_fault, peers:? = peers;
-                "no worker of a service answers; compared with other gateways");
-            if is_own_fault {
-                return Some(service);
-            }
-        }
-        None
-    }
-
-    fn unanswered_services(&self) -> Vec<String> {
+    /// Returns the services whose workers do not answer this gateway.
+    pub(crate) fn unanswered_services(&self) -> Vec<String> {
         let now = self.clock.now();
-        let services = lock(&self.services);
         let selector = self.fleet_state.selector();
+        let services = lock(&self.services);
         let unanswered = services.iter().filter(|(service, reach)| {
             let ready = selector.ready_count(service);
             reach.is_unanswered(ready, now)
@@ -108,6 +90,20 @@
         unanswered.map(|(service, _)| service.clone()).collect()
     }
 
+    /// Whether workers of a service do not answer this gateway although others reach them.
+    pub(crate) async fn is_own_fault(&self, service: &str) -> bool {
+        let peers = self.ask_peers(service).await;
+        let now = self.clock.now();
+        let is_own_fault = {
+            let services = lock(&self.services);
+            let reach = services.get(service);
+            reach.is_some_and(|reach| reach.is_own_fault(&peers, now))
+        };
+        log::info!(service, is_own_fault, peers:? = peers;
+            "no worker of a service answers; compared with other gateways");
+        is_own_fault
+    }
+
     /// Asks some other gateways how they reach the workers of a service. Returns the answers that arrive in time.
     async fn ask_peers(&self, service: &str) -> Vec<PeerReach> {
         let mut peers = self.members.others();
