Gateway: an event that does not continue its stream is logged and counted

Change: the reader of a worker's stream follows the numbers of its events, over line ends and splits of any kind. The first event of a run that repeats a number, goes back, or leaves one out (on routes whose streams can be continued) has a line with worker, request and numbers, and counts in events_out_of_order. What is forwarded does not change.

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -7,7 +7,9 @@
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{HeaderMap, Request};
-use swiftshunt_http::{EventStreamBody, PermitOver, PermittedBody, SendPermit};
+use swiftshunt_http::{
+    EventNumbers, EventStreamBody, NumberRule, PermitOver, PermittedBody, SendPermit,
+};
 use swiftshunt_routing::Configuration;
 use swiftshunt_scheduler::eligibility::Withheld;
 use swiftshunt_scheduler::selection::{AttemptOutcome, ChosenWorker, Demand};
@@ -55,6 +57,8 @@
     pub(crate) demand: Demand,
     /// The content, the same in every send.
     pub(crate) request_content: RequestContent,
+    /// Which number may follow another one in the events of the answer.
+    pub(crate) number_rule: NumberRule,
     /// The right to send the request, checked when the body is written: a process that was paused before that
     /// may have lost it.
     pub(crate) permit: SendPermit,
@@ -197,7 +201,8 @@
             self.metrics.record_attempt(metric_label(&failure));
             return Err(failure);
         }
-        let body = EventStreamBody::new(&head.headers, body, last_event.is_some());
+        let numbers = EventNumbers::new(outgoing.number_rule, last_event);
+        let body = EventStreamBody::new(&head.headers, body, numbers);
         Ok(Answer::new(head, facts, body, in_flight, sender))
     }
 
--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -7,7 +7,7 @@
 use futures_util::StreamExt;
 use hyper::{Method, Uri};
 use rand::RngCore;
-use swiftshunt_http::SendPermit;
+use swiftshunt_http::{NumberRule, SendPermit};
 use swiftshunt_jobs::{FailedRun, ItemOutcome, ItemSpec, JobSpec, Settled};
 use swiftshunt_routing::{Configuration, Route};
 use swiftshunt_scheduler::eligibility::OfferScope;
@@ -324,6 +324,7 @@
                 salt: rand::rng().next_u64(),
             },
             request_content: request_content.clone(),
+            number_rule: NumberRule::Consecutive,
             permit: self.send_permit(id),
         })
     }
@@ -364,6 +365,7 @@
             return Attempt::BrokenOff;
         }
         let read = self.read_events(&mut answer, activity, output).await;
+        answer.record_number_break(&self.dispatcher);
         let whole = match read {
             Ok(()) => answer.check_stream_end(&self.dispatcher, true).await,
             Err(failure) => Err(failure),
--- a/crates/swiftshunt-gateway/src/entry.rs
+++ b/crates/swiftshunt-gateway/src/entry.rs
@@ -14,7 +14,7 @@
 use hyper::http::request;
 use hyper::{Request, StatusCode};
 use rand::RngCore;
-use swiftshunt_http::SendPermit;
+use swiftshunt_http::{NumberRule, SendPermit};
 use swiftshunt_routing::{Caller, Configuration, Rejected, Route, RouteKind, Tenant};
 use swiftshunt_scheduler::admission::{
     retry_after_elsewhere, retry_after_startup, retry_after_tenant_limit,
@@ -287,6 +287,11 @@
                 body,
                 &facts.prompt,
             ),
+            number_rule: if route.resumable {
+                NumberRule::Consecutive
+            } else {
+                NumberRule::Ascending
+            },
             permit: SendPermit::always(),
         };
         RequestContext {
--- a/crates/swiftshunt-gateway/src/metrics/mod.rs
+++ b/crates/swiftshunt-gateway/src/metrics/mod.rs
@@ -60,6 +60,7 @@
     pub(crate) asked_again: Counter,
     pub(crate) late_in_line: Counter,
     pub(crate) streams_paused: Counter,
+    pub(crate) events_out_of_order: Counter,
     pub(crate) slot_owners_lost: Counter,
     pub(crate) requests_crossed: Counter,
     pub(crate) items_stepped_aside: Counter,
@@ -243,6 +244,10 @@
             "streams_paused",
             "Completed streams that paused for longer than their route allows",
         );
+        let events_out_of_order = counter(
+            "events_out_of_order",
+            "Runs at workers with an event whose number does not continue the stream",
+        );
         let log_failures = counter(
             "log_failures",
             "Failed reads of the log by the followers of its topics",
@@ -353,6 +358,7 @@
             asked_again,
             late_in_line,
             streams_paused,
+            events_out_of_order,
             slot_owners_lost,
             requests_crossed,
             items_stepped_aside,
--- a/crates/swiftshunt-gateway/src/relay.rs
+++ b/crates/swiftshunt-gateway/src/relay.rs
@@ -98,6 +98,7 @@
             }
             Some(Ok(chunk)) => {
                 answer.record_chunk(&chunk);
+                answer.record_number_break(dispatcher);
                 return Ok(StreamChunk::Bytes(chunk));
             }
         }
--- a/crates/swiftshunt-gateway/src/worker_answer.rs
+++ b/crates/swiftshunt-gateway/src/worker_answer.rs
@@ -66,6 +66,18 @@
         }
     }
 
+    /// Logs and counts the first event that does not continue the stream, if it has not been yet.
+    pub(crate) fn record_number_break(&mut self, dispatcher: &Dispatcher) {
+        let Some(found) = self.body.take_number_break() else {
+            return;
+        };
+        dispatcher.metrics.events_out_of_order.inc();
+        let request = self.facts.request_id.as_deref().unwrap_or("");
+        log::warn!(request, worker = self.in_flight.chosen.incarnation.as_str(), found:% = found,
+            events = self.body.events(), bytes = self.body.received();
+            "an event of a worker does not continue its stream");
+    }
+
     /// Whether the status is a success, the worker signed the answer, and the body has no content encoding that
     /// an intermediary may have applied.
     pub(crate) fn is_signed_success(&self) -> bool {
--- a/crates/swiftshunt-http/src/event_stream.rs
+++ b/crates/swiftshunt-http/src/event_stream.rs
@@ -11,6 +11,8 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 
+use crate::event_numbers::{EventNumbers, NumberBreak, NumberRule, StreamPoint};
+
 /// Content type of event streams.
 const EVENT_STREAM: &str = "text/event-stream";
 /// Most bytes of a stream from the end of one event to the end of the next, comments included. The whole text of an answer
@@ -93,8 +95,11 @@
 }
 
 /// The position in an event stream: inside an event or between two.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct EventPosition {
+    numbers: EventNumbers,
+    /// The first event that does not continue the stream.
+    number_break: Option<NumberBreak>,
     /// Progress in the byte order mark that may precede the first line.
     mark: MarkState,
     /// Whether the current line has a byte.
@@ -123,7 +128,37 @@
     }
 }
 
+impl Default for EventPosition {
+    fn default() -> Self {
+        Self::new(EventNumbers::new(NumberRule::default(), None))
+    }
+}
+
 impl EventPosition {
+    /// Returns the position at the beginning of a run whose events have these numbers.
+    pub fn new(numbers: EventNumbers) -> Self {
+        Self {
+            numbers,
+            number_break: None,
+            mark: MarkState::default(),
+            in_line: false,
+            in_comment: false,
+            in_event: false,
+            after_carriage_return: false,
+            events: 0,
+        }
+    }
+
+    /// Returns where the whole events so far leave the stream.
+    pub fn point(&self) -> StreamPoint {
+        self.numbers.point()
+    }
+
+    /// Returns the first event that does not continue the stream.
+    pub fn number_break(&self) -> Option<NumberBreak> {
+        self.number_break
+    }
+
     /// Advances over `bytes`. Returns the number of them up to the last place that lies between two events; `None` if
     /// there is no such place behind the first byte.
     pub fn advance(&mut self, bytes: &[u8]) -> Option<usize> {
@@ -165,14 +200,23 @@
             self.in_comment = byte == b':';
             self.in_event |= !self.in_comment;
         }
+        if !self.in_comment {
+            self.numbers.push_byte(byte);
+        }
         false
     }
 
     fn end_line(&mut self) {
-        if !self.in_line && self.in_event {
+        let broken = if self.in_line && !self.in_comment {
+            self.numbers.end_line()
+        } else if !self.in_line && self.in_event {
             self.in_event = false;
             self.events += 1;
-        }
+            self.numbers.end_event()
+        } else {
+            None
+        };
+        self.number_break = self.number_break.or(broken);
         self.in_line = false;
     }
 
@@ -211,14 +255,16 @@
     /// Whether the stream continues behind events that the receiver already has, so that none may be left.
     is_continuation: bool,
     position: EventPosition,
+    /// Whether [`Self::take_number_break`] has returned an event.
+    is_break_taken: bool,
     /// Number of bytes behind the last event.
     bytes_behind_event: usize,
     received: u64,
 }
 
 impl EventStreamBody {
-    /// Creates the reader of a response's body.
-    pub fn new(headers: &HeaderMap, body: Incoming, is_continuation: bool) -> Self {
+    /// Creates the reader of a response's body whose events have these numbers.
+    pub fn new(headers: &HeaderMap, body: Incoming, numbers: EventNumbers) -> Self {
         let content_type = headers.get(CONTENT_TYPE);
         let content_type = content_type.map(|value| value.as_bytes().to_ascii_lowercase());
         // A body that is known to be empty, by the status or the request, needs no framing.
@@ -231,8 +277,9 @@
             body,
             framing,
             has_events: content_type.is_none_or(|value| value.starts_with(EVENT_STREAM.as_bytes())),
-            is_continuation,
-            position: EventPosition::default(),
+            is_continuation: numbers.point() != StreamPoint::Beginning,
+            position: EventPosition::new(numbers),
+            is_break_taken: false,
             bytes_behind_event: 0,
             received: 0,
         }
@@ -309,6 +356,13 @@
         self.framing
     }
 
+    /// Returns the first event that does not continue the stream, once.
+    pub fn take_number_break(&mut self) -> Option<NumberBreak> {
+        let found = self.position.number_break()?;
+        let is_taken = std::mem::replace(&mut self.is_break_taken, true);
+        (!is_taken).then_some(found)
+    }
+
     /// Returns the number of whole events so far.
     pub fn events(&self) -> u64 {
         self.position.events()
--- a/crates/swiftshunt-http/src/lib.rs
+++ b/crates/swiftshunt-http/src/lib.rs
@@ -5,6 +5,7 @@
 mod cbor;
 mod client;
 mod endpoint;
+mod event_numbers;
 mod event_stream;
 mod send_permit;
 mod serve;
@@ -12,6 +13,7 @@
 pub use cbor::{decode_cbor, encode_cbor};
 pub use client::{CBOR, HttpAnswer, HttpClient, HttpError, HttpRequest, JSON, retry_after};
 pub use endpoint::{Call, Endpoint, ObserveFailure, Reply, endpoint};
+pub use event_numbers::{EventNumbers, NumberBreak, NumberRule, StreamPoint};
 pub use event_stream::{
     BodyChunk, EventPosition, EventStreamBody, Framing, MAX_EVENT_BYTES, StreamBreak, StreamEnd,
     StreamReadError,
--- a/crates/swiftshunt-http/tests/event_stream.rs
+++ b/crates/swiftshunt-http/tests/event_stream.rs
@@ -1,6 +1,6 @@
 //! Where the events of a stream end.
 
-use swiftshunt_http::EventPosition;
+use swiftshunt_http::{EventNumbers, EventPosition, NumberBreak, NumberRule, StreamPoint};
 use test_case::test_case;
 
 /// Two events and a comment, with every legal line end.
@@ -49,3 +49,66 @@
     assert_eq!(position.advance(b"\nid: 3\n"), Some(1));
     assert_eq!(position.events(), 2);
 }
+
+/// Returns the break that a run shows, read at once and byte by byte.
+fn number_break(rule: NumberRule, last: Option<u64>, stream: &[u8]) -> Option<NumberBreak> {
+    let mut whole = EventPosition::new(EventNumbers::new(rule, last));
+    whole.advance(stream);
+    let mut split = EventPosition::new(EventNumbers::new(rule, last));
+    for byte in stream {
+        split.advance(std::slice::from_ref(byte));
+    }
+    assert_eq!(whole.number_break(), split.number_break());
+    whole.number_break()
+}
+
+#[test_case(NumberRule::Consecutive, None, b"id: 0\ndata: a\n\nid:1\ndata: b\n\n"; "from the beginning")]
+#[test_case(NumberRule::Consecutive, None, b"id: 7\ndata: a\n\nid: 8\ndata: b\n\n"; "from any first number")]
+#[test_case(NumberRule::Consecutive, Some(4), b"weights: 3\r\nid: 5\r\ndata: id: 1\r\n\r\n: id: 1\r\n"; "behind another run")]
+#[test_case(NumberRule::Consecutive, None, b"data: a\n\ndata: b\n\n"; "without numbers")]
+#[test_case(NumberRule::Consecutive, None, b"id: 0\ndata: a\n\ndata: done\n\n"; "with an unnumbered end")]
+#[test_case(NumberRule::Ascending, None, b"id: 0\ndata: a\n\nid: 5\ndata: b\n\n"; "ascending")]
+fn events_that_continue_their_stream_show_no_break(
+    rule: NumberRule,
+    last: Option<u64>,
+    stream: &[u8],
+) {
+    assert_eq!(number_break(rule, last, stream), None);
+}
+
+#[test_case(NumberRule::Consecutive, None, b"id: 0\ndata: a\n\nid: 0\nda", 0, 0; "an event that comes twice")]
+#[test_case(NumberRule::Consecutive, None, b"id: 3\ndata: a\n\nid: 2\nda", 3, 2; "a number that goes back")]
+#[test_case(NumberRule::Consecutive, None, b"id: 0\ndata: a\n\nid: 2\nda", 0, 2; "a missing event")]
+#[test_case(NumberRule::Consecutive, Some(4), b"id: 4\nda", 4, 4; "a continuation that repeats an event")]
+#[test_case(NumberRule::Consecutive, Some(4), b"id: 0\nda", 4, 0; "a continuation from the beginning")]
+#[test_case(NumberRule::Consecutive, Some(4), b"id: 6\nda", 4, 6; "a continuation without an event")]
+#[test_case(NumberRule::Ascending, None, b"id: 3\ndata: a\n\nid: 3\nda", 3, 3; "an ascending event that comes twice")]
+#[test_case(NumberRule::Ascending, None, b"id: 3\ndata: a\n\nid: 2\nda", 3, 2; "an ascending number that goes back")]
+fn events_out_of_order_show_a_break(
+    rule: NumberRule,
+    last: Option<u64>,
+    stream: &[u8],
+    before: u64,
+    found: u64,
+) {
+    let expected = NumberBreak::OutOfOrder { before, found };
+    assert_eq!(number_break(rule, last, stream), Some(expected));
+}
+
+#[test]
+fn a_continuation_without_numbers_shows_a_break() {
+    let found = number_break(NumberRule::Consecutive, Some(4), b"data: a\n\n");
+    assert_eq!(found, Some(NumberBreak::Unnumbered { before: 4 }));
+}
+
+#[test_case(b"", StreamPoint::Beginning; "nothing")]
+#[test_case(b": comment\n", StreamPoint::Beginning; "a comment")]
+#[test_case(b"id: 0\ndata: a\n\nid: 1\nda", StreamPoint::Behind(0); "inside an event")]
+#[test_case(b"id: 0\ndata: a\n\ndata: b\n\n", StreamPoint::Unnumbered; "behind an unnumbered event")]
+#[test_case(b"id: 99999999999999999999999\ndata: a\n\n", StreamPoint::Unnumbered; "behind a number out of range")]
+fn only_whole_numbered_events_are_a_point_to_continue_from(stream: &[u8], expected: StreamPoint) {
+    let numbers = EventNumbers::new(NumberRule::Consecutive, None);
+    let mut position = EventPosition::new(numbers);
+    position.advance(stream);
+    assert_eq!(position.point(), expected);
+}
