Gateway: a run whose events do not continue its stream has broken off

What callers saw (class of the report): streams with status 200, a signature and a regular end in which an event is missing, comes twice, or a number goes back. Cause: the relay took whatever a worker sent behind Last-Event-Id, and resumed a stream without numbers from its beginning; an item kept the text of events without numbers, and wrote a new run behind it. Class: the number of an event was read to ask for the next one, and never compared with what came. Change: the reader of a worker's stream fails at the first event that does not continue it; what came before is forwarded, and the stream goes on at another worker or is aborted. Streams that can be continued need consecutive numbers, as Last-Event-Id n means n + 1; others ascending ones, from any number. A stream whose last event has no number is not resumed. An item without a number to continue behind begins anew with an empty text. Ruled out: comparing in the relay alone (a caller's next attempt and items read through the same reader); holding bytes back on routes that cannot be resumed.

--- a/crates/swiftshunt-gateway/src/batch/item_output.rs
+++ b/crates/swiftshunt-gateway/src/batch/item_output.rs
@@ -79,6 +79,8 @@
         output: &mut ItemOutput,
     ) -> OfferScope {
         if output.last_event().is_none() {
+            // Events without numbers cannot be continued.
+            output.restart();
             return OfferScope::within(residency);
         }
         let scope = OfferScope {
@@ -253,7 +255,7 @@
     ) -> Result<(), SendFailure> {
         let id: Option<u64> = event.id.parse().ok();
         let out_of_order = match (self.last_event(), id) {
-            (Some(last), Some(id)) => id != last + 1,
+            (Some(last), Some(id)) => last.checked_add(1) != Some(id),
             _ => false,
         };
         if out_of_order {
--- a/crates/swiftshunt-gateway/src/events.rs
+++ b/crates/swiftshunt-gateway/src/events.rs
@@ -7,7 +7,6 @@
 #[derive(Debug, Default)]
 pub(crate) struct EventFramer {
     pending: BytesMut,
-    last_id: Option<u64>,
 }
 
 impl EventFramer {
@@ -21,17 +20,9 @@
         self.pending.extend_from_slice(whole);
         let complete = self.pending.split().freeze();
         self.pending.extend_from_slice(partial);
-        if let Some(id) = last_identifier(&complete) {
-            self.last_id = Some(id);
-        }
         complete
     }
 
-    /// Returns the last identifier among the complete events; `None` if they have none.
-    pub(crate) fn last_id(&self) -> Option<u64> {
-        self.last_id
-    }
-
     /// Discards the partial event of a stream that broke off.
     pub(crate) fn discard_partial(&mut self) {
         self.pending.clear();
@@ -42,10 +33,3 @@
         self.pending.split().freeze()
     }
 }
-
-/// Returns the value of the last `id:` field.
-fn last_identifier(bytes: &[u8]) -> Option<u64> {
-    let lines = bytes.split(|byte| matches!(byte, b'\n' | b'\r'));
-    let value = lines.rev().find_map(|line| line.strip_prefix(b"id:"))?;
-    std::str::from_utf8(value).ok()?.trim().parse().ok()
-}
--- a/crates/swiftshunt-gateway/src/relay.rs
+++ b/crates/swiftshunt-gateway/src/relay.rs
@@ -7,7 +7,7 @@
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use swiftshunt_http::BodyChunk;
+use swiftshunt_http::{BodyChunk, StreamPoint};
 use swiftshunt_scheduler::selection::AttemptOutcome;
 
 use crate::answers::{AnswerBody, BodyError};
@@ -92,13 +92,13 @@
                 return Ok(StreamChunk::End);
             }
             Some(Err(error)) => {
+                answer.record_number_break(dispatcher);
                 return Err(SendFailure::Broken {
                     reason: error.to_string(),
                 });
             }
             Some(Ok(chunk)) => {
                 answer.record_chunk(&chunk);
-                answer.record_number_break(dispatcher);
                 return Ok(StreamChunk::Bytes(chunk));
             }
         }
@@ -125,7 +125,6 @@
     caller_deadline: Option<Duration>,
     silence: Duration,
     framer: EventFramer,
-    last_event: Option<u64>,
 }
 
 /// Returns a body that forwards a stream whose first bytes have arrived.
@@ -145,7 +144,6 @@
         caller_deadline: context.caller_deadline(),
         silence: context.silence_limit(),
         framer: EventFramer::default(),
-        last_event: context.facts.last_event,
     });
     let relay = Relay {
         dispatcher,
@@ -225,13 +223,14 @@
     /// Replaces the failed answer by the answer of another worker that continues the stream. Returns an error, which
     /// aborts the caller's stream, if no worker does.
     async fn resume_elsewhere(&mut self, failure: SendFailure) -> Result<(), BodyError> {
-        let last = self.resume.as_ref().and_then(Resume::position);
+        let point =
+            (self.answer.as_ref()).map_or(StreamPoint::Beginning, |answer| answer.body.point());
         let began_at = (self.answer.as_ref())
             .map(|answer| answer.in_flight.chosen.software.to_string())
             .unwrap_or_default();
         let mut request_content = None;
         if let Some(mut answer) = self.answer.take() {
-            log::info!(request = self.id.as_str(), failure:% = failure, last_event:? = last,
+            log::info!(request = self.id.as_str(), failure:% = failure, point:? = point,
                 worker = answer.in_flight.chosen.incarnation.as_str(),
                 fingerprint:% = answer.in_flight.request_content.fingerprint(); "a stream broke off");
             record_failure(&mut answer, &failure);
@@ -239,10 +238,10 @@
         }
         let dispatcher = Arc::clone(&self.dispatcher);
         let deadline = self.deadline;
-        let continuation = match &mut self.resume {
-            Some(resume) if !matches!(failure, SendFailure::OutOfTime) => {
+        let continuation = match (&mut self.resume, position_to_resume(point)) {
+            (Some(resume), Some(last)) if !matches!(failure, SendFailure::OutOfTime) => {
                 resume.framer.discard_partial();
-                resume.find_continuation(&dispatcher, deadline).await
+                resume.find_continuation(&dispatcher, last, deadline).await
             }
             _ => None,
         };
@@ -255,7 +254,7 @@
             }
             return Err(format!("the stream broke off: {failure:?}").into());
         };
-        log::info!(request = self.id.as_str(), last_event:? = last,
+        log::info!(request = self.id.as_str(), point:? = point,
             began_at, software = answer.in_flight.chosen.software.as_str(),
             worker = answer.in_flight.chosen.incarnation.as_str(); "stream resumed at another worker");
         self.answer = Some(answer);
@@ -263,20 +262,25 @@
     }
 }
 
-impl Resume {
-    /// Returns the identifier of the last event that the caller has.
-    fn position(&self) -> Option<u64> {
-        self.framer.last_id().or(self.last_event)
+/// Returns the last event that the caller has, `None` inside if it has none. `None` if it has events behind which the stream
+/// cannot be resumed.
+fn position_to_resume(point: StreamPoint) -> Option<Option<u64>> {
+    match point {
+        StreamPoint::Beginning => Some(None),
+        StreamPoint::Behind(last) => Some(Some(last)),
+        StreamPoint::Unnumbered => None,
     }
+}
 
-    /// Sends the request to other workers until one continues behind the last event that the caller has.
+impl Resume {
+    /// Sends the request to other workers until one continues behind `last_event`, the last one that the caller has.
     /// Returns `None` if no further attempt is allowed or no worker is available.
     async fn find_continuation(
         &mut self,
         dispatcher: &Dispatcher,
+        last_event: Option<u64>,
         deadline: Duration,
     ) -> Option<Answer> {
-        let position = self.position();
         loop {
             let now = dispatcher.clock.now();
             if self.runs_left == 0 || now >= deadline {
@@ -314,7 +318,7 @@
                 silence: (self.runs_left > 1).then_some(self.silence + chosen.expected_prefill),
             };
             match dispatcher
-                .send(&chosen, &self.outgoing, position, limits)
+                .send(&chosen, &self.outgoing, last_event, limits)
                 .await
             {
                 Ok(answer) if answer.is_signed_success() => {
--- a/crates/swiftshunt-gateway/src/worker_answer.rs
+++ b/crates/swiftshunt-gateway/src/worker_answer.rs
@@ -66,9 +66,9 @@
         }
     }
 
-    /// Logs and counts the first event that does not continue the stream, if it has not been yet.
-    pub(crate) fn record_number_break(&mut self, dispatcher: &Dispatcher) {
-        let Some(found) = self.body.take_number_break() else {
+    /// Logs and counts the event at which reading the stream failed, if that does not continue it.
+    pub(crate) fn record_number_break(&self, dispatcher: &Dispatcher) {
+        let Some(found) = self.body.number_break() else {
             return;
         };
         dispatcher.metrics.events_out_of_order.inc();
--- a/crates/swiftshunt-http/src/event_numbers.rs
+++ b/crates/swiftshunt-http/src/event_numbers.rs
@@ -13,7 +13,7 @@
 pub enum NumberRule {
     /// The next one: the stream can be continued behind each of its events.
     Consecutive,
-    /// Any larger one.
+    /// Any larger one. A run that is to continue a stream may begin it anew.
     #[default]
     Ascending,
 }
@@ -89,15 +89,12 @@
     /// number is known.
     pub(crate) fn end_line(&mut self) -> Option<NumberBreak> {
         let line = std::mem::take(&mut self.line);
-        let Some(number) = line.number() else {
-            return None;
-        };
+        let number = line.number()?;
         self.current = Some(number);
         let before = self.last?;
-        let follows = if self.rule == NumberRule::Consecutive || !self.has_events {
-            before.checked_add(1) == Some(number)
-        } else {
-            number > before
+        let follows = match self.rule {
+            NumberRule::Consecutive => before.checked_add(1) == Some(number),
+            NumberRule::Ascending => !self.has_events || number > before,
         };
         (!follows).then_some(NumberBreak::OutOfOrder {
             before,
@@ -108,8 +105,11 @@
     /// Ends an event. Returns why it does not continue the stream.
     pub(crate) fn end_event(&mut self) -> Option<NumberBreak> {
         let number = self.current.take();
-        let before = self.last.filter(|_| !self.has_events && number.is_none());
-        if let Some(before) = before {
+        if let Some(before) = self.last
+            && self.rule == NumberRule::Consecutive
+            && !self.has_events
+            && number.is_none()
+        {
             return Some(NumberBreak::Unnumbered { before });
         }
         self.has_events = true;
--- a/crates/swiftshunt-http/src/event_stream.rs
+++ b/crates/swiftshunt-http/src/event_stream.rs
@@ -86,6 +86,13 @@
         /// The error of the HTTP library.
         source: hyper::Error,
     },
+    /// An event does not continue the stream.
+    #[display("{found}")]
+    OutOfOrder {
+        /// The event.
+        #[error(not(source))]
+        found: NumberBreak,
+    },
     /// More than [`MAX_EVENT_BYTES`] arrived without the end of an event.
     #[display("{bytes} bytes without the end of an event")]
     EndlessEvent {
@@ -159,12 +166,16 @@
         self.number_break
     }
 
-    /// Advances over `bytes`. Returns the number of them up to the last place that lies between two events; `None` if
-    /// there is no such place behind the first byte.
+    /// Advances over `bytes`, to the first event that does not continue the stream at most. Returns the number of them up
+    /// to the last place that lies between two events; `None` if there is no such place behind the first byte.
     pub fn advance(&mut self, bytes: &[u8]) -> Option<usize> {
         let mut last_boundary = None;
         for (index, byte) in bytes.iter().enumerate() {
-            if self.advance_byte(*byte) {
+            let is_boundary = self.advance_byte(*byte);
+            if self.number_break.is_some() {
+                break;
+            }
+            if is_boundary {
                 last_boundary = Some(index + 1);
             }
         }
@@ -211,8 +222,9 @@
             self.numbers.end_line()
         } else if !self.in_line && self.in_event {
             self.in_event = false;
-            self.events += 1;
-            self.numbers.end_event()
+            let broken = self.numbers.end_event();
+            self.events += u64::from(broken.is_none());
+            broken
         } else {
             None
         };
@@ -255,8 +267,6 @@
     /// Whether the stream continues behind events that the receiver already has, so that none may be left.
     is_continuation: bool,
     position: EventPosition,
-    /// Whether [`Self::take_number_break`] has returned an event.
-    is_break_taken: bool,
     /// Number of bytes behind the last event.
     bytes_behind_event: usize,
     received: u64,
@@ -279,7 +289,6 @@
             has_events: content_type.is_none_or(|value| value.starts_with(EVENT_STREAM.as_bytes())),
             is_continuation: numbers.point() != StreamPoint::Beginning,
             position: EventPosition::new(numbers),
-            is_break_taken: false,
             bytes_behind_event: 0,
             received: 0,
         }
@@ -290,8 +299,12 @@
         self.has_events = true;
     }
 
-    /// Returns the next bytes; `None` at the end of the body.
+    /// Returns the next bytes; `None` at the end of the body. Fails at the first event that does not continue the stream,
+    /// of which no byte is returned unless it was read before its number.
     pub async fn next_chunk(&mut self) -> Option<Result<BodyChunk, StreamReadError>> {
+        if let Some(found) = self.position.number_break() {
+            return Some(Err(StreamReadError::OutOfOrder { found }));
+        }
         loop {
             let frame = match self.body.frame().await? {
                 Ok(frame) => frame,
@@ -303,7 +316,7 @@
         }
     }
 
-    fn accept(&mut self, bytes: Bytes) -> Result<BodyChunk, StreamReadError> {
+    fn accept(&mut self, mut bytes: Bytes) -> Result<BodyChunk, StreamReadError> {
         self.received += bytes.len() as u64;
         if !self.has_events {
             return Ok(BodyChunk {
@@ -315,6 +328,12 @@
         let events_before = self.position.events();
         let whole_events = self.position.advance(&bytes);
         let ends_event = self.position.events() > events_before;
+        if let Some(found) = self.position.number_break() {
+            bytes.truncate(whole_events.unwrap_or(0));
+            if bytes.is_empty() {
+                return Err(StreamReadError::OutOfOrder { found });
+            }
+        }
         if ends_event {
             self.bytes_behind_event = bytes.len() - whole_events.unwrap_or(0);
         } else {
@@ -356,11 +375,18 @@
         self.framing
     }
 
-    /// Returns the first event that does not continue the stream, once.
-    pub fn take_number_break(&mut self) -> Option<NumberBreak> {
-        let found = self.position.number_break()?;
-        let is_taken = std::mem::replace(&mut self.is_break_taken, true);
-        (!is_taken).then_some(found)
+    /// Returns the first event that does not continue the stream.
+    pub fn number_break(&self) -> Option<NumberBreak> {
+        self.position.number_break()
+    }
+
+    /// Returns where the whole events so far leave the stream; [`StreamPoint::Unnumbered`] behind any byte of a body that
+    /// is no event stream.
+    pub fn point(&self) -> StreamPoint {
+        if !self.has_events && self.received > 0 {
+            return StreamPoint::Unnumbered;
+        }
+        self.position.point()
     }
 
     /// Returns the number of whole events so far.
