Gateway: the memory of its machine is a setting

For the incident of crowds with large bodies: limits of what is kept for callers have to follow the machine, of which a gateway knew nothing. It is logged at the start. No limit follows it yet.

--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use crate::job_regions::JobRegions;
 use crate::log_relay::RelayedLog;
 use crate::members::Members;
+use crate::memory;
 use crate::metrics::Metrics;
 use crate::online::OnlineHandler;
 use crate::origins::StreamOrigins;
@@ -108,6 +109,7 @@
             .map(|address| bind("listen.metrics", address));
         let metrics_listener = metrics_listener.transpose()?;
         let clock = Clock::start();
+        let memory_limit = memory::limit_bytes(settings.memory);
         let metrics = Arc::new(Metrics::new());
         let topology = settings.topology().map_err(StartError::Topology)?;
         let selector = Selector::with_topology(topology.clone());
@@ -316,7 +318,7 @@
         }
         batch.start();
         log::info!(name = settings.name.as_str(), zone = settings.zone.as_str(),
-            callers = callers_address.to_string().as_str(); "gateway listens");
+            callers = callers_address.to_string().as_str(), memory_limit; "gateway listens");
         Ok(Self {
             callers: callers_address,
             ready: ready_address,
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod local_faults;
 mod log_relay;
 mod members;
+mod memory;
 mod messages;
 mod metrics;
 mod online;
--- a/crates/swiftshunt-gateway/src/settings.rs
+++ b/crates/swiftshunt-gateway/src/settings.rs
@@ -45,6 +45,9 @@
     /// Evacuation of zones.
     #[serde(default)]
     pub evacuation: EvacuationSettings,
+    /// The memory of this machine.
+    #[serde(default)]
+    pub memory: MemorySettings,
     /// The graceful stop.
     #[serde(default)]
     pub stop: StopSettings,
@@ -233,6 +236,14 @@
     }
 }
 
+/// The memory of a gateway's machine.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct MemorySettings {
+    /// Memory that the process may use, in MiB; `None` for that of the machine.
+    pub limit_mb: Option<u64>,
+}
+
 /// The graceful stop of a gateway.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -344,6 +355,13 @@
         if self.log.append_bytes < self.log.record_bytes {
             return invalid("log.append_bytes", "must be at least log.record_bytes");
         }
+        if self
+            .memory
+            .limit_mb
+            .is_some_and(|limit| limit < MINIMUM_MEMORY_MB)
+        {
+            return invalid("memory.limit_mb", "must be at least 32");
+        }
         if self.directory.obey_within.is_zero() {
             return invalid("directory.obey_within", "must be above zero");
         }
@@ -414,5 +432,7 @@
     }
 }
 
+/// Lower bound of the memory, in MiB: an idle gateway and the largest body that the platform allows fit into it.
+const MINIMUM_MEMORY_MB: u64 = 32;
 /// Lower bound of the record size, so that frames with their headers fit into a record.
 const MINIMUM_RECORD_BYTES: usize = 4096;
