Gateway: the bodies of requests share a limit that follows the machine's memory

What callers saw: a process ran out of memory and ended with the requests of all, while clients sent large bodies and stopped just short of their end. Cause: each body had a limit and all of them together none; a body was kept as the list of its frames, so that chunks of one byte took 40 times their size and pinned the buffers they lay in; a length beyond the limit was read all the same; nothing limited the time of a body. Class: a limit for each where the resource is shared. The same on the listener for other gateways, and for what a job takes while it is decoded. Change: bodies take a quarter of the memory together, a quarter of that left to the first 64 KiB of each; while it is used up, the incomplete bodies that began first are refused with 503 (not run), and a body is refused if whole ones take the rest. Bytes count until the last copy is dropped. 413 for a length beyond the limit before the body; 408 where a body is not complete within the time of its request. Jobs take another quarter while they are decoded, calls of gateways and plain answers of workers an eighth each (answers 24 MiB at most, as before). The heads of the listeners for gateways, readiness and metrics have a buffer of 64 and 8 KiB. Ruled out: refusing newcomers while the memory is used up (a crowd that stalls would lock everybody out); waiting for memory (the bytes lie in the kernel's buffers, which count, too).

--- a/crates/swiftshunt-gateway/src/answer_buffer.rs
+++ b/crates/swiftshunt-gateway/src/answer_buffer.rs
@@ -7,10 +7,10 @@
 use derive_more::{Display, Error};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
+use crate::reserved_bytes::{merge, with_reservation};
+
 /// Most bytes of one answer.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
-/// Most bytes of all answers at once, without [`FREE_BYTES`] of each.
-const MAX_TOTAL_BYTES: usize = 24 << 20;
 /// Bytes of each answer that do not count for the total: most answers have fewer, and must not fail because of others.
 const FREE_BYTES: usize = 64 << 10;
 
@@ -21,7 +21,7 @@
     #[display("the answer has more than {MAX_ANSWER_BYTES} bytes")]
     One,
     /// The answers that are being read have too many bytes together.
-    #[display("the answers that are being read have more than {MAX_TOTAL_BYTES} bytes")]
+    #[display("the answers that are being read have too many bytes")]
     Total,
 }
 
@@ -31,15 +31,14 @@
     free: Arc<Semaphore>,
 }
 
-impl Default for AnswerBuffers {
-    fn default() -> Self {
+impl AnswerBuffers {
+    /// Returns the limit of answers that have at most `capacity` bytes together, without [`FREE_BYTES`] of each.
+    pub(crate) fn new(capacity: usize) -> Self {
         Self {
-            free: Arc::new(Semaphore::new(MAX_TOTAL_BYTES)),
+            free: Arc::new(Semaphore::new(capacity)),
         }
     }
-}
 
-impl AnswerBuffers {
     /// Returns the empty buffer of an answer.
     pub(crate) fn open(&self) -> AnswerBuffer {
         AnswerBuffer {
@@ -83,10 +82,7 @@
         let permit = Arc::clone(&self.free)
             .try_acquire_many_owned(missing)
             .map_err(|_| AnswerTooLong::Total)?;
-        match &mut self.reserved {
-            Some(reserved) => reserved.merge(permit),
-            None => self.reserved = Some(permit),
-        }
+        merge(&mut self.reserved, permit);
         Ok(())
     }
 
@@ -94,26 +90,11 @@
     pub(crate) fn finish(self) -> Bytes {
         match self.reserved {
             None => self.bytes.freeze(),
-            Some(reserved) => Bytes::from_owner(ReservedBytes {
-                bytes: self.bytes,
-                _reserved: reserved,
-            }),
+            Some(reserved) => with_reservation(self.bytes, reserved),
         }
     }
 }
 
-/// Bytes with their share of the total.
-struct ReservedBytes {
-    bytes: BytesMut,
-    _reserved: OwnedSemaphorePermit,
-}
-
-impl AsRef<[u8]> for ReservedBytes {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -130,7 +111,7 @@
 
     #[test]
     fn answers_share_the_limit_until_they_are_forwarded() {
-        let buffers = AnswerBuffers::default();
+        let buffers = AnswerBuffers::new(24 << 20);
         assert_eq!(read(&buffers, 17).err(), Some(AnswerTooLong::One));
         let first = read(&buffers, 16).map(AnswerBuffer::finish);
         let second = read(&buffers, 8).map(AnswerBuffer::finish);
--- a/crates/swiftshunt-gateway/src/batch/intake.rs
+++ b/crates/swiftshunt-gateway/src/batch/intake.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::{Response, StatusCode};
 use swiftshunt_jobs::{JobRecord, JobSpec, qualified_job_id};
 use swiftshunt_routing::Route;
@@ -34,8 +35,8 @@
     pub(crate) route: &'s Route,
     /// Path of the submitting request.
     pub(crate) path: &'s str,
-    /// Body of the submitting request.
-    pub(crate) body: &'s [u8],
+    /// Body of the submitting request, which is dropped once it is decoded.
+    pub(crate) body: Bytes,
     /// Time at which the caller gives up, on the gateway's clock.
     pub(crate) deadline: Duration,
 }
@@ -64,7 +65,7 @@
         let spec = match self
             .dispatcher
             .protocol
-            .parse_job(id, &route.host, path, body)
+            .parse_job(id, &route.host, path, &body)
         {
             Ok(spec) => JobSpec {
                 taken_unix_ms: Clock::unix_ms(),
@@ -79,6 +80,7 @@
                 return plain(StatusCode::BAD_REQUEST, "the job is not readable");
             }
         };
+        drop(body);
         let limited = match self
             .reserve_waiting_tokens(route, &spec, partition, deadline)
             .await
@@ -157,7 +159,7 @@
 }
 
 fn accepted() -> CallerAnswer {
-    let mut answer = Response::new(full_body(bytes::Bytes::new()));
+    let mut answer = Response::new(full_body(Bytes::new()));
     *answer.status_mut() = StatusCode::ACCEPTED;
     answer
 }
--- a/crates/swiftshunt-gateway/src/batch/mod.rs
+++ b/crates/swiftshunt-gateway/src/batch/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod appender;
+mod decoding;
 mod fitness;
 mod intake;
 mod item;
@@ -32,6 +33,7 @@
 use crate::answers::{CallerAnswer, plain};
 use crate::attempt::Dispatcher;
 use crate::background;
+use crate::body_buffers::BodyBuffers;
 use crate::log_relay::RelayedLog;
 use crate::members::Members;
 use crate::protocol::Call;
@@ -40,6 +42,7 @@
 use crate::unreadable::UnreadableRecords;
 use crate::waiting_limits::WaitingLimits;
 use appender::Appender;
+pub(crate) use decoding::JobDecoding;
 pub(crate) use intake::Submission;
 use item::RunTimeEstimate;
 use leases::Leases;
@@ -239,12 +242,16 @@
     }
 
     /// Answers another gateway's request for a page of a partition.
-    pub(crate) async fn answer_page(&self, request: Request<Incoming>) -> CallerAnswer {
+    pub(crate) async fn answer_page(
+        &self,
+        request: Request<Incoming>,
+        calls: &BodyBuffers,
+    ) -> CallerAnswer {
         if self.dispatcher.job_regions.excludes_this_gateway() {
             let reason = "jobs may not be handled here";
             return plain(StatusCode::SERVICE_UNAVAILABLE, reason);
         }
-        self.region_pages.answer_peer(request).await
+        self.region_pages.answer_peer(request, calls).await
     }
 
     /// Answers a call that another gateway forwarded. Without the lease of the job's partition, the answer is 421,
--- a/crates/swiftshunt-gateway/src/batch/region_pages.rs
+++ b/crates/swiftshunt-gateway/src/batch/region_pages.rs
@@ -23,6 +23,7 @@
 
 use super::region_readers::RegionReaders;
 use crate::answers::{CallerAnswer, plain};
+use crate::body_buffers::BodyBuffers;
 use crate::clock::Clock;
 use crate::fleet_state::lock;
 use crate::peer_http::{self, PeerClient, encode_answer, encode_message, read_call};
@@ -119,8 +120,12 @@
     }
 
     /// Answers another gateway's request for a page.
-    pub(super) async fn answer_peer(self: &Arc<Self>, request: Request<Incoming>) -> CallerAnswer {
-        let call: PageCall = match read_call(request, CALL_BYTES).await {
+    pub(super) async fn answer_peer(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+        calls: &BodyBuffers,
+    ) -> CallerAnswer {
+        let call: PageCall = match read_call(request, CALL_BYTES, calls).await {
             Ok(call) => call,
             Err(refusal) => return refusal,
         };
--- a/crates/swiftshunt-gateway/src/entry.rs
+++ b/crates/swiftshunt-gateway/src/entry.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderValue, WWW_AUTHENTICATE};
 use hyper::http::request;
@@ -23,9 +22,10 @@
 use swiftshunt_scheduler::selection::{Class, Demand};
 
 use crate::abandon_guard::AbandonGuard;
-use crate::answers::{self, CallerAnswer, end_to_end_headers, not_run, plain, too_many};
+use crate::answers::{CallerAnswer, end_to_end_headers, not_run, plain, too_many};
 use crate::attempt::OutgoingRequest;
 use crate::batch::Submission;
+use crate::body_buffers::BodyRefusal;
 use crate::metrics::Refusal;
 use crate::online::OnlineHandler;
 use crate::protocol::{Call, Identity, RequestFacts};
@@ -69,12 +69,13 @@
             Ok(identified) => identified,
             Err(answer) => return *answer,
         };
-        let body = match read_body(body, configuration.limits.body_bytes).await {
+        let limit = configuration.limits.body_bytes;
+        let body = match self.read_body(&identified, body, limit).await {
             Ok(body) => body,
             Err(refusal) => return refusal,
         };
         if identified.route.kind == RouteKind::Batch {
-            return self.submit(&identified, &body).await;
+            return self.submit(&identified, body).await;
         }
         if let Some(tenant) = identified.caller.tenant()
             && let Err(refused) = self.rates.admit(tenant, configuration.version).await
@@ -230,10 +231,63 @@
         }
     }
 
-    async fn submit(&self, identified: &IdentifiedRequest, body: &[u8]) -> CallerAnswer {
+    /// Reads the body of a request, which has as much time as the request. The error is the answer that refuses it.
+    async fn read_body(
+        &self,
+        identified: &IdentifiedRequest,
+        body: Incoming,
+        limit: usize,
+    ) -> Result<Bytes, CallerAnswer> {
+        let time_left = self.time_left(identified);
+        let read = tokio::time::timeout(time_left, self.bodies.read(body, limit));
+        match read.await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(BodyRefusal::TooLong)) => {
+                let status = StatusCode::PAYLOAD_TOO_LARGE;
+                Err(plain(status, "the body is too long"))
+            }
+            Ok(Err(BodyRefusal::BrokenOff)) => {
+                Err(plain(StatusCode::BAD_REQUEST, "the body broke off"))
+            }
+            Ok(Err(BodyRefusal::NoMemory)) => Err(self.refuse_body(identified, Refusal::NoMemory)),
+            Err(_) => Err(self.refuse_body(identified, Refusal::IncompleteBody)),
+        }
+    }
+
+    /// Returns the answer that refuses a request whose body is not read to its end.
+    fn refuse_body(&self, identified: &IdentifiedRequest, refusal: Refusal) -> CallerAnswer {
+        let retry_after = retry_after_elsewhere(rand::random());
+        let now = self.dispatcher.clock.now();
+        let waited = now.saturating_sub(identified.arrived);
+        self.dispatcher
+            .metrics
+            .record_refusal(refusal, retry_after, waited);
+        log::info!(request = identified.facts.id.as_deref().unwrap_or(""), refusal:? = refusal,
+            route = identified.route.name.as_str(), waited_ms = waited.as_millis() as u64,
+            come_back_ms = retry_after.as_millis() as u64; "request refused before its body was complete");
+        match refusal {
+            Refusal::IncompleteBody => plain(
+                StatusCode::REQUEST_TIMEOUT,
+                "the body was not complete in time",
+            ),
+            _ => not_run("too many bodies at once", retry_after),
+        }
+    }
+
+    fn time_left(&self, identified: &IdentifiedRequest) -> Duration {
+        let now = self.dispatcher.clock.now();
+        identified.deadline().saturating_sub(now)
+    }
+
+    async fn submit(&self, identified: &IdentifiedRequest, body: Bytes) -> CallerAnswer {
         let Some(id) = identified.facts.id.as_deref() else {
             return plain(StatusCode::BAD_REQUEST, "the job has no identifier");
         };
+        let admitted = self.job_decoding.admit(body.len());
+        let admitted = tokio::time::timeout(self.time_left(identified), admitted).await;
+        let Ok(Some(_decoding)) = admitted else {
+            return self.refuse_body(identified, Refusal::NoMemory);
+        };
         let submission = Submission {
             id,
             tenant: identified.caller.tenant_name(),
@@ -331,14 +385,3 @@
     };
     hyper::Uri::from(path.clone())
 }
-
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, CallerAnswer> {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(answers::plain(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "the body is too long",
-        )),
-        Err(_) => Err(plain(StatusCode::BAD_REQUEST, "the body broke off")),
-    }
-}
--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -14,7 +14,8 @@
 use crate::answer_buffer::AnswerBuffers;
 use crate::attempt::Dispatcher;
 use crate::background;
-use crate::batch::Batch;
+use crate::batch::{Batch, JobDecoding};
+use crate::body_buffers::BodyBuffers;
 use crate::clock::Clock;
 use crate::datagrams::Datagrams;
 use crate::evacuation_monitor::EvacuationMonitor;
@@ -23,7 +24,7 @@
 use crate::job_regions::JobRegions;
 use crate::log_relay::RelayedLog;
 use crate::members::Members;
-use crate::memory;
+use crate::memory::{self, MemoryShares};
 use crate::metrics::Metrics;
 use crate::online::OnlineHandler;
 use crate::origins::StreamOrigins;
@@ -110,6 +111,7 @@
         let metrics_listener = metrics_listener.transpose()?;
         let clock = Clock::start();
         let memory_limit = memory::limit_bytes(settings.memory);
+        let memory_shares = MemoryShares::of(memory_limit);
         let metrics = Arc::new(Metrics::new());
         let topology = settings.topology().map_err(StartError::Topology)?;
         let selector = Selector::with_topology(topology.clone());
@@ -225,7 +227,7 @@
             origins: Arc::clone(&origins),
             job_regions,
             worker_reach: Arc::clone(&worker_reach),
-            answer_buffers: AnswerBuffers::default(),
+            answer_buffers: AnswerBuffers::new(memory_shares.answers),
             clock,
         });
         let batch = Arc::new(Batch::new(
@@ -242,6 +244,8 @@
             batch: Arc::clone(&batch),
             rates: Arc::clone(&rates),
             late_queue: tokio::sync::Mutex::default(),
+            bodies: BodyBuffers::new(memory_shares.bodies),
+            job_decoding: JobDecoding::new(memory_shares.decoding),
             max_config_age: settings.tenants.max_config_age(),
         });
         let fleet_followers = Arc::new(FleetFollowers {
@@ -290,6 +294,7 @@
                 Arc::clone(&batch),
                 Arc::clone(&relayed),
                 Arc::clone(&tails),
+                BodyBuffers::new(memory_shares.calls),
             )),
             background::spawn(relayed.probe_log()),
             background::spawn(Arc::clone(&other_gateways).receive_notices(NoticeHandlers {
--- a/crates/swiftshunt-gateway/src/log_relay/mod.rs
+++ b/crates/swiftshunt-gateway/src/log_relay/mod.rs
@@ -25,6 +25,7 @@
 use tokio::sync::watch;
 
 use crate::answers::{CallerAnswer, plain};
+use crate::body_buffers::BodyBuffers;
 use crate::clock::Clock;
 use crate::fleet_state::lock;
 use crate::job_regions::JobRegions;
@@ -115,11 +116,15 @@
     }
 
     /// Makes a call for another gateway.
-    pub(crate) async fn answer_peer(&self, request: Request<Incoming>) -> CallerAnswer {
+    pub(crate) async fn answer_peer(
+        &self,
+        request: Request<Incoming>,
+        calls: &BodyBuffers,
+    ) -> CallerAnswer {
         if *self.unavailable.borrow() {
             return plain(StatusCode::SERVICE_UNAVAILABLE, "the log is away here, too");
         }
-        let call: LogCall = match read_call(request, MESSAGE_BYTES).await {
+        let call: LogCall = match read_call(request, MESSAGE_BYTES, calls).await {
             Ok(call) => call,
             Err(refusal) => return refusal,
         };
--- a/crates/swiftshunt-gateway/src/memory.rs
+++ b/crates/swiftshunt-gateway/src/memory.rs
@@ -7,6 +7,41 @@
 /// Memory that is assumed where neither the settings nor the operating system tell it, and the most that is used of it.
 const DEFAULT_LIMIT_BYTES: usize = 1 << 30;
 
+/// Part of the memory that the bodies of callers' requests may take.
+const BODIES_DIVISOR: usize = 4;
+/// Part of the memory that jobs may take while they are decoded and recorded.
+const DECODING_DIVISOR: usize = 4;
+/// Part of the memory that the calls of other gateways may take, and likewise answers of workers.
+const CALLS_DIVISOR: usize = 8;
+const ANSWERS_DIVISOR: usize = 8;
+/// Most bytes of workers' answers, however large the machine is.
+const MAX_ANSWERS_BYTES: usize = 24 << 20;
+
+/// How the memory of the process is divided, in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct MemoryShares {
+    /// Bodies of callers' requests that are being read or served.
+    pub(crate) bodies: usize,
+    /// Jobs that are being decoded and recorded.
+    pub(crate) decoding: usize,
+    /// Calls of other gateways that are being read.
+    pub(crate) calls: usize,
+    /// Answers of workers that are read whole.
+    pub(crate) answers: usize,
+}
+
+impl MemoryShares {
+    /// Divides the memory that the process may use.
+    pub(crate) fn of(limit_bytes: usize) -> Self {
+        Self {
+            bodies: limit_bytes / BODIES_DIVISOR,
+            decoding: limit_bytes / DECODING_DIVISOR,
+            calls: limit_bytes / CALLS_DIVISOR,
+            answers: (limit_bytes / ANSWERS_DIVISOR).min(MAX_ANSWERS_BYTES),
+        }
+    }
+}
+
 /// Returns the number of bytes that the process may use: what the settings state, or the memory of the machine up to
 /// 1 GiB.
 pub(crate) fn limit_bytes(settings: MemorySettings) -> usize {
--- a/crates/swiftshunt-gateway/src/metrics/labels.rs
+++ b/crates/swiftshunt-gateway/src/metrics/labels.rs
@@ -110,6 +110,10 @@
     OriginGone,
     /// It is not known which service and software version began the stream.
     OriginUnknown,
+    /// The bodies of requests take all memory that they may take.
+    NoMemory,
+    /// The body was not complete in time.
+    IncompleteBody,
 }
 
 impl From<Obstacle> for Refusal {
--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -12,7 +12,8 @@
 
 use crate::answers::{CallerAnswer, end_to_end_headers, full_body, not_run, plain};
 use crate::attempt::{Dispatcher, SendFailure, SendLimits};
-use crate::batch::Batch;
+use crate::batch::{Batch, JobDecoding};
+use crate::body_buffers::BodyBuffers;
 use crate::metrics::{Refusal, RequestEnd};
 use crate::origins::TakenUpStream;
 use crate::quarantine::QuarantineHold;
@@ -30,6 +31,10 @@
     /// Queue of late requests, which would miss their objective on any worker, in the order in which they were
     /// found to be late. Only the request that holds the lock tries to get a slot.
     pub(crate) late_queue: tokio::sync::Mutex<()>,
+    /// Memory of the bodies of requests and jobs.
+    pub(crate) bodies: BodyBuffers,
+    /// Memory of jobs that are decoded.
+    pub(crate) job_decoding: JobDecoding,
     /// Time since the last confirmation of the configuration after which callers with keys are refused; `None`
     /// if they are served at any age.
     pub(crate) max_config_age: Option<Duration>,
--- a/crates/swiftshunt-gateway/src/peer_http.rs
+++ b/crates/swiftshunt-gateway/src/peer_http.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response, StatusCode, Uri};
@@ -15,9 +14,12 @@
 use serde::de::DeserializeOwned;
 
 use crate::answers::{CallerAnswer, full_body, plain};
+use crate::body_buffers::{BodyBuffers, BodyRefusal};
 
 /// Time-out for opening a connection to another gateway.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time within which the body of a call must be complete.
+const CALL_BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Idle time after which a connection to another gateway is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -54,12 +56,22 @@
 pub(crate) async fn read_call<T: DeserializeOwned>(
     request: Request<Incoming>,
     limit: usize,
+    calls: &BodyBuffers,
 ) -> Result<T, CallerAnswer> {
-    let body = Limited::new(request.into_body(), limit).collect().await;
-    let Ok(body) = body else {
-        return Err(plain(StatusCode::BAD_REQUEST, "the call broke off"));
+    let read = calls.read(request.into_body(), limit);
+    let body = match tokio::time::timeout(CALL_BODY_TIMEOUT, read).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyRefusal::TooLong)) => {
+            return Err(plain(StatusCode::PAYLOAD_TOO_LARGE, "the call is too long"));
+        }
+        Ok(Err(BodyRefusal::NoMemory)) => {
+            return Err(plain(StatusCode::SERVICE_UNAVAILABLE, "too many calls"));
+        }
+        Ok(Err(BodyRefusal::BrokenOff)) | Err(_) => {
+            return Err(plain(StatusCode::BAD_REQUEST, "the call broke off"));
+        }
     };
-    let call = ciborium::from_reader(body.to_bytes().as_ref());
+    let call = ciborium::from_reader(body.as_ref());
     call.map_err(|_| plain(StatusCode::BAD_REQUEST, "the call is not readable"))
 }
 
--- a/crates/swiftshunt-gateway/src/server.rs
+++ b/crates/swiftshunt-gateway/src/server.rs
@@ -20,6 +20,7 @@
 
 use crate::answers::{CallerAnswer, full_body, plain};
 use crate::batch::{self, Batch};
+use crate::body_buffers::BodyBuffers;
 use crate::fleet_state::FleetState;
 use crate::log_relay::{self, RelayedLog};
 use crate::metrics::Metrics;
@@ -34,6 +35,10 @@
 const MIN_BUFFER_BYTES: usize = 8192;
 /// Buffer space for the parts of a request's head that the limit of header bytes does not count.
 const HEAD_OVERHEAD_BYTES: usize = 4096;
+/// Buffer size of connections of other gateways, in bytes.
+const PEER_BUFFER_BYTES: usize = 64 << 10;
+/// Time within which a request must begin and its head be complete on connections that are not those of callers.
+const INTERNAL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Largest number of headers of a request.
 const MAX_HEADERS: usize = 256;
 /// Time beyond the configured idle time-out for which a connection is kept.
@@ -178,8 +183,11 @@
     batch: Arc<Batch>,
     log: Arc<RelayedLog>,
     tails: Arc<SharedTails>,
+    calls: BodyBuffers,
 ) {
+    let calls = Arc::new(calls);
     accept_all(listener, |stream| {
+        let calls = Arc::clone(&calls);
         let protocol = Arc::clone(&protocol);
         let batch = Arc::clone(&batch);
         let log = Arc::clone(&log);
@@ -189,11 +197,12 @@
             let batch = Arc::clone(&batch);
             let log = Arc::clone(&log);
             let tails = Arc::clone(&tails);
+            let calls = Arc::clone(&calls);
             async move {
                 let answer = match request.uri().path() {
-                    log_relay::PATH => log.answer_peer(request).await,
-                    tails::PATH => tails.answer_peer(request).await,
-                    batch::PAGES_PATH => batch.answer_page(request).await,
+                    log_relay::PATH => log.answer_peer(request, &calls).await,
+                    tails::PATH => tails.answer_peer(request, &calls).await,
+                    batch::PAGES_PATH => batch.answer_page(request, &calls).await,
                     _ => {
                         let (method, uri) = (request.method(), request.uri());
                         let call = protocol.classify_request(method, uri, request.headers());
@@ -203,7 +212,8 @@
                 Ok::<CallerAnswer, Infallible>(answer)
             }
         });
-        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let connection =
+            internal_connections(PEER_BUFFER_BYTES).serve_connection(TokioIo::new(stream), service);
         // The gateway that made the call notices an error of the connection.
         tokio::spawn(async move { drop(connection.await) });
         std::future::ready(())
@@ -249,9 +259,20 @@
             let answer = answer();
             async move { Ok::<CallerAnswer, Infallible>(answer) }
         });
-        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let connection =
+            internal_connections(MIN_BUFFER_BYTES).serve_connection(TokioIo::new(stream), service);
         tokio::spawn(async move { drop(connection.await) });
         std::future::ready(())
     })
     .await;
 }
+
+/// Returns how connections are served that are not those of callers, with at most this many bytes of a head.
+fn internal_connections(buffer_bytes: usize) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(INTERNAL_IDLE_TIMEOUT)
+        .max_buf_size(buffer_bytes);
+    builder
+}
--- a/crates/swiftshunt-gateway/src/tails/mod.rs
+++ b/crates/swiftshunt-gateway/src/tails/mod.rs
@@ -22,6 +22,7 @@
 use tokio::sync::watch;
 
 use crate::answers::{CallerAnswer, plain};
+use crate::body_buffers::BodyBuffers;
 use crate::clock::Clock;
 use crate::members::Members;
 use crate::metrics::Metrics;
@@ -92,8 +93,12 @@
     }
 
     /// Answers another gateway that waits for a change.
-    pub(crate) async fn answer_peer(&self, request: Request<Incoming>) -> CallerAnswer {
-        let call: TailCall = match read_call(request, CALL_BYTES).await {
+    pub(crate) async fn answer_peer(
+        &self,
+        request: Request<Incoming>,
+        calls: &BodyBuffers,
+    ) -> CallerAnswer {
+        let call: TailCall = match read_call(request, CALL_BYTES, calls).await {
             Ok(call) => call,
             Err(refusal) => return refusal,
         };
