Gateway: the only version of a service is recorded, for streams taken up after the loss of all gateways

What callers saw (the users' report 'rejoined'): a stream that broke off when all gateways were killed is taken up, answered 200, and ends regularly; its first part is of one software version and the rest of another, with nothing that shows it. Cause: after the loss of all gateways a service without a mark of several versions, with one version in the directory, counted as served by that one alone. Nobody writes the mark where no gateway runs while workers are replaced, or where all are killed at once with the change. Class: the absence of a record counted as evidence. Change: the two gateways that write marks also record the only version of a service; a service whose directory shows another one is not known, and streams are refused as with a mark. One write for each release. Ruled out: reading the history of the directory at the start (kept for 20 s or dropped by the store); holding streams back until the record is written.

--- a/crates/swiftshunt-gateway/src/origins/evidence.rs
+++ b/crates/swiftshunt-gateway/src/origins/evidence.rs
@@ -21,15 +21,17 @@
         })
     }
 
-    /// Returns the evidence of a gateway that has just started, from the marks in the log: no other version served
-    /// before the start if the service is not marked.
+    /// Returns the evidence of a gateway that has just started, from the records in the log: no other version served
+    /// before the start if the service is not marked, and its version is the recorded one.
     pub(super) fn startup_evidence(&self, host: &str, path_prefix: &str) -> Evidence {
         if !self.members.is_list_loaded() {
             return Evidence::Unsure;
         }
         let evidence = self.evidence_since(host, path_prefix, |_| true);
         match evidence {
-            Evidence::Sole(origin) if self.version_marks.is_marked(&origin.service) => {
+            Evidence::Sole(origin) | Evidence::SoleBefore(origin)
+                if (self.version_marks).is_contradicted(&origin.service, &origin.software) =>
+            {
                 Evidence::Several
             }
             evidence => evidence,
--- a/crates/swiftshunt-gateway/src/origins/version_marks.rs
+++ b/crates/swiftshunt-gateway/src/origins/version_marks.rs
@@ -1,15 +1,18 @@
-//! Marks in the log of services of which several versions have served a short time ago.
+//! Records in the log of the versions of services.
 //!
-//! After all gateways were lost, none has watched the directory for long enough to know which versions have served. A
-//! service without a mark has been served by one version alone. Marks are written when a second version appears, and
-//! removed once it has been gone for as long as the origins of streams matter.
+//! After all gateways were lost, none has watched the directory for long enough to know which versions have served. Two
+//! records of a service tell: the only version that served when gateways last knew that there was one, and a mark while
+//! several have served a short time ago. A service has been served by one version alone if it has no mark, and the workers
+//! of the directory have the recorded version. Marks are written when a second version appears, and removed once it has
+//! been gone for as long as the origins of streams matter; then the version that is left is recorded.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
 use swiftshunt_journal::{AppendOutcome, Topic};
+use swiftshunt_types::SoftwareVersion;
 use tokio::sync::Notify;
 
 use super::{StreamOrigins, begun_stream};
@@ -19,6 +22,9 @@
 const MARK_PREFIX: &[u8] = b"several-versions/";
 /// Value of a mark.
 const MARK: Bytes = Bytes::from_static(b"1");
+/// Prefix of the keys of the only versions of services among the records of gateways; the service's name follows. The
+/// value is the version.
+const ONLY_VERSION_PREFIX: &[u8] = b"only-version/";
 /// Number of gateways that write and remove the marks of a service. Two, since one of them may be unavailable.
 const WRITERS: usize = 2;
 /// Time after which any gateway writes a mark that the writers have not written.
@@ -26,24 +32,51 @@
 /// Interval of reviews while a service has several versions or a mark.
 const REVIEW_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The marks that this gateway has read or written.
+/// The records that this gateway has read or written.
 #[derive(Default)]
 pub(crate) struct VersionMarks {
+    /// The marked services.
     services: Mutex<BTreeSet<String>>,
+    /// The only version of each service, when it last had a single one.
+    only_versions: Mutex<BTreeMap<String, SoftwareVersion>>,
     /// Notified when the directory, the configuration or the marks change.
     changed: Notify,
 }
 
 impl VersionMarks {
-    /// Applies a record of the topic of gateways. Returns whether it is a mark.
-    pub(crate) fn apply(&self, key: &[u8], is_set: bool) -> bool {
-        let Some(service) = key.strip_prefix(MARK_PREFIX) else {
+    /// Applies a record of the topic of gateways; `value` is `None` if it was dropped. Returns whether it is about the
+    /// versions of a service.
+    pub(crate) fn apply(&self, key: &[u8], value: Option<&[u8]>) -> bool {
+        if let Some(service) = key.strip_prefix(MARK_PREFIX) {
+            self.set(&String::from_utf8_lossy(service), value.is_some());
+            return true;
+        }
+        let Some(service) = key.strip_prefix(ONLY_VERSION_PREFIX) else {
             return false;
         };
-        self.set(&String::from_utf8_lossy(service), is_set);
+        let service = String::from_utf8_lossy(service).into_owned();
+        let mut only_versions = lock(&self.only_versions);
+        match value {
+            Some(version) => {
+                let version = String::from_utf8_lossy(version).into_owned();
+                only_versions.insert(service, SoftwareVersion(version));
+            }
+            None => drop(only_versions.remove(&service)),
+        }
         true
     }
 
+    /// Whether another version than this one may have served a service before this process began, by the records.
+    pub(super) fn is_contradicted(&self, service: &str, version: &SoftwareVersion) -> bool {
+        let only_versions = lock(&self.only_versions);
+        let recorded = only_versions.get(service);
+        self.is_marked(service) || recorded.is_some_and(|recorded| recorded != version)
+    }
+
+    fn only_version(&self, service: &str) -> Option<SoftwareVersion> {
+        lock(&self.only_versions).get(service).cloned()
+    }
+
     fn set(&self, service: &str, is_set: bool) {
         let mut services = lock(&self.services);
         let has_changed = if is_set {
@@ -87,7 +120,7 @@
             let has_several = !lock(&self.several_versions).is_empty();
             let has_marks = !self.version_marks.services().is_empty();
             let changed = self.version_marks.changed.notified();
-            if has_several || has_marks {
+            if has_several || has_marks || self.lacks_only_version() {
                 drop(tokio::time::timeout(REVIEW_INTERVAL, changed).await);
             } else {
                 changed.await;
@@ -150,11 +183,61 @@
         }
         let watched_since = self.fleet_state.selector().directory_watched_since();
         let has_watched = watched_since.is_some_and(|watched_since| watched_since <= since);
+        if let Some(version) = versions.first()
+            && self.writes_marks_of(service)
+        {
+            self.record_only_version(service, version, has_watched)
+                .await;
+        }
         if is_marked && has_watched && self.writes_marks_of(service) {
             self.write_mark(service, false).await;
         }
     }
 
+    /// Records the only version of a service. It replaces another one only if no stream of that can be taken up any more.
+    async fn record_only_version(
+        &self,
+        service: &str,
+        version: &SoftwareVersion,
+        has_watched: bool,
+    ) {
+        let recorded = self.version_marks.only_version(service);
+        let is_due = match recorded {
+            Some(recorded) => has_watched && recorded != *version,
+            None => self.members.is_list_loaded(),
+        };
+        if !is_due {
+            return;
+        }
+        let key = [ONLY_VERSION_PREFIX, service.as_bytes()].concat();
+        let value = Bytes::from(version.0.clone());
+        let outcome = self
+            .log
+            .append(Topic::Gateways, 0, vec![(key.clone(), value.clone())])
+            .await;
+        log::info!(service, version:% = version, outcome:? = outcome; "recorded the only software version of a service");
+        // An append without an outcome is repeated by a later review.
+        if matches!(outcome, AppendOutcome::Done { .. }) {
+            self.version_marks.apply(&key, Some(&value));
+        }
+    }
+
+    /// Whether a service of streams has another version than the recorded one, or none is recorded.
+    fn lacks_only_version(&self) -> bool {
+        let Some(configuration) = self.fleet_state.configuration() else {
+            return false;
+        };
+        let selector = self.fleet_state.selector();
+        let since = self.clock.now().saturating_sub(self.ttl());
+        configuration.stream_services().into_iter().any(|service| {
+            let versions = selector.software_versions(service, since);
+            let recorded = self.version_marks.only_version(service);
+            versions
+                .first()
+                .is_some_and(|version| recorded.as_ref() != Some(version))
+        })
+    }
+
     /// Whether this gateway is one of those that write the marks of a service.
     fn writes_marks_of(&self, service: &str) -> bool {
         let writers = self.members.ranked_gateways(&service, WRITERS);
--- a/crates/swiftshunt-gateway/src/peers.rs
+++ b/crates/swiftshunt-gateway/src/peers.rs
@@ -346,6 +346,8 @@
             if let Ok(changes) = changes {
                 let has_changed = self.apply(changes);
                 self.members.mark_list_loaded();
+                // Which gateways record the versions of services depends on the list.
+                self.version_marks.request_review();
                 if has_changed {
                     log::info!(gateways = self.members.count(); "the list of gateways changed");
                 }
@@ -371,7 +373,7 @@
                 Change::Set(record) => (record.key, Some(record.value)),
                 Change::Dropped(key) => (key, None),
             };
-            if self.version_marks.apply(&key, value.is_some()) {
+            if self.version_marks.apply(&key, value.as_deref()) {
                 continue;
             }
             match String::from_utf8_lossy(&key).parse::<SocketAddr>() {
--- a/crates/swiftshunt/tests/gateway_software_versions.rs
+++ b/crates/swiftshunt/tests/gateway_software_versions.rs
@@ -227,6 +227,67 @@
     outcomes.assert_continued();
 }
 
+/// Kills all gateways, and starts them again once the workers have changed.
+async fn restart_around(fleet: &mut ExclusiveFleet, change: impl AsyncFnOnce(&mut ExclusiveFleet)) {
+    for gateway in &mut fleet.gateways {
+        gateway.process.kill();
+    }
+    change(fleet).await;
+    for gateway in 0..fleet.gateways.len() {
+        let restarted = fleet.restart(gateway);
+        restarted.expect("the gateway did not start");
+    }
+    let all: Vec<usize> = (0..fleet.gateways.len()).collect();
+    wait_until_ready(fleet, &all).await;
+}
+
+/// Starts workers of another version and ends those that were there.
+async fn replace_all_engine_workers(fleet: &mut ExclusiveFleet, software: &str) {
+    let before = fleet.engine_workers.len();
+    for worker in 0..before {
+        let incarnation = format!("replacement-{worker}");
+        let added = fleet.add_engine_worker(&incarnation, software);
+        added.await.expect("the worker did not start");
+    }
+    for worker in &fleet.engine_workers[..before] {
+        fleet.unlist(worker);
+        worker.crash();
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_stream_joins_two_versions_if_all_workers_were_replaced_while_no_gateway_ran() {
+    let mut fleet = start(options(&["v1"])).await;
+    let begun = begin_streams(&fleet, &[0, 1, 2], 24).await;
+    let replace = async |fleet: &mut ExclusiveFleet| replace_all_engine_workers(fleet, "v2").await;
+    restart_around(&mut fleet, replace).await;
+    let outcomes = take_up_all(&fleet, &[0, 1, 2], &begun).await;
+    outcomes.assert_unmixed();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_stream_joins_two_versions_if_the_first_has_left_before_all_gateways_are_killed() {
+    let mut fleet = start(options(&["v1"])).await;
+    let begun = begin_streams(&fleet, &[0, 1, 2], 24).await;
+    replace_all_engine_workers(&mut fleet, "v2").await;
+    // Longer than the time within which gateways learn of workers that are gone.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    restart_around(&mut fleet, async |_: &mut ExclusiveFleet| {}).await;
+    let outcomes = take_up_all(&fleet, &[0, 1, 2], &begun).await;
+    outcomes.assert_unmixed();
+}
+
+/// The second version is listed for a moment only before the gateways are killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_stream_joins_two_versions_if_all_gateways_are_killed_at_once_with_the_change() {
+    let mut fleet = start(options(&["v1"])).await;
+    let begun = begin_streams(&fleet, &[0, 1, 2], 24).await;
+    replace_all_engine_workers(&mut fleet, "v2").await;
+    restart_around(&mut fleet, async |_: &mut ExclusiveFleet| {}).await;
+    let outcomes = take_up_all(&fleet, &[0, 1, 2], &begun).await;
+    outcomes.assert_unmixed();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_whose_version_is_gone_is_refused_at_once() {
     let fleet = two_versions().await;
