Gateway: requests that outlast the grace period of a planned stop get an answer

What callers saw (the users' report): in a planned stop, requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them some that may not be repeated. Cause: whether the stop has begun to close was asked when a head arrived, not when the body was complete; at the end of the grace all connections were dropped. Class: a decision was made once and not asked again where it takes effect. Change: a request whose body is not complete when the closing stage begins is refused (503, not run). 0.8 s before the end of the grace, requests without an answer get one: 503 if they were not sent, 504 if they may have run. Not changed: a stream whose first event was forwarded is aborted at the end.

--- a/crates/swiftshunt-gateway/src/entry.rs
+++ b/crates/swiftshunt-gateway/src/entry.rs
@@ -70,12 +70,24 @@
             Err(answer) => return *answer,
         };
         let limit = configuration.limits.body_bytes;
-        let body = match self.read_body(&identified, body, limit).await {
+        let body = tokio::select! {
+            biased;
+            // A request whose body ends in the closing stage might not end within the grace period.
+            () = self.stop.closing.cancelled() => return self.refuse_late(),
+            body = self.read_body(&identified, body, limit) => body,
+        };
+        let body = match body {
             Ok(body) => body,
             Err(refusal) => return refusal,
         };
         if identified.route.kind == RouteKind::Batch {
-            return self.submit(&identified, body).await;
+            return tokio::select! {
+                biased;
+                answer = self.submit(&identified, body) => answer,
+                () = self.stop.ending.cancelled() => {
+                    plain(StatusCode::GATEWAY_TIMEOUT, "this gateway stops")
+                }
+            };
         }
         if let Some(tenant) = identified.caller.tenant()
             && let Err(refused) = self.rates.admit(tenant, configuration.version).await
--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -84,6 +84,8 @@
 const STOP_POLL: Duration = Duration::from_millis(50);
 /// Reserve at the end of the grace period for the exit of the process.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Time before that in which requests that are still in progress get an answer.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(400);
 
 impl Gateway {
     /// Starts a gateway. It is listening when this returns.
@@ -239,8 +241,10 @@
             Arc::clone(&waiting_limits),
             Arc::clone(&unreadable),
         ));
+        let stop = Stop::default();
         let online = Arc::new(OnlineHandler {
             dispatcher: Arc::clone(&dispatcher),
+            stop: stop.clone(),
             batch: Arc::clone(&batch),
             rates: Arc::clone(&rates),
             late_queue: tokio::sync::Mutex::default(),
@@ -259,7 +263,6 @@
             version_marks: Arc::clone(other_gateways.version_marks()),
             clock,
         });
-        let stop = Stop::default();
         let callers_address = caller_listener
             .local_addr()
             .unwrap_or(settings.listen.callers);
@@ -357,10 +360,16 @@
     pub async fn stop(self) {
         let time_limit = self.stop_settings.grace.saturating_sub(GRACE_MARGIN);
         log::info!(limit_ms = time_limit.as_millis() as u64; "gateway is stopping; handing over its batch jobs and draining connections");
-        if tokio::time::timeout(time_limit, self.drain())
-            .await
-            .is_err()
-        {
+        let mut drain = std::pin::pin!(self.drain());
+        let answer_after = time_limit.saturating_sub(LAST_ANSWERS_TIME);
+        let mut drained = tokio::time::timeout(answer_after, &mut drain).await;
+        if drained.is_err() {
+            log::warn!(connections = self.stop.connections.len();
+                "requests are still in progress near the end of the grace period; answering them");
+            self.stop.ending.cancel();
+            drained = tokio::time::timeout(LAST_ANSWERS_TIME, drain).await;
+        }
+        if drained.is_err() {
             log::warn!(connections = self.stop.connections.len();
                 "graceful stop did not complete within the grace period; stopping nevertheless");
         }
--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -20,6 +20,7 @@
 use crate::rates::Rates;
 use crate::relay;
 use crate::request_context::RequestContext;
+use crate::server::Stop;
 use crate::slots::{PlacementOutcome, PlacementQuery};
 use crate::worker_answer::Answer;
 
@@ -28,6 +29,7 @@
     pub(crate) dispatcher: Arc<Dispatcher>,
     pub(crate) batch: Arc<Batch>,
     pub(crate) rates: Arc<Rates>,
+    pub(crate) stop: Stop,
     /// Queue of late requests, which would miss their objective on any worker, in the order in which they were
     /// found to be late. Only the request that holds the lock tries to get a slot.
     pub(crate) late_queue: tokio::sync::Mutex<()>,
@@ -53,7 +55,14 @@
     /// Sends a request to workers until one answers or no further attempt is allowed. Returns the answer and
     /// whether the request may have run.
     pub(crate) async fn serve(&self, mut context: RequestContext) -> (CallerAnswer, bool) {
-        let answer = self.send_until_answered(&mut context).await;
+        let answered = tokio::select! {
+            biased;
+            answer = self.send_until_answered(&mut context) => Some(answer),
+            () = self.stop.ending.cancelled() => None,
+        };
+        let Some(answer) = answered else {
+            return self.answer_before_end(&context);
+        };
         if context.runs > 0 && answer.status().is_server_error() {
             let quarantine = &self.dispatcher.quarantine;
             quarantine
@@ -64,6 +73,17 @@
         (answer, ran)
     }
 
+    /// Returns the answer to a request that is still in progress shortly before the process ends, and whether it may have
+    /// run.
+    fn answer_before_end(&self, context: &RequestContext) -> (CallerAnswer, bool) {
+        if context.last_send.is_none() {
+            return (self.refuse_late(), false);
+        }
+        self.record_given_up(context, RequestEnd::Failed, "this gateway stops");
+        let answer = plain(StatusCode::GATEWAY_TIMEOUT, "this gateway stops");
+        (answer, true)
+    }
+
     async fn send_until_answered(&self, context: &mut RequestContext) -> CallerAnswer {
         if let Err(refusal) = self.bind_origin(context).await {
             return refusal;
--- a/crates/swiftshunt-gateway/src/server.rs
+++ b/crates/swiftshunt-gateway/src/server.rs
@@ -55,6 +55,8 @@
     pub(crate) draining: CancellationToken,
     /// Cancelled at the second stage: idle connections are closed, and new requests are refused.
     pub(crate) closing: CancellationToken,
+    /// Cancelled at the third stage, shortly before the process ends: requests without an answer get one.
+    pub(crate) ending: CancellationToken,
     /// The open connections of callers.
     pub(crate) connections: TaskTracker,
 }
--- /dev/null
+++ b/crates/swiftshunt/tests/gateway_stop_grace.rs
@@ -0,0 +1,98 @@
+//! Requests that outlast the grace period of a planned stop.
+//!
+//! Guards against requests that a stopping gateway cuts off without an answer.
+
+mod gateway;
+
+use std::time::Duration;
+
+use gateway::{ExclusiveFleet, start};
+use hyper::StatusCode;
+use swiftshunt_lab::platform::caller::HOST;
+use swiftshunt_lab::platform::fleet::{ASK, ONCE, PlatformOptions, STREAM, eventually};
+use swiftshunt_lab::platform::worker::WorkerBehaviour;
+use swiftshunt_platform::words::headers;
+use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Stop of the gateways: the closing stage begins one second after the signal.
+const STOP_SETTINGS: &str = "[stop]\ngrace = \"4s\"\nunlisted_after = \"1s\"";
+/// Time from the signal until the closing stage has begun.
+const CLOSING_AFTER: Duration = Duration::from_millis(1_500);
+/// Time that the workers take for a request, beyond the grace period and below the time-out of the routes.
+const ANSWER_DELAY: Duration = Duration::from_secs(7);
+/// Deadline of the requests.
+const DEADLINE: Duration = Duration::from_secs(15);
+/// Number of concurrent requests.
+const REQUESTS: usize = 6;
+
+async fn start_fleet() -> ExclusiveFleet {
+    let fleet = start(PlatformOptions {
+        gateways: 1,
+        extra_settings: STOP_SETTINGS.to_owned(),
+        ..PlatformOptions::default()
+    })
+    .await;
+    for worker in fleet.whole_workers.iter().chain(&fleet.engine_workers) {
+        worker.set_behaviour(WorkerBehaviour::DelayAnswer(ANSWER_DELAY));
+    }
+    fleet
+}
+
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
+#[test_case(ONCE; "not repeatable")]
+#[test_case(ASK; "repeatable")]
+#[test_case(STREAM; "streams before their first event")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_in_progress_at_the_end_of_the_grace_period_gets_an_answer(path: &'static str) {
+    let fleet = start_fleet().await;
+    let gateway = fleet.gateways[0].callers;
+    let requests = (0..REQUESTS).map(|number| {
+        let caller = fleet.caller.clone();
+        async move {
+            let id = format!("r{number}");
+            (caller.ask(gateway, path, &id, DEADLINE).await, id)
+        }
+    });
+    let requests: Vec<_> = requests.map(tokio::spawn).collect();
+    eventually("the requests run", || async {
+        fleet.runs().len() >= REQUESTS
+    })
+    .await;
+    fleet.gateways[0].process.terminate();
+    for request in requests {
+        let (answer, id) = request.await.expect("the caller panicked");
+        let answer = answer.unwrap_or_else(|error| panic!("{id} got no answer: {error}"));
+        assert!(!promises_not_run(answer.status), "{id}: {}", answer.status);
+    }
+}
+
+#[test_case(ONCE; "not repeatable")]
+#[test_case(ASK; "repeatable")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_body_ends_late_in_a_planned_stop_is_refused_and_does_not_run(path: &str) {
+    let fleet = start_fleet().await;
+    let gateway = fleet.gateways[0].callers;
+    let mut stream = TcpStream::connect(gateway).await.expect("no connection");
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: {HOST}\r\n{}: late\r\n{}: 15000\r\ncontent-length: 2\r\n\r\na",
+        headers::REQUEST_ID,
+        headers::DEADLINE
+    );
+    let sent = stream.write_all(head.as_bytes()).await;
+    sent.expect("the head was not sent");
+    fleet.gateways[0].process.terminate();
+    tokio::time::sleep(CLOSING_AFTER).await;
+    // The gateway may have answered and closed the connection.
+    drop(stream.write_all(b"b").await);
+    let mut answer = Vec::new();
+    let read = tokio::time::timeout(DEADLINE, stream.read_to_end(&mut answer)).await;
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    assert!(read.is_ok(), "the connection stays open");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(fleet.runs_of("late").is_empty(), "it ran");
+}
