Gateway: partial events of streams count for the limit of workers' answers

What callers saw (the users' report of answers without end, here of many at once): a gateway with 60 streams of workers that never end an event grew to 82 MB, beyond the 48 MB of the smallest machine. Cause: each stream may hold 1 MiB behind its last event, and nothing bounded all of them. Class: a limit for each where the resource is shared. Evidence: gateway_endless_answers, 60 requests at once, 48 MiB: on the code before 1 of 7 new cases fails (82,260 KiB); heads, comments, plain bodies and streams that cannot be resumed hold. Change: what is behind the last event of a stream takes from the limit of all answers beyond 64 KiB; a stream without room there has broken off. Events that are complete are forwarded before that, so that none is skipped.

--- a/crates/swiftshunt-gateway/src/answer_buffer.rs
+++ b/crates/swiftshunt-gateway/src/answer_buffer.rs
@@ -1,4 +1,4 @@
-//! Memory of answers that are read whole before they are forwarded. All of them together have a limit, since a faulty
+//! Memory of answers that are read whole before they are forwarded, and of events of streams. All of them together have a limit, since a faulty
 //! worker may send as much as one answer may hold to each of its requests.
 
 use std::sync::Arc;
@@ -25,7 +25,8 @@
     Total,
 }
 
-/// The limit that all answers share.
+/// The limit that all answers share. Clones share it, too.
+#[derive(Clone)]
 pub(crate) struct AnswerBuffers {
     /// A permit for each byte.
     free: Arc<Semaphore>,
@@ -69,6 +70,10 @@
         Ok(())
     }
 
+    pub(crate) fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
     fn reserve(&mut self, needed: usize) -> Result<(), AnswerTooLong> {
         let reserved = self
             .reserved
--- a/crates/swiftshunt-gateway/src/relay.rs
+++ b/crates/swiftshunt-gateway/src/relay.rs
@@ -143,7 +143,7 @@
         runs_left: (context.route.max_attempts).saturating_sub(context.runs + 1),
         caller_deadline: context.caller_deadline(),
         silence: context.silence_limit(),
-        framer: EventFramer::default(),
+        framer: EventFramer::new(&dispatcher.answer_buffers),
     });
     let relay = Relay {
         dispatcher,
@@ -176,9 +176,13 @@
             let may_continue = self.resume.is_some();
             let resumable = self.resume.as_ref().filter(|resume| resume.runs_left > 0);
             let silence = resumable.map(|resume| resume.silence);
-            let chunk = match self.first.take() {
-                Some(first) => Ok(first),
-                None => {
+            let overflow = self.resume.as_ref().and_then(|it| it.framer.overflow());
+            let chunk = match (overflow, self.first.take()) {
+                (Some(error), _) => Err(SendFailure::Broken {
+                    reason: error.to_string(),
+                }),
+                (None, Some(first)) => Ok(first),
+                (None, None) => {
                     let deadline = self.deadline;
                     read_chunk(&self.dispatcher, answer, deadline, silence, may_continue).await
                 }
--- a/crates/swiftshunt/tests/gateway_endless_answers.rs
+++ b/crates/swiftshunt/tests/gateway_endless_answers.rs
@@ -17,7 +17,7 @@
 };
 use hyper::StatusCode;
 use swiftshunt_lab::platform::caller::PlatformCaller;
-use swiftshunt_lab::platform::fleet::{ASK, PlatformOptions, STREAM, eventually};
+use swiftshunt_lab::platform::fleet::{ASK, PlatformOptions, STREAM, STREAM_ONCE, eventually};
 use swiftshunt_lab::platform::worker::event_data;
 use swiftshunt_platform::words::headers;
 use test_case::test_case;
@@ -302,6 +302,56 @@
     assert_bounds(&fleet, &worker);
 }
 
+/// Number of concurrent requests where many answers never end at once.
+const MANY_REQUESTS: usize = 60;
+/// Memory of the smallest machine, in MiB.
+const SMALLEST_MACHINE_MIB: u64 = 48;
+
+/// What one answer may hold is little, but many workers may answer without end at once.
+#[test_case(Endless::EventInChunks, STREAM)]
+#[test_case(Endless::EventWithoutFraming, STREAM_ONCE)]
+#[test_case(Endless::Comments, STREAM)]
+#[test_case(Endless::HeadLine, STREAM)]
+#[test_case(Endless::HeadFields, ASK)]
+#[test_case(Endless::PlainBody, ASK)]
+#[test_case(Endless::PlainBodyWithoutFraming, ASK)]
+#[tokio::test(flavor = "multi_thread")]
+async fn many_answers_without_end_at_once_leave_a_gateway_within_its_memory(
+    endless: Endless,
+    path: &'static str,
+) {
+    let mut fleet = start(PlatformOptions {
+        gateways: 1,
+        extra_settings: format!("[memory]\nlimit_mb = {SMALLEST_MACHINE_MIB}"),
+        ..PlatformOptions::default()
+    })
+    .await;
+    let worker = EndlessWorker::start(endless).await;
+    let service = if path == ASK { "whole" } else { "engine" };
+    for id in 0..ENDLESS_WORKERS {
+        list_worker(&fleet, worker.address, service, &format!("endless-{id}"));
+    }
+    // The gateway reads the directory within this time.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let gateway = fleet.gateways[0].callers;
+    let requests = (0..MANY_REQUESTS).map(|number| {
+        let id = format!("request-{number}");
+        let caller = fleet.caller.clone();
+        async move { caller.ask(gateway, path, &id, DEADLINE).await }
+    });
+    futures_util::future::join_all(requests).await;
+    let answers = worker.answers.load(Ordering::Relaxed);
+    let process = &mut fleet.gateways[0].process;
+    assert!(process.is_running(), "the gateway has ended");
+    let memory = peak_memory(process.id());
+    println!("{answers} answers without end, {memory} KiB");
+    assert!(answers > REQUESTS, "{answers} answers without end");
+    assert!(
+        memory <= SMALLEST_MACHINE_MIB << 10,
+        "{memory} KiB of memory"
+    );
+}
+
 /// Sends one request after the other, without end.
 async fn send_beside(caller: PlatformCaller, gateway: SocketAddr, lane: usize) {
     for number in 0.. {
