Origins: doubt about streams of a restarted worker covers three missed heartbeats

What callers saw (KNOWN-RED, a_stream_begun_seconds...): a worker restarts under its identifier with other software, the directory lists the new life 3 s later, and streams that began meanwhile go on at the earlier version. Cause: the doubt reached 2 s back from the news; an entry stays for three missed heartbeats, and the news takes up to two seconds more. Ruled out: the last renewal of the earlier life (renewals that change nothing are not visible); all streams of the worker (long streams of the earlier life would be lost).

--- a/crates/swiftshunt-gateway/src/origins/mod.rs
+++ b/crates/swiftshunt-gateway/src/origins/mod.rs
@@ -56,8 +56,9 @@
 const MEMBERS_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Interval at which the wait for the other gateways is checked.
 const MEMBERS_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Time within which a gateway learns that a worker has restarted.
-const RESTART_NOTICE_TIME: Duration = Duration::from_secs(2);
+/// Time within which a gateway learns that a worker has restarted: the entry of its earlier life goes after three missed
+/// heartbeats at the latest, of which gateways learn within seconds.
+const RESTART_NOTICE_TIME: Duration = Duration::from_secs(6);
 
 /// A stream that a caller takes up.
 pub(crate) struct TakenUpStream<'r> {
