Soak: callers that take streams up at other gateways, workers that number events wrongly

The soak could not see ORDER: its callers asked nothing of the events of a stream that broke off, and its workers numbered theirs rightly. Plans without the option are as they were.

--- a/crates/swiftshunt-lab/src/platform/worker.rs
+++ b/crates/swiftshunt-lab/src/platform/worker.rs
@@ -18,7 +18,7 @@
 use super::server::{Body, BrokenOff, ServerStop, any_port, full_body, serve};
 use crate::stand_in::lock;
 pub use streams::{
-    CutPlace, StreamCut, StreamFraming, event_data, versioned_event_data, versions_in,
+    CutPlace, NumberFault, StreamCut, StreamFraming, event_data, versioned_event_data, versions_in,
 };
 use streams::{StreamRun, stream_answer};
 
@@ -51,6 +51,8 @@
     /// not affected.
     #[serde(rename = "end_inside_event")]
     EndStreamInsideEvent(StreamCut),
+    /// Runs them and numbers the events of streams wrongly. Other responses are not affected.
+    MisnumberEvents(NumberFault),
     /// Runs them and sends streams with neither a length nor chunks. Other responses are not affected.
     #[serde(rename = "unframed")]
     UnframedStreams,
--- a/crates/swiftshunt-lab/src/platform/worker/streams.rs
+++ b/crates/swiftshunt-lab/src/platform/worker/streams.rs
@@ -50,6 +50,20 @@
     pub framing: StreamFraming,
 }
 
+/// How the events of a run do not follow each other, or those that the sender has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum NumberFault {
+    /// A continuation begins with the event that the sender has.
+    RepeatsLast,
+    /// A continuation begins with the first event of the stream.
+    FromBeginning,
+    /// A continuation leaves its first event out.
+    LeavesFirstOut,
+    /// A run goes back by one event.
+    GoesBack,
+}
+
 /// Returns the data of a stream's event. It depends only on its arguments, so that a stream can be resumed at any
 /// worker.
 pub fn event_data(id: &str, event: u64) -> String {
@@ -97,6 +111,28 @@
         self.last_event.map_or(0, |last| last + 1)
     }
 
+    /// Returns the numbers of the events that are sent, and one more for the end of a whole stream.
+    fn event_numbers(&self) -> Vec<u64> {
+        let (first, last) = (self.first_event(), self.last_sent());
+        let sound = first..=last;
+        let WorkerBehaviour::MisnumberEvents(fault) = self.behaviour else {
+            return sound.collect();
+        };
+        let is_continuation = self.last_event.is_some();
+        match fault {
+            NumberFault::RepeatsLast if is_continuation => (first - 1..=last).collect(),
+            NumberFault::FromBeginning if is_continuation => (0..=last).collect(),
+            // A continuation without its only event is that of a stream without further events.
+            NumberFault::LeavesFirstOut if is_continuation && first + 1 < self.events => {
+                (first + 1..=last).collect()
+            }
+            NumberFault::GoesBack if first + 1 < last => {
+                [first, first + 1].into_iter().chain(sound).collect()
+            }
+            _ => sound.collect(),
+        }
+    }
+
     /// Returns the number of whole events before the one inside which the stream ends, and where that ends.
     fn cut(&self) -> Option<(u64, CutPlace)> {
         match self.behaviour {
@@ -150,9 +186,9 @@
 
 fn event_stream_body(shared: &Arc<Shared>, slot: HeldSlot, run: StreamRun) -> Body {
     let shared = Arc::clone(shared);
-    let (first, last) = (run.first_event(), run.last_sent());
+    let numbers = run.event_numbers();
     let state = Arc::new((slot, run));
-    let frames = futures_util::stream::iter(first..=last).then(move |event| {
+    let frames = futures_util::stream::iter(numbers).then(move |event| {
         let shared = Arc::clone(&shared);
         let state = Arc::clone(&state);
         async move {
--- a/crates/swiftshunt-lab/src/soak/command.rs
+++ b/crates/swiftshunt-lab/src/soak/command.rs
@@ -40,6 +40,9 @@
     /// let batch items run for seconds under series of crashes, lapses of directory entries and signals that overlap
     #[argh(switch)]
     series: bool,
+    /// let callers take streams up at other gateways, while workers number events wrongly
+    #[argh(switch)]
+    streams: bool,
     /// executable of an earlier build, which every second gateway runs until its first planned stop
     #[argh(option)]
     earlier: Option<PathBuf>,
@@ -86,6 +89,9 @@
         if arguments.series {
             plan = plan.with_series();
         }
+        if arguments.streams {
+            plan = plan.with_stream_faults();
+        }
         broken += usize::from(!runner.run_plan(plan).await?);
         rounds_played += 1;
     }
--- a/crates/swiftshunt-lab/src/soak/history.rs
+++ b/crates/swiftshunt-lab/src/soak/history.rs
@@ -78,6 +78,30 @@
     pub outcome: Outcome,
 }
 
+/// An event of a stream that a caller received.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReceivedEvent {
+    /// Identifier of the attempt that brought it.
+    pub attempt: String,
+    /// Its number.
+    pub number: u64,
+    /// Its data.
+    pub data: String,
+}
+
+/// A stream whose caller closes its connection early and takes the stream up at another gateway.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TakenUpStream {
+    /// Identifier of the first attempt.
+    pub id: String,
+    /// Time at which the last attempt ended.
+    pub ended: u64,
+    /// The events in the order in which they were received, over all attempts.
+    pub events: Vec<ReceivedEvent>,
+    /// Whether the last attempt ended as a complete response with a success status.
+    pub is_complete: bool,
+}
+
 /// An attempt to submit a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Submission {
@@ -246,6 +270,9 @@
 pub struct History {
     /// Online requests in the order in which their outcomes were known.
     pub online: Vec<OnlineCall>,
+    /// Streams that were taken up, in the order of their ends.
+    #[serde(default)]
+    pub taken_up: Vec<TakenUpStream>,
     /// Jobs in the order in which their senders finished.
     pub jobs: Vec<JobHistory>,
     /// Run events of all workers, in the order of their times.
--- a/crates/swiftshunt-lab/src/soak/load.rs
+++ b/crates/swiftshunt-lab/src/soak/load.rs
@@ -2,6 +2,7 @@
 
 mod jobs;
 mod online;
+mod streams;
 
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -11,7 +12,7 @@
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 
-use super::history::{JobHistory, OnlineCall, Outcome};
+use super::history::{History, JobHistory, OnlineCall, Outcome, TakenUpStream};
 use super::testbed::Testbed;
 use crate::platform::caller::PlatformCaller;
 use crate::stand_in::lock;
@@ -26,6 +27,7 @@
 #[derive(Default)]
 struct CallerRecords {
     online: Vec<OnlineCall>,
+    taken_up: Vec<TakenUpStream>,
     jobs: Vec<JobHistory>,
 }
 
@@ -74,6 +76,12 @@
             let uniform: f64 = rand::rng().random_range(f64::EPSILON..1.0);
             tokio::time::sleep(Duration::from_secs_f64(-uniform.ln() / rate)).await;
             let load = Arc::clone(self);
+            let share = self.testbed.plan.take_up_share;
+            if share > 0.0 && rand::rng().random_bool(share) {
+                self.tasks
+                    .spawn(async move { load.send_taken_up_stream().await });
+                continue;
+            }
             self.tasks
                 .spawn(async move { load.send_random_request().await });
         }
@@ -131,10 +139,12 @@
         last.elapsed() >= STALL_TIMEOUT
     }
 
-    /// Takes the records of online requests and jobs, and leaves none.
-    pub(super) fn take_records(&self) -> (Vec<OnlineCall>, Vec<JobHistory>) {
+    /// Moves the records of callers into a history.
+    pub(super) fn move_records(&self, history: &mut History) {
         let records = std::mem::take(&mut *lock(&self.records));
-        (records.online, records.jobs)
+        history.online = records.online;
+        history.taken_up = records.taken_up;
+        history.jobs = records.jobs;
     }
 }
 
--- a/crates/swiftshunt-lab/src/soak/mod.rs
+++ b/crates/swiftshunt-lab/src/soak/mod.rs
@@ -15,6 +15,7 @@
 mod round;
 mod run_log;
 mod series;
+mod stream_faults;
 mod testbed;
 
 pub use round::{SoakError, play};
--- a/crates/swiftshunt-lab/src/soak/plan.rs
+++ b/crates/swiftshunt-lab/src/soak/plan.rs
@@ -70,6 +70,9 @@
     /// Delay before each event of a batch item, in milliseconds; `None` for that of streams.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub item_event_delay_ms: Option<u64>,
+    /// Share of the online requests that are streams which their callers take up at another gateway.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub take_up_share: f64,
     /// The faults, in the order of their start times.
     pub faults: Vec<ScheduledFault>,
     /// The link between two regions; `None` if all processes are in one zone.
@@ -294,6 +297,7 @@
             jobs_per_burst: random.random_range(1..=4),
             job_items: random.random_range(4..=24),
             item_event_delay_ms: None,
+            take_up_share: 0.0,
             faults: Vec::new(),
             regions: None,
             cold: None,
@@ -447,6 +451,10 @@
     }
 }
 
+fn is_zero(share: &f64) -> bool {
+    *share == 0.0
+}
+
 /// Draws a number with two decimals, which stays the same when a plan is written to JSON and read again.
 fn hundredths(range: std::ops::Range<u32>, random: &mut StdRng) -> f64 {
     f64::from(random.random_range(range)) / 100.0
--- a/crates/swiftshunt-lab/src/soak/promises/mod.rs
+++ b/crates/swiftshunt-lab/src/soak/promises/mod.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod placement;
 mod runs;
+mod streams;
 
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
@@ -74,10 +75,13 @@
     /// An item of an accepted job does not stay idle while workers are free.
     #[display("idle-items")]
     IdleItems,
+    /// Each event of a stream that is taken up comes once and in order.
+    #[display("stream-order")]
+    StreamOrder,
 }
 
 /// All promises.
-pub const ALL: [Promise; 18] = [
+pub const ALL: [Promise; 19] = [
     Promise::ExactlyOnce,
     Promise::Cancelled,
     Promise::OnlineFirst,
@@ -96,6 +100,7 @@
     Promise::Residency,
     Promise::WaitingLimit,
     Promise::IdleItems,
+    Promise::StreamOrder,
 ];
 
 /// The error for a name that is not the name of a promise.
@@ -187,6 +192,7 @@
         Promise::Residency => placement::residency(history, &mut verdict),
         Promise::WaitingLimit => limits::waiting_limit(history, &mut verdict),
         Promise::IdleItems => idle_items::idle_items(history, &mut verdict),
+        Promise::StreamOrder => streams::stream_order(history, &mut verdict),
     }
     verdict
 }
--- a/crates/swiftshunt-lab/src/soak/round.rs
+++ b/crates/swiftshunt-lab/src/soak/round.rs
@@ -62,7 +62,7 @@
         return Err(SoakError::NotPlayed { failures });
     }
     let mut history = testbed.history()?;
-    (history.online, history.jobs) = load.take_records();
+    load.move_records(&mut history);
     Ok(history)
 }
 
--- a/crates/swiftshunt-lab/tests/soak_promises.rs
+++ b/crates/swiftshunt-lab/tests/soak_promises.rs
@@ -5,8 +5,8 @@
 use swiftshunt_lab::soak::disturbances::{Disturbance, Scope};
 use swiftshunt_lab::soak::history::{
     ColdPeriod, Evacuation, History, JobHistory, ListedResult, OnlineCall, OnlineKind, Outcome,
-    PlannedStop, PublishedConfiguration, Reading, ResidencyRule, RunRecord, Submission,
-    WorkerDrain, WorkerLocation,
+    PlannedStop, PublishedConfiguration, Reading, ReceivedEvent, ResidencyRule, RunRecord,
+    Submission, TakenUpStream, WorkerDrain, WorkerLocation,
 };
 use swiftshunt_lab::soak::plan::Plan;
 use swiftshunt_lab::soak::promises::{ALL, Promise, judge};
@@ -105,6 +105,24 @@
     }
 }
 
+/// Returns a stream whose first three events one attempt brought, and the rest another one.
+fn taken_up_stream() -> TakenUpStream {
+    let events = (0..12).map(|number| {
+        let attempt = if number < 3 { "t" } else { "t-1" };
+        ReceivedEvent {
+            attempt: attempt.to_owned(),
+            number,
+            data: event_data(attempt, number),
+        }
+    });
+    TakenUpStream {
+        id: "t".to_owned(),
+        ended: 9_000,
+        events: events.collect(),
+        is_complete: true,
+    }
+}
+
 /// Returns the history of a round without broken promises, in which every checker has something to check.
 fn valid_history() -> History {
     let marker = |id: &str, version, sent| {
@@ -158,6 +176,7 @@
             marker("m1", 2, CONFIGURED_AT + 2_500),
             marker("m2", 2, CONFIGURED_AT + 3_500),
         ],
+        taken_up: vec![taken_up_stream()],
         jobs: vec![job("job"), job("ended")],
         configurations: vec![PublishedConfiguration {
             version: 2,
@@ -265,6 +284,10 @@
 #[test_case(Promise::WaitingLimit, |history| history.waiting_limit = Some(199); "more queued tokens than the limit")]
 #[test_case(Promise::IdleItems, |history| leave_idle(history, 0); "an item that no worker runs and that is not listed")]
 #[test_case(Promise::IdleItems, |history| leave_idle(history, 1); "an item that is not run again after its run ended")]
+#[test_case(Promise::StreamOrder, |history| drop(history.taken_up[0].events.remove(5)); "a missing event")]
+#[test_case(Promise::StreamOrder, |history| { let event = history.taken_up[0].events[2].clone(); history.taken_up[0].events.insert(3, event) }; "an event that comes twice")]
+#[test_case(Promise::StreamOrder, |history| drop(history.taken_up[0].events.pop()); "a complete stream without its last event")]
+#[test_case(Promise::StreamOrder, |history| history.taken_up[0].events[4].data = event_data("t", 4); "an event of another attempt")]
 #[test_case(Promise::Residency, |history| history.worker_locations[0].region = "region-b".to_owned(); "a run outside the allowed regions")]
 fn each_kind_of_broken_promise_is_detected(promise: Promise, corrupt: impl Fn(&mut History)) {
     let mut history = valid_history();
--- a/crates/swiftshunt/tests/soak.rs
+++ b/crates/swiftshunt/tests/soak.rs
@@ -66,6 +66,16 @@
     assert_all_kept(&history);
 }
 
+/// Callers take streams up at other gateways while workers number events wrongly and break streams off.
+#[test_case(98_201)]
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_while_workers_number_events_wrongly(seed: u64) {
+    let history = play(Plan::draw(seed, SERIES_MINUTES).with_stream_faults()).await;
+    let taken_up = history.taken_up.len();
+    assert!(taken_up > 100, "{taken_up} streams were taken up");
+    assert_all_kept(&history);
+}
+
 /// Replays the plans that once broke a promise; `lab/seeds/README.md` lists the reasons.
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_where_they_once_broke() {
