Origins: a service whose workers were replaced while no gateway ran is marked

Found by the review: the recorded version stays the earlier one until no stream of it can be taken up; if all gateways are lost again meanwhile and the earlier version is put back, record and directory agree, and streams of the version in between go on at it. Change: while record and directory differ, the service has the mark of several versions. The mark goes only once they agree. Evidence: by reading; the new test (replaced, and put back) was not run on the code before.

--- a/crates/swiftshunt-gateway/src/origins/version_marks.rs
+++ b/crates/swiftshunt-gateway/src/origins/version_marks.rs
@@ -183,13 +183,21 @@
         }
         let watched_since = self.fleet_state.selector().directory_watched_since();
         let has_watched = watched_since.is_some_and(|watched_since| watched_since <= since);
-        if let Some(version) = versions.first()
-            && self.writes_marks_of(service)
-        {
+        if !self.writes_marks_of(service) {
+            return;
+        }
+        if let Some(version) = versions.first() {
             self.record_only_version(service, version, has_watched)
                 .await;
         }
-        if is_marked && has_watched && self.writes_marks_of(service) {
+        let recorded = self.version_marks.only_version(service);
+        let is_other = recorded.is_some_and(|recorded| versions.first() != Some(&recorded));
+        if is_other && !versions.is_empty() {
+            // Workers were replaced while no gateway ran: streams of both versions may be taken up.
+            if !is_marked {
+                self.write_mark(service, true).await;
+            }
+        } else if is_marked && has_watched {
             self.write_mark(service, false).await;
         }
     }
--- a/crates/swiftshunt/tests/gateway_software_versions.rs
+++ b/crates/swiftshunt/tests/gateway_software_versions.rs
@@ -242,10 +242,10 @@
 }
 
 /// Starts workers of another version and ends those that were there.
-async fn replace_all_engine_workers(fleet: &mut ExclusiveFleet, software: &str) {
+async fn replace_all_engine_workers(fleet: &mut ExclusiveFleet, software: &str, name: &str) {
     let before = fleet.engine_workers.len();
     for worker in 0..before {
-        let incarnation = format!("replacement-{worker}");
+        let incarnation = format!("{name}-{worker}");
         let added = fleet.add_engine_worker(&incarnation, software);
         added.await.expect("the worker did not start");
     }
@@ -259,17 +259,36 @@
 async fn no_stream_joins_two_versions_if_all_workers_were_replaced_while_no_gateway_ran() {
     let mut fleet = start(options(&["v1"])).await;
     let begun = begin_streams(&fleet, &[0, 1, 2], 24).await;
-    let replace = async |fleet: &mut ExclusiveFleet| replace_all_engine_workers(fleet, "v2").await;
+    let replace = async |fleet: &mut ExclusiveFleet| {
+        replace_all_engine_workers(fleet, "v2", "replacement").await;
+    };
     restart_around(&mut fleet, replace).await;
     let outcomes = take_up_all(&fleet, &[0, 1, 2], &begun).await;
     outcomes.assert_unmixed();
 }
 
+/// The version that was recorded first returns while streams of the second one are in progress.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_stream_joins_two_versions_if_workers_are_replaced_and_put_back_while_no_gateway_ran() {
+    let mut fleet = start(options(&["v1"])).await;
+    for (round, software) in ["v2", "v1"].into_iter().enumerate() {
+        // The gateways record the version that serves.
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let begun = begin_streams(&fleet, &[0, 1, 2], 12).await;
+        let replace = async |fleet: &mut ExclusiveFleet| {
+            replace_all_engine_workers(fleet, software, &format!("round-{round}")).await;
+        };
+        restart_around(&mut fleet, replace).await;
+        let outcomes = take_up_all(&fleet, &[0, 1, 2], &begun).await;
+        outcomes.assert_unmixed();
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn no_stream_joins_two_versions_if_the_first_has_left_before_all_gateways_are_killed() {
     let mut fleet = start(options(&["v1"])).await;
     let begun = begin_streams(&fleet, &[0, 1, 2], 24).await;
-    replace_all_engine_workers(&mut fleet, "v2").await;
+    replace_all_engine_workers(&mut fleet, "v2", "replacement").await;
     // Longer than the time within which gateways learn of workers that are gone.
     tokio::time::sleep(Duration::from_secs(2)).await;
     restart_around(&mut fleet, async |_: &mut ExclusiveFleet| {}).await;
@@ -282,7 +301,7 @@
 async fn no_stream_joins_two_versions_if_all_gateways_are_killed_at_once_with_the_change() {
     let mut fleet = start(options(&["v1"])).await;
     let begun = begin_streams(&fleet, &[0, 1, 2], 24).await;
-    replace_all_engine_workers(&mut fleet, "v2").await;
+    replace_all_engine_workers(&mut fleet, "v2", "replacement").await;
     restart_around(&mut fleet, async |_: &mut ExclusiveFleet| {}).await;
     let outcomes = take_up_all(&fleet, &[0, 1, 2], &begun).await;
     outcomes.assert_unmixed();
