Gateway: small bodies may take the memory that large ones leave

Found by the review: the first 64 KiB of a body took from a sixteenth of the memory alone, and a request in service keeps them: 48 requests of 64 KiB on the smallest machine would refuse all others while the rest is free. A body that could not get enough let all older incomplete ones give way all the same, and a waiting one held a part of what was free, which was in nobody's books. Change: where the part for small bodies is used up, they take of the other; nobody gives way unless that suffices; memory is tried for again instead of waited for in a queue.

--- a/crates/swiftshunt-gateway/src/body_buffers/mod.rs
+++ b/crates/swiftshunt-gateway/src/body_buffers/mod.rs
@@ -143,12 +143,18 @@
         Ok(())
     }
 
+    /// Reserves memory of small bodies, or, where that is used up, of large ones.
     async fn reserve_small(&mut self, bytes: usize) -> Result<(), BodyRefusal> {
-        let reserved = self.buffers.small.reserve(self.id, &self.gives_way, bytes);
-        merge(
-            &mut self.small,
-            reserved.await.ok_or(BodyRefusal::NoMemory)?,
-        );
+        let BodyBuffers { small, large, .. } = self.buffers;
+        let (id, gives_way) = (self.id, &self.gives_way);
+        if let Some(reserved) = small.try_reserve(id, gives_way, bytes) {
+            merge(&mut self.small, reserved);
+        } else if let Some(reserved) = large.try_reserve(id, gives_way, bytes) {
+            merge(&mut self.large, reserved);
+        } else {
+            let reserved = small.reserve(id, gives_way, bytes).await;
+            merge(&mut self.small, reserved.ok_or(BodyRefusal::NoMemory)?);
+        }
         Ok(())
     }
 
@@ -167,11 +173,13 @@
     /// Returns the whole body, whose bytes alone count on.
     fn finish(&mut self) -> Bytes {
         let bytes = std::mem::take(&mut self.bytes);
-        let mut small = self.small.take();
-        if let Some(small) = &mut small {
-            drop(small.split(CONNECTION_BYTES));
-        }
-        with_reservation(bytes, (small, self.large.take()))
+        let (mut small, mut large) = (self.small.take(), self.large.take());
+        let of_connection = [&mut small, &mut large]
+            .into_iter()
+            .flatten()
+            .find_map(|reserved| reserved.split(CONNECTION_BYTES));
+        drop(of_connection);
+        with_reservation(bytes, (small, large))
     }
 }
 
@@ -225,6 +233,34 @@
         assert_eq!(append(&mut third, LIMIT / 2).await, Ok(()));
     }
 
+    #[tokio::test]
+    async fn nobody_gives_way_to_a_body_that_gets_too_little_by_that() {
+        let buffers = BodyBuffers::new(LIMIT);
+        let mut whole = reader(&buffers);
+        assert_eq!(append(&mut whole, LIMIT / 2).await, Ok(()));
+        let _whole = whole.finish();
+        drop(whole);
+        let mut incomplete = reader(&buffers);
+        assert_eq!(append(&mut incomplete, LIMIT / 4).await, Ok(()));
+        let mut newest = reader(&buffers);
+        let refused = append(&mut newest, LIMIT).await;
+        assert_eq!(refused, Err(BodyRefusal::NoMemory));
+        assert!(!incomplete.gives_way.is_cancelled());
+    }
+
+    #[tokio::test]
+    async fn small_bodies_may_take_the_memory_that_large_ones_leave() {
+        let buffers = BodyBuffers::new(LIMIT);
+        let mut whole = Vec::new();
+        // Three times as many as the part for small bodies holds.
+        for _ in 0..3 * LIMIT / SMALL_DIVISOR / SMALL_BYTES {
+            let mut body = reader(&buffers);
+            assert_eq!(body.reserve_small(CONNECTION_BYTES).await, Ok(()));
+            assert_eq!(append(&mut body, SMALL_BYTES).await, Ok(()));
+            whole.push(body.finish());
+        }
+    }
+
     #[tokio::test]
     async fn one_body_has_a_limit_of_its_own() {
         let buffers = BodyBuffers::new(4 * LIMIT);
--- a/crates/swiftshunt-gateway/src/body_buffers/pool.rs
+++ b/crates/swiftshunt-gateway/src/body_buffers/pool.rs
@@ -9,8 +9,11 @@
 
 use crate::fleet_state::lock;
 
-/// Interval at which further holders give way to one that still waits: what became free may have gone to others.
-const RETRY_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval at which a holder that waits tries again: what became free may have gone to others.
+const RETRY_INTERVAL: Duration = Duration::from_millis(10);
+/// Number of tries in a row without enough memory in sight after which a holder is refused. Memory that is just being
+/// released is in nobody's books.
+const MAX_TRIES_WITHOUT_ROOM: u32 = 3;
 
 /// Identifies an unfinished holder; larger ones are younger.
 pub(super) type HolderId = u64;
@@ -38,27 +41,16 @@
         }
     }
 
-    /// Reserves memory for a holder, and lets older ones give way to it. Returns `None` if that frees too little.
-    pub(super) async fn reserve(
+    /// Reserves memory for a holder if it is free.
+    pub(super) fn try_reserve(
         &self,
         id: HolderId,
         gives_way: &CancellationToken,
         bytes: usize,
     ) -> Option<OwnedSemaphorePermit> {
         let permits = u32::try_from(bytes).ok()?;
-        let free = || Arc::clone(&self.free);
-        let permit = match free().try_acquire_many_owned(permits) {
-            Ok(permit) => permit,
-            Err(_) => loop {
-                if !self.make_room(id, bytes) {
-                    return None;
-                }
-                let acquired = free().acquire_many_owned(permits);
-                if let Ok(permit) = tokio::time::timeout(RETRY_INTERVAL, acquired).await {
-                    break permit.ok()?;
-                }
-            },
-        };
+        let free = Arc::clone(&self.free);
+        let permit = free.try_acquire_many_owned(permits).ok()?;
         let mut holders = lock(&self.holders);
         let holder = holders.entry(id).or_insert_with(|| Holder {
             bytes: 0,
@@ -68,19 +60,48 @@
         Some(permit)
     }
 
+    /// Reserves memory for a holder, and lets older ones give way to it. Returns `None` if that frees too little.
+    pub(super) async fn reserve(
+        &self,
+        id: HolderId,
+        gives_way: &CancellationToken,
+        bytes: usize,
+    ) -> Option<OwnedSemaphorePermit> {
+        let mut tries_without_room = 0;
+        loop {
+            if let Some(permit) = self.try_reserve(id, gives_way, bytes) {
+                return Some(permit);
+            }
+            if self.make_room(id, bytes) {
+                tries_without_room = 0;
+            } else {
+                tries_without_room += 1;
+            }
+            if tries_without_room >= MAX_TRIES_WITHOUT_ROOM {
+                return None;
+            }
+            tokio::time::sleep(RETRY_INTERVAL).await;
+        }
+    }
+
     /// Lets holders that are older than `id` give way, the oldest first, until `bytes` are free or becoming so. Returns
-    /// whether that many are.
+    /// whether that many are; otherwise no holder gives way.
     fn make_room(&self, id: HolderId, bytes: usize) -> bool {
         let holders = lock(&self.holders);
         let mut coming_free = self.free.available_permits();
+        let mut chosen = Vec::new();
         for (_, holder) in holders.range(..id) {
             if coming_free >= bytes {
                 break;
             }
-            holder.gives_way.cancel();
             coming_free += holder.bytes;
+            chosen.push(&holder.gives_way);
+        }
+        let is_enough = coming_free >= bytes;
+        if is_enough {
+            chosen.into_iter().for_each(CancellationToken::cancel);
         }
-        coming_free >= bytes
+        is_enough
     }
 
     /// Removes a holder that has finished: it gives way to no other any more.
