Gateway: a job that was accepted before waits for no memory

Found by the review: a job that comes again after its 202 waited for the memory to decode it, and might have got 503 instead of 202. By reading; no test.

--- a/crates/swiftshunt-gateway/src/batch/intake.rs
+++ b/crates/swiftshunt-gateway/src/batch/intake.rs
@@ -42,6 +42,13 @@
 }
 
 impl Batch {
+    /// Whether this gateway knows that a job with this identifier was accepted.
+    pub(crate) fn is_known(&self, tenant: Option<&TenantName>, id: &str) -> bool {
+        let id = &qualified_job_id(tenant, id);
+        let partition = self.replay.partition_of(id);
+        self.replay.state(partition).fold.job(id).is_some()
+    }
+
     /// Accepts a job. Answers 202 once its record is in the journal.
     pub(crate) async fn submit(&self, submission: Submission<'_>) -> CallerAnswer {
         let Submission {
--- a/crates/swiftshunt-gateway/src/entry.rs
+++ b/crates/swiftshunt-gateway/src/entry.rs
@@ -295,20 +295,28 @@
         let Some(id) = identified.facts.id.as_deref() else {
             return plain(StatusCode::BAD_REQUEST, "the job has no identifier");
         };
-        let admitted = self.job_decoding.admit(body.len());
-        let admitted = tokio::time::timeout(self.time_left(identified), admitted).await;
-        let Ok(Some(_decoding)) = admitted else {
-            return self.refuse_body(identified, Refusal::NoMemory);
-        };
+        let tenant = identified.caller.tenant_name();
+        let mut decoding = None;
+        // A job that was accepted before is not decoded again.
+        if !self.batch.is_known(tenant, id) {
+            let admitted = self.job_decoding.admit(body.len());
+            let admitted = tokio::time::timeout(self.time_left(identified), admitted).await;
+            let Ok(Some(admitted)) = admitted else {
+                return self.refuse_body(identified, Refusal::NoMemory);
+            };
+            decoding = Some(admitted);
+        }
         let submission = Submission {
             id,
-            tenant: identified.caller.tenant_name(),
+            tenant,
             route: &identified.route,
             path: identified.head.uri.path(),
             body,
             deadline: identified.deadline(),
         };
-        self.batch.submit(submission).await
+        let answer = self.batch.submit(submission).await;
+        drop(decoding);
+        answer
     }
 
     fn context(
