Gateway: a stop closes before it answers what is left

Found by the review: with a silent log the closing stage may begin after the last answers, so that requests were still taken. By reading; no test. gateway_stop_grace asks for the status of a request that may have run.

--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -366,6 +366,8 @@
         if drained.is_err() {
             log::warn!(connections = self.stop.connections.len();
                 "requests are still in progress near the end of the grace period; answering them");
+            // The drain may still wait for the log before its closing stage.
+            self.stop.closing.cancel();
             self.stop.ending.cancel();
             drained = tokio::time::timeout(LAST_ANSWERS_TIME, drain).await;
         }
--- a/crates/swiftshunt/tests/gateway_stop_grace.rs
+++ b/crates/swiftshunt/tests/gateway_stop_grace.rs
@@ -40,10 +40,6 @@
     fleet
 }
 
-fn promises_not_run(status: StatusCode) -> bool {
-    matches!(status.as_u16(), 408 | 421 | 429 | 503)
-}
-
 #[test_case(ONCE; "not repeatable")]
 #[test_case(ASK; "repeatable")]
 #[test_case(STREAM; "streams before their first event")]
@@ -67,7 +63,13 @@
     for request in requests {
         let (answer, id) = request.await.expect("the caller panicked");
         let answer = answer.unwrap_or_else(|error| panic!("{id} got no answer: {error}"));
-        assert!(!promises_not_run(answer.status), "{id}: {}", answer.status);
+        // Its workers take longer than the grace period; one that may be repeated may have used its attempts up.
+        let may_have_run = [StatusCode::BAD_GATEWAY, StatusCode::GATEWAY_TIMEOUT];
+        assert!(
+            may_have_run.contains(&answer.status),
+            "{id}: {}",
+            answer.status
+        );
     }
 }
 
