--- a/crates/swiftshunt/tests/gateway/mod.rs
+++ b/crates/swiftshunt/tests/gateway/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)] // Each test program uses only some of these helpers.
 
 pub mod raw_worker;
+pub mod taken_up_streams;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/swiftshunt/tests/gateway_software_versions.rs
+++ b/crates/swiftshunt/tests/gateway_software_versions.rs
@@ -3,28 +3,25 @@
 
 mod gateway;
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use gateway::taken_up_streams::{
+    Begun, EVENTS, begin_streams, take_up, take_up_all, wait_until_ready,
+};
 use gateway::{
     ExclusiveFleet, listed_results, start, submit, unresponsive_log, wait_for_all_results,
 };
 use hyper::StatusCode;
-use swiftshunt_lab::platform::caller::{StreamPart, item_id};
+use swiftshunt_lab::platform::caller::item_id;
 use swiftshunt_lab::platform::fleet::{PlatformOptions, STREAM, eventually, first_configuration};
 use swiftshunt_lab::platform::worker::{
     Worker, WorkerBehaviour, versioned_event_data, versions_in,
 };
 use swiftshunt_platform::words::values;
 
-/// Number of events in a stream.
+/// Number of items of a large job.
 const MANY_ITEMS: usize = 40;
-const EVENTS: u64 = 12;
-/// Number of events that a caller reads before it closes the connection.
-const READ_EVENTS: usize = 3;
-/// Least share of the streams taken up that must go on, where workers of their version serve.
-const MIN_CONTINUED_SHARE: f64 = 0.5;
 /// Time in which a request that cannot be served is refused.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
 
@@ -45,119 +42,6 @@
     start(options(&["v1", "v2"])).await
 }
 
-/// A stream that a caller began and whose connection it closed.
-struct Begun {
-    id: String,
-    part: StreamPart,
-}
-
-impl Begun {
-    fn version(&self) -> String {
-        let text = self.part.text();
-        let versions = versions_in(&text);
-        versions
-            .first()
-            .map(|version| (*version).to_owned())
-            .unwrap_or_default()
-    }
-}
-
-async fn begin(fleet: &ExclusiveFleet, gateway: SocketAddr, id: &str) -> Begun {
-    let read = fleet
-        .caller
-        .read_stream(gateway, STREAM, id, None, READ_EVENTS);
-    let part = read.await.expect("no response");
-    assert_eq!(part.status, StatusCode::OK, "{id}");
-    assert_eq!(part.events.len(), READ_EVENTS, "{id}");
-    Begun {
-        id: id.to_owned(),
-        part,
-    }
-}
-
-async fn begin_streams(fleet: &ExclusiveFleet, gateways: &[usize], count: usize) -> Vec<Begun> {
-    let mut begun = Vec::new();
-    for number in 0..count {
-        let gateway = fleet.gateways[gateways[number % gateways.len()]].callers;
-        begun.push(begin(fleet, gateway, &format!("s{number}")).await);
-    }
-    let versions: BTreeSet<String> = begun.iter().map(Begun::version).collect();
-    println!("versions that began streams: {versions:?}");
-    begun
-}
-
-async fn take_up(
-    fleet: &ExclusiveFleet,
-    gateway: SocketAddr,
-    begun: &Begun,
-    id: &str,
-) -> StreamPart {
-    let take_up = begun.part.take_up(&begun.id);
-    let read = fleet
-        .caller
-        .read_stream(gateway, STREAM, id, take_up.as_ref(), usize::MAX);
-    read.await.expect("no response")
-}
-
-/// What became of streams that callers took up.
-#[derive(Debug, Default)]
-struct Outcomes {
-    continued: usize,
-    refused: usize,
-    broken: usize,
-    /// Streams that hold events of two versions.
-    mixed: Vec<String>,
-}
-
-impl Outcomes {
-    fn add(&mut self, begun: &Begun, rest: &StreamPart) {
-        let text = format!("{}\n{}", begun.part.text(), rest.text());
-        if versions_in(&text).len() > 1 {
-            self.mixed.push(text);
-        }
-        if rest.status != StatusCode::OK {
-            assert_eq!(rest.status, StatusCode::SERVICE_UNAVAILABLE);
-            assert!(rest.headers.contains_key("retry-after"));
-            self.refused += 1;
-        } else if rest.is_complete {
-            let numbers: Vec<u64> = rest.events.iter().map(|(number, _)| *number).collect();
-            let expected: Vec<u64> = (READ_EVENTS as u64..EVENTS).collect();
-            assert_eq!(numbers, expected);
-            self.continued += 1;
-        } else {
-            self.broken += 1;
-        }
-    }
-
-    fn assert_unmixed(&self) {
-        println!("{self:?}");
-        assert!(self.mixed.is_empty(), "events of two versions: {self:?}");
-    }
-
-    fn assert_continued(&self) {
-        let all = self.continued + self.refused + self.broken;
-        let share = self.continued as f64 / all.max(1) as f64;
-        assert!(share >= MIN_CONTINUED_SHARE, "too few went on: {self:?}");
-    }
-}
-
-async fn take_up_all(fleet: &ExclusiveFleet, gateways: &[usize], begun: &[Begun]) -> Outcomes {
-    let mut outcomes = Outcomes::default();
-    for (number, stream) in begun.iter().enumerate() {
-        let gateway = fleet.gateways[gateways[number % gateways.len()]].callers;
-        let rest = take_up(fleet, gateway, stream, &format!("t{number}")).await;
-        outcomes.add(stream, &rest);
-    }
-    outcomes
-}
-
-async fn wait_until_ready(fleet: &ExclusiveFleet, gateways: &[usize]) {
-    for gateway in gateways {
-        let ready = fleet.gateways[*gateway].ready;
-        eventually("the gateway is ready", || fleet.caller.is_ready(ready)).await;
-    }
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_taken_up_at_another_gateway_stays_at_the_version_that_began_it() {
     let fleet = two_versions().await;
