Gateway: the line about a stream that is taken up tells the age of the directory

The hypothesis that a gateway with an old view joins two versions could not be told from the others in logs: the line named what was found, and not how old the view was that it was found by.

--- a/crates/swiftshunt-gateway/src/online.rs
+++ b/crates/swiftshunt-gateway/src/online.rs
@@ -152,8 +152,12 @@
             route: &context.route,
         };
         let found = self.dispatcher.origins.find(&stream).await;
+        let fleet_state = &self.dispatcher.fleet_state;
+        let now = self.dispatcher.clock.now();
+        let directory_age = now.saturating_sub(fleet_state.directory_confirmed_at());
         log::info!(request = context.id(), first_attempt:? = context.facts.first_attempt,
-            last_event:? = context.facts.last_event, found:? = found; "the caller takes up a stream");
+            last_event:? = context.facts.last_event, found:? = found,
+            directory_age_ms = directory_age.as_millis() as u64; "the caller takes up a stream");
         match found {
             Ok(origin) => {
                 context.outgoing.demand.scope.origin = Some(origin);
