HTTP: a body is chunked only if that is its last transfer coding

What callers saw: a stream without any event that looked complete, and items completed with an empty text, where a worker closed its connection inside the line of its transfer coding and an empty line followed.

Cause: any transfer coding counted as chunks. The HTTP library reads a body whose last coding is another one to the end of its connection, so the end of the connection was taken for the last chunk, and nothing asked whether the worker had broken off.

Change: the framing follows RFC 9112, section 6.3.

--- a/crates/swiftshunt-http/src/event_stream.rs
+++ b/crates/swiftshunt-http/src/event_stream.rs
@@ -36,10 +36,15 @@
 }
 
 impl Framing {
-    /// Returns the framing that the headers of a response state.
+    /// Returns the framing that the headers of a response state. A body with a transfer coding is chunked only if that is
+    /// its last coding (RFC 9112, section 6.3).
     pub fn of(headers: &HeaderMap) -> Self {
         if headers.contains_key(TRANSFER_ENCODING) {
-            Self::Chunked
+            if is_chunked(headers) {
+                Self::Chunked
+            } else {
+                Self::ConnectionClose
+            }
         } else if headers.contains_key(CONTENT_LENGTH) {
             Self::Length
         } else {
@@ -48,6 +53,19 @@
     }
 }
 
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let codings = codings.and_then(|codings| codings.to_str().ok());
+    let last = codings.and_then(|codings| codings.rsplit(',').next());
+    last.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"))
+}
+
+/// Whether bytes are nothing but ends of lines. A body without framing that has no other bytes may be the rest of a head in
+/// which its sender stopped.
+pub fn is_only_line_ends(bytes: &[u8]) -> bool {
+    bytes.iter().all(|byte| matches!(byte, b'\r' | b'\n'))
+}
+
 /// How an event stream ended whose body ended without an error.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StreamEnd {
--- a/crates/swiftshunt-http/src/lib.rs
+++ b/crates/swiftshunt-http/src/lib.rs
@@ -16,7 +16,7 @@
 pub use event_numbers::{EventNumbers, NumberBreak, NumberRule, StreamPoint};
 pub use event_stream::{
     BodyChunk, EventPosition, EventStreamBody, Framing, MAX_EVENT_BYTES, StreamBreak, StreamEnd,
-    StreamReadError,
+    StreamReadError, is_only_line_ends,
 };
 pub use salvo::Router;
 pub use send_permit::{PermitOver, PermittedBody, SendPermit};
--- a/crates/swiftshunt-http/tests/event_stream.rs
+++ b/crates/swiftshunt-http/tests/event_stream.rs
@@ -1,6 +1,8 @@
-//! Where the events of a stream end.
+//! Where the events of a stream end, and what ends its body.
 
-use swiftshunt_http::{EventNumbers, EventPosition, NumberBreak, NumberRule, StreamPoint};
+use hyper::HeaderMap;
+use hyper::header::HeaderValue;
+use swiftshunt_http::{EventNumbers, EventPosition, Framing, NumberBreak, NumberRule, StreamPoint};
 use test_case::test_case;
 
 /// Two events and a comment, with every legal line end.
@@ -112,3 +114,24 @@
     position.advance(stream);
     assert_eq!(position.point(), expected);
 }
+
+/// A transfer coding that is cut off, or unknown, leaves the body to end with its connection.
+#[test_case(&[("transfer-encoding", "chunked")], Framing::Chunked; "chunked")]
+#[test_case(&[("transfer-encoding", "Chunked")], Framing::Chunked; "in capitals")]
+#[test_case(&[("transfer-encoding", "gzip, chunked")], Framing::Chunked; "the last of two")]
+#[test_case(&[("transfer-encoding", "gzip"), ("transfer-encoding", "chunked")], Framing::Chunked; "in the last of two fields")]
+#[test_case(&[("transfer-encoding", "chunke")], Framing::ConnectionClose; "cut off")]
+#[test_case(&[("transfer-encoding", "")], Framing::ConnectionClose; "empty")]
+#[test_case(&[("transfer-encoding", "chunked, gzip")], Framing::ConnectionClose; "not the last")]
+#[test_case(&[("content-length", "5")], Framing::Length; "a length")]
+#[test_case(&[], Framing::ConnectionClose; "no framing")]
+fn a_body_is_chunked_only_if_that_is_its_last_transfer_coding(
+    fields: &[(&'static str, &'static str)],
+    expected: Framing,
+) {
+    let mut headers = HeaderMap::new();
+    for (name, value) in fields {
+        headers.append(*name, HeaderValue::from_static(value));
+    }
+    assert_eq!(Framing::of(&headers), expected);
+}
