Gateway: a success without framing and without content has broken off

What callers saw: a 200 with an empty body, or with one that holds nothing but ends of lines, framed as whole. A worker had closed its connection inside the head of its answer, behind the signature, and an empty line followed the cut; the lines of the framing, and sometimes of the content type, were lost.

Cause: HTTP lets an answer without framing end with its connection, and the gateway asked only whether its worker still serves. That one does. A stream was checked for events only if its content type was whole.

Change: a successful answer whose body ends with the connection has broken off if it has no byte besides ends of lines, whatever its content type. Bodies with content are judged as before, since workers may send answers without a length. Ruled out: requiring `Connection: close` of such answers; nothing on the users' pages says that their workers send it.

Not covered: a continuation without any event, which may be the end of a stream.

--- a/crates/swiftshunt-gateway/src/worker_answer.rs
+++ b/crates/swiftshunt-gateway/src/worker_answer.rs
@@ -6,7 +6,9 @@
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use hyper::http::response;
-use swiftshunt_http::{BodyChunk, EventStreamBody, Framing, StreamBreak, StreamEnd};
+use swiftshunt_http::{
+    BodyChunk, EventStreamBody, Framing, StreamBreak, StreamEnd, is_only_line_ends,
+};
 use swiftshunt_scheduler::eligibility::OfferScope;
 use swiftshunt_scheduler::selection::{AttemptOutcome, ChosenWorker};
 
@@ -136,12 +138,21 @@
         }
     }
 
-    /// Checks, after a body that is no stream has been read, that it did not break off.
-    async fn check_body_end(&mut self, dispatcher: &Dispatcher) -> Result<(), String> {
+    /// Checks, after a body that is no stream has been read, that it did not break off. `has_content` tells whether it has
+    /// other bytes than ends of lines.
+    async fn check_body_end(
+        &mut self,
+        dispatcher: &Dispatcher,
+        has_content: bool,
+    ) -> Result<(), String> {
         if self.body.framing() != Framing::ConnectionClose {
             return Ok(());
         }
-        let end = dispatcher.confirm_end(&self.in_flight.chosen).await;
+        let end = if self.head.status.is_success() && !has_content {
+            StreamEnd::BrokenOff(StreamBreak::BeforeContent)
+        } else {
+            dispatcher.confirm_end(&self.in_flight.chosen).await
+        };
         self.record_end(dispatcher, end);
         match end {
             StreamEnd::Complete | StreamEnd::Unconfirmed => Ok(()),
@@ -169,6 +180,7 @@
     /// Reads the whole body.
     pub(crate) async fn read_body(&mut self, dispatcher: &Dispatcher) -> Result<Bytes, String> {
         let mut whole = dispatcher.answer_buffers.open();
+        let mut has_content = false;
         while let Some(frame) = self.body.as_incoming().frame().await {
             let frame = frame.map_err(|error| error.to_string())?;
             let Ok(data) = frame.into_data() else {
@@ -176,9 +188,10 @@
             };
             self.in_flight.record_progress();
             self.in_flight.record_received(data.len());
+            has_content |= !is_only_line_ends(&data);
             whole.append(&data).map_err(|error| error.to_string())?;
         }
-        self.check_body_end(dispatcher).await?;
+        self.check_body_end(dispatcher, has_content).await?;
         Ok(whole.finish())
     }
 }
--- a/crates/swiftshunt-http/src/event_stream.rs
+++ b/crates/swiftshunt-http/src/event_stream.rs
@@ -87,6 +87,9 @@
     /// The connection ended before the first event.
     #[display("its connection ended before the first event")]
     BeforeFirstEvent,
+    /// The connection ended before any content.
+    #[display("its connection ended before any content")]
+    BeforeContent,
     /// The connection ended, and so did its sender's process.
     #[display("its connection ended with the worker")]
     SenderEnded,
@@ -288,6 +291,8 @@
     /// Number of bytes behind the last event.
     bytes_behind_event: usize,
     received: u64,
+    /// Whether a byte was received that is no end of a line.
+    has_content: bool,
 }
 
 impl EventStreamBody {
@@ -309,6 +314,7 @@
             position: EventPosition::new(numbers),
             bytes_behind_event: 0,
             received: 0,
+            has_content: false,
         }
     }
 
@@ -336,6 +342,7 @@
 
     fn accept(&mut self, mut bytes: Bytes) -> Result<BodyChunk, StreamReadError> {
         self.received += bytes.len() as u64;
+        self.has_content |= !is_only_line_ends(&bytes);
         if !self.has_events {
             return Ok(BodyChunk {
                 whole_events: Some(bytes.len()),
@@ -385,6 +392,9 @@
         if self.has_events && self.position.events() == 0 && !self.is_continuation {
             return StreamEnd::BrokenOff(StreamBreak::BeforeFirstEvent);
         }
+        if !self.has_content && !self.is_continuation {
+            return StreamEnd::BrokenOff(StreamBreak::BeforeContent);
+        }
         StreamEnd::Unconfirmed
     }
 
