Gateway: a version counts as the only one only by a read made after the caller asked

What callers saw: a stream that broke off went on, with the right numbers, at a worker of another software version, so that its text was joined from two. It was taken up at a gateway that had been cut off or paused while workers of a new version joined.

Cause: that no other version had served was concluded from a view that may be old. One gateway vouched for the only version by a read of the directory up to 3 s old, and two whose reads were older vouched for each other, however long ago these were: gateways that are cut off together agree. The same holds for the route's service, which the gateway knows from the configuration it has. Class: the absence of a record counted as evidence.

Change: streams of which no gateway has a record go on only if a read of the log that began after the caller asked shows no other version and no other configuration. If the log does not answer, each gateway of the region has to answer, after the caller asked, that it knows of no other version. Else the stream is refused, as an unknown origin was before. Streams that are taken up at the same time share a read or a round of questions. Nothing is sent for streams that do not break off. Gateways' messages are unchanged. The same check comes before a mark of several versions is removed or an only version is recorded.

Ruled out: leases of views, with which new workers serve no streams for seconds; acknowledged records at holders, which cost a round trip before first events.

The unit test of the decision expected that two gateways with old views bind a stream: it expects that only a record does, and that all gateways have to agree.

--- a/crates/swiftshunt-gateway/src/fleet_followers.rs
+++ b/crates/swiftshunt-gateway/src/fleet_followers.rs
@@ -55,7 +55,8 @@
             let changes = follower.next_changes(self.log.as_ref(), timing).await;
             self.count_failure(&changes);
             backoff.backoff_on_error(&changes).await;
-            if changes.is_ok() {
+            let is_read = changes.is_ok();
+            if is_read {
                 self.fleet_state.confirm(self.clock.now());
             }
             let mut changes = changes.unwrap_or_default();
@@ -64,6 +65,10 @@
             for change in changes {
                 self.apply_operator_record(&change);
             }
+            if is_read {
+                let next_offset = follower.next_offset();
+                self.fleet_state.set_configuration_position(next_offset);
+            }
         }
     }
 
@@ -155,6 +160,8 @@
                     tokio::time::sleep(read_pause).await;
                 }
             }
+                self.fleet_state
+                    .set_directory_position(follower.next_offset());
         }
     }
 
--- a/crates/swiftshunt-gateway/src/fleet_state.rs
+++ b/crates/swiftshunt-gateway/src/fleet_state.rs
@@ -14,6 +14,15 @@
 
 use crate::settings::ColdSettings;
 
+/// Up to which offsets of the log the view of the fleet reaches; `None` until a topic was read.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct LogPositions {
+    /// Offset behind the last applied record of the configuration.
+    pub(crate) configuration: Option<u64>,
+    /// Offset behind the last applied record of the directory.
+    pub(crate) directory: Option<u64>,
+}
+
 /// The view of the fleet, shared by all tasks of a gateway.
 pub(crate) struct FleetState {
     cold: ColdSettings,
@@ -25,6 +34,8 @@
     confirmed_at: Mutex<Duration>,
     /// Time at which a read of the log last returned entries of the directory or the absence of changes.
     directory_confirmed_at: Mutex<Duration>,
+    /// Offsets behind the last records of the configuration and of the directory that were applied.
+    positions: Mutex<LogPositions>,
     /// Time at which a configuration last gave a route other services, by the route's host and path prefix.
     moved_routes: Mutex<HashMap<(String, String), Duration>>,
     /// Notified when the requests that this gateway has at workers, or would send to them, change.
@@ -41,6 +52,7 @@
             split: Mutex::default(),
             confirmed_at: Mutex::default(),
             directory_confirmed_at: Mutex::default(),
+            positions: Mutex::default(),
             moved_routes: Mutex::default(),
             load_changed: Notify::new(),
         }
@@ -71,6 +83,21 @@
         *lock(&self.directory_confirmed_at)
     }
 
+    /// Returns up to which offsets of the log the view reaches.
+    pub(crate) fn positions(&self) -> LogPositions {
+        *lock(&self.positions)
+    }
+
+    /// Records that the records of the configuration before an offset were applied.
+    pub(crate) fn set_configuration_position(&self, next_offset: u64) {
+        lock(&self.positions).configuration = Some(next_offset);
+    }
+
+    /// Records that the records of the directory before an offset were applied.
+    pub(crate) fn set_directory_position(&self, next_offset: u64) {
+        lock(&self.positions).directory = Some(next_offset);
+    }
+
     /// Whether a configuration gave a route other services after a time. The first configuration of the process moves
     /// no route.
     pub(crate) fn has_moved_since(&self, route: &Route, since: Duration) -> bool {
--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -27,7 +27,7 @@
 use crate::memory::{self, MemoryShares};
 use crate::metrics::Metrics;
 use crate::online::OnlineHandler;
-use crate::origins::StreamOrigins;
+use crate::origins::{OriginContext, StreamOrigins, ViewCheck};
 use crate::peers::{NoticeHandlers, Peers};
 use crate::protocol::Protocol;
 use crate::quarantine::Quarantine;
@@ -193,15 +193,22 @@
             Arc::clone(&metrics),
             clock,
         ));
-        let origins = Arc::new(StreamOrigins::new(
+        let view_check = ViewCheck::new(
             Arc::clone(&log),
-            Arc::clone(&members),
-            Arc::clone(&datagrams),
+            Arc::clone(&protocol),
             Arc::clone(&fleet_state),
-            Arc::clone(&metrics),
-            Arc::clone(other_gateways.version_marks()),
             clock,
-        ));
+        );
+        let origins = Arc::new(StreamOrigins::new(OriginContext {
+            log: Arc::clone(&log),
+            members: Arc::clone(&members),
+            datagrams: Arc::clone(&datagrams),
+            fleet_state: Arc::clone(&fleet_state),
+            metrics: Arc::clone(&metrics),
+            version_marks: Arc::clone(other_gateways.version_marks()),
+            view_check,
+            clock,
+        }));
         let worker_reach = Arc::new(WorkerReach::new(
             Arc::clone(&members),
             Arc::clone(&datagrams),
--- a/crates/swiftshunt-gateway/src/lib.rs
+++ b/crates/swiftshunt-gateway/src/lib.rs
@@ -46,6 +46,7 @@
 mod running;
 mod server;
 pub mod settings;
+mod shared_call;
 mod slots;
 mod start_permits;
 mod tails;
--- a/crates/swiftshunt-gateway/src/metrics/labels.rs
+++ b/crates/swiftshunt-gateway/src/metrics/labels.rs
@@ -183,8 +183,10 @@
     OwnRecord,
     /// Another gateway has a record of the stream.
     PeerRecord,
-    /// One version alone has served for long enough.
+    /// One version alone has served for long enough, by a view that the log confirmed.
     SoleVersion,
+    /// No gateway of the region knows of another version, and the log does not answer.
+    AllGateways,
     /// One version serves, and no mark in the log says that another has served a short time ago.
     NoMark,
     /// Records contradict each other.
--- a/crates/swiftshunt-gateway/src/origins/evidence.rs
+++ b/crates/swiftshunt-gateway/src/origins/evidence.rs
@@ -6,31 +6,43 @@
 use swiftshunt_scheduler::origins::resolution::Evidence;
 use swiftshunt_types::{OutputOrigin, SoftwareVersion};
 
-use super::StreamOrigins;
+use super::{RouteName, StreamOrigins};
 
-/// Age of the last read of the directory up to which a gateway relies on it: another version may have begun to serve
-/// since.
+/// Age of the last read of the directory up to which a gateway tells no other ones of the streams that it begins while it
+/// knows of one version alone.
 const MAX_DIRECTORY_AGE: Duration = Duration::from_secs(3);
 
 impl StreamOrigins {
     /// Returns what this gateway knows, without a record, of the versions that may have begun a stream of a route.
-    pub(super) fn evidence(&self, host: &str, path_prefix: &str) -> Evidence {
-        self.evidence_since(host, path_prefix, |since| {
-            let watched_since = self.fleet_state.selector().directory_watched_since();
+    pub(super) fn evidence(&self, route: &RouteName) -> Evidence {
+        self.evidence_since(route, |since| {
+            let watched_since = self
+                .context
+                .fleet_state
+                .selector()
+                .directory_watched_since();
             watched_since.is_some_and(|watched_since| watched_since <= since)
         })
     }
 
+    /// Returns the evidence of what this gateway has seen, whether it has watched the directory for long enough or not.
+    pub(super) fn seen_versions(&self, route: &RouteName) -> Evidence {
+        self.evidence_since(route, |_| true)
+    }
+
     /// Returns the evidence of a gateway that has just started, from the records in the log: no other version served
     /// before the start if the service is not marked, and its version is the recorded one.
-    pub(super) fn startup_evidence(&self, host: &str, path_prefix: &str) -> Evidence {
-        if !self.members.is_list_loaded() {
+    pub(super) fn startup_evidence(&self, route: &RouteName) -> Evidence {
+        if !self.context.members.is_list_loaded() {
             return Evidence::Unsure;
         }
-        let evidence = self.evidence_since(host, path_prefix, |_| true);
+        let evidence = self.seen_versions(route);
         match evidence {
             Evidence::Sole(origin) | Evidence::SoleBefore(origin)
-                if (self.version_marks).is_contradicted(&origin.service, &origin.software) =>
+                if self
+                    .context
+                    .version_marks
+                    .is_contradicted(&origin.service, &origin.software) =>
             {
                 Evidence::Several
             }
@@ -38,25 +50,31 @@
         }
     }
 
+    /// Whether this gateway has read the directory recently.
+    pub(super) fn is_directory_recent(&self) -> bool {
+        self.context.clock.now()
+            < self.context.fleet_state.directory_confirmed_at() + MAX_DIRECTORY_AGE
+    }
+
     /// Returns the evidence, given whether this gateway knows all versions that have served since a time.
     fn evidence_since(
         &self,
-        host: &str,
-        path_prefix: &str,
+        route: &RouteName,
         knows_all_since: impl Fn(Duration) -> bool,
     ) -> Evidence {
-        let Some(configuration) = self.fleet_state.configuration() else {
+        let Some(configuration) = self.context.fleet_state.configuration() else {
             return Evidence::Unsure;
         };
-        let Some(route) = configuration.route(host, path_prefix) else {
+        let Some(route) = configuration.route(&route.host, &route.path_prefix) else {
             return Evidence::Unsure;
         };
-        let now = self.clock.now();
+        let now = self.context.clock.now();
         let since = now.saturating_sub(self.ttl());
         let Some(service) = self.sole_service(route, since) else {
             return Evidence::Several;
         };
         let versions = self
+            .context
             .fleet_state
             .selector()
             .software_versions(service, since);
@@ -71,8 +89,7 @@
             service: service.to_owned(),
             software,
         };
-        let is_recent = now < self.fleet_state.directory_confirmed_at() + MAX_DIRECTORY_AGE;
-        if is_recent || self.members.others().is_empty() {
+        if self.is_directory_recent() || self.context.members.others().is_empty() {
             Evidence::Sole(origin)
         } else {
             Evidence::SoleBefore(origin)
@@ -84,7 +101,7 @@
         let [share] = route.shares.as_slice() else {
             return None;
         };
-        let has_moved = self.fleet_state.has_moved_since(route, since);
+        let has_moved = self.context.fleet_state.has_moved_since(route, since);
         (!has_moved).then_some(share.service.as_str())
     }
 }
--- a/crates/swiftshunt-gateway/src/origins/mod.rs
+++ b/crates/swiftshunt-gateway/src/origins/mod.rs
@@ -7,7 +7,9 @@
 //! remembers.
 
 mod evidence;
+mod sole_version;
 mod version_marks;
+mod view_check;
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -19,7 +21,7 @@
 use swiftshunt_routing::Route;
 use swiftshunt_scheduler::origins::key::AttemptKey;
 use swiftshunt_scheduler::origins::resolution::{
-    Evidence, OriginKnowledge, UnknownOrigin, resolve,
+    Evidence, Finding, OriginKnowledge, UnknownOrigin, resolve,
 };
 use swiftshunt_scheduler::origins::table::{OriginTable, Recorded, StreamOrigin};
 use swiftshunt_scheduler::selection::ChosenWorker;
@@ -35,7 +37,9 @@
 use crate::metrics::{Metrics, OriginSource};
 use crate::protocol::Identity;
 use crate::quarantine::RequestContent;
+use sole_version::RouteAgreements;
 pub(crate) use version_marks::VersionMarks;
+pub(crate) use view_check::ViewCheck;
 
 /// Number of gateways that remember a stream's origin besides the one that began it: a zone and a further gateway may
 /// be lost together with that one.
@@ -70,18 +74,32 @@
     pub(crate) route: &'r Route,
 }
 
+/// A route, as gateways name it to each other.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct RouteName {
+    host: String,
+    path_prefix: String,
+}
+
+/// What [`StreamOrigins`] uses of the gateway.
+pub(crate) struct OriginContext {
+    pub(crate) log: Arc<dyn Log>,
+    pub(crate) members: Arc<Members>,
+    pub(crate) datagrams: Arc<Datagrams>,
+    pub(crate) fleet_state: Arc<FleetState>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) version_marks: Arc<VersionMarks>,
+    pub(crate) view_check: ViewCheck,
+    pub(crate) clock: Clock,
+}
+
 /// Remembers the origins of streams, and finds those of streams that callers take up.
 pub(crate) struct StreamOrigins {
-    log: Arc<dyn Log>,
-    members: Arc<Members>,
-    datagrams: Arc<Datagrams>,
-    fleet_state: Arc<FleetState>,
-    metrics: Arc<Metrics>,
-    version_marks: Arc<VersionMarks>,
-    clock: Clock,
+    context: OriginContext,
     table: Mutex<OriginTable>,
     /// Services of which this gateway sees several versions, whose remembered origins were told to others.
     several_versions: Mutex<BTreeSet<String>>,
+    agreements: RouteAgreements,
     pending_asks: Mutex<HashMap<u64, mpsc::UnboundedSender<(SocketAddr, OriginKnowledge)>>>,
     last_ask: AtomicU64,
 }
@@ -99,25 +117,12 @@
 }
 
 impl StreamOrigins {
-    pub(crate) fn new(
-        log: Arc<dyn Log>,
-        members: Arc<Members>,
-        datagrams: Arc<Datagrams>,
-        fleet_state: Arc<FleetState>,
-        metrics: Arc<Metrics>,
-        version_marks: Arc<VersionMarks>,
-        clock: Clock,
-    ) -> Self {
+    pub(crate) fn new(context: OriginContext) -> Self {
         Self {
-            log,
-            members,
-            datagrams,
-            fleet_state,
-            metrics,
-            version_marks,
-            clock,
+            context,
             table: Mutex::new(OriginTable::new(TABLE_CAPACITY)),
             several_versions: Mutex::default(),
+            agreements: RouteAgreements::default(),
             pending_asks: Mutex::default(),
             last_ask: AtomicU64::new(0),
         }
@@ -138,9 +143,12 @@
             worker: chosen.incarnation.clone(),
         };
         let ttl = self.ttl();
-        let now = self.clock.now();
+        let now = self.context.clock.now();
         lock(&self.table).record(key, origin.clone(), ttl, now);
-        let evidence = self.evidence(request_content.host(), &route.path_prefix);
+        let evidence = self.evidence(&RouteName {
+            host: request_content.host().to_owned(),
+            path_prefix: route.path_prefix.clone(),
+        });
         if !matches!(evidence, Evidence::Sole(_)) {
             self.tell_holders(vec![begun_stream(key, &origin, ttl)]);
         }
@@ -151,59 +159,56 @@
         &self,
         stream: &TakenUpStream<'_>,
     ) -> Result<OutputOrigin, UnknownOrigin> {
+        let found = self.find_with_source(stream).await;
+        let source = match &found {
+            Ok((_, source)) => *source,
+            Err(unknown) => (*unknown).into(),
+        };
+        self.context.metrics.record_take_up(source);
+        found.map(|(origin, _)| origin)
+    }
+
+    async fn find_with_source(
+        &self,
+        stream: &TakenUpStream<'_>,
+    ) -> Result<(OutputOrigin, OriginSource), UnknownOrigin> {
         let key = attempt_key(stream.request_content, stream.first_attempt);
-        let host = stream.request_content.host();
-        let path_prefix = &stream.route.path_prefix;
-        let own = self.knowledge(&key, host, path_prefix);
-        if !matches!(own, OriginKnowledge::Unrecorded(_)) {
-            let found = resolve(&[own]);
-            self.count_take_up(OriginSource::OwnRecord, &found);
-            return found;
+        let route = RouteName {
+            host: stream.request_content.host().to_owned(),
+            path_prefix: stream.route.path_prefix.clone(),
+        };
+        let own = self.knowledge(&key, &route);
+        match resolve(&[own]) {
+            Ok(Finding::Recorded(origin)) => return Ok((origin, OriginSource::OwnRecord)),
+            Err(UnknownOrigin::Conflicting) => return Err(UnknownOrigin::Conflicting),
+            // Another gateway may have a record.
+            Ok(Finding::Sole(_)) | Err(UnknownOrigin::Several | UnknownOrigin::Unsure) => {}
         }
-        let mut knowledge = self.ask_holders(key, host, path_prefix).await;
+        let mut knowledge = self.ask_holders(key, &route).await;
         // This gateway may have learned more while it waited.
-        knowledge.push(self.knowledge(&key, host, path_prefix));
-        let found = resolve(&knowledge);
-        if found != Err(UnknownOrigin::Unsure) {
-            let is_recorded = knowledge
-                .iter()
-                .any(|known| matches!(known, OriginKnowledge::Recorded(_)));
-            let source = if is_recorded {
-                OriginSource::PeerRecord
-            } else {
-                OriginSource::SoleVersion
-            };
-            self.count_take_up(source, &found);
-            return found;
+        knowledge.push(self.knowledge(&key, &route));
+        match resolve(&knowledge) {
+            Ok(Finding::Recorded(origin)) => Ok((origin, OriginSource::PeerRecord)),
+            Ok(Finding::Sole(_)) => self.confirm_sole_version(&route, &knowledge).await,
+            Err(UnknownOrigin::Unsure) => self.find_by_marks(&route).await,
+            Err(unknown) => Err(unknown),
         }
-        let evidence = self.startup_evidence(host, path_prefix);
-        let found = resolve(&[OriginKnowledge::Unrecorded(evidence)]);
-        self.count_take_up(OriginSource::NoMark, &found);
-        found
-    }
-
-    /// Counts a stream that is taken up; `source` showed its origin if that is known.
-    fn count_take_up(&self, source: OriginSource, found: &Result<OutputOrigin, UnknownOrigin>) {
-        let source = found
-            .as_ref()
-            .map_or_else(|unknown| (*unknown).into(), |_| source);
-        self.metrics.record_take_up(source);
     }
 
     /// Returns the time for which the origin of a stream that begins now is remembered.
     fn ttl(&self) -> Duration {
-        let configuration = self.fleet_state.configuration();
+        let configuration = self.context.fleet_state.configuration();
         let longest = configuration.map(|configuration| configuration.longest_stream());
         longest.unwrap_or_default() + TAKE_UP_GAP
     }
 
     /// Returns what this gateway knows of a stream.
-    fn knowledge(&self, key: &AttemptKey, host: &str, path_prefix: &str) -> OriginKnowledge {
-        let now = self.clock.now();
+    fn knowledge(&self, key: &AttemptKey, route: &RouteName) -> OriginKnowledge {
+        let now = self.context.clock.now();
         let table = lock(&self.table);
         match table.find(key, now) {
             Some(Recorded::Origin(origin, recorded_at)) => {
-                let selector = self.fleet_state.selector();
+                let selector = self.context.fleet_state.selector();
                 let is_doubtful = selector.may_have_been_replaced(
                     &origin.worker,
                     recorded_at,
@@ -218,15 +223,15 @@
             Some(Recorded::Conflicting) => OriginKnowledge::Conflicting,
             None => {
                 drop(table);
-                OriginKnowledge::Unrecorded(self.evidence(host, path_prefix))
+                OriginKnowledge::Unrecorded(self.evidence(route))
             }
         }
     }
 
     /// Returns the gateways that remember the origin of a stream, without this one.
     fn holders(&self, key: &AttemptKey) -> Vec<SocketAddr> {
-        let mut holders = self.members.ranked_in_own_region(key, HOLDERS);
-        holders.retain(|gateway| *gateway != self.members.own_address());
+        let mut holders = self.context.members.ranked_in_own_region(key, HOLDERS);
+        holders.retain(|gateway| *gateway != self.context.members.own_address());
         holders
     }
 
@@ -247,19 +252,24 @@
     }
 
     fn send(&self, message: OriginMessage, to: SocketAddr) {
-        self.datagrams.send(&Notice::Origin(message), [to]);
+        self.context.datagrams.send(&Notice::Origin(message), [to]);
     }
 
     /// Asks the holders of a stream what they know. Returns the answers that arrived in time; once one has a record,
     /// no further ones are awaited.
-    async fn ask_holders(
+    async fn ask_holders(&self, key: AttemptKey, route: &RouteName) -> Vec<OriginKnowledge> {
+        self.wait_until_members_known().await;
+        self.ask(self.holders(&key), key, route).await
+    }
+
+    /// Asks gateways what they know of a stream. Returns the answers that arrived in time; once one has a record, no
+    /// further ones are awaited.
+    async fn ask(
         &self,
+        mut unanswered: Vec<SocketAddr>,
         key: AttemptKey,
-        host: &str,
-        path_prefix: &str,
+        route: &RouteName,
     ) -> Vec<OriginKnowledge> {
-        self.wait_until_members_known().await;
-        let mut unanswered = self.holders(&key);
         let ask = self.last_ask.fetch_add(1, Ordering::Relaxed) + 1;
         let (sender, mut answers) = mpsc::unbounded_channel();
         lock(&self.pending_asks).insert(ask, sender);
@@ -267,8 +277,8 @@
         let question = OriginMessage::Ask {
             ask,
             key,
-            host: host.to_owned(),
-            path_prefix: path_prefix.to_owned(),
+            host: route.host.clone(),
+            path_prefix: route.path_prefix.clone(),
         };
         let deadline = tokio::time::Instant::now() + ANSWER_TIMEOUT;
         let mut knowledge = Vec::new();
@@ -282,7 +292,11 @@
                 && let Ok(Some((from, known))) =
                     tokio::time::timeout_at(until, answers.recv()).await
             {
-                unanswered.retain(|holder| *holder != from);
+                let Some(position) = unanswered.iter().position(|asked| *asked == from) else {
+                    // It was asked again before its first answer arrived.
+                    continue;
+                };
+                unanswered.swap_remove(position);
                 let is_recorded = !matches!(known, OriginKnowledge::Unrecorded(_));
                 knowledge.push(known);
                 if is_recorded {
@@ -291,20 +305,20 @@
             }
             if unanswered
                 .iter()
-                .all(|holder| self.members.is_suspected(*holder))
+                .all(|holder| self.context.members.is_suspected(*holder))
             {
                 return knowledge;
             }
         }
         for holder in unanswered {
-            self.members.record_timeout(holder);
+            self.context.members.record_timeout(holder);
         }
         knowledge
     }
 
     /// Waits until the other gateways are known, for [`MEMBERS_TIMEOUT`] after the start at most.
     async fn wait_until_members_known(&self) {
-        while !self.members.is_list_loaded() && self.clock.now() < MEMBERS_TIMEOUT {
+        while !self.context.members.is_list_loaded() && self.context.clock.now() < MEMBERS_TIMEOUT {
             tokio::time::sleep(MEMBERS_POLL_INTERVAL).await;
         }
     }
@@ -313,7 +327,7 @@
     pub(crate) fn handle_message(&self, message: OriginMessage, from: SocketAddr) {
         match message {
             OriginMessage::Began { streams } => {
-                let now = self.clock.now();
+                let now = self.context.clock.now();
                 let mut table = lock(&self.table);
                 for stream in streams {
                     let ttl = Duration::from_millis(stream.ttl_ms);
@@ -326,7 +340,7 @@
                 host,
                 path_prefix,
             } => {
-                let knowledge = self.knowledge(&key, &host, &path_prefix);
+                let knowledge = self.knowledge(&key, &RouteName { host, path_prefix });
                 self.send(OriginMessage::Knows { ask, knowledge }, from);
             }
             OriginMessage::Knows { ask, knowledge } => {
--- a/crates/swiftshunt-gateway/src/origins/version_marks.rs
+++ b/crates/swiftshunt-gateway/src/origins/version_marks.rs
@@ -112,14 +112,25 @@
     several_since: Option<Duration>,
 }
 
+/// A record about the versions of a service that is to be written.
+#[derive(Debug)]
+enum DueRecord {
+    /// The only version.
+    OnlyVersion(SoftwareVersion),
+    /// The mark of several versions.
+    Mark,
+    /// The removal of the mark.
+    NoMark,
+}
+
 impl StreamOrigins {
     /// Tells the origins of streams once a second version appears, and keeps the marks, until the process ends.
     pub(crate) async fn run_reviews(self: Arc<Self>) {
         let mut reviews: Vec<Review> = Vec::new();
         loop {
             let has_several = !lock(&self.several_versions).is_empty();
-            let has_marks = !self.version_marks.services().is_empty();
-            let changed = self.version_marks.changed.notified();
+            let has_marks = !self.context.version_marks.services().is_empty();
+            let changed = self.context.version_marks.changed.notified();
             if has_several || has_marks || self.lacks_only_version() {
                 drop(tokio::time::timeout(REVIEW_INTERVAL, changed).await);
             } else {
@@ -130,10 +141,10 @@
     }
 
     async fn review_services(&self, reviews: &mut Vec<Review>) {
-        let Some(configuration) = self.fleet_state.configuration() else {
+        let Some(configuration) = self.context.fleet_state.configuration() else {
             return;
         };
-        let mut services: BTreeSet<String> = self.version_marks.services();
+        let mut services: BTreeSet<String> = self.context.version_marks.services();
         services.extend(
             configuration
                 .stream_services()
@@ -155,14 +166,15 @@
     }
 
     async fn review(&self, review: &mut Review) {
-        let now = self.clock.now();
+        let now = self.context.clock.now();
         let since = now.saturating_sub(self.ttl());
         let service = review.service.as_str();
         let versions = self
+            .context
             .fleet_state
             .selector()
             .software_versions(service, since);
-        let is_marked = self.version_marks.is_marked(service);
+        let is_marked = self.context.version_marks.is_marked(service);
         if versions.len() > 1 {
             if review.several_since.is_none() {
                 log::info!(service, versions:? = versions;
@@ -181,65 +193,86 @@
             lock(&self.several_versions).remove(service);
             log::info!(service, versions:? = versions; "a single software version serves again");
         }
-        let watched_since = self.fleet_state.selector().directory_watched_since();
+        let watched_since = self
+            .context
+            .fleet_state
+            .selector()
+            .directory_watched_since();
         let has_watched = watched_since.is_some_and(|watched_since| watched_since <= since);
         if !self.writes_marks_of(service) {
             return;
         }
-        if let Some(version) = versions.first() {
-            self.record_only_version(service, version, has_watched)
-                .await;
+        let due = self.due_record(service, &versions, has_watched);
+        let Some(due) = due else {
+            return;
+        };
+        // This gateway may be out of step, and other versions may serve.
+        let seen_versions = || {
+            let selector = self.context.fleet_state.selector();
+            selector.software_versions(service, since)
+        };
+        let is_current = matches!(due, DueRecord::Mark) || self.context.view_check.confirm().await;
+        if !is_current || seen_versions() != versions {
+            return;
         }
-        let recorded = self.version_marks.only_version(service);
-        let is_other = recorded.is_some_and(|recorded| versions.first() != Some(&recorded));
-        if is_other && !versions.is_empty() {
-            // Workers were replaced while no gateway ran: streams of both versions may be taken up.
-            if !is_marked {
-                self.write_mark(service, true).await;
-            }
-        } else if is_marked && has_watched {
-            self.write_mark(service, false).await;
+        match due {
+            DueRecord::OnlyVersion(version) => self.record_only_version(service, &version).await,
+            DueRecord::Mark => self.write_mark(service, true).await,
+            DueRecord::NoMark => self.write_mark(service, false).await,
         }
     }
 
-    /// Records the only version of a service. It replaces another one only if no stream of that can be taken up any more.
-    async fn record_only_version(
+    /// Returns the next record to be written about a service that has one version, as far as this gateway knows; `None` if
+    /// the records are right.
+    fn due_record(
         &self,
         service: &str,
-        version: &SoftwareVersion,
+        versions: &BTreeSet<SoftwareVersion>,
         has_watched: bool,
-    ) {
-        let recorded = self.version_marks.only_version(service);
-        let is_due = match recorded {
-            Some(recorded) => has_watched && recorded != *version,
-            None => self.members.is_list_loaded(),
-        };
-        if !is_due {
-            return;
+    ) -> Option<DueRecord> {
+        let is_marked = self.context.version_marks.is_marked(service);
+        let recorded = self.context.version_marks.only_version(service);
+        match (versions.first(), recorded) {
+            (Some(version), None) if self.context.members.is_list_loaded() => {
+                Some(DueRecord::OnlyVersion(version.clone()))
+            }
+            // No stream of the recorded version can be taken up any more.
+            (Some(version), Some(recorded)) if recorded != *version && has_watched => {
+                Some(DueRecord::OnlyVersion(version.clone()))
+            }
+            // Workers were replaced while no gateway ran: streams of both versions may be taken up.
+            (Some(version), Some(recorded)) if recorded != *version => {
+                (!is_marked).then_some(DueRecord::Mark)
+            }
+            _ => (is_marked && has_watched).then_some(DueRecord::NoMark),
         }
+    }
+
+    async fn record_only_version(&self, service: &str, version: &SoftwareVersion) {
         let key = [ONLY_VERSION_PREFIX, service.as_bytes()].concat();
         let value = Bytes::from(version.0.clone());
         let outcome = self
+            .context
             .log
             .append(Topic::Gateways, 0, vec![(key.clone(), value.clone())])
             .await;
         log::info!(service, version:% = version, outcome:? = outcome; "recorded the only software version of a service");
         // An append without an outcome is repeated by a later review.
         if matches!(outcome, AppendOutcome::Done { .. }) {
-            self.version_marks.apply(&key, Some(&value));
+            self.context.version_marks.apply(&key, Some(&value));
         }
     }
 
     /// Whether a service of streams has another version than the recorded one, or none is recorded.
     fn lacks_only_version(&self) -> bool {
-        let Some(configuration) = self.fleet_state.configuration() else {
+        let Some(configuration) = self.context.fleet_state.configuration() else {
             return false;
         };
-        let selector = self.fleet_state.selector();
-        let since = self.clock.now().saturating_sub(self.ttl());
+        let selector = self.context.fleet_state.selector();
+        let since = self.context.clock.now().saturating_sub(self.ttl());
         configuration.stream_services().into_iter().any(|service| {
             let versions = selector.software_versions(service, since);
-            let recorded = self.version_marks.only_version(service);
+            let recorded = self.context.version_marks.only_version(service);
             versions
                 .first()
                 .is_some_and(|version| recorded.as_ref() != Some(version))
@@ -248,25 +281,28 @@
 
     /// Whether this gateway is one of those that write the marks of a service.
     fn writes_marks_of(&self, service: &str) -> bool {
-        let writers = self.members.ranked_gateways(&service, WRITERS);
-        writers.contains(&self.members.own_address())
+        let writers = self.context.members.ranked_gateways(&service, WRITERS);
+        writers.contains(&self.context.members.own_address())
     }
 
     async fn write_mark(&self, service: &str, is_set: bool) {
         let key = [MARK_PREFIX, service.as_bytes()].concat();
         let value = if is_set { MARK } else { Bytes::new() };
-        let appended = self.log.append(Topic::Gateways, 0, vec![(key, value)]);
+        let appended = self
+            .context
+            .log
+            .append(Topic::Gateways, 0, vec![(key, value)]);
         let outcome = appended.await;
         log::info!(service, is_set, outcome:? = outcome; "wrote the mark of a service with several software versions");
         // An append without an outcome is repeated by a later review; repeating it does no harm.
         if matches!(outcome, AppendOutcome::Done { .. }) {
-            self.version_marks.set(service, is_set);
+            self.context.version_marks.set(service, is_set);
         }
     }
 
     /// Tells the holders the origins of all remembered streams of a service.
     fn tell_remembered(&self, service: &str) {
-        let now = self.clock.now();
+        let now = self.context.clock.now();
         let streams = lock(&self.table)
             .begun_by(service, now)
             .map(|(key, origin, time_left)| begun_stream(key, origin, time_left))
--- /dev/null
+++ b/crates/swiftshunt-gateway/src/origins/view_check.rs
@@ -0,0 +1,110 @@
+//! Whether this gateway's view of the fleet includes everything that other gateways may know already.
+//!
+//! A gateway learns of workers and of routes from the log alone. A read of the log that begins after a caller has asked
+//! therefore shows each version and each service that can have begun the caller's stream, whereas a view that was read
+//! before may lack some: this gateway may have been cut off or paused.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use swiftshunt_journal::{KeyedRecord, Log, ReadOutcome, Topic};
+
+use crate::clock::Clock;
+use crate::fleet_state::FleetState;
+use crate::protocol::Protocol;
+use crate::shared_call::SharedCall;
+
+/// Time-out of a check. The log answers within some milliseconds, and a caller that is refused asks again.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Reads the log behind what this gateway has applied.
+pub(crate) struct ViewCheck {
+    log: Arc<dyn Log>,
+    protocol: Arc<dyn Protocol>,
+    fleet_state: Arc<FleetState>,
+    clock: Clock,
+    reads: SharedCall<bool>,
+}
+
+impl ViewCheck {
+    pub(crate) fn new(
+        log: Arc<dyn Log>,
+        protocol: Arc<dyn Protocol>,
+        fleet_state: Arc<FleetState>,
+        clock: Clock,
+    ) -> Self {
+        Self {
+            log,
+            protocol,
+            fleet_state,
+            clock,
+            reads: SharedCall::new(clock),
+        }
+    }
+
+    /// Whether the configuration in force and the known versions of workers are those of the log at a moment after this
+    /// call began. Versions that the log shows are known afterwards; their workers only once the directory is read.
+    pub(crate) async fn confirm(&self) -> bool {
+        let read = || async {
+            let read = tokio::time::timeout(CHECK_TIMEOUT, self.read_news());
+            read.await.unwrap_or(false)
+        };
+        let is_current = self.reads.result(read).await;
+        if !is_current {
+            log::debug!("the log does not confirm the view of the fleet");
+        }
+        is_current
+    }
+
+    async fn read_news(&self) -> bool {
+        let positions = self.fleet_state.positions();
+        let (Some(configuration), Some(directory)) = (positions.configuration, positions.directory)
+        else {
+            return false;
+        };
+        let (configuration, directory) = tokio::join!(
+            self.read_all(Topic::Configuration, configuration),
+            self.read_all(Topic::Workers, directory),
+        );
+        let Some(workers) = directory else {
+            return false;
+        };
+        self.record_versions(&workers);
+        // A new configuration is applied by its follower.
+        configuration.is_some_and(|records| records.is_empty())
+    }
+
+    /// Returns the records of a topic from an offset on, to the end that the first answer states. `None` if the log does
+    /// not answer, or has dropped some of them.
+    async fn read_all(&self, topic: Topic, mut from: u64) -> Option<Vec<KeyedRecord>> {
+        let mut all = Vec::new();
+        let mut until = None;
+        loop {
+            let outcome = self.log.read(topic, 0, from, Duration::ZERO).await;
+            let Ok(ReadOutcome::Records { records, end }) = outcome else {
+                return None;
+            };
+            let until = *until.get_or_insert(end);
+            let Some(last) = records.last() else {
+                return Some(all);
+            };
+            from = last.offset + 1;
+            all.extend(records);
+            if from >= until {
+                return Some(all);
+            }
+        }
+    }
+
+    fn record_versions(&self, records: &[KeyedRecord]) {
+        let now = self.clock.now();
+        let entries = records
+            .iter()
+            .filter(|record| !record.value.is_empty())
+            .filter_map(|record| self.protocol.parse_worker(&record.key, &record.value).ok());
+        let mut selector = self.fleet_state.selector();
+        for entry in entries {
+            selector.record_listed_software(&entry.service, &entry.software, now);
+        }
+    }
+}
--- a/crates/swiftshunt-gateway/src/topic_follower.rs
+++ b/crates/swiftshunt-gateway/src/topic_follower.rs
@@ -227,6 +227,11 @@
         }
     }
 
+    /// Returns the offset behind the last record that was returned.
+    pub(crate) fn next_offset(&self) -> u64 {
+        self.view.next_offset()
+    }
+
     /// Records that the log answered, and whether the answer was overdue.
     fn record_log_answer(&mut self, was_overdue: bool) {
         if self.has_failed || was_overdue {
--- a/crates/swiftshunt-scheduler/src/origins/resolution.rs
+++ b/crates/swiftshunt-scheduler/src/origins/resolution.rs
@@ -6,13 +6,11 @@
 use serde::{Deserialize, Serialize};
 use swiftshunt_types::OutputOrigin;
 
-/// Number of gateways that must agree if none has read the directory recently.
-const MIN_AGREEING: usize = 2;
-
 /// What a gateway without a record of a stream knows of the versions that may have begun it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Evidence {
-    /// No other version has served the stream's route since before the stream can have begun.
+    /// No other version has served the stream's route since before the stream can have begun, up to a recent read of the
+    /// directory.
     Sole(OutputOrigin),
     /// The same, up to the last time at which the gateway read the directory, which was not recently.
     SoleBefore(OutputOrigin),
@@ -22,6 +20,16 @@
     Unsure,
 }
 
+impl Evidence {
+    /// Returns the only version that has served, as far as the gateway knows.
+    pub fn sole_origin(&self) -> Option<&OutputOrigin> {
+        match self {
+            Self::Sole(origin) | Self::SoleBefore(origin) => Some(origin),
+            Self::Several | Self::Unsure => None,
+        }
+    }
+}
+
 /// What a gateway knows of a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OriginKnowledge {
@@ -49,54 +57,49 @@
     Unsure,
 }
 
-/// Decides what a stream is bound to, from the knowledge of the gateways that were asked and of the asking one. A record
-/// decides; without one, the versions that served are evidence.
-pub fn resolve(knowledge: &[OriginKnowledge]) -> Result<OutputOrigin, UnknownOrigin> {
+/// What follows from the knowledge of gateways.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Finding {
+    /// A record names what began the stream.
+    Recorded(OutputOrigin),
+    /// No gateway has a record, and those that know which versions have served know of this one alone. Other gateways may
+    /// have learned of another version since they read the directory, so that this alone does not bind the stream.
+    Sole(OutputOrigin),
+}
+
+/// Finds what began a stream, from the knowledge of the gateways that were asked and of the asking one. A record decides;
+/// without one, the versions that served are evidence. A gateway that knows of several outweighs others.
+pub fn resolve(knowledge: &[OriginKnowledge]) -> Result<Finding, UnknownOrigin> {
     let mut recorded = BTreeSet::new();
-    let mut evidence = Vec::new();
+    let mut sole = BTreeSet::new();
+    let mut has_several = false;
     for known in knowledge {
         match known {
             OriginKnowledge::Conflicting => return Err(UnknownOrigin::Conflicting),
             OriginKnowledge::Recorded(origin) => drop(recorded.insert(origin)),
-            OriginKnowledge::Unrecorded(unrecorded) => evidence.push(unrecorded),
+            OriginKnowledge::Unrecorded(Evidence::Several) => has_several = true,
+            OriginKnowledge::Unrecorded(evidence) => sole.extend(evidence.sole_origin()),
         }
     }
     if recorded.len() > 1 {
         return Err(UnknownOrigin::Conflicting);
     }
-    match recorded.pop_first() {
-        Some(origin) => Ok(origin.clone()),
-        None => resolve_by_evidence(&evidence),
+    if let Some(origin) = recorded.pop_first() {
+        return Ok(Finding::Recorded(origin.clone()));
     }
-}
-
-/// Decides by the versions that have served. A gateway that knows of several outweighs others. Gateways that do not
-/// read the directory now count if two of them agree: the log is then away for others, too, and no worker can be listed.
-fn resolve_by_evidence(evidence: &[&Evidence]) -> Result<OutputOrigin, UnknownOrigin> {
-    let mut origins = BTreeSet::new();
-    let mut is_recent = false;
-    let mut agreeing = 0;
-    for known in evidence {
-        match known {
-            Evidence::Sole(origin) => {
-                origins.insert(origin);
-                is_recent = true;
-            }
-            Evidence::SoleBefore(origin) => {
-                origins.insert(origin);
-                agreeing += 1;
-            }
-            Evidence::Several => return Err(UnknownOrigin::Several),
-            Evidence::Unsure => {}
-        }
-    }
-    if origins.len() > 1 {
+    if has_several || sole.len() > 1 {
         return Err(UnknownOrigin::Several);
     }
-    let origin = origins.pop_first().ok_or(UnknownOrigin::Unsure)?;
-    if is_recent || agreeing >= MIN_AGREEING {
-        Ok(origin.clone())
-    } else {
-        Err(UnknownOrigin::Unsure)
-    }
+    let origin = sole.pop_first().ok_or(UnknownOrigin::Unsure)?;
+    Ok(Finding::Sole(origin.clone()))
+}
+
+/// Returns the only version that has served, by the evidence of all gateways that can have begun a stream; `None` if one of
+/// them is not sure, or they know of several. If each of them knows of one version alone now, none has begun the stream at
+/// another, however long ago they read the directory.
+pub fn unanimous_origin(evidence: &[Evidence]) -> Option<&OutputOrigin> {
+    let (first, others) = evidence.split_first()?;
+    let origin = first.sole_origin()?;
+    let is_agreed = |evidence: &Evidence| evidence.sole_origin() == Some(origin);
+    others.iter().all(is_agreed).then_some(origin)
 }
--- a/crates/swiftshunt-scheduler/src/software.rs
+++ b/crates/swiftshunt-scheduler/src/software.rs
@@ -22,6 +22,17 @@
 }
 
 impl SoftwareHistory {
+    /// Records that a worker of a service was listed with this software, whether it still is or not.
+    pub(crate) fn record_listed(
+        &mut self,
+        service: &str,
+        software: &SoftwareVersion,
+        now: Duration,
+    ) {
+        let version = (service.to_owned(), software.clone());
+        self.last_known.insert(version, now);
+    }
+
     /// Records that a life of a worker was followed by one with other software.
     pub(crate) fn record_replaced(&mut self, incarnation: &str, now: Duration) {
         self.replaced.insert(incarnation.to_owned(), now);
@@ -44,6 +55,17 @@
         }
     }
 
+    /// Records that a worker of a service was listed with this software. Serves reads of the directory whose records are
+    /// not applied.
+    pub fn record_listed_software(
+        &mut self,
+        service: &str,
+        software: &SoftwareVersion,
+        now: Duration,
+    ) {
+        self.software.record_listed(service, software, now);
+    }
+
     /// Returns the time at which this node first read the directory; `None` if it has not.
     pub fn directory_watched_since(&self) -> Option<Duration> {
         self.software.watched_since
--- a/crates/swiftshunt-scheduler/tests/origins.rs
+++ b/crates/swiftshunt-scheduler/tests/origins.rs
@@ -5,7 +5,7 @@
 use swiftshunt_scheduler::directory::{Availability, WorkerEntry, WorkerLife};
 use swiftshunt_scheduler::origins::key::AttemptKey;
 use swiftshunt_scheduler::origins::resolution::{
-    Evidence, OriginKnowledge, UnknownOrigin, resolve,
+    Evidence, Finding, OriginKnowledge, UnknownOrigin, resolve, unanimous_origin,
 };
 use swiftshunt_scheduler::origins::table::{OriginTable, Recorded, StreamOrigin};
 use swiftshunt_scheduler::selection::Selector;
@@ -51,29 +51,51 @@
 const SEVERAL: OriginKnowledge = OriginKnowledge::Unrecorded(Evidence::Several);
 const UNSURE: OriginKnowledge = OriginKnowledge::Unrecorded(Evidence::Unsure);
 
-#[test_case(&[SEVERAL, recorded("v1"), UNSURE], Ok("v1"); "a record decides")]
-#[test_case(&[sole("v2"), recorded("v1")], Ok("v1"); "a record outweighs evidence")]
+fn bound(software: &str) -> Result<Finding, UnknownOrigin> {
+    Ok(Finding::Recorded(output(software)))
+}
+
+fn known_alone(software: &str) -> Result<Finding, UnknownOrigin> {
+    Ok(Finding::Sole(output(software)))
+}
+
+#[test_case(&[SEVERAL, recorded("v1"), UNSURE], bound("v1"); "a record decides")]
+#[test_case(&[sole("v2"), recorded("v1")], bound("v1"); "a record outweighs evidence")]
 #[test_case(&[recorded("v1"), recorded("v2")], Err(UnknownOrigin::Conflicting); "two records")]
 #[test_case(&[recorded("v1"), OriginKnowledge::Conflicting], Err(UnknownOrigin::Conflicting); "a conflict")]
-#[test_case(&[UNSURE, sole("v1"), sole("v1")], Ok("v1"); "a version that alone has served")]
+#[test_case(&[UNSURE, sole("v1"), sole("v1")], known_alone("v1"); "a version that alone has served")]
 #[test_case(&[sole("v1"), SEVERAL], Err(UnknownOrigin::Several); "a gateway that knows of another version")]
 #[test_case(&[sole("v1"), sole("v2")], Err(UnknownOrigin::Several); "gateways that know of different versions")]
-#[test_case(&[sole_before("v1"), sole_before("v1"), UNSURE], Ok("v1"); "gateways that agree while the log is away")]
-#[test_case(&[sole_before("v1"), UNSURE], Err(UnknownOrigin::Unsure); "a single gateway that does not read the directory")]
+#[test_case(&[sole_before("v1"), sole_before("v1"), UNSURE], known_alone("v1"); "gateways that do not read the directory")]
 #[test_case(&[sole_before("v1"), sole("v2")], Err(UnknownOrigin::Several); "a gateway that has learned of another version")]
-#[test_case(&[sole_before("v1"), sole("v1")], Ok("v1"); "a gateway that reads the directory agrees")]
+#[test_case(&[sole_before("v1"), sole("v1")], known_alone("v1"); "a gateway that reads the directory agrees")]
 #[test_case(&[UNSURE, UNSURE], Err(UnknownOrigin::Unsure); "nobody has watched for long enough")]
 #[test_case(&[], Err(UnknownOrigin::Unsure); "nobody answered")]
-fn a_stream_is_bound_only_to_a_version_that_is_certain(
+fn a_stream_is_bound_only_by_a_record(
     knowledge: &[OriginKnowledge],
-    expected: Result<&str, UnknownOrigin>,
+    expected: Result<Finding, UnknownOrigin>,
 ) {
-    let expected = expected.map(output);
     assert_eq!(resolve(knowledge), expected);
     let reversed: Vec<OriginKnowledge> = knowledge.iter().rev().cloned().collect();
     assert_eq!(resolve(&reversed), expected);
 }
 
+#[test_case(&[Evidence::SoleBefore(output("v1")), Evidence::SoleBefore(output("v1"))], Some("v1"); "all agree")]
+#[test_case(&[Evidence::Sole(output("v1")), Evidence::SoleBefore(output("v1"))], Some("v1"); "one has read the directory recently")]
+#[test_case(&[Evidence::SoleBefore(output("v1")), Evidence::Unsure], None; "one has not watched for long enough")]
+#[test_case(&[Evidence::Sole(output("v1")), Evidence::Several], None; "one knows of several versions")]
+#[test_case(&[Evidence::Sole(output("v1")), Evidence::Sole(output("v2"))], None; "one knows of another version")]
+#[test_case(&[], None; "nobody answered")]
+fn gateways_vouch_for_a_version_only_if_all_of_them_agree(
+    evidence: &[Evidence],
+    expected: Option<&str>,
+) {
+    let expected = expected.map(output);
+    assert_eq!(unanimous_origin(evidence), expected.as_ref());
+    let reversed: Vec<Evidence> = evidence.iter().rev().cloned().collect();
+    assert_eq!(unanimous_origin(&reversed), expected.as_ref());
+}
+
 #[test]
 fn a_table_returns_the_first_origin_until_it_expires() {
     let mut table = OriginTable::new(10);
