Gateway: versions that come and go between two reads of the directory are remembered

Cause, by reading: the versions of the known workers are recorded before the changes of a read are applied. A worker that is listed and dropped within one read, as a gateway gets them that was out of step, left no trace; neither did one whose records the log dropped before they were read. Such a gateway took the other version for the only one.

Change: a version is recorded when a worker is listed with it, and a gateway that missed records begins to watch anew, so that its evidence is not sure until the longest stream is over; the records in the log decide meanwhile.

The two unit tests cannot pass before: the first needs the record that was missing (it returned v1 alone by reading, not run), the second a new function.

--- a/crates/swiftshunt-gateway/src/fleet_followers.rs
+++ b/crates/swiftshunt-gateway/src/fleet_followers.rs
@@ -149,19 +149,23 @@
             self.count_failure(&changes);
             backoff.backoff_on_error(&changes).await;
             if let Ok(changes) = changes {
-                self.fleet_state.confirm_directory(self.clock.now());
+                let now = self.clock.now();
+                self.fleet_state.confirm_directory(now);
+                if follower.take_missed_records() {
+                    self.fleet_state.selector().restart_software_watch(now);
+                }
                 let returned_at = follower.returned_at();
                 let lapses_until = returned_at.map_or(Duration::ZERO, |at| at + max_lapse);
                 if !follower.came_from_peer() {
                     self.quarantine.handle_renewals(&self.renewed(&changes));
                 }
                 self.apply_directory_changes(changes, lapses_until);
+                self.fleet_state
+                    .set_directory_position(follower.next_offset());
                 if !follower.came_from_peer() {
                     tokio::time::sleep(read_pause).await;
                 }
             }
-                self.fleet_state
-                    .set_directory_position(follower.next_offset());
         }
     }
 
--- a/crates/swiftshunt-gateway/src/topic_follower.rs
+++ b/crates/swiftshunt-gateway/src/topic_follower.rs
@@ -129,6 +129,9 @@
     view: KeyedView,
     listing: Listing,
     is_listed: bool,
+    /// Whether the log dropped records of the tail before they were read, since the last call of
+    /// [`Self::take_missed_records`].
+    has_missed_records: bool,
     shared: Option<SharedTail>,
     came_from_peer: bool,
     /// Whether the last call to the log failed.
@@ -145,6 +148,7 @@
             view: KeyedView::default(),
             listing: Listing::default(),
             is_listed: false,
+            has_missed_records: false,
             shared: None,
             came_from_peer: false,
             has_failed: false,
@@ -223,10 +227,19 @@
                 self.publish(from, &records, timing);
                 Ok(self.view.apply_tail(records))
             }
-            ReadOutcome::Dropped => self.list(log).await,
+            ReadOutcome::Dropped => {
+                self.has_missed_records = true;
+                self.list(log).await
+            }
         }
     }
 
+    /// Returns whether the log has dropped records before they were read, since the last call: keys may have been written
+    /// and dropped meanwhile.
+    pub(crate) fn take_missed_records(&mut self) -> bool {
+        std::mem::take(&mut self.has_missed_records)
+    }
+
     /// Returns the offset behind the last record that was returned.
     pub(crate) fn next_offset(&self) -> u64 {
         self.view.next_offset()
--- a/crates/swiftshunt-scheduler/src/listed.rs
+++ b/crates/swiftshunt-scheduler/src/listed.rs
@@ -58,6 +58,15 @@
                 }
             }
         }
+        let has_other_software = self
+            .candidates
+            .get(&entry.incarnation)
+            .is_none_or(|known| known.entry.software != entry.software);
+        if has_other_software {
+            // The worker may be gone before the versions of all known workers are recorded the next time.
+            self.software
+                .record_listed(&entry.service, &entry.software, now);
+        }
         let memory = self.memory_tokens(&entry.service);
         if let Some(known) = self.candidates.get_mut(&entry.incarnation) {
             let changed = known.entry.availability != entry.availability
--- a/crates/swiftshunt-scheduler/src/software.rs
+++ b/crates/swiftshunt-scheduler/src/software.rs
@@ -17,7 +17,7 @@
     last_known: BTreeMap<(String, SoftwareVersion), Duration>,
     /// When a worker's life was followed by one with other software, by the incarnation of the earlier life.
     replaced: BTreeMap<String, Duration>,
-    /// When the directory was read first.
+    /// Since when every change of the directory was read.
     watched_since: Option<Duration>,
 }
 
@@ -66,7 +66,13 @@
         self.software.record_listed(service, software, now);
     }
 
-    /// Returns the time at which this node first read the directory; `None` if it has not.
+    /// Records that changes of the directory were missed, so that versions may have been listed that this node does not
+    /// know of.
+    pub fn restart_software_watch(&mut self, now: Duration) {
+        self.software.watched_since = Some(now);
+    }
+
+    /// Returns the time since which this node has read every change of the directory; `None` if it has not read it.
     pub fn directory_watched_since(&self) -> Option<Duration> {
         self.software.watched_since
     }
--- a/crates/swiftshunt-scheduler/tests/origins.rs
+++ b/crates/swiftshunt-scheduler/tests/origins.rs
@@ -191,6 +191,27 @@
     assert_eq!(selector.directory_watched_since(), Some(START));
 }
 
+#[test]
+fn a_version_that_was_listed_between_two_reads_is_remembered() {
+    let mut selector = Selector::new("z");
+    selector.record_software(START);
+    selector.apply_entry(entry("one", "v1", None), START);
+    selector.apply_entry(entry("two", "v2", None), LATER);
+    selector.remove_unlisted(&["two".to_owned()].into(), None);
+    let versions: Vec<SoftwareVersion> =
+        selector.software_versions("s", LATER).into_iter().collect();
+    assert_eq!(versions, ["v1".into(), "v2".into()]);
+}
+
+#[test]
+fn missed_changes_of_the_directory_begin_the_watch_anew() {
+    let mut selector = Selector::new("z");
+    selector.record_software(START);
+    selector.restart_software_watch(LATER);
+    selector.record_software(LATER + TTL);
+    assert_eq!(selector.directory_watched_since(), Some(LATER));
+}
+
 /// A request that is sent between the restart and the news of it reaches the later life.
 #[test]
 fn a_stream_sent_shortly_before_the_news_of_other_software_is_not_certain() {
