--- a/crates/swiftshunt-gateway/src/start_permits.rs
+++ b/crates/swiftshunt-gateway/src/start_permits.rs
@@ -116,7 +116,7 @@
             Err(retry_after) => {
                 let backoff = retry_after.max(MIN_REFUSAL_BACKOFF);
                 let mut selector = self.fleet_state.selector();
-                selector.record_no_permits_until(&chosen.incarnation, now + backoff);
+                selector.record_no_permits_until(&chosen.incarnation, now.saturating_add(backoff));
                 drop(selector);
                 self.metrics.starts_missing.inc();
                 self.notify_slot_owner(chosen, backoff);
--- a/crates/swiftshunt-scheduler/src/candidate.rs
+++ b/crates/swiftshunt-scheduler/src/candidate.rs
@@ -74,7 +74,7 @@
         Self {
             key: WorkerKey::of(&entry.incarnation),
             region,
-            cold_until: now + entry.cold_left,
+            cold_until: now.saturating_add(entry.cold_left),
             cold_suspicion: ColdSuspicion::listed(now),
             known_permits: KnownPermits::default(),
             entry,
@@ -159,7 +159,9 @@
     /// report by its age.
     pub(crate) fn others_load(&self, now: Duration) -> Option<(f64, f64)> {
         let (reported, own_at_report, at) = self.last_report?;
-        let others = f64::from((reported.running + reported.waiting).saturating_sub(own_at_report));
+        let others = f64::from(
+            (reported.running.saturating_add(reported.waiting)).saturating_sub(own_at_report),
+        );
         let age = now.saturating_sub(at).as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
         Some((others, 0.5_f64.powf(age)))
     }
--- a/crates/swiftshunt-scheduler/src/cells.rs
+++ b/crates/swiftshunt-scheduler/src/cells.rs
@@ -222,7 +222,8 @@
             CellWorker {
                 key: candidate.key,
                 slots: candidate.slots(),
-                reported_load: reported.map(|(load, _, _)| load.running + load.waiting),
+                reported_load: reported
+                    .map(|(load, _, _)| load.running.saturating_add(load.waiting)),
                 accepts_batch: !self.is_zone_evacuated(candidate)
                     && candidate.ejected_until <= now
                     && candidate.silence(now) <= USUAL_SILENCE * 2,
--- a/crates/swiftshunt-scheduler/src/listed.rs
+++ b/crates/swiftshunt-scheduler/src/listed.rs
@@ -72,7 +72,7 @@
             let changed = known.entry.availability != entry.availability
                 || known.entry.address != entry.address
                 || known.grace_until.is_some();
-            known.cold_until = now + entry.cold_left;
+            known.cold_until = now.saturating_add(entry.cold_left);
             if known.grace_until.is_some() {
                 known.cold_suspicion = ColdSuspicion::listed(now);
             }
@@ -150,7 +150,10 @@
     /// cold again.
     pub fn extends_cold_period(&self, entry: &WorkerEntry, now: Duration) -> bool {
         let known = self.known_candidate(&entry.life.id);
-        known.is_some_and(|known| now + entry.cold_left > known.cold_until + COLD_PERIOD_TOLERANCE)
+        known.is_some_and(|known| {
+            let cold_until = now.saturating_add(entry.cold_left);
+            cold_until > known.cold_until.saturating_add(COLD_PERIOD_TOLERANCE)
+        })
     }
 
     /// Removes the workers with these identifiers, which a read of the directory no longer lists.
