Platform: listings of the log continue behind any key

What was seen: a gateway that starts while another writer has left entries under keys with spaces, `&`, `%` or letters outside ASCII never becomes ready.

Cause: the key behind which the next page of a listing begins was put into the query as it is. Where a page ends with such a key, the address is invalid or means another key, and the listing is tried again for ever.

The store's stand-in decodes the parameter, as the query of a URL is.

--- a/crates/swiftshunt-lab/src/platform/store/wire.rs
+++ b/crates/swiftshunt-lab/src/platform/store/wire.rs
@@ -5,12 +5,13 @@
 use bytes::{Buf, Bytes};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use percent_encoding::percent_decode_str;
 use serde::Serialize;
 use swiftshunt_platform::words::queries;
 
 use crate::platform::server::{Body, full_body};
 
-/// Parameters of a URL's query, without percent-decoding.
+/// Parameters of a URL's query.
 pub(super) struct Query(HashMap<String, String>);
 
 impl Query {
@@ -19,7 +20,10 @@
         let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
         Self(
             pairs
-                .map(|(key, value)| (key.to_owned(), value.to_owned()))
+                .map(|(key, value)| {
+                    let value = percent_decode_str(value).decode_utf8_lossy();
+                    (key.to_owned(), value.into_owned())
+                })
                 .collect(),
         )
     }
