HTTP: a continuation without framing and without content has broken off

What callers saw: a stream that broke off once ended early and looked complete, where the worker that was to continue it closed inside the head of its answer and an empty line followed the cut.

The stream is continued elsewhere or aborted, and its caller takes it up. A stream whose last event the caller has and whose worker frames nothing is aborted where it was ended before. Ruled out: believing the second such answer; both workers of a test cut theirs.

--- a/crates/swiftshunt-http/src/event_stream.rs
+++ b/crates/swiftshunt-http/src/event_stream.rs
@@ -392,7 +392,7 @@
         if self.has_events && self.position.events() == 0 && !self.is_continuation {
             return StreamEnd::BrokenOff(StreamBreak::BeforeFirstEvent);
         }
-        if !self.has_content && !self.is_continuation {
+        if !self.has_content {
             return StreamEnd::BrokenOff(StreamBreak::BeforeContent);
         }
         StreamEnd::Unconfirmed
--- a/crates/swiftshunt/tests/gateway_cut_heads.rs
+++ b/crates/swiftshunt/tests/gateway_cut_heads.rs
@@ -43,9 +43,19 @@
     Chunked,
 }
 
+/// What is cut of the answers to a request that asks for it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum CutAnswers {
+    /// Each answer.
+    All,
+    /// Those that continue a stream. The first run of a stream breaks off behind some events.
+    Continuations,
+}
+
 /// The answers of a worker.
 #[derive(Clone, Copy)]
 struct Answers {
+    cut_answers: CutAnswers,
     framed: Framed,
     has_events: bool,
     /// Whether the framing is the last field of the head.
@@ -160,7 +170,10 @@
         let id = field(&request, headers::REQUEST_ID).unwrap_or_default();
         let (head, body) = answers.head_and_body(&id);
         let cut = Cut::from_id(&id).filter(|cut| cut.position < head.len());
+        let is_first_run = field(&request, headers::LAST_EVENT).is_none();
+        let breaks_off = answers.cut_answers == CutAnswers::Continuations && is_first_run;
         let bytes = match cut {
+            Some(_) if breaks_off => format!("{head}{}", &body[..body.len() / 2]),
             Some(cut) => format!("{}{}", &head[..cut.position], ENDINGS[cut.ending]),
             None => format!("{head}{body}"),
         };
@@ -249,6 +262,7 @@
         has_events,
         framing_is_last,
         segments,
+        cut_answers: CutAnswers::All,
     };
     let worker = CuttingWorker::start(answers).await;
     let service = if has_events { "engine" } else { "whole" };
@@ -266,13 +280,44 @@
     );
 }
 
+/// The answers that would continue the stream are cut at both workers of the service.
 #[tokio::test(flavor = "multi_thread")]
-async fn an_item_whose_answers_end_inside_their_heads_is_completed_with_its_whole_text() {
+async fn a_continuation_that_ends_inside_its_head_does_not_end_its_stream() {
+    let answers = Answers {
+        framed: Framed::Chunked,
+        has_events: true,
+        framing_is_last: true,
+        segments: 1,
+        cut_answers: CutAnswers::Continuations,
+    };
+    let worker = CuttingWorker::start(answers).await;
+    let fleet = start_with_only(&worker, "engine").await;
+    let other = CuttingWorker::start(answers).await;
+    list_worker(&fleet, other.address, "engine", "cutting-too");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let falsely_whole = falsely_whole(&fleet, STREAM, answers).await;
+    let cuts = worker.cuts.load(Ordering::Relaxed) + other.cuts.load(Ordering::Relaxed);
+    println!("{cuts} answers were cut or broken off");
+    assert!(cuts >= MAX_HEAD_BYTES, "too few answers were cut");
+    assert!(
+        falsely_whole.is_empty(),
+        "{} look whole and are not: {falsely_whole:?}",
+        falsely_whole.len()
+    );
+}
+
+#[test_case(CutAnswers::All; "at first")]
+#[test_case(CutAnswers::Continuations; "when they are continued")]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_whose_answers_end_inside_their_heads_is_completed_with_its_whole_text(
+    cut_answers: CutAnswers,
+) {
     let answers = Answers {
         framed: Framed::Chunked,
         has_events: true,
         framing_is_last: true,
         segments: 1,
+        cut_answers,
     };
     let worker = CuttingWorker::start(answers).await;
     let fleet = start(PlatformOptions::default()).await;
