--- a/crates/swiftshunt-gateway/src/server.rs
+++ b/crates/swiftshunt-gateway/src/server.rs
@@ -149,7 +149,11 @@
         .timer(TokioTimer::new())
         .keep_alive(!accepted_while_closing)
         .header_read_timeout(limits.header_timeout.max(limits.idle_timeout) + IDLE_TIMEOUT_MARGIN)
-        .max_buf_size((limits.header_bytes + HEAD_OVERHEAD_BYTES).max(MIN_BUFFER_BYTES))
+        .max_buf_size(
+            (limits.header_bytes)
+                .saturating_add(HEAD_OVERHEAD_BYTES)
+                .max(MIN_BUFFER_BYTES),
+        )
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), service);
     async move {
--- a/crates/swiftshunt-scheduler/src/cold/permit_rate.rs
+++ b/crates/swiftshunt-scheduler/src/cold/permit_rate.rs
@@ -74,7 +74,8 @@
             return Err(ISSUE_WINDOW);
         }
         let wait = (1.0 - self.permits) / permit_rate.per_second;
-        Err(Duration::from_secs_f64(wait).min(ISSUE_WINDOW))
+        let wait = Duration::try_from_secs_f64(wait).unwrap_or(ISSUE_WINDOW);
+        Err(wait.min(ISSUE_WINDOW))
     }
 
     /// Returns whether a permit is available.
--- a/crates/swiftshunt-scheduler/src/workers.rs
+++ b/crates/swiftshunt-scheduler/src/workers.rs
@@ -48,7 +48,8 @@
     /// this node's own requests if there are more, since a report lags behind.
     pub fn online_load(&self) -> u32 {
         let reported = self.report.map_or(0, |(report, _)| {
-            (report.running + report.waiting).saturating_sub(report.running_batch)
+            let load = report.running.saturating_add(report.waiting);
+            load.saturating_sub(report.running_batch)
         });
         reported.max(self.own_online)
     }
