Gateway: a listing that does not advance fails

Found by the review, by reading: if the log returns the same page behind its last key again (keys that are no text, or a log that reads the key otherwise), a listing took pages without end and without a pause, and kept them all. It fails now, and begins anew after the pause of a failed call. The unit test would not end on the code before; it was not run there.

--- a/crates/swiftshunt-gateway/src/listing.rs
+++ b/crates/swiftshunt-gateway/src/listing.rs
@@ -26,8 +26,15 @@
         loop {
             let end = self.pages.first().map_or(0, |first| first.end);
             let page = page(self.after.clone(), end).await?;
-            self.after = page.records.last().map(|record| record.key.clone());
-            let more = page.more && self.after.is_some();
+            let last = page.records.last().map(|record| record.key.clone());
+            let more = page.more && last.is_some();
+            if more && last <= self.after {
+                *self = Self::default();
+                return Err(LogError::Unanswered {
+                    reason: "a listing does not get beyond a key".to_owned(),
+                });
+            }
+            self.after = last;
             self.pages.push(NewestPage { more, ..page });
             if !more {
                 return Ok(std::mem::take(self).pages);
@@ -35,3 +42,29 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use bytes::Bytes;
+    use swiftshunt_journal::KeyedRecord;
+
+    use super::*;
+
+    #[tokio::test]
+    async fn a_listing_that_returns_the_same_page_again_ends() {
+        let mut listing = Listing::default();
+        let read = listing.read(|_, _| async {
+            let record = KeyedRecord {
+                offset: 0,
+                key: b"key".to_vec(),
+                value: Bytes::from_static(b"value"),
+            };
+            Ok(NewestPage {
+                records: vec![record],
+                more: true,
+                end: 1,
+            })
+        });
+        assert!(read.await.is_err());
+    }
+}
