Gateway: changes that were missed and undone count as possible

After the view was confirmed, the gateway took the other version for the only one. Marks of several versions that it had not read counted as absent; another gateway's short word replaced its own watch.

Change: a gateway that missed records of the configuration treats all routes as moved if the version is another one; one that reads through another gateway and was late begins to watch the directory anew. Without a watch of its own it goes by the records of versions, after a read of those too. The log is asked first, and all gateways only if it does not answer and none of them is suspected. A log whose end lies before what was read confirms nothing.

Two new cases of gateway_out_of_step pass: changes undone and dropped while a gateway is cut off.

--- a/crates/swiftshunt-gateway/src/fleet_followers.rs
+++ b/crates/swiftshunt-gateway/src/fleet_followers.rs
@@ -59,12 +59,18 @@
             if is_read {
                 self.fleet_state.confirm(self.clock.now());
             }
+            let version_before = self.configuration_version();
             let mut changes = changes.unwrap_or_default();
             // A gateway serves callers as soon as it has a configuration, so evacuations are applied first.
             changes.sort_by_key(|change| !self.is_about_evacuation(change));
             for change in changes {
                 self.apply_operator_record(&change);
             }
+            let is_other_version = self.configuration_version() != version_before;
+            if follower.take_missed_records() && is_other_version && version_before.is_some() {
+                let now = self.clock.now();
+                self.fleet_state.record_missed_configurations(now);
+            }
             if is_read {
                 let next_offset = follower.next_offset();
                 self.fleet_state.set_configuration_position(next_offset);
@@ -72,6 +78,11 @@
         }
     }
 
+    fn configuration_version(&self) -> Option<u64> {
+        let configuration = self.fleet_state.configuration()?;
+        Some(configuration.version)
+    }
+
     fn is_about_evacuation(&self, change: &Change) -> bool {
         let key = match change {
             Change::Set(record) => &record.key,
--- a/crates/swiftshunt-gateway/src/fleet_state.rs
+++ b/crates/swiftshunt-gateway/src/fleet_state.rs
@@ -21,6 +21,8 @@
     pub(crate) configuration: Option<u64>,
     /// Offset behind the last applied record of the directory.
     pub(crate) directory: Option<u64>,
+    /// Offset behind the last applied record of the gateways and the versions of services.
+    pub(crate) gateways: Option<u64>,
 }
 
 /// The view of the fleet, shared by all tasks of a gateway.
@@ -93,6 +95,11 @@
         lock(&self.positions).configuration = Some(next_offset);
     }
 
+    /// Records that the records of the gateways before an offset were applied.
+    pub(crate) fn set_gateways_position(&self, next_offset: u64) {
+        lock(&self.positions).gateways = Some(next_offset);
+    }
+
     /// Records that the records of the directory before an offset were applied.
     pub(crate) fn set_directory_position(&self, next_offset: u64) {
         lock(&self.positions).directory = Some(next_offset);
@@ -106,6 +113,16 @@
         moved_at.is_some_and(|at| *at > since)
     }
 
+    /// Records that configurations may have been missed, which may have given any route other services.
+    pub(crate) fn record_missed_configurations(&self, now: Duration) {
+        let Some(configuration) = self.configuration() else {
+            return;
+        };
+        let routes = configuration.routes.iter();
+        let moved = routes.map(|route| ((route.host.clone(), route.path_prefix.clone()), now));
+        lock(&self.moved_routes).extend(moved);
+    }
+
     fn record_moved_routes(&self, before: &Configuration, after: &Configuration, now: Duration) {
         let mut moved = lock(&self.moved_routes);
         let is_configured = |host: &str, path_prefix: &str| {
--- a/crates/swiftshunt-gateway/src/origins/evidence.rs
+++ b/crates/swiftshunt-gateway/src/origins/evidence.rs
@@ -51,7 +51,7 @@
     }
 
     /// Whether this gateway has read the directory recently.
-    pub(super) fn is_directory_recent(&self) -> bool {
+    fn is_directory_recent(&self) -> bool {
         self.context.clock.now()
             < self.context.fleet_state.directory_confirmed_at() + MAX_DIRECTORY_AGE
     }
@@ -89,7 +89,7 @@
             service: service.to_owned(),
             software,
         };
-        if self.is_directory_recent() || self.context.members.others().is_empty() {
+        if self.is_directory_recent() {
             Evidence::Sole(origin)
         } else {
             Evidence::SoleBefore(origin)
--- a/crates/swiftshunt-gateway/src/origins/sole_version.rs
+++ b/crates/swiftshunt-gateway/src/origins/sole_version.rs
@@ -30,31 +30,11 @@
         route: &RouteName,
         knowledge: &[OriginKnowledge],
     ) -> Result<(OutputOrigin, OriginSource), UnknownOrigin> {
-        // Without a recent read the log is probably away, and the other gateways answer sooner.
-        if self.is_directory_recent() && self.context.view_check.confirm().await {
-            return self.find_by_current_view(route, knowledge).await;
-        }
-        if let Some(origin) = self.ask_all(route).await {
-            return Ok((origin, OriginSource::AllGateways));
-        }
-        if self.context.view_check.confirm().await {
-            return self.find_by_current_view(route, knowledge).await;
+        if !self.context.view_check.confirm().await {
+            let agreed = self.ask_all(route).await.ok_or(UnknownOrigin::Unsure)?;
+            return Ok((agreed, OriginSource::AllGateways));
         }
-        Err(UnknownOrigin::Unsure)
-    }
-
-    /// Returns the only version that can have begun a stream, by the view of this gateway, which is current.
-    async fn find_by_current_view(
-        &self,
-        route: &RouteName,
-        knowledge: &[OriginKnowledge],
-    ) -> Result<(OutputOrigin, OriginSource), UnknownOrigin> {
-        let is_recent = |known: &OriginKnowledge| {
-            matches!(known, OriginKnowledge::Unrecorded(Evidence::Sole(_)))
-        };
-        let is_known_since_long =
-            self.evidence(route).sole_origin().is_some() || knowledge.iter().any(is_recent);
-        if !is_known_since_long {
+        if self.evidence(route).sole_origin().is_none() {
             return self.find_by_marks(route).await;
         }
         let seen = self.seen_versions(route);
@@ -71,13 +51,13 @@
         Ok((origin.clone(), OriginSource::SoleVersion))
     }
 
-    /// Returns the only version that can have begun a stream, by the records in the log: no gateway that answered has
-    /// watched the directory for long enough.
+    /// Returns the only version that can have begun a stream, by the records in the log: this gateway has not watched the
+    /// directory for long enough.
     pub(super) async fn find_by_marks(
         &self,
         route: &RouteName,
     ) -> Result<(OutputOrigin, OriginSource), UnknownOrigin> {
-        if !self.context.view_check.confirm().await {
+        if !self.context.view_check.confirm_with_marks().await {
             return Err(UnknownOrigin::Unsure);
         }
         let evidence = self.startup_evidence(route);
@@ -101,7 +81,11 @@
         if !self.context.members.is_list_loaded() {
             return None;
         }
-        let others = self.context.members.others_in_region();
+        let members = &self.context.members;
+        let others = members.others_in_region();
+        if others.iter().any(|other| members.is_suspected(*other)) {
+            return None;
+        }
         let expected_answers = others.len();
         // The question is about all streams of the route, so it names none.
         let no_attempt = AttemptKey::of("", "", "");
--- a/crates/swiftshunt-gateway/src/origins/version_marks.rs
+++ b/crates/swiftshunt-gateway/src/origins/version_marks.rs
@@ -44,6 +44,11 @@
 }
 
 impl VersionMarks {
+    /// Whether a key of the topic of gateways is that of a record about the versions of a service.
+    pub(super) fn is_record_key(key: &[u8]) -> bool {
+        key.starts_with(MARK_PREFIX) || key.starts_with(ONLY_VERSION_PREFIX)
+    }
+
     /// Applies a record of the topic of gateways; `value` is `None` if it was dropped. Returns whether it is about the
     /// versions of a service.
     pub(crate) fn apply(&self, key: &[u8], value: Option<&[u8]>) -> bool {
--- a/crates/swiftshunt-gateway/src/origins/view_check.rs
+++ b/crates/swiftshunt-gateway/src/origins/view_check.rs
@@ -9,6 +9,7 @@
 
 use swiftshunt_journal::{KeyedRecord, Log, ReadOutcome, Topic};
 
+use super::VersionMarks;
 use crate::clock::Clock;
 use crate::fleet_state::FleetState;
 use crate::protocol::Protocol;
@@ -24,6 +25,7 @@
     fleet_state: Arc<FleetState>,
     clock: Clock,
     reads: SharedCall<bool>,
+    reads_with_marks: SharedCall<bool>,
 }
 
 impl ViewCheck {
@@ -39,21 +41,36 @@
             fleet_state,
             clock,
             reads: SharedCall::new(clock),
+            reads_with_marks: SharedCall::new(clock),
         }
     }
 
     /// Whether the configuration in force and the known versions of workers are those of the log at a moment after this
     /// call began. Versions that the log shows are known afterwards; their workers only once the directory is read.
     pub(crate) async fn confirm(&self) -> bool {
-        let read = || async {
-            let read = tokio::time::timeout(CHECK_TIMEOUT, self.read_news());
-            read.await.unwrap_or(false)
+        let read = || within_time_limit(self.read_news());
+        log_outcome(self.reads.result(read).await)
+    }
+
+    /// The same as [`Self::confirm`], and whether the known records of the versions of services are those of the log.
+    pub(crate) async fn confirm_with_marks(&self) -> bool {
+        let read = || {
+            within_time_limit(async {
+                let (is_view_current, are_marks_current) =
+                    tokio::join!(self.read_news(), self.are_marks_current());
+                is_view_current && are_marks_current
+            })
         };
-        let is_current = self.reads.result(read).await;
-        if !is_current {
-            log::debug!("the log does not confirm the view of the fleet");
-        }
-        is_current
+        log_outcome(self.reads_with_marks.result(read).await)
+    }
+
+    async fn are_marks_current(&self) -> bool {
+        let Some(position) = self.fleet_state.positions().gateways else {
+            return false;
+        };
+        let records = self.read_all(Topic::Gateways, position).await;
+        let is_about_versions = |record: &KeyedRecord| VersionMarks::is_record_key(&record.key);
+        records.is_some_and(|records| !records.iter().any(is_about_versions))
     }
 
     async fn read_news(&self) -> bool {
@@ -84,6 +101,9 @@
             let Ok(ReadOutcome::Records { records, end }) = outcome else {
                 return None;
             };
+            if end < from {
+                return None;
+            }
             let until = *until.get_or_insert(end);
             let Some(last) = records.last() else {
                 return Some(all);
@@ -108,3 +128,15 @@
         }
     }
 }
+
+async fn within_time_limit(read: impl Future<Output = bool>) -> bool {
+    let read = tokio::time::timeout(CHECK_TIMEOUT, read).await;
+    read.unwrap_or(false)
+}
+
+fn log_outcome(is_current: bool) -> bool {
+    if !is_current {
+        log::debug!("the log does not confirm the view of the fleet");
+    }
+    is_current
+}
--- a/crates/swiftshunt-gateway/src/peers.rs
+++ b/crates/swiftshunt-gateway/src/peers.rs
@@ -345,6 +345,8 @@
             backoff.backoff_on_error(&changes).await;
             if let Ok(changes) = changes {
                 let has_changed = self.apply(changes);
+                self.fleet_state
+                    .set_gateways_position(follower.next_offset());
                 self.members.mark_list_loaded();
                 // Which gateways record the versions of services depends on the list.
                 self.version_marks.request_review();
--- a/crates/swiftshunt-gateway/src/topic_follower.rs
+++ b/crates/swiftshunt-gateway/src/topic_follower.rs
@@ -129,9 +129,10 @@
     view: KeyedView,
     listing: Listing,
     is_listed: bool,
-    /// Whether the log dropped records of the tail before they were read, since the last call of
-    /// [`Self::take_missed_records`].
+    /// Whether records may have been missed, since the last call of [`Self::take_missed_records`].
     has_missed_records: bool,
+    /// When the last read was answered.
+    read_at: Option<Duration>,
     shared: Option<SharedTail>,
     came_from_peer: bool,
     /// Whether the last call to the log failed.
@@ -149,6 +150,7 @@
             listing: Listing::default(),
             is_listed: false,
             has_missed_records: false,
+            read_at: None,
             shared: None,
             came_from_peer: false,
             has_failed: false,
@@ -182,11 +184,15 @@
         timing: TailTiming,
     ) -> Result<Vec<Change>, LogError> {
         if let Some(part) = self.read_from_peer(timing).await {
+            self.note_skipped_records(timing);
             return Ok(self.apply_part(part));
         }
         self.came_from_peer = false;
         let changes = self.read(log, timing).await;
         self.has_failed = changes.is_err();
+        if changes.is_ok() {
+            self.read_at = Some(self.clock.now());
+        }
         if let (Err(_), Some(shared)) = (&changes, &self.shared) {
             shared.invalidate();
         }
@@ -199,6 +205,14 @@
         shared.read_from_reader(from, timing).await
     }
 
+    /// Another gateway passes on the newest record of each key alone. Between reads that follow each other as planned none
+    /// is missed but those that stood for a moment.
+    fn note_skipped_records(&mut self, timing: TailTiming) {
+        let now = self.clock.now();
+        let read_at = self.read_at.replace(now);
+        self.has_missed_records |= read_at.is_none_or(|at| now > at + timing.overdue_after());
+    }
+
     fn apply_part(&mut self, part: TailPart) -> Vec<Change> {
         self.came_from_peer = true;
         self.has_failed = false;
@@ -234,8 +248,7 @@
         }
     }
 
-    /// Returns whether the log has dropped records before they were read, since the last call: keys may have been written
-    /// and dropped meanwhile.
+    /// Returns whether records may have been missed since the last call: keys may have been written and dropped meanwhile.
     pub(crate) fn take_missed_records(&mut self) -> bool {
         std::mem::take(&mut self.has_missed_records)
     }
--- a/crates/swiftshunt-scheduler/tests/origins.rs
+++ b/crates/swiftshunt-scheduler/tests/origins.rs
@@ -67,6 +67,7 @@
 #[test_case(&[sole("v1"), SEVERAL], Err(UnknownOrigin::Several); "a gateway that knows of another version")]
 #[test_case(&[sole("v1"), sole("v2")], Err(UnknownOrigin::Several); "gateways that know of different versions")]
 #[test_case(&[sole_before("v1"), sole_before("v1"), UNSURE], known_alone("v1"); "gateways that do not read the directory")]
+#[test_case(&[sole_before("v1"), UNSURE], known_alone("v1"); "a single gateway that does not read the directory")]
 #[test_case(&[sole_before("v1"), sole("v2")], Err(UnknownOrigin::Several); "a gateway that has learned of another version")]
 #[test_case(&[sole_before("v1"), sole("v1")], known_alone("v1"); "a gateway that reads the directory agrees")]
 #[test_case(&[UNSURE, UNSURE], Err(UnknownOrigin::Unsure); "nobody has watched for long enough")]
--- a/crates/swiftshunt/tests/gateway_out_of_step.rs
+++ b/crates/swiftshunt/tests/gateway_out_of_step.rs
@@ -8,10 +8,13 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
 
-use gateway::taken_up_streams::{Begun, EVENTS, Outcomes, begin, take_up_all, take_up_at_once};
+use gateway::taken_up_streams::{
+    Begun, EVENTS, Outcomes, READ_EVENTS, begin, take_up_all, take_up_at_once,
+};
 use gateway::{ExclusiveFleet, start, unresponsive_log};
 use swiftshunt_lab::platform::fleet::{PlatformOptions, STREAM, eventually, first_configuration};
 use swiftshunt_lab::platform::store::StoreFaults;
+use swiftshunt_lab::platform::worker::versions_in;
 use swiftshunt_platform::documents::ConfigurationDocument;
 use swiftshunt_platform::words::values;
 use test_case::test_case;
@@ -28,6 +31,10 @@
 const TIMEOUT_MS: f64 = 1_000.0;
 /// Time after which a gateway knows which versions have served for as long as a stream may last.
 const WATCH_TIME: Duration = Duration::from_secs(14);
+/// Number of times that streams are taken up at a gateway that missed changes, while it reads the log again.
+const MISSED_ROUNDS: usize = 6;
+/// Pause between these.
+const MISSED_ROUND_INTERVAL: Duration = Duration::from_millis(300);
 /// Number of datagrams that fill the socket of a gateway that stands still, so that it receives no others.
 const FILLING_DATAGRAMS: usize = 600;
 /// Size of each of them, in bytes.
@@ -102,8 +109,15 @@
     for gateway in gateways {
         let address = fleet.gateways[*gateway].callers;
         eventually("the new version serves", || async {
-            let probe = begin(fleet, address, &format!("probe-{}", rand::random::<u32>())).await;
-            probe.version() == "v2"
+            let id = format!("probe-{}", rand::random::<u32>());
+            let read = fleet
+                .caller
+                .read_stream(address, STREAM, &id, None, READ_EVENTS);
+            // A gateway that knows the route and no worker of its service yet refuses the probe.
+            read.await.is_ok_and(|part| {
+                let text = part.text();
+                versions_in(&text).into_iter().eq(["v2"])
+            })
         })
         .await;
     }
@@ -149,26 +163,77 @@
     outcomes.assert_unmixed();
 }
 
+/// Returns the configuration in which another service than the first one serves the route of streams.
+fn moved_route() -> ConfigurationDocument {
+    let mut configuration = short_timeouts();
+    for route in &mut configuration.routes {
+        if route.path_prefix == STREAM {
+            route.service = Some("other".to_owned());
+        }
+    }
+    configuration
+}
+
+/// Moves the route of streams to another service, with workers of a new version.
+async fn move_route(fleet: &mut ExclusiveFleet) {
+    add_new_version(fleet).await;
+    for worker in &fleet.engine_workers[EARLIER_WORKERS..] {
+        fleet.list(worker, "other", values::READY);
+    }
+    fleet.configure(moved_route());
+}
+
 /// The route of streams moves to another service while the gateway is cut off.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_stream_joins_two_services_at_a_gateway_that_is_cut_off() {
-    let move_route = async |fleet: &mut ExclusiveFleet| {
-        add_new_version(fleet).await;
-        for worker in &fleet.engine_workers[EARLIER_WORKERS..] {
-            fleet.list(worker, "other", values::READY);
-        }
-        let mut configuration = short_timeouts();
-        for route in &mut configuration.routes {
-            if route.path_prefix == STREAM {
-                route.service = Some("other".to_owned());
-            }
-        }
-        fleet.configure(configuration);
-    };
     let outcomes = take_up_where_cut_off(3, &[2], Duration::ZERO, move_route).await;
     outcomes.assert_unmixed();
 }
 
+/// A gateway is cut off while the fleet changes and changes back, and the log drops the records of that. Then it is alone
+/// with the log.
+async fn take_up_where_changes_were_missed(
+    change: impl AsyncFnOnce(&mut ExclusiveFleet),
+    change_back: impl FnOnce(&mut ExclusiveFleet),
+) {
+    let mut fleet = start_with_one_version(3).await;
+    stop_in_step(&fleet, &[2], true);
+    change(&mut fleet).await;
+    wait_until_new_version_serves(&fleet, &[0, 1]).await;
+    let begun = begin_new_streams(&fleet, &[0, 1]).await;
+    change_back(&mut fleet);
+    fleet.store.drop_history();
+    for other in 0..2 {
+        fleet.gateways[other].process.pause();
+    }
+    let gateway = &fleet.gateways[2];
+    gateway.store_listener.set_faults(StoreFaults::default());
+    gateway.process.resume();
+    for round in 0..MISSED_ROUNDS {
+        println!("round {round}");
+        take_up_at_once(&fleet, &[2], &begun).await.assert_unmixed();
+        tokio::time::sleep(MISSED_ROUND_INTERVAL).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_stream_joins_two_versions_at_a_gateway_that_missed_a_version() {
+    take_up_where_changes_were_missed(add_new_version, |fleet| {
+        for worker in &fleet.engine_workers[EARLIER_WORKERS..] {
+            fleet.unlist(worker);
+        }
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_stream_joins_two_services_at_a_gateway_that_missed_a_configuration() {
+    take_up_where_changes_were_missed(move_route, |fleet| {
+        fleet.configure(short_timeouts());
+    })
+    .await;
+}
+
 #[test_case(0.0; "for a moment")]
 #[test_case(6.0; "for six seconds")]
 #[tokio::test(flavor = "multi_thread")]
