--- a/crates/swiftshunt-gateway/src/origins/view_check.rs
+++ b/crates/swiftshunt-gateway/src/origins/view_check.rs
@@ -48,7 +48,7 @@
     /// Whether the configuration in force and the known versions of workers are those of the log at a moment after this
     /// call began. Versions that the log shows are known afterwards; their workers only once the directory is read.
     pub(crate) async fn confirm(&self) -> bool {
-        let read = || within_time_limit(self.read_news());
+        let read = || within_time_limit(self.is_view_current());
         log_outcome(self.reads.result(read).await)
     }
 
@@ -57,7 +57,7 @@
         let read = || {
             within_time_limit(async {
                 let (is_view_current, are_marks_current) =
-                    tokio::join!(self.read_news(), self.are_marks_current());
+                    tokio::join!(self.is_view_current(), self.are_marks_current());
                 is_view_current && are_marks_current
             })
         };
@@ -73,7 +73,7 @@
         records.is_some_and(|records| !records.iter().any(is_about_versions))
     }
 
-    async fn read_news(&self) -> bool {
+    async fn is_view_current(&self) -> bool {
         let positions = self.fleet_state.positions();
         let (Some(configuration), Some(directory)) = (positions.configuration, positions.directory)
         else {
