--- a/review/standin-2/batch.rs
+++ b/review/standin-2/batch.rs
@@ -15,16 +15,20 @@
 use crate::worker::{self, Behaviour, Runs};
 
 const HOST: &str = "ficu95.example";
-/// Machines, and those of them that are left.
+/// Machines, and those of them that are left where some are lost.
 const MACHINES: usize = 6;
 const LEFT: usize = 2;
-/// Jobs. The body of each has 4.0 MB of the 4.19 MB that `maxBodyBytes` allows, and all of them have 330 MB of the 400 MB
-/// that the store keeps.
-const JOBS: usize = 110;
+/// What is played.
+struct Scenario {
+    /// Jobs. The body of each has 4.0 MB of the 4.19 MB that `maxBodyBytes` allows.
+    jobs: usize,
+    /// Events of an item.
+    events: u64,
+    /// Whether machines are lost behind the last job.
+    loses_machines: bool,
+}
 /// Bytes of the body of an item.
 const ITEM_BYTES: usize = 150_000;
-/// Events of an item.
-const EVENTS: u64 = 60;
 /// Items of a job.
 const ITEMS: usize = 20;
 /// Pause between two jobs.
@@ -84,7 +88,7 @@
 }
 
 /// Answers an item with a stream of events.
-fn stream(items: Arc<Mutex<Items>>) -> Behaviour {
+fn stream(items: Arc<Mutex<Items>>, events: u64) -> Behaviour {
     Arc::new(move |request, writer| {
         let id = request
             .header("swiftshunt-request-id")
@@ -97,7 +101,7 @@
         let headers = format!(
             "Content-Type: text/event-stream\r\nSwiftshunt-Request-Id: {id}\r\nSwiftshunt-Response-Signature: 3e1b.{id}\r\n"
         );
-        let events = (last.map_or(0, |last| last + 1)..EVENTS)
+        let events = (last.map_or(0, |last| last + 1)..events)
             .map(|number| format!("id: {number}\ndata: {id}-{number}\n\n"));
         let is_whole = respond_stream(writer, &headers, events, EVENT_INTERVAL);
         let now = Instant::now();
@@ -255,15 +259,34 @@
     }
 }
 
-/// Four of six machines are lost after large jobs were accepted.
+/// Four of six machines are lost after large jobs were accepted, which have 330 MB of the 400 MB that the store keeps.
 pub fn large_jobs(folder: &str, has_trouble: bool) -> Outcome {
+    let scenario = Scenario {
+        jobs: 110,
+        events: 60,
+        loses_machines: has_trouble,
+    };
+    play(folder, &scenario)
+}
+
+/// Jobs come until the store refuses appends; without the trouble, they have a third of what it keeps.
+pub fn full_store(folder: &str, has_trouble: bool) -> Outcome {
+    let scenario = Scenario {
+        jobs: if has_trouble { 150 } else { 45 },
+        events: 20,
+        loses_machines: false,
+    };
+    play(folder, &scenario)
+}
+
+fn play(folder: &str, scenario: &Scenario) -> Outcome {
     let record = Arc::new(Record::new(folder));
     let fleet = Arc::new(Fleet::new(MACHINES, MEMORY_MB));
     let items = Arc::new(Mutex::new(Items::default()));
     fleet.store.put("keyed.op", "config", &configuration());
     for index in 0..WORKERS {
         let id = format!("i-{index}f3a91c2");
-        let behaviour = stream(Arc::clone(&items));
+        let behaviour = stream(Arc::clone(&items), scenario.events);
         worker::start(
             &fleet.store,
             "llm",
@@ -279,7 +302,7 @@
     let machines = Arc::new(Machines::default());
     Arc::clone(&machines).enforce_memory(Arc::clone(&fleet), Arc::clone(&record));
     let mut accepted = Vec::new();
-    for number in 0..JOBS {
+    for number in 0..scenario.jobs {
         let job = format!("{number:06x}c14da6f3");
         let gateways = fleet.entry();
         let Some(gateway) = gateways.get(number % gateways.len().max(1)) else {
@@ -302,7 +325,7 @@
         accepted.len(),
         fleet.store.megabytes()
     ));
-    if has_trouble {
+    if scenario.loses_machines {
         for lost in &fleet.gateways[LEFT..] {
             machines.lost.lock().unwrap().insert(lost.name.clone());
             note(format!("the machine of {} is lost", lost.name));
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -124,7 +124,7 @@
             .partitions
             .values()
             .flat_map(|partition| partition.newest.values());
-        newest.map(|(value, _)| value.len()).sum::<usize>() >> 20
+        newest.map(|(value, _)| value.len()).sum::<usize>() / 1_000_000
     }
 
     fn append(&self, topic: &str, part: u32, records: Vec<(Vec<u8>, Vec<u8>)>) -> (u64, u64) {
@@ -169,6 +169,10 @@
         let Some(records) = decode(&request.body) else {
             return respond(writer, "400 Bad Request", "", b"");
         };
+        let adds = records.iter().any(|(_, value)| !value.is_empty());
+        if adds && self.megabytes() >= KEPT_MB {
+            return respond(writer, "507 Insufficient Storage", "", b"");
+        }
         let (offset, end) = self.append(topic, part, records);
         let body = format!("{{\"offset\":{offset},\"end\":{end}}}");
         respond(writer, "200 OK", JSON, body.as_bytes())
@@ -320,6 +324,9 @@
     false
 }
 
+/// What the store keeps in all, in MB.
+const KEPT_MB: usize = 400;
+
 const JSON: &str = "Content-Type: application/json\r\n";
 
 /// Decodes records of a keyed topic.
