Gateway: a stop logs how long each of its steps took

The log of a stop could not tell whether a late closing stage waits for the hand-over of batch jobs, for the removal from the list of gateways or for connections.

--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use swiftshunt_topology::TopologyError;
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use crate::answer_buffer::AnswerBuffers;
 use crate::attempt::Dispatcher;
@@ -390,19 +391,33 @@
 
     async fn drain(&self) {
         self.stop.draining.cancel();
-        let hand_over = self.batch.stop();
+        let hand_over = stop_step("batch jobs handed over", self.batch.stop());
         let unlisted = tokio::time::sleep(self.stop_settings.unlisted_after);
         let unregister = self.peers.unregister(self.log.as_ref());
+        let unregister = stop_step("removed from the list of gateways", unregister);
         tokio::join!(hand_over, unregister, unlisted);
+        log::info!(connections = self.stop.connections.len(); "closing idle connections");
         self.stop.closing.cancel();
         self.stop.connections.close();
-        self.stop.connections.wait().await;
+        stop_step("connections closed", self.stop.connections.wait()).await;
+        stop_step("results written", self.wait_for_results()).await;
+    }
+
+    async fn wait_for_results(&self) {
         while !self.batch.are_results_written() {
             tokio::time::sleep(STOP_POLL).await;
         }
     }
 }
 
+/// Runs a step of a stop and logs how long it took.
+async fn stop_step<T>(step: &str, run: impl Future<Output = T>) -> T {
+    let began = Instant::now();
+    let outcome = run.await;
+    log::info!(step, took_ms = began.elapsed().as_millis() as u64; "a step of the stop has ended");
+    outcome
+}
+
 /// Binds the socket for notices.
 fn bind_datagrams(address: SocketAddr) -> std::io::Result<UdpSocket> {
     let socket = std::net::UdpSocket::bind(address)?;
