Gateway: idle connections of a stopping gateway are closed in time whatever the log does

Cause: the closing stage began only after the hand-over of batch jobs and the removal from the list. The lines of the commit before show the hand-over to take 4,002 ms: `log.leave` waits for its time-out of 2 s, finds no gateway to relay it, and is made once more. The removal from the list is ruled out (0 ms), and so is the progress of items (none ran).

Change: connections are drained beside the hand-over, and the hand-over has a limit of 5 s of its own, which leaves time for a call that is not answered and is then relayed. Other gateways take over what could not be handed over when it expires.

--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -83,6 +83,9 @@
 const MIN_LOGGED_PAUSE: Duration = Duration::from_millis(500);
 /// Interval at which a stop checks whether all results are written.
 const STOP_POLL: Duration = Duration::from_millis(50);
+/// Time limit for the hand-over of batch jobs and of the place in the list: enough for a call to the log that is not
+/// answered and is then made through another gateway.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Reserve at the end of the grace period for the exit of the process.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 /// Time before that in which requests that are still in progress get an answer.
@@ -364,7 +367,8 @@
     }
 
     /// Stops the gateway gracefully: hands over its batch jobs, serves callers until no new connections are
-    /// expected, closes idle connections, and waits for requests in progress.
+    /// expected, closes idle connections, and waits for requests in progress. Ends within the grace period, whatever the
+    /// log and other gateways do.
     pub async fn stop(self) {
         let time_limit = self.stop_settings.grace.saturating_sub(GRACE_MARGIN);
         log::info!(limit_ms = time_limit.as_millis() as u64; "gateway is stopping; handing over its batch jobs and draining connections");
@@ -374,7 +378,7 @@
         if drained.is_err() {
             log::warn!(connections = self.stop.connections.len();
                 "requests are still in progress near the end of the grace period; answering them");
-            // The drain may still wait for the log before its closing stage.
+            // The time to the closing stage may be set to more than the grace period.
             self.stop.closing.cancel();
             self.stop.ending.cancel();
             drained = tokio::time::timeout(LAST_ANSWERS_TIME, drain).await;
@@ -389,18 +393,37 @@
         }
     }
 
+    /// Hands over what other gateways can take, and drains connections at the same time: when callers are told to go
+    /// elsewhere must not depend on the log.
     async fn drain(&self) {
         self.stop.draining.cancel();
-        let hand_over = stop_step("batch jobs handed over", self.batch.stop());
-        let unlisted = tokio::time::sleep(self.stop_settings.unlisted_after);
+        tokio::join!(self.hand_over(), self.drain_connections());
+        stop_step("results written", self.wait_for_results()).await;
+    }
+
+    /// Hands over the batch jobs and removes this gateway from the list. Other gateways take over what could not be
+    /// handed over once the leases and the record have expired.
+    async fn hand_over(&self) {
+        let jobs = stop_step("batch jobs handed over", self.batch.stop());
         let unregister = self.peers.unregister(self.log.as_ref());
         let unregister = stop_step("removed from the list of gateways", unregister);
-        tokio::join!(hand_over, unregister, unlisted);
+        let handed_over = async { tokio::join!(jobs, unregister) };
+        if tokio::time::timeout(HAND_OVER_TIMEOUT, handed_over)
+            .await
+            .is_err()
+        {
+            log::warn!(limit_ms = HAND_OVER_TIMEOUT.as_millis() as u64;
+                "the hand-over did not end in time; leases and the record of this gateway will expire");
+        }
+    }
+
+    /// Serves callers until no new connections are expected, then closes idle connections and waits for the others.
+    async fn drain_connections(&self) {
+        tokio::time::sleep(self.stop_settings.unlisted_after).await;
         log::info!(connections = self.stop.connections.len(); "closing idle connections");
         self.stop.closing.cancel();
         self.stop.connections.close();
         stop_step("connections closed", self.stop.connections.wait()).await;
-        stop_step("results written", self.wait_for_results()).await;
     }
 
     async fn wait_for_results(&self) {
