Gateway: calls about jobs get an answer before a stopping gateway ends

What callers saw: a call that waits for a job's results (up to 30 s) was cut without an answer at the end of the grace period.

Cause: such calls were no part of the last stage of a stop, in which online requests and submissions get their answers; nothing else ends them. Found by going through the steps of a stop that wait without a limit within the grace period.

Change: in that stage they are refused (503, not run), and a call that ends a job, whose record may still be written, gets 504.

--- a/crates/swiftshunt-gateway/src/entry.rs
+++ b/crates/swiftshunt-gateway/src/entry.rs
@@ -63,7 +63,11 @@
         match protocol.classify_request(&head.method, &head.uri, &head.headers) {
             Call::Routed => {}
             Call::Malformed => return plain(StatusCode::BAD_REQUEST, "malformed call"),
-            call => return self.answer_job_call(&configuration, call, &head).await,
+            call => {
+                return self
+                    .answer_job_call_before_end(&configuration, call, &head)
+                    .await;
+            }
         }
         let identified = match self.identify(&configuration, head, arrived) {
             Ok(identified) => identified,
@@ -125,6 +129,28 @@
         not_run("no configuration is known yet", retry_after)
     }
 
+    /// Answers a call about a batch job; in the last stage of a stop, by a refusal, since it may wait for the log, another
+    /// gateway or a result.
+    async fn answer_job_call_before_end(
+        &self,
+        configuration: &Configuration,
+        call: Call,
+        head: &request::Parts,
+    ) -> CallerAnswer {
+        let may_take_effect = matches!(call, Call::JobEnd { .. });
+        tokio::select! {
+            biased;
+            answer = self.answer_job_call(configuration, call, head) => answer,
+            () = self.stop.ending.cancelled() => {
+                if may_take_effect {
+                    plain(StatusCode::GATEWAY_TIMEOUT, "this gateway stops")
+                } else {
+                    self.refuse_late()
+                }
+            }
+        }
+    }
+
     /// Answers a call about a batch job. The route is not looked up, since a job may outlive its route: only
     /// the journal shows whether the job exists.
     async fn answer_job_call(
--- a/crates/swiftshunt/tests/gateway_stop_grace.rs
+++ b/crates/swiftshunt/tests/gateway_stop_grace.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use gateway::{ExclusiveFleet, start};
+use gateway::{ExclusiveFleet, start, submit, unresponsive_log};
 use hyper::StatusCode;
 use swiftshunt_lab::platform::caller::HOST;
 use swiftshunt_lab::platform::fleet::{ASK, ONCE, PlatformOptions, STREAM, eventually};
@@ -98,3 +98,29 @@
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     assert!(fleet.runs_of("late").is_empty(), "it ran");
 }
+
+/// Guards against calls about jobs that are cut without an answer: they may wait for results longer than the grace period.
+#[test_case(false; "log answers")]
+#[test_case(true; "log unresponsive")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_waits_for_results_at_the_end_of_the_grace_period_gets_an_answer(
+    is_log_unresponsive: bool,
+) {
+    let fleet = start_fleet().await;
+    let gateway = &fleet.gateways[0];
+    submit(&fleet, gateway.callers, "long", 1).await;
+    let (caller, address) = (fleet.caller.clone(), gateway.callers);
+    let call = tokio::spawn(async move { caller.results(address, "long", 0, DEADLINE).await });
+    eventually("the item runs", || async { !fleet.runs().is_empty() }).await;
+    if is_log_unresponsive {
+        gateway.store_listener.set_faults(unresponsive_log());
+    }
+    gateway.process.terminate();
+    let answer = call.await.expect("the caller panicked");
+    let (status, _) = answer.unwrap_or_else(|error| panic!("no answer: {error}"));
+    // An answer of 200 without results would be as good: both send the caller to another gateway.
+    assert!(
+        [StatusCode::OK, StatusCode::SERVICE_UNAVAILABLE].contains(&status),
+        "{status}"
+    );
+}
