Gateway: an answer under a status that is that of no final answer is a broken send

What callers saw: a worker that answers under 101, for which nobody asked, or under a status from 600 on, was believed: callers got 101, 600 or 999 as their answer, also beside sound workers. 000 and 099 never reached a caller: the HTTP library fails on them.

Cause: the library returns any status of three digits from 100 on that is not skipped as an interim one, and no place asked whether a status ends an exchange.

Change: statuses outside of 200 to 599 are a broken send: the request may have run, a repeatable one goes to another worker, one that is not gets 502, and the worker counts as one whose sends fail.

--- a/crates/swiftshunt-gateway/src/attempt.rs
+++ b/crates/swiftshunt-gateway/src/attempt.rs
@@ -9,6 +9,7 @@
 use hyper::{HeaderMap, Request};
 use swiftshunt_http::{
     EventNumbers, EventStreamBody, NumberRule, PermitOver, PermittedBody, SendPermit,
+    is_final_status,
 };
 use swiftshunt_routing::Configuration;
 use swiftshunt_scheduler::eligibility::Withheld;
@@ -206,7 +207,8 @@
         Ok(Answer::new(head, facts, body, in_flight, sender))
     }
 
-    /// Returns a failure if the worker declined the request or the answer belongs to another request.
+    /// Returns a failure if the worker declined the request, the answer belongs to another request, or its status is that of
+    /// no final answer.
     fn refuse_answer(
         &self,
         chosen: &ChosenWorker,
@@ -214,11 +216,15 @@
         head: &response::Parts,
         facts: &AnswerFacts,
     ) -> Option<SendFailure> {
+        let status = head.status.as_u16();
+        if !is_final_status(head.status) {
+            return Some(SendFailure::Broken {
+                reason: format!("status {status} is that of no final answer"),
+            });
+        }
         // An answer speaks of the request that it names: a surplus refusal of an earlier one refuses nothing else.
         if facts.request_id == outgoing.id {
-            return facts.declined.then(|| SendFailure::Declined {
-                status: head.status.as_u16(),
-            });
+            return facts.declined.then_some(SendFailure::Declined { status });
         }
         let now = self.clock.now();
         self.upstream.require_single_use(&chosen.incarnation, now);
--- a/crates/swiftshunt-http/src/lib.rs
+++ b/crates/swiftshunt-http/src/lib.rs
@@ -7,6 +7,7 @@
 mod endpoint;
 mod event_numbers;
 mod event_stream;
+mod final_status;
 mod send_permit;
 mod serve;
 
@@ -18,6 +19,7 @@
     BodyChunk, EventPosition, EventStreamBody, Framing, MAX_EVENT_BYTES, StreamBreak, StreamEnd,
     StreamReadError, is_only_line_ends,
 };
+pub use final_status::is_final_status;
 pub use salvo::Router;
 pub use send_permit::{PermitOver, PermittedBody, SendPermit};
 pub use serve::{BindError, ServeHandle, bind, serve};
