HTTP client: a status of no final answer breaks the exchange off

What callers saw: on the native path, any status but 503 of a submission's worker is the result of the execution, so 101 or 600 became a recorded result. Found while looking for relatives of the status 000; not played with real processes.

Change: the client reports such an answer as one that broke off, after which the outcome is looked up.

`final_status`: 3 of 7 cases fail on the code before (101, 600, 999), none now.

--- a/crates/swiftshunt-http/src/client.rs
+++ b/crates/swiftshunt-http/src/client.rs
@@ -15,6 +15,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::final_status::is_final_status;
 use crate::send_permit::{PermitOver, PermittedBody, SendPermit};
 
 /// The content type of JSON.
@@ -37,7 +38,7 @@
         /// The remote address.
         address: SocketAddr,
     },
-    /// The connection broke after bytes may have been written.
+    /// The connection broke after bytes may have been written, or what arrived is no answer.
     #[display("exchange with {address} broke off: {reason}")]
     BrokenOff {
         /// The remote address.
@@ -198,6 +199,10 @@
                 address,
                 reason: describe(&error),
             }),
+            Ok(Ok(response)) if !is_final_status(response.status()) => Err(HttpError::BrokenOff {
+                address,
+                reason: format!("status {} is that of no final answer", response.status()),
+            }),
             Ok(Ok(response)) => Ok(response),
         }
     }
