Items are not sent to a worker again that has just failed them, while others are idle

What callers saw: one worker that refuses each request at once (302, 400, 404, 503, or an odd status) held an item of an accepted job for ever, beside three idle sound workers: 23 of 24 items listed; with 500 one of 24 was given up, all its attempts at the same worker; with 204 items were completed with an empty text.

Cause, by the log of a stuck run (73 attempts of one item at the same worker): nothing tells an item's next attempt where the last one failed; a worker that fails at once always has the most free slots, and a slot is granted there first. Ruled out: the tracker of failed sends, which counts broken sends and not answers; it must not count 4xx, since an item may deserve one.

Change: an item remembers up to 8 workers at which its latest attempts ended without an event, and asks the owners of cells for a free slot at another one, as items that are bound to a software version do. Such a question to itself was left undecided by an owner that no other gateway reports to; items get a decision now, since they have no other way to a slot. That was a fault of bound items, too. Only 200 holds an item's output.

`items_complete_beside_a_worker_that_fails_them_at_once`: 8 of 9 cases fail on the code before (all but 000), 9 of 9 pass now.

--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -5,7 +5,7 @@
 
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
-use hyper::{Method, Uri};
+use hyper::{Method, StatusCode, Uri};
 use rand::RngCore;
 use swiftshunt_http::{NumberRule, SendPermit};
 use swiftshunt_jobs::{FailedRun, ItemOutcome, ItemSpec, JobSpec, Settled};
@@ -57,6 +57,13 @@
     Interrupted,
 }
 
+impl Attempt {
+    /// Whether the attempt ended because its worker did not bring it to an end.
+    fn is_failure(&self) -> bool {
+        matches!(self, Self::Failed | Self::BrokenOff | Self::NotTaken)
+    }
+}
+
 /// The run of an item at this gateway.
 #[derive(Clone, Copy)]
 pub(super) struct ItemRun<'r> {
@@ -155,8 +162,14 @@
             output.resume_parked(&chosen.origin());
             let began = self.dispatcher.clock.now();
             activity.set_wait(ItemWait::Answer);
+            let events_before = output.last_event();
             let attempt = self.attempt(run, &outgoing, &chosen, output).await;
             activity.set_wait(ItemWait::Retry);
+            if output.last_event() != events_before {
+                output.avoided.clear();
+            } else if attempt.is_failure() {
+                output.avoided.record_failure(&chosen.incarnation);
+            }
             output.ran += self.dispatcher.clock.now().saturating_sub(began);
             match attempt {
                 Attempt::Whole => {
@@ -348,7 +361,8 @@
         output: &mut ItemOutput,
     ) -> Attempt {
         let status = answer.head.status;
-        if !status.is_success() {
+        // Other successes hold no output.
+        if status != StatusCode::OK {
             let attempt = match status.as_u16() {
                 422 if answer.facts.signed => Attempt::Impossible,
                 500 => Attempt::Failed,
--- a/crates/swiftshunt-gateway/src/batch/item_output.rs
+++ b/crates/swiftshunt-gateway/src/batch/item_output.rs
@@ -12,6 +12,7 @@
 use swiftshunt_types::OutputOrigin;
 
 use super::Batch;
+use super::avoided_workers::AvoidedWorkers;
 use crate::attempt::SendFailure;
 use crate::running::ItemId;
 
@@ -51,6 +52,8 @@
     pub(super) ran: Duration,
     /// Whether the item began at another gateway; its run time here is then incomplete.
     pub(super) is_taken_over: bool,
+    /// Workers that have failed the item since its last event.
+    pub(super) avoided: AvoidedWorkers,
     /// When the item began to wait for a slot at the version that began its output; `None` while it does not wait.
     bound_since: Option<Duration>,
 }
@@ -144,10 +147,16 @@
             .has_worker_of_other_origin(service, &demand.scope);
         if !needs_certain_workers {
             output.bound_since = None;
+            if let Some(chosen) = self.place_elsewhere(service, demand, output).await {
+                return Some(chosen);
+            }
             let slot = slots.wait_for_slot(service, times, &demand.scope, waits_since);
             return tokio::time::timeout(MAX_SLOT_WAIT, slot).await.ok();
         }
-        let placed = slots.place_item(service, demand).await;
+        let placed = match self.place_elsewhere(service, demand, output).await {
+            None => slots.place_item(service, demand, &[]).await,
+            placed => placed,
+        };
         if placed.is_some() {
             output.bound_since = None;
         } else {
@@ -158,6 +167,21 @@
         }
         placed
     }
+
+    /// Returns a worker with a free slot that has not failed the item, if others have.
+    async fn place_elsewhere(
+        &self,
+        service: &str,
+        demand: &Demand,
+        output: &ItemOutput,
+    ) -> Option<ChosenWorker> {
+        let avoided = output.avoided.incarnations();
+        if avoided.is_empty() {
+            return None;
+        }
+        let slots = &self.dispatcher.slots;
+        slots.place_item(service, demand, avoided).await
+    }
 }
 
 impl ItemOutput {
--- a/crates/swiftshunt-gateway/src/batch/mod.rs
+++ b/crates/swiftshunt-gateway/src/batch/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod appender;
+mod avoided_workers;
 mod decoding;
 mod fitness;
 mod intake;
--- a/crates/swiftshunt-gateway/src/slots/continuations.rs
+++ b/crates/swiftshunt-gateway/src/slots/continuations.rs
@@ -1,8 +1,8 @@
-//! Slots for batch items that continue their output, which only some workers of a cell may do.
+//! Slots for batch items that only some workers of a cell may run.
 //!
 //! Items that may run anywhere wait in the queue, and the owner of a cell grants them any of its slots. An item that is
 //! bound to a software version asks for a slot at workers of that version instead: granted any other slot, it could not
-//! use it.
+//! use it. An item that some workers have failed asks for a slot at the others.
 
 use swiftshunt_scheduler::selection::{ChosenWorker, Demand};
 use swiftshunt_scheduler::slots::cell::Cell;
@@ -11,13 +11,18 @@
 use crate::messages::slots::SlotRequest;
 
 impl Slots {
-    /// Asks the owners of a service's cells, those of the own region first, for a free slot at a worker that may continue
-    /// an item's output. Returns `None` if none has one now.
-    pub(crate) async fn place_item(&self, service: &str, demand: &Demand) -> Option<ChosenWorker> {
+    /// Asks the owners of a service's cells, those of the own region first, for a free slot at a worker that may run an
+    /// item, but for those in `avoided`. Returns `None` if none has one now.
+    pub(crate) async fn place_item(
+        &self,
+        service: &str,
+        demand: &Demand,
+        avoided: &[String],
+    ) -> Option<ChosenWorker> {
         for cell in self.cells_own_region_first(service) {
             let bids = {
                 let selector = self.fleet_state.selector();
-                selector.bids(&cell, demand, &[], self.clock.now())
+                selector.bids(&cell, demand, avoided, self.clock.now())
             };
             if bids.is_empty() {
                 continue;
--- a/crates/swiftshunt-gateway/src/slots/mod.rs
+++ b/crates/swiftshunt-gateway/src/slots/mod.rs
@@ -344,7 +344,8 @@
     async fn ask(&self, owner: SocketAddr, cell: &Cell, request: SlotRequest) -> AskOutcome {
         let report = self.report(cell, owner, self.local_usage(cell));
         if owner == self.members.own_address() {
-            if self.lacks_peer_reports(cell) {
+            // Without the owner's decision an item gets no slot at all, whereas a request is placed by this gateway's view.
+            if !request.for_item && self.lacks_peer_reports(cell) {
                 return AskOutcome::without_verdict(SlotAnswer::Alone);
             }
             let verdict = self.assign(cell, owner, report, &request);
--- a/crates/swiftshunt/tests/gateway_odd_status.rs
+++ b/crates/swiftshunt/tests/gateway_odd_status.rs
@@ -1,6 +1,7 @@
-//! Workers that answer every request at once, under a status that is that of no final answer.
+//! Workers that answer every request at once, with a status that is no answer or that is not the expected one.
 //!
-//! Guards against statuses of workers in trouble that reach callers.
+//! Guards against statuses of workers in trouble that reach callers, and against one such worker that holds items of
+//! accepted jobs beside sound ones.
 
 mod gateway;
 
@@ -8,7 +9,9 @@
 
 use futures_util::future::join_all;
 use gateway::raw_worker::{field, list_worker, read_head};
-use gateway::{ExclusiveFleet, start};
+use gateway::{
+    ExclusiveFleet, assert_completed, listed_results, start, submit, wait_for_all_results,
+};
 use hyper::StatusCode;
 use std::time::Duration;
 use swiftshunt_lab::platform::fleet::{ASK, ONCE, PlatformOptions, STREAM, STREAM_ONCE};
@@ -19,7 +22,7 @@
 
 /// Identifier of the worker with the odd status.
 const ODD_WORKER: &str = "odd-0";
-/// Number of requests of each kind.
+/// Number of requests of each kind, and of items.
 const REQUESTS: usize = 24;
 /// Number of sound workers of each service.
 const SOUND_WORKERS: usize = 3;
@@ -116,3 +119,27 @@
         "{alone:?}"
     );
 }
+
+/// Guards against items of accepted jobs that are sent again and again to one worker that fails them at once, while sound
+/// workers are idle, and against items that are completed by an answer that holds no output.
+#[test_case("000 OK"; "status 000")]
+#[test_case("101 Switching Protocols"; "status 101")]
+#[test_case("204 No Content"; "status 204")]
+#[test_case("302 Found"; "status 302")]
+#[test_case("400 Bad Request"; "status 400")]
+#[test_case("404 Not Found"; "status 404")]
+#[test_case("500 Internal Server Error"; "status 500")]
+#[test_case("503 Service Unavailable"; "status 503")]
+#[test_case("600 Odd"; "status 600")]
+#[tokio::test(flavor = "multi_thread")]
+async fn items_complete_beside_a_worker_that_fails_them_at_once(status_line: &'static str) {
+    let fleet = start_fleet().await;
+    let odd = start_odd_worker(status_line).await;
+    list_worker(&fleet, odd, "engine", ODD_WORKER);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let gateway = fleet.gateways[0].callers;
+    submit(&fleet, gateway, "odd", REQUESTS).await;
+    wait_for_all_results(&fleet, gateway, "odd", REQUESTS).await;
+    let results = listed_results(&fleet, gateway, "odd").await;
+    assert_completed(&results, "odd", REQUESTS);
+}
