Gateway: a gateway that stops removes itself from the list at every log level

Cause: the append that removes a stopping gateway was awaited only in the arguments of a debug log line, which are not evaluated at the default level. No test saw it, since the harness ran all gateways at the level debug.

Change: the append is made and its outcome logged. A registration that is being written goes first, and none follows, so that the record does not come back. The harness runs gateways at the default level, as deployments do. All arguments of log lines were looked through: no other one awaits or has an effect.

--- a/crates/swiftshunt-gateway/src/peers.rs
+++ b/crates/swiftshunt-gateway/src/peers.rs
@@ -13,10 +13,11 @@
 use bytes::Bytes;
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
-use swiftshunt_journal::{Change, Log, Topic};
+use swiftshunt_journal::{AppendOutcome, Change, Log, Topic};
 use swiftshunt_scheduler::limits::TokenBucket;
 use swiftshunt_scheduler::prefix_cache::PromptPart;
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 use crate::clock::Clock;
 use crate::datagrams::{Datagrams, MAX_DATAGRAM_BYTES};
@@ -126,6 +127,10 @@
     /// Whether this gateway has been registered since its start.
     is_registered: watch::Sender<bool>,
     is_announced: AtomicBool,
+    /// Cancelled when this gateway leaves the list.
+    leaving: CancellationToken,
+    /// Held while this gateway writes its record, so that no registration follows the removal.
+    record_writes: tokio::sync::Mutex<()>,
 }
 
 impl Peers {
@@ -152,6 +157,8 @@
             starts: Mutex::default(),
             is_registered: watch::Sender::new(false),
             is_announced: AtomicBool::new(false),
+            leaving: CancellationToken::new(),
+            record_writes: tokio::sync::Mutex::default(),
         }
     }
 
@@ -304,28 +311,41 @@
         };
     }
 
-    /// Keeps this gateway registered in the list until the process ends.
+    /// Keeps this gateway registered in the list until it leaves.
     pub(crate) async fn run_registration(self: Arc<Self>, log: Arc<dyn Log>) {
-        loop {
-            let record = GatewayRecord {
-                zone: self.members.topology().own_zone().to_owned(),
-            };
-            let appended = log.append(Topic::Gateways, 0, vec![self.record(record.encoded())]);
-            let pause = match appended.await {
-                swiftshunt_journal::AppendOutcome::Done { .. } => {
+        while !self.leaving.is_cancelled() {
+            let pause = match self.register(log.as_ref()).await {
+                AppendOutcome::Done { .. } => {
                     self.is_registered.send_replace(true);
                     REGISTRATION_INTERVAL
                 }
-                _ => REGISTRATION_RETRY_DELAY,
+                AppendOutcome::Refused | AppendOutcome::Unknown => REGISTRATION_RETRY_DELAY,
             };
-            tokio::time::sleep(pause).await;
+            // The next iteration checks whether this gateway leaves.
+            drop(tokio::time::timeout(pause, self.leaving.cancelled()).await);
+        }
+    }
+
+    async fn register(&self, log: &dyn Log) -> AppendOutcome {
+        let _writing = self.record_writes.lock().await;
+        if self.leaving.is_cancelled() {
+            return AppendOutcome::Refused;
         }
+        let record = GatewayRecord {
+            zone: self.members.topology().own_zone().to_owned(),
+        };
+        let records = vec![self.record(record.encoded())];
+        log.append(Topic::Gateways, 0, records).await
     }
 
-    /// Removes this gateway from the list. If that fails, the others remove it when its record expires.
+    /// Removes this gateway from the list for good, behind a registration that is being written. If that fails, the others
+    /// remove it when its record expires.
     pub(crate) async fn unregister(&self, log: &dyn Log) {
-        let appended = log.append(Topic::Gateways, 0, vec![self.record(Bytes::new())]);
-        log::debug!(outcome:? = appended.await; "tried to remove this gateway from the list");
+        self.leaving.cancel();
+        let _writing = self.record_writes.lock().await;
+        let records = vec![self.record(Bytes::new())];
+        let outcome = log.append(Topic::Gateways, 0, records).await;
+        log::info!(outcome:? = outcome; "tried to remove this gateway from the list");
     }
 
     fn record(&self, value: Bytes) -> (Vec<u8>, Bytes) {
--- a/crates/swiftshunt-lab/src/platform/fleet/start.rs
+++ b/crates/swiftshunt-lab/src/platform/fleet/start.rs
@@ -14,14 +14,13 @@
 use crate::platform::zone_layout::ZoneLayout;
 use crate::stand_in::lock;
 
-/// Starts a gateway with a settings file. Its log is the file beside that with the extension `log`.
+/// Starts a gateway with a settings file, at the log level of a deployment: what a gateway does must not depend on it. Its
+/// log is the file beside the settings file with the extension `log`.
 pub(crate) fn start_gateway(binary: &Path, settings: &Path) -> Result<Process, HarnessError> {
     let arguments = [
         "gateway".to_owned(),
         "--config".to_owned(),
         settings.display().to_string(),
-        "--log-level".to_owned(),
-        "debug".to_owned(),
     ];
     Process::start(binary, &arguments, &settings.with_extension("log"))
 }
--- a/crates/swiftshunt-lab/src/platform/store.rs
+++ b/crates/swiftshunt-lab/src/platform/store.rs
@@ -247,6 +247,13 @@
         lock(&self.shared.state).call_count
     }
 
+    /// Whether a key has a value in partition 0 of a topic.
+    pub fn has_key(&self, topic: &str, key: &str) -> bool {
+        let state = lock(&self.shared.state);
+        let partition = state.partitions.get(&(topic.to_owned(), 0));
+        partition.is_some_and(|partition| partition.newest.contains_key(key.as_bytes()))
+    }
+
     /// Returns the number of keys with a value in all partitions of a topic.
     pub fn key_count(&self, topic: &str) -> usize {
         let state = lock(&self.shared.state);
