Gateway: a suspected gateway owns no cell until it is heard from

Cause: gateways that are gone are listed for up to 200 s. A silent owner of a cell's slots is found out in about 1.4 s and was suspected for 0.5 s to 4 s, after which it counted as the owner again. With enough of them ahead in the order of a cell, the first was trusted again before the last was found out, and no living gateway ever owned the cell.

Ruled out as a fix: longer suspicions alone, which would keep a gateway that was frozen or cut off from its cells as long.

Change: an expired suspicion makes a gateway due for a probe, not the owner. It owns its cells again once it answers, or is heard from otherwise. An owner that was not heard from lately is probed with the first report.

--- a/crates/swiftshunt-gateway/src/members.rs
+++ b/crates/swiftshunt-gateway/src/members.rs
@@ -24,8 +24,8 @@
 const MISSES_BEFORE_SUSPICION: u32 = 2;
 /// Duration of the first suspicion; each consecutive one lasts twice as long.
 const INITIAL_SUSPICION: Duration = Duration::from_millis(500);
-/// Upper bound of the duration of a suspicion: a gateway that was unreachable owns its cells again after this time
-/// at the latest.
+/// Upper bound of the duration of a suspicion: a gateway that was unreachable is probed after this time at the latest, and
+/// owns its cells again once it answers.
 const MAX_SUSPICION: Duration = Duration::from_secs(4);
 /// Time without contact from any other gateway after which this one considers itself cut off, if
 /// `CUT_OFF_SUSPECTS` others have missed answers.
@@ -47,13 +47,25 @@
 
 impl Suspicion {
     fn begin(&mut self, gateway: SocketAddr, now: Duration) {
+        let time = self.renew(now);
+        log::info!(gateway = gateway.to_string().as_str(),
+            for_ms = time.as_millis() as u64; "a gateway does not answer");
+    }
+
+    /// Begins a suspicion, or prolongs it, and returns its duration.
+    fn renew(&mut self, now: Duration) -> Duration {
         let time = INITIAL_SUSPICION * 2_u32.pow(self.repeats.min(MAX_DOUBLINGS));
-        self.until = now + time.min(MAX_SUSPICION);
+        let time = time.min(MAX_SUSPICION);
+        self.until = now + time;
         // Once the suspicion has expired, a single missed answer renews it.
         self.misses = self.misses.max(MISSES_BEFORE_SUSPICION);
         self.repeats += 1;
-        log::info!(gateway = gateway.to_string().as_str(),
-            for_ms = time.as_millis() as u64; "a gateway does not answer");
+        time
+    }
+
+    /// Whether the gateway has been suspected and not been heard from since, also if the suspicion has expired.
+    fn awaits_contact(&self) -> bool {
+        self.repeats > 0
     }
 }
 
@@ -242,14 +254,14 @@
         }
     }
 
-    /// Returns the gateway that owns a cell, among this one and the others that are not suspected: one of the
-    /// cell's region if there is any, else one of another region.
+    /// Returns the gateway that owns a cell, among this one and the others but for those that were suspected and have not
+    /// been heard from since: one of the cell's region if there is any, else one of another region. If expired suspicions
+    /// were enough, gateways that are gone would own the cell in turn, and no living one.
     pub(crate) fn owner(&self, cell: &Cell) -> SocketAddr {
-        let now = self.clock.now();
         let known = lock(&self.known);
         let trusted = known.listed.keys().copied().filter(|gateway| {
             let suspicion = known.suspicions.get(gateway);
-            suspicion.is_none_or(|suspicion| suspicion.until <= now)
+            suspicion.is_none_or(|suspicion| !suspicion.awaits_contact())
         });
         let trusted: Vec<SocketAddr> = trusted.chain([self.own]).collect();
         let is_in_region =
@@ -260,6 +272,42 @@
             .unwrap_or(self.own)
     }
 
+    /// Returns the gateways that are to be probed now, since each would own a cell in place of `owner` if it answered: their
+    /// suspicions have expired. They are suspected again until they are heard from.
+    pub(crate) fn take_due_probes(&self, cell: &Cell, owner: SocketAddr) -> Vec<SocketAddr> {
+        let now = self.clock.now();
+        let mut known = lock(&self.known);
+        let suspected = known.suspicions.iter();
+        let expired = suspected.filter(|(_, it)| it.awaits_contact() && it.until <= now);
+        let due = expired.map(|(gateway, _)| *gateway).filter(|gateway| {
+            known.listed.contains_key(gateway) && self.outranks(&known, cell, *gateway, owner)
+        });
+        let due: Vec<SocketAddr> = due.collect();
+        for gateway in &due {
+            known.suspicions.entry(*gateway).or_default().renew(now);
+        }
+        due
+    }
+
+    /// Whether a gateway rather than `other` would own a cell.
+    fn outranks(
+        &self,
+        known: &MemberList,
+        cell: &Cell,
+        gateway: SocketAddr,
+        other: SocketAddr,
+    ) -> bool {
+        let region = cell.region.as_ref();
+        match (
+            self.is_in(known, gateway, region),
+            self.is_in(known, other, region),
+        ) {
+            (true, false) => true,
+            (false, true) => false,
+            _ => owner(cell, [gateway, other]) == Some(gateway),
+        }
+    }
+
     /// Whether a gateway is in a region; always true for `None`, which means the single region of a deployment.
     fn is_in(&self, known: &MemberList, gateway: SocketAddr, region: Option<&RegionName>) -> bool {
         let Some(region) = region else {
--- a/crates/swiftshunt-gateway/src/slots/reporting.rs
+++ b/crates/swiftshunt-gateway/src/slots/reporting.rs
@@ -43,6 +43,12 @@
     waiting: WaitingItems,
 }
 
+impl LocalUsage {
+    fn is_idle(&self) -> bool {
+        self.held.is_empty() && self.waiting.items == 0
+    }
+}
+
 /// The next step towards the owner of a cell.
 enum DueAction {
     Nothing,
@@ -79,7 +85,7 @@
         });
         let report = SlotReport {
             life: self.life,
-            number: self.last_report_number.fetch_add(1, Ordering::Relaxed) + 1,
+            number: self.next_report_number(),
             seen,
             held,
             waiting,
@@ -141,6 +147,9 @@
     fn report_cell(&self, cell: &Cell) {
         let owner = self.members.owner(cell);
         let local_usage = self.local_usage(cell);
+        if !local_usage.is_idle() {
+            self.probe_suspects(cell, owner);
+        }
         let answer = match self.due_report(cell, owner, &local_usage) {
             DueAction::Nothing => return,
             DueAction::Report => false,
@@ -167,16 +176,18 @@
     fn due_report(&self, cell: &Cell, owner: SocketAddr, local_usage: &LocalUsage) -> DueAction {
         let now = self.clock.now();
         let LocalUsage { held, waiting } = local_usage;
-        let is_idle = held.is_empty() && waiting.items == 0;
+        let is_idle = local_usage.is_idle();
+        let heard_at = self.members.heard_at(owner);
+        let is_silent = now >= heard_at + self.members.answer_timeout(owner, OWNER_PROBE_DELAY);
         let last_reports = lock(&self.last_reports);
         let Some(last_report) = last_reports
             .get(cell)
             .filter(|last_report| last_report.owner == owner)
         else {
-            return if is_idle {
-                DueAction::Nothing
-            } else {
-                DueAction::Report
+            return match (is_idle, is_silent && owner != self.members.own_address()) {
+                (true, _) => DueAction::Nothing,
+                (false, true) => DueAction::ReportAndProbe,
+                (false, false) => DueAction::Report,
             };
         };
         let report = &last_report.report;
@@ -189,7 +200,6 @@
         if is_idle || owner == self.members.own_address() {
             return DueAction::Report;
         }
-        let heard_at = self.members.heard_at(owner);
         match last_report
             .probed_at
             .filter(|probed_at| heard_at < *probed_at)
@@ -200,13 +210,33 @@
                 DueAction::OwnerGone
             }
             Some(_) => DueAction::ReportAndProbe,
-            None if now >= heard_at + self.members.answer_timeout(owner, OWNER_PROBE_DELAY) => {
-                DueAction::ReportAndProbe
-            }
+            None if is_silent => DueAction::ReportAndProbe,
             None => DueAction::Report,
         }
     }
 
+    /// Probes gateways that do not own a cell only because they are suspected. The report in a probe names nothing, since the
+    /// acting owner grants slots for what is held and waits here.
+    fn probe_suspects(&self, cell: &Cell, owner: SocketAddr) {
+        for suspect in self.members.take_due_probes(cell, owner) {
+            let report = SlotReport {
+                life: self.life,
+                number: self.next_report_number(),
+                ..SlotReport::default()
+            };
+            let message = Message::Report {
+                cell: cell.clone(),
+                report,
+                answer: true,
+            };
+            self.send(message, suspect);
+        }
+    }
+
+    fn next_report_number(&self) -> u64 {
+        self.last_report_number.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
     /// Records that the owner of a cell is probed now, unless an earlier probe is still unanswered.
     fn record_probe(&self, cell: &Cell, owner: SocketAddr) {
         let now = self.clock.now();
