Gateway: what accepted jobs hold in memory is bounded

Cause: a gateway kept all bodies of all items of its partitions until a job was forgotten, finished ones too, and listed all partitions that it took over into memory at once. Nothing was smaller after a restart.

Change: bodies are kept apart from the rest of a job, within an eighth of the memory, those of closed jobs giving way first. An item whose body cannot be read waits (`Body`), and a caller gets 503. From an eighth of the memory on, partitions are listed one at a time. The stand-in of the store now keeps to pages of 1 MB, as the platform does. Records and messages are unchanged.

--- a/crates/swiftshunt-gateway/src/batch/item.rs
+++ b/crates/swiftshunt-gateway/src/batch/item.rs
@@ -11,13 +11,13 @@
 use swiftshunt_jobs::{FailedRun, ItemOutcome, ItemSpec, JobSpec, Settled};
 use swiftshunt_routing::{Configuration, Route};
 use swiftshunt_scheduler::eligibility::OfferScope;
-use swiftshunt_scheduler::prefix_cache::PromptPart;
 use swiftshunt_scheduler::selection::{AttemptOutcome, ChosenWorker, Class, Demand};
 use swiftshunt_scheduler::slots::ItemTimes;
 use swiftshunt_topology::Residency;
 use swiftshunt_types::TenantName;
 
 use super::Batch;
+use super::item_bodies::BodyError;
 use super::item_output::ItemOutput;
 use crate::attempt::{OutgoingRequest, SendFailure, SendLimits};
 use crate::fleet_state::lock;
@@ -89,8 +89,7 @@
             return;
         };
         // Built once, since its digest reads the whole body.
-        let prompt = self.dispatcher.protocol.item_facts(item).prompt;
-        let request_content = request_content(spec, item, &prompt);
+        let mut known_content: Option<RequestContent> = None;
         let mut awaits_configuration = false;
         loop {
             let Some(configuration) = self.configuration_for(spec) else {
@@ -120,10 +119,24 @@
                 tokio::time::sleep(RETRY_DELAY).await;
                 continue;
             }
-            let Some(request_content) = &request_content else {
-                let reason = "item has no valid path or host";
-                return self.settle(id, item, ItemOutcome::GivenUp, String::new(), reason);
+            let request_content = match known_content.take() {
+                Some(known) => known,
+                None => match self.request_content(id, spec, item).await {
+                    Ok(Some(content)) => content,
+                    Ok(None) => {
+                        let reason = "item has no valid path or host";
+                        return self.settle(id, item, ItemOutcome::GivenUp, String::new(), reason);
+                    }
+                    Err(error) => {
+                        log::info!(job = id.job.as_str(), item = item.id.as_str();
+                            "the body of an item cannot be read; the item waits: {error}");
+                        activity.set_wait(ItemWait::Body);
+                        tokio::time::sleep(RETRY_DELAY).await;
+                        continue;
+                    }
+                },
             };
+            let request_content = &*known_content.insert(request_content);
             let residency = self.residency_of(&route, spec.tenant.as_ref());
             if !self.dispatcher.job_regions.may_send_from_here(&residency) {
                 log::debug!(job = id.job.as_str(), item = item.id.as_str();
@@ -202,6 +215,33 @@
         }
     }
 
+    /// Returns the content that identifies an item over all its sends; `None` if its path is not a valid URI.
+    async fn request_content(
+        &self,
+        id: &ItemId,
+        spec: &JobSpec,
+        item: &ItemSpec,
+    ) -> Result<Option<RequestContent>, BodyError> {
+        let Ok(target) = item.path.parse::<Uri>() else {
+            return Ok(None);
+        };
+        let body = self.body_of_item(id).await?;
+        let identity = match &spec.tenant {
+            Some(tenant) => Identity::Tenant(tenant.clone()),
+            None => Identity::Unchecked,
+        };
+        let prompt = self.dispatcher.protocol.item_facts(item).prompt;
+        Ok(Some(RequestContent::new(
+            RequestOrigin::BatchItem,
+            identity,
+            &spec.host,
+            Method::POST,
+            target,
+            body,
+            &prompt,
+        )))
+    }
+
     /// Returns the configuration that decides what becomes of a job's items; `None` while only an older one is known here
     /// than that by which the job was accepted.
     fn configuration_for(&self, spec: &JobSpec) -> Option<Arc<Configuration>> {
@@ -446,29 +486,6 @@
     }
 }
 
-/// The content that identifies an item over all its sends; `None` if its path is not a valid URI.
-fn request_content(
-    spec: &JobSpec,
-    item: &ItemSpec,
-    prompt: &[PromptPart],
-) -> Option<RequestContent> {
-    let identity = match &spec.tenant {
-        Some(tenant) => Identity::Tenant(tenant.clone()),
-        None => Identity::Unchecked,
-    };
-    let target = item.path.parse::<Uri>().ok()?;
-    let body = item.body.clone();
-    Some(RequestContent::new(
-        RequestOrigin::BatchItem,
-        identity,
-        &spec.host,
-        Method::POST,
-        target,
-        body,
-        prompt,
-    ))
-}
-
 /// Weight of a new run in the moving average of run times.
 const RUN_SMOOTHING: f64 = 0.1;
 
--- a/crates/swiftshunt-gateway/src/batch/job_queries.rs
+++ b/crates/swiftshunt-gateway/src/batch/job_queries.rs
@@ -8,6 +8,7 @@
 
 use super::{ASSUMED_CALLER_TIMEOUT, Batch};
 use crate::answers::{CallerAnswer, full_body, plain};
+use crate::running::ItemId;
 
 /// Largest size of the results in one answer, in bytes.
 const PAGE_BYTES: usize = 1_000_000;
@@ -97,13 +98,27 @@
         if let Err(answer) = self.ensure_job_known(partition, id).await {
             return answer;
         }
-        let state = self.replay.state(partition);
-        let spec = state.fold.job(id).map(|job| &job.spec);
-        let found = spec.and_then(|spec| spec.items.iter().find(|known| known.id == item));
-        let Some(found) = found else {
+        let found = {
+            let state = self.replay.state(partition);
+            let spec = state.fold.job(id).map(|job| &job.spec);
+            spec.and_then(|spec| spec.items.iter().position(|known| known.id == item))
+        };
+        let Some(index) = found else {
             return plain(StatusCode::NOT_FOUND, "no such item");
         };
-        let mut answer = Response::new(full_body(found.body.clone()));
+        let item = ItemId {
+            partition,
+            job: id.to_owned(),
+            index: index as u32,
+        };
+        let body = match self.body_of_item(&item).await {
+            Ok(body) => body,
+            Err(error) => {
+                log::info!(job = id, partition, index; "the body of an item cannot be read: {error}");
+                return self.refuse_journal_unavailable(id, ASSUMED_CALLER_TIMEOUT);
+            }
+        };
+        let mut answer = Response::new(full_body(body));
         let content_type = HeaderValue::from_static("application/octet-stream");
         answer.headers_mut().insert(CONTENT_TYPE, content_type);
         answer
--- a/crates/swiftshunt-gateway/src/batch/mod.rs
+++ b/crates/swiftshunt-gateway/src/batch/mod.rs
@@ -7,9 +7,11 @@
 mod fitness;
 mod intake;
 mod item;
+mod item_bodies;
 mod item_output;
 mod job_queries;
 mod leases;
+mod listing_memory;
 mod member;
 mod out_of_region;
 mod owners;
@@ -24,6 +26,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::http::request;
 use hyper::{HeaderMap, Request, StatusCode};
@@ -37,8 +40,9 @@
 use crate::body_buffers::BodyBuffers;
 use crate::log_relay::RelayedLog;
 use crate::members::Members;
+use crate::memory::MemoryShares;
 use crate::protocol::Call;
-use crate::running::RunningItems;
+use crate::running::{ItemId, RunningItems};
 use crate::settings::GatewaySettings;
 use crate::unreadable::UnreadableRecords;
 use crate::waiting_limits::WaitingLimits;
@@ -46,7 +50,9 @@
 pub(crate) use decoding::JobDecoding;
 pub(crate) use intake::Submission;
 use item::RunTimeEstimate;
+use item_bodies::{BodyError, ItemBodies};
 use leases::Leases;
+use listing_memory::ListingMemory;
 pub(crate) use member::Member;
 use owners::PartitionOwners;
 pub(crate) use region_pages::PATH as PAGES_PATH;
@@ -71,6 +77,7 @@
     /// The log, for calls by which other gateways show that they reach it.
     peer_log: Arc<RelayedLog>,
     replay: Replay,
+    bodies: Arc<ItemBodies>,
     appender: Appender,
     leases: Leases,
     owners: PartitionOwners,
@@ -83,16 +90,31 @@
     stop_token: CancellationToken,
 }
 
+/// The dependencies of [`Batch`].
+pub(crate) struct BatchDependencies {
+    pub(crate) dispatcher: Arc<Dispatcher>,
+    pub(crate) settings: Arc<GatewaySettings>,
+    /// The log.
+    pub(crate) relayed: Arc<RelayedLog>,
+    pub(crate) members: Arc<Members>,
+    pub(crate) running: Arc<RunningItems>,
+    pub(crate) waiting_limits: Arc<WaitingLimits>,
+    pub(crate) unreadable: Arc<UnreadableRecords>,
+    pub(crate) memory_shares: MemoryShares,
+}
+
 impl Batch {
-    pub(crate) fn new(
-        dispatcher: Arc<Dispatcher>,
-        settings: Arc<GatewaySettings>,
-        relayed: Arc<RelayedLog>,
-        members: Arc<Members>,
-        running: Arc<RunningItems>,
-        waiting_limits: Arc<WaitingLimits>,
-        unreadable: Arc<UnreadableRecords>,
-    ) -> Self {
+    pub(crate) fn new(dependencies: BatchDependencies) -> Self {
+        let BatchDependencies {
+            dispatcher,
+            settings,
+            relayed,
+            members,
+            running,
+            waiting_limits,
+            unreadable,
+            memory_shares,
+        } = dependencies;
         let log: Arc<dyn Log> = Arc::clone(&relayed) as _;
         let metrics = Arc::clone(&dispatcher.metrics);
         let clock = dispatcher.clock;
@@ -101,9 +123,19 @@
         let readers = Arc::clone(&region_readers);
         let region_pages = Arc::new(RegionPages::new(Arc::clone(&log), readers, clock));
         let pages = Arc::clone(&region_pages);
+        let bodies = Arc::new(ItemBodies::new(Arc::clone(&log), memory_shares.item_bodies));
         Self {
             peer_log: relayed,
-            replay: Replay::new(Arc::clone(&log), pages, &settings, unreadable, clock),
+            replay: Replay::new(
+                Arc::clone(&log),
+                pages,
+                Arc::clone(&bodies),
+                Arc::new(ListingMemory::new(memory_shares.listings)),
+                &settings,
+                unreadable,
+                clock,
+            ),
+            bodies,
             appender: Appender::new(Arc::clone(&log), &settings, metrics, clock),
             leases: Leases::new(Arc::clone(&log), &settings, own_address, clock),
             owners: PartitionOwners::new(log, own_address, settings.log.partitions, clock),
@@ -271,6 +303,19 @@
         }
     }
 
+    /// Returns the body of an item of a job that is known here.
+    async fn body_of_item(&self, id: &ItemId) -> Result<Bytes, BodyError> {
+        let frame_key = {
+            let state = self.replay.state(id.partition);
+            let job = state.fold.job(&id.job);
+            job.and_then(|job| job.acceptance_key().map(<[u8]>::to_vec))
+        };
+        let frame_key = frame_key.ok_or(BodyError::Missing)?;
+        self.bodies
+            .body(id.partition, &id.job, &frame_key, id.index as usize)
+            .await
+    }
+
     async fn answer_locally(&self, call: Call) -> CallerAnswer {
         match call {
             Call::JobResults { job, from, wait } => self.list_results(&job, from, wait).await,
--- a/crates/swiftshunt-gateway/src/batch/replay.rs
+++ b/crates/swiftshunt-gateway/src/batch/replay.rs
@@ -9,14 +9,17 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use swiftshunt_jobs::{JobFold, JobRecord};
-use swiftshunt_journal::{Assembly, Change, KeyedView, Log, LogError, ReadOutcome, Topic};
+use swiftshunt_jobs::{Effect, Job, JobFold, JobRecord};
+use swiftshunt_journal::{
+    Assembly, Change, KeyedView, Log, LogError, LogicalRecord, ReadOutcome, Topic,
+};
 use tokio::sync::{Notify, watch};
 
+use super::item_bodies::ItemBodies;
+use super::listing_memory::{BoundedListing, ListingMemory};
 use super::region_pages::{PageCall, RegionPages};
 use crate::clock::Clock;
 use crate::fleet_state::lock;
-use crate::listing::Listing;
 use crate::settings::GatewaySettings;
 use crate::topic_follower::LogBackoff;
 use crate::unreadable::UnreadableRecords;
@@ -87,6 +90,8 @@
 pub(crate) struct Replay {
     log: Arc<dyn Log>,
     pages: Arc<RegionPages>,
+    bodies: Arc<ItemBodies>,
+    listing_memory: Arc<ListingMemory>,
     clock: Clock,
     partitions: Vec<Partition>,
     follow_after_call: Duration,
@@ -102,6 +107,8 @@
     pub(crate) fn new(
         log: Arc<dyn Log>,
         pages: Arc<RegionPages>,
+        bodies: Arc<ItemBodies>,
+        listing_memory: Arc<ListingMemory>,
         settings: &GatewaySettings,
         unreadable: Arc<UnreadableRecords>,
         clock: Clock,
@@ -115,6 +122,8 @@
         Self {
             log,
             pages,
+            bodies,
+            listing_memory,
             clock,
             partitions: partitions.collect(),
             follow_after_call: settings.batch.follow_after_call,
@@ -216,12 +225,13 @@
     /// Follows a partition whenever it is wanted, until the process ends.
     pub(crate) async fn follow(&self, partition: u32) {
         let mut backoff = LogBackoff::new("journal partition", partition);
-        let mut listing = Listing::default();
+        let mut listing = BoundedListing::new(Arc::clone(&self.listing_memory));
         loop {
             if !self.is_wanted(partition) {
+                listing.yield_turn();
                 // Another call is likely, so an incomplete listing is kept for as long as a fold is.
                 if self.wait_until_wanted(partition).await == IdlePeriod::Long {
-                    listing = Listing::default();
+                    listing.reset();
                 }
                 continue;
             }
@@ -237,7 +247,7 @@
     async fn list_or_read_tail(
         &self,
         partition: u32,
-        listing: &mut Listing,
+        listing: &mut BoundedListing,
     ) -> Result<(), LogError> {
         let listed = self.state(partition).is_listed;
         if !listed {
@@ -251,7 +261,7 @@
         self.read_tail(partition, wait).await.map(|_| ())
     }
 
-    async fn list(&self, partition: u32, listing: &mut Listing) -> Result<(), LogError> {
+    async fn list(&self, partition: u32, listing: &mut BoundedListing) -> Result<(), LogError> {
         let known = self.state(partition).view.next_offset();
         let page = |after, not_before: u64| {
             let call = PageCall {
@@ -276,6 +286,7 @@
         state.known_as_of = None;
         self.apply(partition, &mut state, changes);
         drop(state);
+        listing.reset();
         self.notify_changed(partition);
         Ok(())
     }
@@ -353,10 +364,7 @@
                 .assembly
                 .add_frame::<JobRecord>(record.key, &record.value)
             {
-                Ok(Some(logical)) => {
-                    let effect = state.fold.apply(logical.record, logical.keys, now);
-                    log::debug!(partition, effect:? = effect; "a journal record was applied");
-                }
+                Ok(Some(logical)) => self.apply_record(partition, &mut state.fold, logical, now),
                 Ok(None) => {}
                 Err(error) => self.unreadable.record_unreadable(Topic::Jobs, &key, &error),
             }
@@ -364,6 +372,32 @@
         self.notify_changed(partition);
     }
 
+    /// Applies a record; the bodies of an accepted job's items are kept apart from the fold.
+    fn apply_record(
+        &self,
+        partition: u32,
+        fold: &mut JobFold,
+        logical: LogicalRecord<JobRecord>,
+        now: Duration,
+    ) {
+        let LogicalRecord {
+            mut record, keys, ..
+        } = logical;
+        if let JobRecord::Accepted(spec) = &mut record {
+            let bodies = spec.take_bodies();
+            if fold.job(&spec.id).is_none() {
+                self.bodies.keep(partition, &spec.id, bodies);
+            }
+        }
+        let effect = fold.apply(record, keys, now);
+        if let Effect::Progress(job) | Effect::Ended(job) = &effect
+            && fold.job(job).is_some_and(Job::is_closed)
+        {
+            self.bodies.release(partition, job);
+        }
+        log::debug!(partition, effect:? = effect; "a journal record was applied");
+    }
+
     fn notify_changed(&self, partition: u32) {
         let bump = |version: &mut u64| *version += 1;
         self.partitions[partition as usize]
--- a/crates/swiftshunt-gateway/src/batch/results.rs
+++ b/crates/swiftshunt-gateway/src/batch/results.rs
@@ -282,6 +282,7 @@
     /// Forgets a job and, if this gateway holds its partition, deletes its records from the log.
     async fn drop_job(&self, partition: u32, job: &str) {
         let keys = self.replay.state(partition).fold.forget(job);
+        self.bodies.drop_job(partition, job);
         if !self.leases.holds(partition) {
             return;
         }
--- a/crates/swiftshunt-gateway/src/gateway.rs
+++ b/crates/swiftshunt-gateway/src/gateway.rs
@@ -15,7 +15,7 @@
 use crate::answer_buffer::AnswerBuffers;
 use crate::attempt::Dispatcher;
 use crate::background;
-use crate::batch::{Batch, JobDecoding};
+use crate::batch::{Batch, BatchDependencies, JobDecoding};
 use crate::body_buffers::BodyBuffers;
 use crate::clock::Clock;
 use crate::datagrams::Datagrams;
@@ -243,15 +243,16 @@
             answer_buffers: AnswerBuffers::new(memory_shares.answers),
             clock,
         });
-        let batch = Arc::new(Batch::new(
-            Arc::clone(&dispatcher),
-            Arc::clone(&settings),
-            Arc::clone(&relayed),
+        let batch = Arc::new(Batch::new(BatchDependencies {
+            dispatcher: Arc::clone(&dispatcher),
+            settings: Arc::clone(&settings),
+            relayed: Arc::clone(&relayed),
             members,
-            Arc::clone(&running),
-            Arc::clone(&waiting_limits),
-            Arc::clone(&unreadable),
-        ));
+            running: Arc::clone(&running),
+            waiting_limits: Arc::clone(&waiting_limits),
+            unreadable: Arc::clone(&unreadable),
+            memory_shares,
+        }));
         let stop = Stop::default();
         let online = Arc::new(OnlineHandler {
             dispatcher: Arc::clone(&dispatcher),
--- a/crates/swiftshunt-gateway/src/listing.rs
+++ b/crates/swiftshunt-gateway/src/listing.rs
@@ -24,23 +24,46 @@
         Reading: Future<Output = Result<NewestPage, LogError>>,
     {
         loop {
-            let end = self.pages.first().map_or(0, |first| first.end);
-            let page = page(self.after.clone(), end).await?;
-            let last = page.records.last().map(|record| record.key.clone());
-            let more = page.more && last.is_some();
-            if more && last <= self.after {
-                *self = Self::default();
-                return Err(LogError::Unanswered {
-                    reason: "a listing does not get beyond a key".to_owned(),
-                });
-            }
-            self.after = last;
-            self.pages.push(NewestPage { more, ..page });
-            if !more {
-                return Ok(std::mem::take(self).pages);
+            if let Some(pages) = self.read_page(&page).await?.all_pages {
+                return Ok(pages);
             }
         }
     }
+
+    /// Reads the next page, as [`Self::read`] does.
+    pub(crate) async fn read_page<Reading>(
+        &mut self,
+        page: impl Fn(Option<Vec<u8>>, u64) -> Reading,
+    ) -> Result<PageRead, LogError>
+    where
+        Reading: Future<Output = Result<NewestPage, LogError>>,
+    {
+        let end = self.pages.first().map_or(0, |first| first.end);
+        let page = page(self.after.clone(), end).await?;
+        let last = page.records.last().map(|record| record.key.clone());
+        let more = page.more && last.is_some();
+        if more && last <= self.after {
+            *self = Self::default();
+            return Err(LogError::Unanswered {
+                reason: "a listing does not get beyond a key".to_owned(),
+            });
+        }
+        self.after = last;
+        let records = page.records.iter();
+        let bytes = records.map(|record| record.key.len() + record.value.len());
+        let bytes = bytes.sum();
+        self.pages.push(NewestPage { more, ..page });
+        let all_pages = (!more).then(|| std::mem::take(self).pages);
+        Ok(PageRead { bytes, all_pages })
+    }
+}
+
+/// A page that was added to a listing.
+pub(crate) struct PageRead {
+    /// Size of its keys and values.
+    pub(crate) bytes: usize,
+    /// All pages, if this was the last one.
+    pub(crate) all_pages: Option<Vec<NewestPage>>,
 }
 
 #[cfg(test)]
--- a/crates/swiftshunt-gateway/src/memory.rs
+++ b/crates/swiftshunt-gateway/src/memory.rs
@@ -11,6 +11,10 @@
 const BODIES_DIVISOR: usize = 4;
 /// Part of the memory that jobs may take while they are decoded and recorded.
 const DECODING_DIVISOR: usize = 4;
+/// Part of the memory that the bodies of accepted jobs may take.
+const ITEM_BODIES_DIVISOR: usize = 8;
+/// Part of the memory from which on partitions of the journal are listed one at a time.
+const LISTINGS_DIVISOR: usize = 8;
 /// Part of the memory that the calls of other gateways may take, and likewise answers of workers.
 const CALLS_DIVISOR: usize = 8;
 const ANSWERS_DIVISOR: usize = 8;
@@ -24,6 +28,10 @@
     pub(crate) bodies: usize,
     /// Jobs that are being decoded and recorded.
     pub(crate) decoding: usize,
+    /// Bodies of the items of accepted jobs, those of running items apart.
+    pub(crate) item_bodies: usize,
+    /// Pages of partitions that are listed side by side.
+    pub(crate) listings: usize,
     /// Calls of other gateways that are being read.
     pub(crate) calls: usize,
     /// Answers of workers that are read whole.
@@ -36,6 +44,8 @@
         Self {
             bodies: limit_bytes / BODIES_DIVISOR,
             decoding: limit_bytes / DECODING_DIVISOR,
+            item_bodies: limit_bytes / ITEM_BODIES_DIVISOR,
+            listings: limit_bytes / LISTINGS_DIVISOR,
             calls: limit_bytes / CALLS_DIVISOR,
             answers: (limit_bytes / ANSWERS_DIVISOR).min(MAX_ANSWERS_BYTES),
         }
--- a/crates/swiftshunt-gateway/src/metrics/labels.rs
+++ b/crates/swiftshunt-gateway/src/metrics/labels.rs
@@ -144,6 +144,8 @@
     Configuration,
     /// It may not be sent from this region.
     Region,
+    /// The read of its body from the journal.
+    Body,
     /// A worker's slot.
     Slot,
     /// The pause after a failed attempt.
--- a/crates/swiftshunt-jobs/src/fold.rs
+++ b/crates/swiftshunt-jobs/src/fold.rs
@@ -11,7 +11,7 @@
 /// The state of a batch job.
 #[derive(Debug)]
 pub struct Job {
-    /// The job as its caller submitted it.
+    /// The job as its caller submitted it, without the bodies of its items if whoever applied its acceptance took them.
     pub spec: Arc<JobSpec>,
     /// The first result of each item that has one, in the order in which they were recorded; the index of a result
     /// is its position.
@@ -62,6 +62,11 @@
         self.settled.get(item).copied().unwrap_or(true)
     }
 
+    /// Returns the key of a frame of the job's acceptance.
+    pub fn acceptance_key(&self) -> Option<&[u8]> {
+        self.keys.first().map(Vec::as_slice)
+    }
+
     /// Returns the progress that an earlier runner recorded for an unsettled item; `None` if there is none.
     pub fn progress(&self, item: u32) -> Option<&Progress> {
         self.progress.get(&item)
--- a/crates/swiftshunt-jobs/src/record.rs
+++ b/crates/swiftshunt-jobs/src/record.rs
@@ -63,6 +63,12 @@
 const MAX_AGE: Duration = Duration::from_secs(600);
 
 impl JobSpec {
+    /// Removes the bodies of the items and returns them, in the order of the items.
+    pub fn take_bodies(&mut self) -> Vec<Bytes> {
+        let items = self.items.iter_mut();
+        items.map(|item| std::mem::take(&mut item.body)).collect()
+    }
+
     /// Returns how long before `unix_ms` the job was accepted, by wall clocks; zero if unknown, and 600 s at most.
     pub fn age(&self, unix_ms: u64) -> Duration {
         if self.taken_unix_ms == 0 {
--- a/crates/swiftshunt-journal/src/assembly.rs
+++ b/crates/swiftshunt-journal/src/assembly.rs
@@ -145,11 +145,10 @@
             return Ok(None);
         };
         self.complete.insert(frame.nonce);
-        let cbor: Vec<u8> = partial
-            .parts
-            .into_values()
-            .flat_map(|part| part.to_vec())
-            .collect();
+        let mut cbor = Vec::with_capacity(partial.parts.values().map(Bytes::len).sum());
+        for part in partial.parts.into_values() {
+            cbor.extend_from_slice(&part);
+        }
         let record = ciborium::from_reader(cbor.as_slice()).map_err(failed)?;
         Ok(Some(LogicalRecord {
             nonce: frame.nonce,
@@ -168,6 +167,13 @@
     }
 }
 
+/// Returns the part that the keys of all frames of a record have in common, given one of them; `None` if the key is not that
+/// of a frame. No key of another record begins so.
+pub fn record_prefix(key: &[u8]) -> Option<&[u8]> {
+    let end = key.iter().rposition(|byte| *byte == b':')?;
+    Some(&key[..=end])
+}
+
 /// Extracts the nonce from a frame's key; `None` if the key is not that of a frame.
 fn nonce_of(key: &[u8]) -> Option<u64> {
     let key = std::str::from_utf8(key).ok()?;
--- a/crates/swiftshunt-journal/src/lib.rs
+++ b/crates/swiftshunt-journal/src/lib.rs
@@ -10,7 +10,7 @@
 mod log;
 mod tail_window;
 
-pub use assembly::{Assembly, FramingError, LogicalRecord, frames};
+pub use assembly::{Assembly, FramingError, LogicalRecord, frames, record_prefix};
 pub use bulk_window::BulkWindow;
 pub use keyed_view::{Change, KeyedView};
 pub use log::{AppendOutcome, KeyedRecord, Lease, Log, LogError, NewestPage, ReadOutcome, Topic};
--- a/crates/swiftshunt-lab/src/platform/store.rs
+++ b/crates/swiftshunt-lab/src/platform/store.rs
@@ -459,8 +459,9 @@
     calls.is_multiple_of(2)
 }
 
-/// Maximum number of records in a page of newest records.
+/// Maximum number of records in a page of newest records, and size from which on a page takes no further record.
 const PAGE_RECORDS: usize = 500;
+const PAGE_BYTES: usize = 1_000_000;
 
 fn newest(shared: &Shared, query: &Query) -> Response<Body> {
     let after = query.text(queries::AFTER).as_bytes().to_vec();
@@ -472,13 +473,19 @@
             end: 0,
         });
     };
-    let after_key = partition
+    let mut after_key = partition
         .newest
         .values()
-        .filter(|record| after.is_empty() || record.key > after);
-    let mut page: Vec<&StoredRecord> = after_key.take(PAGE_RECORDS + 1).collect();
-    let more = page.len() > PAGE_RECORDS;
-    page.truncate(PAGE_RECORDS);
+        .filter(|record| after.is_empty() || record.key > after)
+        .peekable();
+    let mut bytes = 0;
+    let page = std::iter::from_fn(|| {
+        let next = after_key.next_if(|_| bytes < PAGE_BYTES)?;
+        bytes += next.value.len();
+        Some(next)
+    });
+    let page: Vec<&StoredRecord> = page.take(PAGE_RECORDS).collect();
+    let more = after_key.peek().is_some();
     let requests = page.into_iter().map(|record| RecordDocument {
         key: String::from_utf8_lossy(&record.key).into_owned(),
         value: STANDARD.encode(&record.value),
--- a/crates/swiftshunt/tests/gateway/mod.rs
+++ b/crates/swiftshunt/tests/gateway/mod.rs
@@ -146,6 +146,16 @@
     }
 }
 
+/// Returns the largest memory that a process has had, in KiB.
+pub fn peak_memory(process: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status"));
+    let status = status.expect("the gateway has ended");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let number = line.and_then(|line| line.trim().strip_suffix(" kB"));
+    let peak = number.and_then(|number| number.trim().parse().ok());
+    peak.expect("no peak of the memory")
+}
+
 /// Replaces the workers of the service `engine` some time after they have crashed.
 pub struct CrashedWorkerReplacer {
     delay: Duration,
--- a/crates/swiftshunt/tests/gateway_crowds.rs
+++ b/crates/swiftshunt/tests/gateway_crowds.rs
@@ -9,7 +9,7 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use gateway::{ExclusiveFleet, start};
+use gateway::{ExclusiveFleet, peak_memory, start};
 use hyper::StatusCode;
 use swiftshunt_lab::platform::caller::{HOST, PlatformCaller};
 use swiftshunt_lab::platform::fleet::{
@@ -219,16 +219,6 @@
     .await;
 }
 
-/// Returns the largest memory that a process has had, in KiB.
-fn peak_memory(process: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status"));
-    let status = status.expect("the gateway has ended");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let number = line.and_then(|line| line.trim().strip_suffix(" kB"));
-    let peak = number.and_then(|number| number.trim().parse().ok());
-    peak.expect("no peak of the memory")
-}
-
 fn open_descriptors(process: u32) -> usize {
     let descriptors = std::fs::read_dir(format!("/proc/{process}/fd"));
     descriptors.expect("the gateway has ended").count()
--- a/crates/swiftshunt/tests/gateway_endless_answers.rs
+++ b/crates/swiftshunt/tests/gateway_endless_answers.rs
@@ -12,8 +12,8 @@
 
 use gateway::raw_worker::{field, list_worker, read_head};
 use gateway::{
-    EVENTS, ExclusiveFleet, assert_all_events, assert_completed, listed_results, start, submit,
-    wait_for_all_results,
+    EVENTS, ExclusiveFleet, assert_all_events, assert_completed, listed_results, peak_memory,
+    start, submit, wait_for_all_results,
 };
 use hyper::StatusCode;
 use swiftshunt_lab::platform::caller::PlatformCaller;
@@ -204,17 +204,6 @@
     )
 }
 
-/// Returns the largest memory that a gateway has had, in KiB.
-fn peak_memory(process: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status"));
-    let status = status.expect("the gateway has ended");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let number = line.and_then(|line| line.trim().strip_suffix(" kB"));
-    number
-        .and_then(|it| it.trim().parse().ok())
-        .expect("no peak of the memory")
-}
-
 fn assert_bounds(fleet: &ExclusiveFleet, worker: &EndlessWorker) {
     let taken = worker.most_taken.load(Ordering::Relaxed);
     let memory = fleet.gateways.iter().map(|it| peak_memory(it.process.id()));
